--- /dev/null
+++ b/chestnuttide/platform/_ports.py
@@ -0,0 +1,291 @@
+"""What the system expects of the platform, as records of functions.
+
+A record is filled by a real client in the daemons and by a stand-in or a
+plain closure in tests.
+"""
+
+import collections.abc
+
+import attrs
+
+from chestnuttide import model
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class Entry:
+    """A key of the store with its value.
+
+    Attributes
+    ----------
+    key : str
+        The key.
+    value : bytes or None
+        The value; None in a watch when the key was deleted.
+    revision : int
+        Store revision of the last write of the key.
+    write_id : str
+        Id that the writer gave to the last write.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+    write_id: str
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class WatchResult:
+    """Changes below a prefix.
+
+    Attributes
+    ----------
+    revision : int
+        Store revision up to which the changes are complete.
+    entries : tuple of Entry
+        The changed keys, oldest first; empty when the wait ended first.
+    """
+
+    revision: int
+    entries: tuple[Entry, ...]
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class Store:
+    """The platform's key-value store.
+
+    Every function raises `errors.StoreUnavailableError` when no answer came,
+    in which case a write may have taken effect.
+
+    Attributes
+    ----------
+    get : function
+        ``get(key)`` returns the entry or None.
+    list_range : function
+        ``list_range(prefix)`` returns the entries in order of keys.
+    write : function
+        ``write(key, value, expected_revision, write_id, lease_id)`` returns
+        the new revision. `expected_revision` 0 means that the key must be
+        absent. `lease_id` 0 means no lease. Raises
+        `errors.RevisionConflictError` or `errors.LeaseExpiredError`.
+    delete : function
+        ``delete(key, expected_revision)``; raises
+        `errors.RevisionConflictError`.
+    grant_lease : function
+        ``grant_lease(ttl_s)`` returns a lease id.
+    renew_lease : function
+        ``renew_lease(lease_id)``; raises `errors.LeaseExpiredError`.
+    revoke_lease : function
+        ``revoke_lease(lease_id)`` deletes the keys attached to the lease.
+    watch : function
+        ``watch(prefix, after_revision, wait_s)`` returns a `WatchResult`.
+    """
+
+    get: collections.abc.Callable[
+        [str], collections.abc.Awaitable[Entry | None]
+    ]
+    list_range: collections.abc.Callable[
+        [str], collections.abc.Awaitable[list[Entry]]
+    ]
+    write: collections.abc.Callable[
+        [str, bytes, int, str, int], collections.abc.Awaitable[int]
+    ]
+    delete: collections.abc.Callable[
+        [str, int], collections.abc.Awaitable[None]
+    ]
+    grant_lease: collections.abc.Callable[
+        [float], collections.abc.Awaitable[int]
+    ]
+    renew_lease: collections.abc.Callable[
+        [int], collections.abc.Awaitable[None]
+    ]
+    revoke_lease: collections.abc.Callable[
+        [int], collections.abc.Awaitable[None]
+    ]
+    watch: collections.abc.Callable[
+        [str, int, float], collections.abc.Awaitable[WatchResult]
+    ]
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class InstanceChanges:
+    """Changes of the platform's instance list.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the list up to which the changes are complete.
+    instances : tuple of Instance
+        The instances that changed.
+    """
+
+    revision: int
+    instances: tuple[model.Instance, ...]
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class StartOutcome:
+    """What a worker answered to the start of one attempt.
+
+    Attributes
+    ----------
+    attempt : Attempt
+        The attempt.
+    outcome : str
+        ``started``, ``running``, ``ended`` or ``no_capacity``.
+    """
+
+    attempt: model.Attempt
+    outcome: str
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class TaskStart:
+    """The start of one attempt on a worker.
+
+    Attributes
+    ----------
+    attempt : Attempt
+        The attempt.
+    resources : Resources
+        What the worker reserves for it.
+    payload : bytes
+        JSON object that says what to run.
+    """
+
+    attempt: model.Attempt
+    resources: model.Resources
+    payload: bytes
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class SyncResult:
+    """What a worker answered to a sync.
+
+    Attributes
+    ----------
+    sequence : int
+        Number of the worker's last event.
+    reports : tuple of AttemptReport
+        Live attempts and ended ones that were not acknowledged.
+    """
+
+    sequence: int
+    reports: tuple[model.AttemptReport, ...]
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class WorkerAgent:
+    """The agents of workers; `address` is ``ip:port``.
+
+    Every function raises `errors.PlatformError` when no answer came and
+    `errors.DeposedError` when the worker has seen a higher epoch.
+
+    Attributes
+    ----------
+    start : function
+        ``start(address, epoch, lease_s, starts)`` returns a list of
+        `StartOutcome`.
+    sync : function
+        ``sync(address, epoch, lease_s, acknowledged, wait_s, after)`` returns
+        a `SyncResult`.
+    stop : function
+        ``stop(address, epoch, attempts, checkpoint)``.
+    throttle : function
+        ``throttle(address, epoch, attempts, share)`` limits the attempts to
+        a share of their processor time, 0 to 1.
+    """
+
+    start: collections.abc.Callable[
+        [str, int, float, collections.abc.Sequence[TaskStart]],
+        collections.abc.Awaitable[list[StartOutcome]],
+    ]
+    sync: collections.abc.Callable[
+        [
+            str,
+            int,
+            float,
+            collections.abc.Sequence[model.Attempt],
+            float,
+            int,
+        ],
+        collections.abc.Awaitable[SyncResult],
+    ]
+    stop: collections.abc.Callable[
+        [str, int, collections.abc.Sequence[model.Attempt], bool],
+        collections.abc.Awaitable[None],
+    ]
+    throttle: collections.abc.Callable[
+        [str, int, collections.abc.Sequence[model.Attempt], float],
+        collections.abc.Awaitable[None],
+    ]
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class TargetAnswer:
+    """A target's whole answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    content_type : str
+        Media type of `body`.
+    body : bytes
+        The whole body.
+    leaving : bool
+        Whether the target said that it is leaving and ran nothing.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    leaving: bool = False
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class Targets:
+    """The targets of services; `address` is ``ip:port``.
+
+    Attributes
+    ----------
+    work : function
+        ``work(address, request_id, attempt, epoch, payload, timeout_s,
+        may_send)`` returns a `TargetAnswer`. `may_send()` is called
+        immediately before the first byte is sent; when it returns False
+        nothing is sent. Raises `errors.PlatformError`, whose `sent` tells
+        whether any byte may have reached the target.
+    busy_slots : function
+        ``busy_slots(address, path)`` returns the number of slots in use.
+    """
+
+    work: collections.abc.Callable[
+        [
+            str,
+            str,
+            int,
+            int,
+            bytes,
+            float,
+            collections.abc.Callable[[], bool],
+        ],
+        collections.abc.Awaitable[TargetAnswer],
+    ]
+    busy_slots: collections.abc.Callable[
+        [str, str], collections.abc.Awaitable[int]
+    ]
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class InstanceList:
+    """The platform's lagging list of instances.
+
+    Attributes
+    ----------
+    changes : function
+        ``changes(after_revision, kind)`` returns `InstanceChanges`; an empty
+        `kind` means all kinds. Raises `errors.PlatformError`.
+    """
+
+    changes: collections.abc.Callable[
+        [int, str], collections.abc.Awaitable[InstanceChanges]
+    ]
