Add the settings of an instance

Cause: both daemons need checked settings, and an operator needs an error that says which field to change to what. A reference is rendered from the classes.

--- /dev/null
+++ b/chestnuttide/settings/_reference.py
@@ -0,0 +1,65 @@
+"""The settings reference, rendered from the settings classes."""
+
+import inspect
+import json
+import re
+
+import attrs
+
+from chestnuttide import config
+from chestnuttide.settings import _fields
+
+
+def render_reference() -> str:
+    """Return the settings reference as Markdown.
+
+    Returns
+    -------
+    str
+        One section with a table of fields for each object of the file.
+    """
+    lines = [
+        "# Settings",
+        "",
+        "One JSON file with comments per instance; both daemons read it.",
+    ]
+    _render_class(_fields.Settings, "", lines)
+    return "\n".join(lines) + "\n"
+
+
+def _render_class(cls: type, name: str, lines: list[str]) -> None:
+    summary = inspect.getdoc(cls).splitlines()[0]
+    descriptions = _parse_attributes(cls)
+    title = f"`{name}`" if name else "Top level"
+    lines += ["", f"## {title}", "", summary, ""]
+    lines += ["| field | default | allowed | meaning |", "|---|---|---|---|"]
+    nested = []
+    for field in attrs.fields(cls):
+        if attrs.has(field.type):
+            nested.append(field)
+            continue
+        default = (
+            "required"
+            if field.default is attrs.NOTHING
+            else f"`{json.dumps(field.default)}`"
+        )
+        lines.append(
+            f"| `{field.name}` | {default}"
+            f" | {config.describe_allowed(field)}"
+            f" | {descriptions[field.name]} |"
+        )
+    for field in nested:
+        _render_class(field.type, field.name, lines)
+
+
+def _parse_attributes(cls: type) -> dict[str, str]:
+    """Return the descriptions in the Attributes section of a docstring."""
+    _, _, section = inspect.getdoc(cls).partition("Attributes\n----------\n")
+    found: dict[str, list[str]] = {}
+    for line in section.splitlines():
+        header = re.match(r"(\w+) : ", line)
+        if header:
+            words = found.setdefault(header[1], [])
+        elif line.strip():
+            words.append(line.strip())
+    return {name: " ".join(words) for name, words in found.items()}
