Add logs and metrics of the daemons

Cause: each refusal and retry reason needs its own counter, and the log lines of all parts need one form. Change: JSON lines on standard error with instance, daemon, part prefix and fields; a registry per daemon with counters whose label values are all at 0 from the start, gauges and histograms.

--- /dev/null
+++ b/chestnuttide/telemetry/tests/test_telemetry.py
@@ -0,0 +1,112 @@
+import collections.abc
+import io
+import json
+import logging
+
+import pytest
+
+from chestnuttide import errors
+from chestnuttide import telemetry
+
+
+@pytest.fixture
+def stream() -> collections.abc.Iterator[io.StringIO]:
+    root = logging.getLogger()
+    handlers, level = root.handlers[:], root.level
+    lines = io.StringIO()
+    telemetry.configure_logging("info", "a-1", "scheduler", stream=lines)
+    yield lines
+    root.handlers[:] = handlers
+    root.setLevel(level)
+
+
+@pytest.mark.parametrize(
+    ("arguments", "fields", "expected"),
+    [
+        pytest.param(
+            ("lease %d renewed", 7),
+            {"epoch": 3},
+            {"message": "store: lease 7 renewed", "epoch": 3},
+            id="prefix_or_field_lost",
+        ),
+        pytest.param(
+            ("read",),
+            {"extra": {"key": "voters"}},
+            {"message": "store: read", "key": "voters"},
+            id="standard_extra_lost",
+        ),
+        pytest.param(
+            ("read",),
+            {"name": "x", "instance_id": "other"},
+            {"name_": "x", "instance_id_": "other", "instance_id": "a-1"},
+            id="reserved_field_raises_or_replaces",
+        ),
+        pytest.param(
+            ("100% full",),
+            {},
+            {"message": "store: 100% full", "level": "WARNING"},
+            id="percent_without_arguments_raises",
+        ),
+    ],
+)
+def test_line(
+    stream: io.StringIO, arguments: tuple, fields: dict, expected: dict
+) -> None:
+    telemetry.make_logger("store").warning(*arguments, **fields)
+    line = json.loads(stream.getvalue())
+    assert expected.items() <= line.items()
+    assert line["daemon"] == "scheduler"
+    assert line["logger"] == "chestnuttide.store"
+    assert "timestamp" in line
+
+
+def test_level_is_applied(stream: io.StringIO) -> None:
+    telemetry.make_logger("mesh").debug("frame")
+    logging.getLogger("websockets.server").info("connection open")
+    assert stream.getvalue() == ""
+
+
+@pytest.mark.parametrize(
+    ("metric", "reasons"),
+    [
+        pytest.param(
+            "chestnuttide_refusals_total",
+            errors.Reason,
+            id="refusal_reason_without_series",
+        ),
+        pytest.param(
+            "chestnuttide_retries_total",
+            errors.RetryReason,
+            id="retry_reason_without_series",
+        ),
+    ],
+)
+def test_each_reason_has_a_series_from_the_start(
+    metric: str, reasons: type[errors.Reason]
+) -> None:
+    content, content_type = telemetry.render(telemetry.make_metrics().registry)
+    lines = content.decode().splitlines()
+    assert content_type.startswith("text/plain")
+    for reason in reasons:
+        assert f'{metric}{{reason="{reason.value}"}} 0' in lines
+
+
+def test_counts_do_not_mix_between_reasons_or_registries() -> None:
+    metrics = telemetry.make_metrics()
+    telemetry.make_metrics()
+    telemetry.count_refusal(metrics, errors.Reason.QUEUE_FULL)
+    telemetry.count_retry(metrics, errors.RetryReason.HEDGE)
+    telemetry.count_store_call(metrics, "write")
+    metrics.placement_seconds.observe({}, 0.0004)
+    metrics.queue_length.set({"queue": "workers/main"}, 5)
+    lines = telemetry.render(metrics.registry)[0].decode().splitlines()
+    for line in (
+        'chestnuttide_refusals_total{reason="queue_full"} 1',
+        'chestnuttide_refusals_total{reason="quota_exceeded"} 0',
+        'chestnuttide_retries_total{reason="hedge"} 1',
+        'chestnuttide_store_calls_total{kind="write"} 1',
+        'chestnuttide_queue_length{queue="workers/main"} 5',
+        'chestnuttide_placement_seconds_bucket{le="0.0005"} 1.0',
+        "chestnuttide_shards_owned 0",
+    ):
+        assert line in lines
