--- /dev/null
+++ b/chestnuttide/queueing/tests/test_estimates.py
@@ -0,0 +1,53 @@
+import pytest
+
+from chestnuttide import queueing
+
+
+@pytest.mark.parametrize(
+    ("runs", "declared", "expected_s", "learned"),
+    [
+        pytest.param([], 0.0, 10.0, False, id="nothing_known_fails"),
+        pytest.param([], 4.0, 4.0, False, id="declared_is_ignored"),
+        pytest.param(
+            [(8.0, 4.0)] * 3, 10.0, 20.0, False, id="ratio_is_not_learned"
+        ),
+        pytest.param(
+            [(2.0, 100.0)] * 20, 100.0, 2.0, True, id="declared_wins"
+        ),
+        pytest.param(
+            ([(1.0, 1.0)] * 19 + [(50.0, 1.0)]) * 20,
+            1.0,
+            1.0,
+            True,
+            id="stragglers_spoil_the_median",
+        ),
+        pytest.param(
+            [(1.0, 1.0)] * 3000 + [(7.0, 1.0)] * 300,
+            1.0,
+            7.0,
+            True,
+            id="change_is_never_learned",
+        ),
+    ],
+)
+def test_expectation(
+    runs: list[tuple[float, float]],
+    declared: float,
+    expected_s: float,
+    learned: bool,
+) -> None:
+    estimates = queueing.Estimates()
+    for run_s, declared_s in runs:
+        queueing.observe(estimates, "c", run_s, declared_s)
+    expectation = queueing.expect(estimates, "c", declared)
+    assert expectation.median_s == pytest.approx(expected_s, rel=0.06)
+    assert expectation.learned == learned
+
+
+def test_p90_is_not_moved_by_five_percent_stragglers() -> None:
+    estimates = queueing.Estimates()
+    for number in range(1000):
+        run_s = 50.0 if number % 20 == 0 else 1.0
+        queueing.observe(estimates, "c", run_s)
+    expectation = queueing.expect(estimates, "c")
+    assert expectation.p90_s == pytest.approx(1.0, rel=0.06)
