--- /dev/null
+++ b/chestnuttide/entry/_daemon.py
@@ -0,0 +1,269 @@
+"""The entry daemon: wiring, peers, planned stop."""
+
+import asyncio
+import random
+import signal
+import time
+import uuid
+
+import tornado.httpserver
+import tornado.web
+
+from chestnuttide import config as config_module
+from chestnuttide.entry import _handlers
+from chestnuttide.entry import _owners
+from chestnuttide.entry import _state
+from chestnuttide import errors
+from chestnuttide import mesh
+from chestnuttide import model
+from chestnuttide import platform
+from chestnuttide import settings as settings_module
+from chestnuttide import telemetry
+
+# After a stop is asked for, calls are still accepted for this long, so that
+# the balancer sees the readiness change first.
+READINESS_NOTICE_S = 1.0
+POLL_S = 0.05
+INSTANCE_LIST_TIMEOUT_S = 2.0
+
+LOG = telemetry.make_logger("entry")
+
+
+def make_application(state: _state.EntryState) -> tornado.web.Application:
+    """Return the HTTP interface of the entry."""
+    shared = {"state": state}
+    name = "([^/]+)"
+    return tornado.web.Application(
+        [
+            (
+                f"/v1/services/{name}/requests",
+                _handlers.RequestsHandler,
+                shared,
+            ),
+            (
+                f"/v1/services/{name}/requests/{name}",
+                _handlers.RequestHandler,
+                shared,
+            ),
+            ("/v1/jobs", _handlers.JobsHandler, shared),
+            (f"/v1/jobs/{name}", _handlers.JobHandler, shared),
+            ("/v1/config", _handlers.ConfigHandler, shared),
+            ("/v1/config/history", _handlers.HistoryHandler, shared),
+            ("/v1/config/patches", _handlers.PatchesHandler, shared),
+            ("/v1/status", _handlers.StatusHandler, shared),
+            (f"/v1/instances/{name}/drain", _handlers.DrainHandler, shared),
+            ("/healthz", _handlers.HealthHandler, shared),
+            ("/readyz", _handlers.ReadyHandler, shared),
+            ("/metrics", _handlers.MetricsHandler, shared),
+        ],
+        default_handler_class=_handlers.UnknownPathHandler,
+        default_handler_args=shared,
+    )
+
+
+def make_state(settings: settings_module.Settings) -> _state.EntryState:
+    """Return the state of an entry that is not connected yet."""
+    metrics = telemetry.make_metrics()
+    config_state = config_module.ConfigState()
+    rng = random.Random()  # noqa: S311
+    network = mesh.Network(
+        hello=mesh.Hello(
+            sender=settings.instance_id,
+            kind="entry",
+            incarnation=uuid.uuid4().hex,
+            data_centre=settings.data_centre,
+        ),
+        codec=mesh.make_daemon_codec(),
+        limits=mesh.Limits(
+            queue_messages=settings.mesh.mesh_queue_messages,
+            queue_bytes=settings.mesh.mesh_queue_bytes,
+        ),
+        on_message=lambda connection, message: None,
+        on_connected=lambda connection: None,
+        on_disconnected=lambda connection: None,
+        rng=rng,
+    )
+    state = _state.EntryState(
+        settings=settings,
+        metrics=metrics,
+        network=network,
+        config_filter=config_module.make_config_filter(config_state),
+        config=config_state,
+    )
+    network.on_message = lambda connection, message: _take_message(
+        state, connection, message
+    )
+    network.on_connected = lambda connection: _connected(state, connection)
+    network.on_disconnected = lambda connection: _disconnected(
+        state, connection
+    )
+    return state
+
+
+async def run(settings: settings_module.Settings) -> None:
+    """Serve until SIGTERM or SIGINT, then stop gracefully."""
+    state = make_state(settings)
+    server = tornado.httpserver.HTTPServer(
+        make_application(state),
+        max_body_size=settings.entry.max_body_bytes,
+        max_buffer_size=2 * settings.entry.max_body_bytes,
+    )
+    server.listen(settings.entry.http_port, address=settings.advertise_ip)
+    LOG.info("listening on port %d", settings.entry.http_port)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    tasks = [
+        asyncio.ensure_future(_poll_instances(state)),
+        asyncio.ensure_future(_tick(state)),
+    ]
+    await stop.wait()
+    await _stop(state, server)
+    for task in tasks:
+        task.cancel()
+    await mesh.close(state.network)
+    LOG.info("stopped")
+
+
+async def _stop(
+    state: _state.EntryState, server: tornado.httpserver.HTTPServer
+) -> None:
+    """Answer all calls in flight before the daemon ends."""
+    LOG.info("stopping")
+    state.stopping = True
+    await asyncio.sleep(READINESS_NOTICE_S)
+    server.stop()
+    deadline = time.monotonic() + state.settings.coordination.stop_grace_s
+    while state.in_flight and time.monotonic() < deadline:
+        await asyncio.sleep(POLL_S)
+    if state.in_flight:
+        LOG.warning("stop cut off %d calls", state.in_flight)
+    await server.close_all_connections()
+
+
+async def _poll_instances(state: _state.EntryState) -> None:
+    """Keep a connection to each scheduler that the platform lists."""
+    settings = state.settings
+    instances = platform.make_instance_list(
+        address=settings.platform.instance_list_address,
+        timeout_s=INSTANCE_LIST_TIMEOUT_S,
+        client_id=settings.instance_id,
+    )
+    addresses: dict[str, str] = {
+        settings.instance_id: (
+            f"{settings.advertise_ip}:{settings.scheduler.mesh_port}"
+        )
+    }
+    revision = 0
+    while True:
+        try:
+            changes = await instances.changes(
+                revision, model.InstanceKind.ENTRY.value
+            )
+        except errors.PlatformError as error:
+            LOG.warning("instance list did not answer: %s", error)
+        else:
+            revision = changes.revision
+            for each in changes.instances:
+                if each.state is model.InstanceState.GONE:
+                    addresses.pop(each.instance_id, None)
+                else:
+                    addresses[each.instance_id] = each.address
+        mesh.set_addresses(state.network, set(addresses.values()))
+        await asyncio.sleep(settings.platform.instance_list_poll_s)
+
+
+async def _tick(state: _state.EntryState) -> None:
+    """Send heartbeats and keep the metrics and the config up to date."""
+    counted = {"sent": 0, "received": 0, "unmatched": 0}
+    while True:
+        await asyncio.sleep(state.settings.mesh.heartbeat_s)
+        _run_config(state, config_module.Tick())
+        heartbeat = mesh.Heartbeat(config_version=state.config.history.version)
+        for connection in mesh.schedulers(state.network):
+            mesh.send_if_possible(connection, heartbeat)
+        _count_traffic(state, counted)
+
+
+def _count_traffic(state: _state.EntryState, counted: dict[str, int]) -> None:
+    traffic = state.network.traffic
+    totals = {
+        "sent": traffic.bytes_sent,
+        "received": traffic.bytes_received,
+        "unmatched": state.calls.unmatched,
+    }
+    for name in ("sent", "received"):
+        state.metrics.mesh_bytes.add(
+            {"direction": name}, totals[name] - counted[name]
+        )
+    state.metrics.mesh_dropped.add(
+        {"reason": "unmatched"}, totals["unmatched"] - counted["unmatched"]
+    )
+    counted.update(totals)
+
+
+def _connected(state: _state.EntryState, connection: mesh.Connection) -> None:
+    LOG.info("connected to scheduler %s", connection.peer.sender)
+    mesh.send_if_possible(
+        connection,
+        mesh.ConfigFetch(after=state.config.history.version),
+    )
+
+
+def _disconnected(
+    state: _state.EntryState, connection: mesh.Connection
+) -> None:
+    LOG.info("lost scheduler %s", connection.peer.sender)
+    _owners.drop_connection(state.owners, connection)
+    mesh.fail_connection(state.calls, connection)
+
+
+def _take_message(
+    state: _state.EntryState, connection: mesh.Connection, message: object
+) -> None:
+    match message:
+        case mesh.RequestReply() | mesh.Reply():
+            mesh.resolve(state.calls, connection, message)
+        case mesh.OwnedShards():
+            _owners.take_owned(state.owners, connection, message)
+        case mesh.Heartbeat():
+            seen = config_module.VersionSeen(version=message.config_version)
+            _run_config(state, seen, connection)
+        case mesh.ConfigPatches():
+            entries = tuple(
+                config_module.decode_entry(version, value)
+                for version, value in message.patches
+            )
+            received = config_module.PatchesReceived(entries=entries)
+            _run_config(state, received, connection)
+        case mesh.ConfigSnapshot():
+            snapshot = mesh.to_snapshot(message)
+            received = config_module.SnapshotReceived(snapshot=snapshot)
+            _run_config(state, received, connection)
+        case _:
+            pass
+
+
+def _run_config(
+    state: _state.EntryState,
+    message: object,
+    connection: mesh.Connection | None = None,
+) -> None:
+    """Feed the config filter; an entry asks schedulers, not the store."""
+    for output in state.config_filter(message, time.monotonic()):
+        match output:
+            case config_module.ConfigAdopted():
+                state.metrics.config_version.set({}, output.version)
+                LOG.info("config version %d is in force", output.version)
+            case config_module.ConfigUnreadable():
+                LOG.error("config version %d is unusable", output.version)
+            case config_module.FetchMissing():
+                peers = mesh.schedulers(state.network)
+                peer = connection or (peers[0] if peers else None)
+                if peer is not None:
+                    mesh.send_if_possible(
+                        peer, mesh.ConfigFetch(after=output.after_version)
+                    )
+            case _:
+                pass
--- a/chestnuttide/mesh/_messages.py
+++ b/chestnuttide/mesh/_messages.py
@@ -81,6 +81,8 @@
         Seconds until its deadline.
     payload : bytes
         JSON body for the target.
+    resend : bool
+        Whether the entry sent it before on a connection that ended.
     """
 
     call_id: int
@@ -92,6 +94,7 @@
     idempotent: bool
     timeout_s: float
     payload: bytes
+    resend: bool = False
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -180,6 +183,9 @@
         See `model.Job`.
     payload : bytes
         See `model.Job`.
+    resend : bool
+        Whether the entry may have sent it before, so that an equal job with
+        the same id is this one.
     """
 
     call_id: int
@@ -196,6 +202,7 @@
     declared_run_s: float
     wait_limit_s: float
     payload: bytes
+    resend: bool = False
 
 
 @attrs.frozen(kw_only=True, slots=True)
--- a/chestnuttide/model/__init__.py
+++ b/chestnuttide/model/__init__.py
@@ -4,6 +4,7 @@
 from chestnuttide.model import _jobs
 from chestnuttide.model import _requests
 from chestnuttide.model import _resources
+from chestnuttide.model import _shards
 
 Answer = _requests.Answer
 Attempt = _jobs.Attempt
@@ -20,7 +21,14 @@
 ZERO = _resources.ZERO
 add = _resources.add
 fits = _resources.fits
+is_pool = _shards.is_pool
+pool_shard = _shards.pool_shard
+pool_shards = _shards.pool_shards
+request_shard = _shards.request_shard
+service_of = _shards.service_of
+service_shards = _shards.service_shards
 subtract = _resources.subtract
+target_shard = _shards.target_shard
 
 __all__ = [
     "Answer",
@@ -38,5 +46,12 @@
     "ZERO",
     "add",
     "fits",
+    "is_pool",
+    "pool_shard",
+    "pool_shards",
+    "request_shard",
+    "service_of",
+    "service_shards",
     "subtract",
+    "target_shard",
 ]
--- /dev/null
+++ b/chestnuttide/routing/_admission.py
@@ -0,0 +1,168 @@
+"""Admission of requests: checks, at-most-once, queue."""
+
+import heapq
+
+from chestnuttide import coordination
+from chestnuttide import errors
+from chestnuttide import queueing
+from chestnuttide.routing import _answering
+from chestnuttide.routing import _messages
+from chestnuttide.routing import _refusals
+from chestnuttide.routing import _state
+
+
+def submit(
+    state: _state.RouterState, message: _messages.Submit, now: float
+) -> list[object]:
+    """Admit a request, or refuse it as not run."""
+    request = message.request
+    error = _check(state, message, now)
+    if error is not None:
+        answer = _refusals.make_answer(request.request_id, error)
+        return [_messages.AnswerCall(call=message.call, answer=answer)]
+    call = _state.Call(call=message.call, request=request, entered_at=now)
+    if request.idempotent:
+        state.calls[call.call] = call
+        heapq.heappush(state.deadlines, (request.deadline, call.call))
+        return enqueue(state, call, now)
+    if message.resend:
+        attached = _attach(state, message)
+        if attached is not None:
+            return attached
+    known = coordination.begin(state.ledger, request.request_id, now)
+    if known is not None:
+        return [_refuse_known(message, known)]
+    state.calls[call.call] = call
+    state.calls_by_id[request.request_id] = call
+    call.state = _state.CallState.RECORDING
+    heapq.heappush(state.deadlines, (request.deadline, call.call))
+    heapq.heappush(state.recordings, (now + state.store_grace_s, call.call))
+    return [
+        _messages.RecordIntent(call=call.call, request_id=request.request_id)
+    ]
+
+
+def intent_recorded(
+    state: _state.RouterState,
+    message: _messages.IntentRecorded,
+    now: float,
+) -> list[object]:
+    """Queue a request whose intent is durable now.
+
+    An intent that became durable after its request was refused is of no
+    effect: the outcome that follows it in the journal says so.
+    """
+    call = state.calls.get(message.call)
+    if call is None or call.state is not _state.CallState.RECORDING:
+        return []
+    coordination.record_intent(state.ledger, call.request.request_id, now)
+    return enqueue(state, call, now)
+
+
+def enqueue(
+    state: _state.RouterState, call: _state.Call, now: float
+) -> list[object]:
+    """Queue a call for its first dispatch, or refuse it."""
+    team = state.teams[call.request.team]
+    call.state = _state.CallState.QUEUED
+    queueing.record_request(state.budget)
+    try:
+        queueing.push(
+            state.queue, make_item(call), team_limit=team.request_limit
+        )
+    except errors.RefusedError as error:
+        answer = _refusals.make_answer(call.request.request_id, error)
+        return _answering.answer_call(state, call, answer, now)
+    return []
+
+
+def make_item(call: _state.Call) -> queueing.QueueItem:
+    """Return the queue item of a call."""
+    return queueing.QueueItem(
+        key=str(call.call),
+        team=call.request.team,
+        urgent=call.request.urgent,
+        entered_at=call.entered_at,
+        deadline=call.request.deadline,
+    )
+
+
+def cancel(
+    state: _state.RouterState, message: _messages.CancelCall, now: float
+) -> list[object]:
+    """Drop a call whose caller is gone, unless it was dispatched."""
+    call = state.calls.get(message.call)
+    if call is None or call.live:
+        return []
+    return _answering.refuse_call(
+        state,
+        call,
+        errors.Reason.CANCELLED,
+        "The caller no longer waits.",
+        now,
+    )
+
+
+def _check(
+    state: _state.RouterState, message: _messages.Submit, now: float
+) -> errors.RefusedError | None:
+    request = message.request
+    if state.handing_over:
+        return _refusals.make_error(
+            errors.Reason.NOT_OWNER,
+            f"Shard {state.shard} is being handed over.",
+        )
+    if request.deadline <= now:
+        return _refusals.make_error(
+            errors.Reason.DEADLINE_EXCEEDED,
+            "The deadline had passed on arrival.",
+        )
+    if request.team not in state.teams:
+        return _refusals.make_error(
+            errors.Reason.UNKNOWN_TEAM, f"There is no team {request.team}."
+        )
+    return None
+
+
+def _attach(
+    state: _state.RouterState, message: _messages.Submit
+) -> list[object] | None:
+    """Connect a request sent again to its first run, if there is one."""
+    request_id = message.request.request_id
+    call = state.calls_by_id.get(request_id)
+    if call is not None:
+        state.calls.pop(call.call, None)
+        was_queued = queueing.cancel(state.queue, str(call.call)) is not None
+        call.call = message.call
+        state.calls[call.call] = call
+        heapq.heappush(state.deadlines, (call.request.deadline, call.call))
+        if was_queued:
+            queueing.push(state.queue, make_item(call), forced=True)
+        return []
+    answer = state.answers.get(request_id)
+    if answer is not None:
+        return [_messages.AnswerCall(call=message.call, answer=answer)]
+    return None
+
+
+def _refuse_known(
+    message: _messages.Submit, known: coordination.RequestState
+) -> _messages.AnswerCall:
+    """Refuse an id that was used before; tells what became of it."""
+    unknown = known is coordination.RequestState.OUTCOME_UNKNOWN
+    if unknown and message.resend:
+        error = _refusals.make_error(
+            errors.Reason.OUTCOME_UNKNOWN,
+            "The former owner may have run the request.",
+            run_state=errors.RunState.UNKNOWN,
+        )
+    else:
+        ran = known is coordination.RequestState.ANSWERED
+        error = _refusals.make_error(
+            errors.Reason.DUPLICATE_ID,
+            f"The id was used before; the request is {known.value}.",
+            run_state=errors.RunState.RAN if ran else errors.RunState.UNKNOWN,
+            details={"state": known.value},
+        )
+    answer = _refusals.make_answer(message.request.request_id, error)
+    return _messages.AnswerCall(call=message.call, answer=answer)
--- /dev/null
+++ b/chestnuttide/routing/_dispatching.py
@@ -0,0 +1,255 @@
+"""Dispatching of queued requests to free slots, and what comes of it."""
+
+import heapq
+
+from chestnuttide import coordination
+from chestnuttide import errors
+from chestnuttide import model
+from chestnuttide import queueing
+from chestnuttide.routing import _admission
+from chestnuttide.routing import _answering
+from chestnuttide.routing import _messages
+from chestnuttide.routing import _state
+from chestnuttide.routing import _targets
+
+# Lowest HTTP status that tells of a fault of the target.
+SERVER_ERROR = 500
+
+
+def pump(state: _state.RouterState, now: float) -> list[object]:
+    """Dispatch queued requests while slots are free."""
+    outputs: list[object] = []
+    while state.pool.free_slots > 0 and not state.handing_over:
+        item = queueing.peek(state.queue)
+        if item is None:
+            break
+        call = state.calls[int(item.key)]
+        target = _targets.take_slot(state.pool, excluded=call.tried)
+        if target is None:
+            target = _targets.take_slot(state.pool)
+        if target is None:
+            break
+        queueing.pop(state.queue, item.key)
+        if call.attempts == 0:
+            outputs.append(
+                _messages.Waited(
+                    seconds=now - call.entered_at, urgent=item.urgent
+                )
+            )
+        outputs.append(_dispatch(state, call, target, now))
+    return outputs
+
+
+def dispatch_ended(
+    state: _state.RouterState,
+    message: _messages.DispatchEnded,
+    now: float,
+) -> list[object]:
+    """Take in the end of a dispatch: answer, retry or refuse."""
+    record = state.dispatches.pop(message.dispatch_id, None)
+    if record is None:
+        return []
+    call = record.call
+    call.live -= 1
+    outputs = _settle_slot(state, record, message, now)
+    result = message.result
+    if message.sent and not (result is not None and result.leaving):
+        call.maybe_ran = True
+    elif not call.request.idempotent:
+        coordination.mark_unsent(state.ledger, call.request.request_id, now)
+    if call.state is _state.CallState.ANSWERED:
+        return outputs + _take_late(state, record, result, now)
+    if result is not None and not result.leaving:
+        return outputs + _take_result(state, record, result, now)
+    return outputs + _take_failure(state, call, message, now)
+
+
+def hedge(state: _state.RouterState, now: float) -> list[object]:
+    """Send slow idempotent requests to a second target."""
+    outputs: list[object] = []
+    while state.hedges and state.hedges[0][0] <= now:
+        _, number = heapq.heappop(state.hedges)
+        call = state.calls.get(number)
+        if (
+            call is None
+            or call.live != 1
+            or state.handing_over
+            or len(state.queue.items) > 0
+            or not queueing.take_retry(state.budget, now)
+        ):
+            continue
+        target = _targets.take_slot(state.pool, excluded=call.tried)
+        if target is not None:
+            outputs.append(_messages.Retried(reason=errors.RetryReason.HEDGE))
+            outputs.append(_dispatch(state, call, target, now))
+    return outputs
+
+
+def _dispatch(
+    state: _state.RouterState,
+    call: _state.Call,
+    target: _targets.Target,
+    now: float,
+) -> _messages.Dispatch:
+    request = call.request
+    dispatch_id = state.next_dispatch
+    state.next_dispatch += 1
+    call.state = _state.CallState.DISPATCHED
+    call.attempts += 1
+    call.live += 1
+    call.tried |= {target.target_id}
+    state.dispatches[dispatch_id] = _state.DispatchRecord(
+        call=call, target_id=target.target_id
+    )
+    if not request.idempotent:
+        coordination.mark_sent(state.ledger, request.request_id, now)
+    elif state.policy.hedge_after_s and call.attempts == 1:
+        heapq.heappush(
+            state.hedges, (now + state.policy.hedge_after_s, call.call)
+        )
+    return _messages.Dispatch(
+        dispatch_id=dispatch_id,
+        target_id=target.target_id,
+        address=target.address,
+        request_id=request.request_id,
+        attempt=call.attempts,
+        idempotent=request.idempotent,
+        payload=request.payload,
+        limit_s=state.policy.request_limit_s,
+    )
+
+
+def _settle_slot(
+    state: _state.RouterState,
+    record: _state.DispatchRecord,
+    message: _messages.DispatchEnded,
+    now: float,
+) -> list[object]:
+    """Free the slot, or keep it while the target may still be working."""
+    target_id = record.target_id
+    result = message.result
+    if result is None and message.sent:
+        _targets.abandon_slot(
+            state.pool, target_id, until=now + state.policy.request_limit_s
+        )
+    else:
+        _targets.release_slot(state.pool, target_id)
+    query = state.queries.get(target_id)
+    target = state.pool.targets.get(target_id)
+    if query is not None and target is not None:
+        query.minimum_in_use = min(query.minimum_in_use, target.in_use)
+    if message.lease_lost:
+        return []
+    if result is not None and result.leaving:
+        if _targets.mark_leaving(state.pool, target_id):
+            return [_messages.LeavingLearned(target_id=target_id)]
+        return []
+    ejected = _targets.record_outcome(
+        state.pool,
+        target_id,
+        succeeded=result is not None and result.status < SERVER_ERROR,
+        policy=state.policy,
+        now=now,
+    )
+    return [_messages.Ejected(target_id=target_id)] if ejected else []
+
+
+def _take_late(
+    state: _state.RouterState,
+    record: _state.DispatchRecord,
+    result: _messages.TargetResult | None,
+    now: float,
+) -> list[object]:
+    """Remember an answer that came after its caller was answered."""
+    request = record.call.request
+    if request.idempotent or result is None or result.leaving:
+        return []
+    coordination.mark_answered(state.ledger, request.request_id, now)
+    _state.keep_answer(state, _make_answer(record, result))
+    return [_messages.RecordOutcome(request_id=request.request_id, ran=True)]
+
+
+def _make_answer(
+    record: _state.DispatchRecord, result: _messages.TargetResult
+) -> model.Answer:
+    return model.Answer(
+        request_id=record.call.request.request_id,
+        status=result.status,
+        content_type=result.content_type,
+        body=result.body,
+        target=record.target_id,
+    )
+
+
+def _take_result(
+    state: _state.RouterState,
+    record: _state.DispatchRecord,
+    result: _messages.TargetResult,
+    now: float,
+) -> list[object]:
+    call = record.call
+    if result.status >= SERVER_ERROR and call.request.idempotent:
+        if call.live:
+            # Another dispatch of the same request may still succeed.
+            return []
+        if _may_retry(state, call, now):
+            return _retry(state, call, errors.RetryReason.TARGET_ERROR)
+    answer = _make_answer(record, result)
+    return _answering.answer_call(state, call, answer, now)
+
+
+def _take_failure(
+    state: _state.RouterState,
+    call: _state.Call,
+    message: _messages.DispatchEnded,
+    now: float,
+) -> list[object]:
+    if call.live:
+        return []
+    if message.lease_lost:
+        return _answering.refuse_call(
+            state,
+            call,
+            errors.Reason.LEASE_LOST,
+            "The owner's lease ended before the request was sent.",
+            now,
+        )
+    if message.result is not None:
+        return _retry(state, call, errors.RetryReason.TARGET_LEAVING)
+    if not message.sent:
+        if call.attempts < state.policy.max_attempts + len(state.pool.targets):
+            return _retry(state, call, errors.RetryReason.CONNECT_FAILED)
+        reason = errors.Reason.TARGET_FAILED
+        return _answering.refuse_call(
+            state, call, reason, "No target accepted a connection.", now
+        )
+    if call.request.idempotent and _may_retry(state, call, now):
+        return _retry(state, call, errors.RetryReason.CONNECTION_LOST)
+    return _answering.refuse_call(
+        state,
+        call,
+        errors.Reason.OUTCOME_UNKNOWN,
+        "The target did not answer.",
+        now,
+    )
+
+
+def _may_retry(
+    state: _state.RouterState, call: _state.Call, now: float
+) -> bool:
+    return (
+        call.attempts < state.policy.max_attempts
+        and now < call.request.deadline
+        and queueing.take_retry(state.budget, now)
+    )
+
+
+def _retry(
+    state: _state.RouterState,
+    call: _state.Call,
+    reason: errors.RetryReason,
+) -> list[object]:
+    """Queue a call again; its time of arrival keeps its place."""
+    call.state = _state.CallState.QUEUED
+    queueing.push(state.queue, _admission.make_item(call), forced=True)
+    return [_messages.Retried(reason=reason)]
