--- /dev/null
+++ b/chestnuttide/coordination/_claims.py
@@ -0,0 +1,375 @@
+"""Records of shards: what is learned of them, claims and releases."""
+
+from chestnuttide.coordination import _lease
+from chestnuttide.coordination import _messages
+from chestnuttide.coordination import _promises
+from chestnuttide.coordination import _rendezvous
+from chestnuttide.coordination import _state
+
+
+def learn(
+    state: _state.OwnershipState,
+    shard: str,
+    record: _messages.ShardRecord,
+    revision: int,
+    now: float,
+) -> list[object]:
+    """Take note of a shard's record; older ones than known are ignored."""
+    known = state.records.get(shard)
+    if known is not None and revision <= known.revision:
+        return []
+    previous = None
+    if known is not None:
+        same = known.record.epoch == record.epoch
+        previous = known.previous if same else known.record
+    state.records[shard] = _state.Known(
+        record=record, revision=revision, learned_at=now, previous=previous
+    )
+    held = state.held.get(shard)
+    if held is None:
+        return []
+    if _is_own(state, record) and record.epoch == held.epoch:
+        if record.state == _messages.HELD:
+            held.revision = revision
+            held.session = record.session
+            return []
+        reason = _messages.LOST_RELEASED
+    else:
+        reason = _messages.LOST_DEPOSED
+    del state.held[shard]
+    return [_messages.ShardLost(shard=shard, epoch=held.epoch, reason=reason)]
+
+
+def take_result(
+    state: _state.OwnershipState, result: _messages.ClaimResult, now: float
+) -> list[object]:
+    """Take note of the end of a write of a shard's record."""
+    if state.writing.get(result.shard) == result.write_id:
+        del state.writing[result.shard]
+        if not result.ok:
+            retry = state.settings.write_retry_s
+            state.write_after[result.shard] = now + retry
+    if result.record is None:
+        return []
+    return learn(state, result.shard, result.record, result.revision, now)
+
+
+def step(state: _state.OwnershipState, now: float) -> list[object]:
+    """Return the writes, requests and changes that are due."""
+    outputs: list[object] = []
+    outputs.extend(_release(state, now))
+    outputs.extend(_confirm(state, now))
+    outputs.extend(_claim(state, now))
+    outputs.extend(_move(state, now))
+    return outputs
+
+
+def take_consent(
+    state: _state.OwnershipState,
+    reply: _messages.ConsentReply,
+    now: float,
+) -> None:
+    """Take note of a voter's consent."""
+    asked = state.asked.get(reply.request_id)
+    voters = state.voters
+    if (
+        asked is None
+        or voters is None
+        or reply.claimant_incarnation != state.incarnation
+        or reply.version != asked.version
+        or reply.version != voters.version
+        or reply.voter not in voters.ids
+    ):
+        return
+    until = _lease.usable_until(asked.sent_at, reply.valid_s)
+    for shard in reply.shards:
+        claim = state.claims.get(shard)
+        if claim is not None and claim.revision == asked.shards.get(shard):
+            claim.consents[reply.voter] = max(
+                until, claim.consents.get(reply.voter, until)
+            )
+
+
+def owner_gone(
+    state: _state.OwnershipState, known: _state.Known, now: float
+) -> bool:
+    """Return whether the owner in a record has no member key any more.
+
+    The members must have been read after the record: an owner may have come
+    back and confirmed its record between the two reads.
+    """
+    if state.members is None or state.members_at < known.learned_at:
+        return False
+    record = known.record
+    if record.owner == state.instance_id:
+        return record.incarnation != state.incarnation
+    member = state.members.get(record.owner)
+    return member is None or member.incarnation != record.incarnation
+
+
+def _is_own(
+    state: _state.OwnershipState, record: _messages.ShardRecord
+) -> bool:
+    return (
+        record.owner == state.instance_id
+        and record.incarnation == state.incarnation
+    )
+
+
+def _write(
+    state: _state.OwnershipState,
+    shard: str,
+    expected_revision: int,
+    record: _messages.ShardRecord,
+) -> _messages.WriteShardRecord:
+    write_id = _state.next_write_id(state)
+    state.writing[shard] = write_id
+    return _messages.WriteShardRecord(
+        shard=shard,
+        expected_revision=expected_revision,
+        record=record,
+        write_id=write_id,
+    )
+
+
+def _may_write_key(
+    state: _state.OwnershipState, shard: str, now: float
+) -> bool:
+    return shard not in state.writing and now >= state.write_after.get(
+        shard, now
+    )
+
+
+def _release(state: _state.OwnershipState, now: float) -> list[object]:
+    outputs: list[object] = []
+    if not state.store_reachable:
+        return outputs
+    for shard, held in state.held.items():
+        if not held.releasing or not _may_write_key(state, shard, now):
+            continue
+        record = _messages.ShardRecord(
+            owner=state.instance_id,
+            incarnation=state.incarnation,
+            session=held.session,
+            epoch=held.epoch,
+            state=_messages.RELEASED,
+            residual=held.residual,
+        )
+        outputs.append(_write(state, shard, held.revision, record))
+    return outputs
+
+
+def _confirm(state: _state.OwnershipState, now: float) -> list[object]:
+    """Acquire shards whose record is this instance's own.
+
+    A record that was written under a former lease is written again first, so
+    that claims that rely on the end of that lease fail.
+    """
+    outputs: list[object] = []
+    lease = state.lease
+    if lease is None or not _state.may_write(state, now):
+        return outputs
+    for shard, known in state.records.items():
+        record = known.record
+        if record.state != _messages.HELD or not _is_own(state, record):
+            continue
+        held = state.held.get(shard)
+        if held is not None and held.releasing:
+            continue
+        if record.session != lease.lease_id:
+            if _may_write_key(state, shard, now):
+                again = _messages.ShardRecord(
+                    owner=record.owner,
+                    incarnation=record.incarnation,
+                    session=lease.lease_id,
+                    epoch=record.epoch,
+                )
+                outputs.append(_write(state, shard, known.revision, again))
+        elif held is None:
+            outputs.append(_acquire(state, shard, known, now))
+    return outputs
+
+
+def _acquire(
+    state: _state.OwnershipState,
+    shard: str,
+    known: _state.Known,
+    now: float,
+) -> _messages.ShardAcquired:
+    record = known.record
+    state.held[shard] = _state.Held(
+        epoch=record.epoch,
+        revision=known.revision,
+        session=record.session,
+        acquired_at=now,
+    )
+    state.claims.pop(shard, None)
+    previous = known.previous
+    clean = record.epoch == 1 or (
+        previous is not None
+        and previous.epoch == record.epoch - 1
+        and previous.state == _messages.RELEASED
+    )
+    return _messages.ShardAcquired(
+        shard=shard, epoch=record.epoch, previous=previous, clean=clean
+    )
+
+
+def _claim(state: _state.OwnershipState, now: float) -> list[object]:
+    lease = state.lease
+    if (
+        lease is None
+        or state.draining
+        or not state.records_read
+        or state.members is None
+        or not _state.may_write(state, now)
+    ):
+        state.claims.clear()
+        return []
+    outputs: list[object] = []
+    wanting: dict[tuple[str, str], dict[str, int]] = {}
+    for shard in sorted(state.desired):
+        known = state.records.get(shard)
+        if not _claimable(state, known, now):
+            state.claims.pop(shard, None)
+            continue
+        revision = 0 if known is None else known.revision
+        claim = state.claims.get(shard)
+        if claim is None or claim.revision != revision:
+            claim = _state.Claim(revision=revision, since=now)
+            state.claims[shard] = claim
+        if not _may_write_key(state, shard, now):
+            continue
+        if now < claim.since + _claim_delay_s(state, shard, known):
+            continue
+        if known is not None and known.record.state == _messages.HELD:
+            if not _has_consent(state, claim, now):
+                former = (known.record.owner, known.record.incarnation)
+                wanting.setdefault(former, {})[shard] = revision
+                continue
+        outputs.append(_claim_write(state, shard, known, lease.lease_id))
+    outputs.extend(_ask_consents(state, wanting, now))
+    # This voter's own consent may have completed a majority.
+    for shards in wanting.values():
+        for shard in shards:
+            if _has_consent(state, state.claims[shard], now):
+                known = state.records[shard]
+                outputs.append(
+                    _claim_write(state, shard, known, lease.lease_id)
+                )
+    return outputs
+
+
+def _claim_write(
+    state: _state.OwnershipState,
+    shard: str,
+    known: _state.Known | None,
+    session: int,
+) -> _messages.WriteShardRecord:
+    record = _messages.ShardRecord(
+        owner=state.instance_id,
+        incarnation=state.incarnation,
+        session=session,
+        epoch=1 if known is None else known.record.epoch + 1,
+    )
+    return _write(state, shard, 0 if known is None else known.revision, record)
+
+
+def _claimable(
+    state: _state.OwnershipState, known: _state.Known | None, now: float
+) -> bool:
+    if known is None or known.record.state == _messages.RELEASED:
+        return True
+    return not _is_own(state, known.record) and owner_gone(state, known, now)
+
+
+def _claim_delay_s(
+    state: _state.OwnershipState, shard: str, known: _state.Known | None
+) -> float:
+    ids = _state.candidates(state)
+    if known is not None and known.record.state == _messages.RELEASED:
+        # The former owner gave the shard up for another member.
+        if known.record.owner != state.instance_id:
+            ids.discard(known.record.owner)
+    place = _state.turn(shard, ids, state.instance_id)
+    return place * state.settings.claim_step_s
+
+
+def _has_consent(
+    state: _state.OwnershipState, claim: _state.Claim, now: float
+) -> bool:
+    voters = state.voters
+    if voters is None:
+        return False
+    # All consents must count at the same moment, see `_ownership`.
+    count = sum(
+        now < claim.consents.get(voter, now)
+        or _state.counts_as_gone(state, voter, now)
+        for voter in voters.ids
+    )
+    return count >= _state.majority(len(voters.ids))
+
+
+def _ask_consents(
+    state: _state.OwnershipState,
+    wanting: dict[tuple[str, str], dict[str, int]],
+    now: float,
+) -> list[object]:
+    outputs: list[object] = []
+    voters = state.voters
+    if voters is None or voters.version == 0:
+        return outputs
+    for former, shards in wanting.items():
+        if now < state.consent_ask_at.get(former, now):
+            continue
+        state.consent_ask_at[former] = now + state.settings.request_retry_s
+        number = _state.next_number(state)
+        state.asked[number] = _state.Asked(
+            sent_at=now, version=voters.version, shards=shards
+        )
+        request = _messages.ConsentRequest(
+            request_id=number,
+            claimant=state.instance_id,
+            claimant_incarnation=state.incarnation,
+            owner=former[0],
+            incarnation=former[1],
+            version=voters.version,
+            shards=tuple(sorted(shards.items())),
+        )
+        for voter in voters.ids:
+            if voter == state.instance_id:
+                reply = _promises.give_consent(state, request, now)
+                take_consent(state, reply, now)
+            elif voter in state.peers:
+                outputs.append(_messages.Send(to=voter, message=request))
+    return outputs
+
+
+def _move(state: _state.OwnershipState, now: float) -> list[object]:
+    outputs: list[object] = []
+    if state.members is None or not state.store_reachable:
+        return outputs
+    settings = state.settings
+    others = _state.candidates(state)
+    asked_before = now - settings.move_retry_s
+    moving = sum(
+        held.releasing or held.move_asked_at > asked_before
+        for held in state.held.values()
+    )
+    for shard, held in state.held.items():
+        if moving >= settings.max_moves:
+            break
+        if held.releasing or held.move_asked_at > asked_before:
+            continue
+        to = _rendezvous.preferred(shard, others)
+        unwanted = shard not in state.desired
+        if not state.draining and not unwanted:
+            if to == state.instance_id or to not in state.peers:
+                continue
+            if now < held.acquired_at + settings.min_hold_s:
+                continue
+        held.move_asked_at = now
+        moving += 1
+        name = "" if unwanted or to is None else to
+        outputs.append(_messages.ShouldRelease(shard=shard, to=name))
+    return outputs
--- /dev/null
+++ b/chestnuttide/coordination/_journal.py
@@ -0,0 +1,628 @@
+"""The journal of one shard: events, committed in groups by CAS.
+
+Batch number `seq` goes to slot ``seq % ring_size`` of a ring of store keys and
+expects the revision that the slot had when this owner took over or last wrote
+it. One write is in flight at a time, so a batch is written only after the one
+before it. A successor seals the journal by writing the next slot with its own
+epoch: whichever of the two writes comes second fails. Hence no event of an
+older epoch follows the seal.
+
+A write whose answer is lost, or that meets a conflict, is resolved by reading
+the key back: its write id tells whether the write took effect. If it did not,
+it may still do so later; the same write is sent again, and the CAS lets only
+one of the two take effect.
+"""
+
+import collections
+import collections.abc
+import math
+import typing
+
+import attrs
+import cbor2
+
+from chestnuttide import errors
+from chestnuttide import pipes
+
+RING_SIZE: typing.Final = 1024
+# Values of the store hold up to 1 MB; half of that leaves room for encoding.
+MAX_BATCH_BYTES: typing.Final = 512_000
+# Bytes that CBOR adds at most to each event of a batch.
+EVENT_OVERHEAD_BYTES: typing.Final = 9
+# Share of the ring after which a snapshot is due; the rest of the ring is
+# there for the batches that are written until the snapshot is complete.
+SNAPSHOT_SHARE: typing.Final = 0.5
+# Share of the ring that is kept free for seals: each successor that fails
+# before its first snapshot uses one slot.
+SEAL_SHARE: typing.Final = 0.125
+READ_RETRY_S: typing.Final = 0.2
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class JournalTick:
+    """Time has passed."""
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class Append:
+    """Add an event.
+
+    Attributes
+    ----------
+    event : bytes
+        The encoded event; at most `MAX_BATCH_BYTES` less the overhead.
+    token : int
+        Number by which `Durable` reports the event.
+    """
+
+    event: bytes
+    token: int
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class WriteSucceeded:
+    """A write took effect.
+
+    Attributes
+    ----------
+    write_id : str
+        Id of the write.
+    revision : int
+        The new revision of the key.
+    """
+
+    write_id: str
+    revision: int
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class WriteConflict:
+    """A write met another revision than it expected.
+
+    Attributes
+    ----------
+    write_id : str
+        Id of the write.
+    """
+
+    write_id: str
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class WriteUnanswered:
+    """A write, or the read that resolves it, was not answered.
+
+    Attributes
+    ----------
+    write_id : str
+        Id of the write.
+    """
+
+    write_id: str
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class ReadBack:
+    """The key of a write was read back.
+
+    Attributes
+    ----------
+    write_id : str
+        Id of the write that is being resolved.
+    revision : int
+        Revision of the key; 0 when there is no key.
+    entry_write_id : str
+        Id of the last write of the key.
+    value : bytes or None
+        Value of the key; None when there is no key.
+    """
+
+    write_id: str
+    revision: int = 0
+    entry_write_id: str = ""
+    value: bytes | None = None
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class WriteBudget:
+    """Writes are granted, in answer to `BudgetWanted`.
+
+    Attributes
+    ----------
+    tokens : int
+        Number of writes.
+    """
+
+    tokens: int = 1
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class SnapshotTaken:
+    """The driver answers `SnapshotDue`.
+
+    Attributes
+    ----------
+    data : bytes
+        The state after all events that were appended so far.
+    """
+
+    data: bytes
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class SnapshotWritten:
+    """The manifest of a snapshot was written.
+
+    Attributes
+    ----------
+    base_seq : int
+        First batch that the snapshot does not cover.
+    """
+
+    base_seq: int
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class WriteBatch:
+    """Write a key by CAS.
+
+    Attributes
+    ----------
+    key : str
+        The key.
+    expected_revision : int
+        Revision that the key must have; 0 when it must be absent.
+    value : bytes
+        The value.
+    write_id : str
+        Id of the write; the same when the write is sent again.
+    """
+
+    key: str
+    expected_revision: int
+    value: bytes
+    write_id: str
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class ReadKey:
+    """Read a key and report `ReadBack`.
+
+    Attributes
+    ----------
+    key : str
+        The key.
+    write_id : str
+        Id of the write that is being resolved.
+    """
+
+    key: str
+    write_id: str
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class BudgetWanted:
+    """A write waits for a token of the instance's bucket."""
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class Durable:
+    """Events are in the store.
+
+    Attributes
+    ----------
+    tokens : tuple of int
+        Their tokens, in the order of the events.
+    """
+
+    tokens: tuple[int, ...]
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class Sealed:
+    """The seal of this owner's epoch is in the store.
+
+    Attributes
+    ----------
+    epoch : int
+        The epoch.
+    """
+
+    epoch: int
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class SealConflict:
+    """The slot of the seal was written meanwhile; recover the shard again."""
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class SnapshotDue:
+    """Take a snapshot now and report `SnapshotTaken`."""
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class SnapshotReady:
+    """All events that a snapshot contains are durable; write it.
+
+    Attributes
+    ----------
+    data : bytes
+        The snapshot.
+    base_seq : int
+        First batch that it does not cover.
+    """
+
+    data: bytes
+    base_seq: int
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class Deposed:
+    """Another owner has written; this one may act no more."""
+
+
+@attrs.define(kw_only=True)
+class Cut:
+    """Place of a snapshot among the pending events.
+
+    Attributes
+    ----------
+    data : bytes
+        The snapshot.
+    """
+
+    data: bytes
+
+
+@attrs.define(kw_only=True)
+class InFlight:
+    """The write in flight.
+
+    Attributes
+    ----------
+    write : WriteBatch
+        The write.
+    slot : int
+        Slot of the ring.
+    tokens : tuple of int
+        Tokens of the batch's events.
+    resolving : bool
+        Whether it is being resolved by reading the key back.
+    read_at : float
+        When the key is read again if no answer comes.
+    """
+
+    write: WriteBatch
+    slot: int
+    tokens: tuple[int, ...]
+    resolving: bool = False
+    read_at: float = float("inf")
+
+
+@attrs.define(kw_only=True)
+class JournalState:
+    """State of one shard's journal.
+
+    Attributes
+    ----------
+    shard : str
+        Name of the shard.
+    epoch : int
+        Epoch of the ownership.
+    next_seq : int
+        Number of the next batch.
+    base_seq : int
+        First batch that the last snapshot does not cover.
+    revisions : dict of int to int
+        Revision of each written slot of the ring.
+    make_write_id : function
+        Returns a write id that was never used before.
+    ring_size : int
+        Number of slots.
+    max_batch_bytes : int
+        Most bytes of a batch.
+    sealed : bool
+        Whether the seal is written.
+    deposed : bool
+        Whether another owner has written; nothing is written any more.
+    budget : int
+        Writes that are granted and not used.
+    budget_asked : bool
+        Whether `BudgetWanted` is not answered yet.
+    snapshot_asked : bool
+        Whether a snapshot is being taken or written.
+    pending : deque of Append or Cut
+        Events that are not in a batch yet.
+    in_flight : InFlight or None
+        The write in flight.
+    """
+
+    shard: str
+    epoch: int
+    next_seq: int
+    base_seq: int
+    revisions: dict[int, int]
+    make_write_id: collections.abc.Callable[[], str]
+    ring_size: int = RING_SIZE
+    max_batch_bytes: int = MAX_BATCH_BYTES
+    sealed: bool = False
+    deposed: bool = False
+    budget: int = 0
+    budget_asked: bool = False
+    snapshot_asked: bool = False
+    pending: collections.deque[Append | Cut] = attrs.field(
+        factory=collections.deque
+    )
+    in_flight: InFlight | None = None
+
+
+def ring_prefix(shard: str) -> str:
+    """Return the prefix of the keys of a shard's ring."""
+    return f"journal/{shard}/"
+
+
+def ring_key(shard: str, slot: int) -> str:
+    """Return the store key of a slot of a shard's ring."""
+    return f"{ring_prefix(shard)}{slot:04d}"
+
+
+def encode_batch(
+    seq: int, epoch: int, events: collections.abc.Sequence[bytes]
+) -> bytes:
+    """Return the value of a batch."""
+    return cbor2.dumps([seq, epoch, list(events)])
+
+
+def decode_batch(value: bytes) -> tuple[int, int, list[bytes]]:
+    """Return number, epoch and events of a batch.
+
+    Raises
+    ------
+    errors.ProtocolError
+        If the value is no batch.
+    """
+    try:
+        items = cbor2.loads(value)
+    except (cbor2.CBORDecodeError, ValueError) as error:
+        raise _malformed() from error
+    if (
+        not isinstance(items, list)
+        or len(items) != 3
+        or not isinstance(items[0], int)
+        or not isinstance(items[1], int)
+        or not isinstance(items[2], list)
+        or not all(isinstance(event, bytes) for event in items[2])
+    ):
+        raise _malformed()
+    return items[0], items[1], items[2]
+
+
+def make_journal_filter(*, state: JournalState) -> pipes.Filter:
+    """Return the filter that commits the events of one shard.
+
+    The first batch is the seal; it is written at once, without events if
+    there are none.
+
+    Parameters
+    ----------
+    state : JournalState
+        State from `make_journal_state`; the filter changes it.
+
+    Returns
+    -------
+    Filter
+        Takes `JournalTick`, `Append`, `WriteBudget`, `WriteSucceeded`,
+        `WriteConflict`, `WriteUnanswered`, `ReadBack`, `SnapshotTaken` and
+        `SnapshotWritten`. Returns `BudgetWanted`, `WriteBatch`, `ReadKey`,
+        `Sealed`, `SealConflict`, `Durable`, `SnapshotDue`, `SnapshotReady`
+        and `Deposed`. Raises `TypeError` for an unknown message.
+    """
+
+    def run(message: object, now: float) -> list[object]:
+        handle = _HANDLERS.get(type(message))
+        if handle is None:
+            raise TypeError(f"unknown message {type(message).__name__}")
+        outputs = list(handle(state, message, now))
+        outputs.extend(_advance(state))
+        return outputs
+
+    return run
+
+
+def _on_tick(
+    state: JournalState, message: JournalTick, now: float
+) -> list[object]:
+    current = state.in_flight
+    if current is None or not current.resolving or now < current.read_at:
+        return []
+    return _read(current, now)
+
+
+def _on_append(
+    state: JournalState, message: Append, now: float
+) -> list[object]:
+    state.pending.append(message)
+    return []
+
+
+def _on_budget(
+    state: JournalState, message: WriteBudget, now: float
+) -> list[object]:
+    state.budget += message.tokens
+    state.budget_asked = False
+    return []
+
+
+def _on_succeeded(
+    state: JournalState, message: WriteSucceeded, now: float
+) -> list[object]:
+    current = _current(state, message.write_id)
+    if current is None:
+        return []
+    return _finish(state, current, message.revision)
+
+
+def _on_conflict(
+    state: JournalState, message: WriteConflict, now: float
+) -> list[object]:
+    current = _current(state, message.write_id)
+    if current is None:
+        return []
+    # The write itself may have caused the conflict when it was sent twice.
+    return _read(current, now)
+
+
+def _on_unanswered(
+    state: JournalState, message: WriteUnanswered, now: float
+) -> list[object]:
+    current = _current(state, message.write_id)
+    if current is None:
+        return []
+    if current.resolving:
+        current.read_at = now + READ_RETRY_S
+        return []
+    return _read(current, now)
+
+
+def _on_read_back(
+    state: JournalState, message: ReadBack, now: float
+) -> list[object]:
+    current = _current(state, message.write_id)
+    if current is None or not current.resolving:
+        return []
+    if message.entry_write_id == current.write.write_id:
+        return _finish(state, current, message.revision)
+    if message.revision == current.write.expected_revision:
+        current.resolving = False
+        return [current.write]
+    state.deposed = True
+    state.in_flight = None
+    if not state.sealed and _epoch_of(message.value) <= state.epoch:
+        return [SealConflict()]
+    return [Deposed()]
+
+
+def _on_snapshot_taken(
+    state: JournalState, message: SnapshotTaken, now: float
+) -> list[object]:
+    state.pending.append(Cut(data=message.data))
+    return []
+
+
+def _on_snapshot_written(
+    state: JournalState, message: SnapshotWritten, now: float
+) -> list[object]:
+    state.base_seq = max(state.base_seq, message.base_seq)
+    state.snapshot_asked = False
+    return []
+
+
+_HANDLERS: dict[
+    type, collections.abc.Callable[..., collections.abc.Sequence[object]]
+] = {
+    Append: _on_append,
+    JournalTick: _on_tick,
+    ReadBack: _on_read_back,
+    SnapshotTaken: _on_snapshot_taken,
+    SnapshotWritten: _on_snapshot_written,
+    WriteBudget: _on_budget,
+    WriteConflict: _on_conflict,
+    WriteSucceeded: _on_succeeded,
+    WriteUnanswered: _on_unanswered,
+}
+
+
+def _current(state: JournalState, write_id: str) -> InFlight | None:
+    current = state.in_flight
+    if current is None or current.write.write_id != write_id:
+        return None
+    return current
+
+
+def _read(current: InFlight, now: float) -> list[object]:
+    current.resolving = True
+    current.read_at = now + READ_RETRY_S
+    return [ReadKey(key=current.write.key, write_id=current.write.write_id)]
+
+
+def _finish(
+    state: JournalState, current: InFlight, revision: int
+) -> list[object]:
+    state.revisions[current.slot] = revision
+    state.in_flight = None
+    state.next_seq += 1
+    outputs: list[object] = []
+    if not state.sealed:
+        state.sealed = True
+        outputs.append(Sealed(epoch=state.epoch))
+    if current.tokens:
+        outputs.append(Durable(tokens=current.tokens))
+    return outputs
+
+
+def _advance(state: JournalState) -> list[object]:
+    outputs: list[object] = []
+    if state.deposed or state.in_flight is not None:
+        return outputs
+    while state.sealed and state.pending:
+        first = state.pending[0]
+        if not isinstance(first, Cut):
+            break
+        state.pending.popleft()
+        outputs.append(SnapshotReady(data=first.data, base_seq=state.next_seq))
+    used = state.next_seq - state.base_seq
+    due = state.sealed and used >= state.ring_size * SNAPSHOT_SHARE
+    if due and not state.snapshot_asked:
+        state.snapshot_asked = True
+        outputs.append(SnapshotDue())
+    if state.sealed and not state.pending:
+        return outputs
+    # Without this limit a batch would replace one that no snapshot covers.
+    kept_free = math.ceil(state.ring_size * SEAL_SHARE) if state.sealed else 0
+    if used >= state.ring_size - kept_free:
+        return outputs
+    if state.budget < 1:
+        if not state.budget_asked:
+            state.budget_asked = True
+            outputs.append(BudgetWanted())
+        return outputs
+    state.budget -= 1
+    outputs.append(_form(state))
+    return outputs
+
+
+def _form(state: JournalState) -> WriteBatch:
+    events: list[bytes] = []
+    tokens: list[int] = []
+    size = 0
+    while state.pending:
+        first = state.pending[0]
+        if isinstance(first, Cut):
+            break
+        size += len(first.event) + EVENT_OVERHEAD_BYTES
+        if events and size > state.max_batch_bytes:
+            break
+        state.pending.popleft()
+        events.append(first.event)
+        tokens.append(first.token)
+    slot = state.next_seq % state.ring_size
+    write = WriteBatch(
+        key=ring_key(state.shard, slot),
+        expected_revision=state.revisions.get(slot, 0),
+        value=encode_batch(state.next_seq, state.epoch, events),
+        write_id=state.make_write_id(),
+    )
+    state.in_flight = InFlight(write=write, slot=slot, tokens=tuple(tokens))
+    return write
+
+
+def _epoch_of(value: bytes | None) -> int:
+    return 0 if value is None else decode_batch(value)[1]
+
+
+def _malformed() -> errors.ProtocolError:
+    return errors.ProtocolError(
+        message="A slot of the journal holds an unknown value.",
+        remedy="Check which versions of the program use this store.",
+    )
--- /dev/null
+++ b/chestnuttide/coordination/_snapshots.py
@@ -0,0 +1,410 @@
+"""Snapshots of a shard: chunks in two generations, and a manifest.
+
+The manifest names the generation whose chunks are valid. The chunks of the
+other generation are overwritten first, then the manifest's CAS makes them
+valid, so that a crash in between leaves the former snapshot in force. Chunks
+carry the writer's epoch and are written by CAS too, so a former owner cannot
+replace a chunk of its successor.
+
+A successor first writes the manifest again with its own epoch (the *fence*),
+before it overwrites any chunk. Otherwise a delayed manifest of the former
+owner could make a generation valid that the successor has half overwritten.
+"""
+
+import collections
+import collections.abc
+import typing
+
+import attrs
+import cbor2
+import xxhash
+
+from chestnuttide.coordination import _journal
+from chestnuttide import errors
+from chestnuttide import pipes
+
+# Values of the store hold up to 1 MB.
+MAX_CHUNK_BYTES: typing.Final = 512_000
+MANIFEST_NAME: typing.Final = "manifest"
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class Manifest:
+    """Value of the manifest's key.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch of the owner that wrote it.
+    generation : int
+        Generation of the chunks, 0 or 1.
+    chunks : int
+        Number of chunks; 0 when there is no snapshot yet.
+    base_seq : int
+        First batch of the journal that the snapshot does not cover.
+    checksum : int
+        xxh64 of the whole snapshot.
+    """
+
+    epoch: int
+    generation: int = 0
+    chunks: int = 0
+    base_seq: int = 0
+    checksum: int = 0
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class Fenced:
+    """The manifest carries this owner's epoch."""
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class ManifestConflict:
+    """The manifest was written meanwhile; recover the shard again."""
+
+
+@attrs.define(kw_only=True)
+class SnapshotState:
+    """State of the snapshots of one shard.
+
+    Attributes
+    ----------
+    shard : str
+        Name of the shard.
+    epoch : int
+        Epoch of the ownership.
+    manifest : Manifest
+        The manifest in force.
+    revisions : dict of str to int
+        Revision of each key below ``snapshot/<shard>/``.
+    make_write_id : function
+        Returns a write id that was never used before.
+    max_chunk_bytes : int
+        Most bytes of a chunk.
+    fenced : bool
+        Whether the manifest carries this owner's epoch.
+    deposed : bool
+        Whether another owner has written the manifest.
+    queue : deque of (str, bytes)
+        Keys and values still to write, the manifest last.
+    following : Manifest or None
+        The manifest that is being written.
+    waiting : SnapshotReady or None
+        A snapshot that is written after the manifest in flight.
+    current : WriteBatch or None
+        The write in flight.
+    resolving : bool
+        Whether it is being resolved by reading the key back.
+    read_at : float
+        When the key is read again if no answer comes.
+    """
+
+    shard: str
+    epoch: int
+    manifest: Manifest
+    revisions: dict[str, int]
+    make_write_id: collections.abc.Callable[[], str]
+    max_chunk_bytes: int = MAX_CHUNK_BYTES
+    fenced: bool = False
+    deposed: bool = False
+    queue: collections.deque[tuple[str, bytes]] = attrs.field(
+        factory=collections.deque
+    )
+    following: Manifest | None = None
+    waiting: _journal.SnapshotReady | None = None
+    current: _journal.WriteBatch | None = None
+    resolving: bool = False
+    read_at: float = float("inf")
+
+
+def snapshot_prefix(shard: str) -> str:
+    """Return the prefix of the keys of a shard's snapshots."""
+    return f"snapshot/{shard}/"
+
+
+def manifest_key(shard: str) -> str:
+    """Return the store key of a shard's manifest."""
+    return snapshot_prefix(shard) + MANIFEST_NAME
+
+
+def chunk_key(shard: str, generation: int, index: int) -> str:
+    """Return the store key of a chunk."""
+    return f"{snapshot_prefix(shard)}{generation}/{index:04d}"
+
+
+def encode_chunk(epoch: int, data: bytes) -> bytes:
+    """Return the value of a chunk's key."""
+    return cbor2.dumps([epoch, data])
+
+
+def decode_chunk(value: bytes) -> tuple[int, bytes]:
+    """Return the writer's epoch and the data of a chunk.
+
+    Raises
+    ------
+    errors.ProtocolError
+        If the value is no chunk.
+    """
+    try:
+        items = cbor2.loads(value)
+    except (cbor2.CBORDecodeError, ValueError) as error:
+        raise _malformed() from error
+    if (
+        not isinstance(items, list)
+        or len(items) != 2
+        or not isinstance(items[0], int)
+        or not isinstance(items[1], bytes)
+    ):
+        raise _malformed()
+    return items[0], items[1]
+
+
+def encode_manifest(manifest: Manifest) -> bytes:
+    """Return the value of a manifest's key."""
+    return cbor2.dumps(
+        [
+            manifest.epoch,
+            manifest.generation,
+            manifest.chunks,
+            manifest.base_seq,
+            manifest.checksum,
+        ]
+    )
+
+
+def decode_manifest(value: bytes) -> Manifest:
+    """Return the manifest in its key.
+
+    Raises
+    ------
+    errors.ProtocolError
+        If the value is no manifest.
+    """
+    try:
+        items = cbor2.loads(value)
+    except (cbor2.CBORDecodeError, ValueError) as error:
+        raise _malformed() from error
+    if (
+        not isinstance(items, list)
+        or len(items) != 5
+        or not all(isinstance(item, int) for item in items)
+    ):
+        raise _malformed()
+    return Manifest(
+        epoch=items[0],
+        generation=items[1],
+        chunks=items[2],
+        base_seq=items[3],
+        checksum=items[4],
+    )
+
+
+def make_snapshot_filter(*, state: SnapshotState) -> pipes.Filter:
+    """Return the filter that writes the snapshots of one shard.
+
+    Parameters
+    ----------
+    state : SnapshotState
+        State from `make_snapshot_state`; the filter changes it.
+
+    Returns
+    -------
+    Filter
+        Takes `JournalTick` (the first one writes the fence), `SnapshotReady`,
+        `WriteSucceeded`, `WriteConflict`, `WriteUnanswered` and `ReadBack`.
+        Returns `WriteBatch`, `ReadKey`, `Fenced`, `ManifestConflict`,
+        `SnapshotWritten` (to be given to the journal) and `Deposed`. Raises
+        `TypeError` for an unknown message.
+    """
+
+    def run(message: object, now: float) -> list[object]:
+        handle = _HANDLERS.get(type(message))
+        if handle is None:
+            raise TypeError(f"unknown message {type(message).__name__}")
+        outputs = list(handle(state, message, now))
+        outputs.extend(_advance(state))
+        return outputs
+
+    return run
+
+
+def _on_tick(
+    state: SnapshotState, message: _journal.JournalTick, now: float
+) -> list[object]:
+    if not state.fenced and state.following is None:
+        _queue_manifest(state, attrs.evolve(state.manifest, epoch=state.epoch))
+    if state.current is None or not state.resolving or now < state.read_at:
+        return []
+    return _read(state, state.current, now)
+
+
+def _on_ready(
+    state: SnapshotState, message: _journal.SnapshotReady, now: float
+) -> list[object]:
+    if not state.fenced or state.following is not None:
+        state.waiting = message
+        return []
+    _begin(state, message)
+    return []
+
+
+def _begin(state: SnapshotState, message: _journal.SnapshotReady) -> None:
+    generation = 1 - state.manifest.generation
+    size = state.max_chunk_bytes
+    chunks = [
+        message.data[start : start + size]
+        for start in range(0, len(message.data), size)
+    ]
+    for index, chunk in enumerate(chunks):
+        key = chunk_key(state.shard, generation, index)
+        state.queue.append((key, encode_chunk(state.epoch, chunk)))
+    _queue_manifest(
+        state,
+        Manifest(
+            epoch=state.epoch,
+            generation=generation,
+            chunks=len(chunks),
+            base_seq=message.base_seq,
+            checksum=xxhash.xxh64_intdigest(message.data),
+        ),
+    )
+
+
+def _on_succeeded(
+    state: SnapshotState, message: _journal.WriteSucceeded, now: float
+) -> list[object]:
+    current = _current(state, message.write_id)
+    if current is None:
+        return []
+    return _finish(state, current, message.revision)
+
+
+def _on_conflict(
+    state: SnapshotState, message: _journal.WriteConflict, now: float
+) -> list[object]:
+    current = _current(state, message.write_id)
+    if current is None:
+        return []
+    return _read(state, current, now)
+
+
+def _on_unanswered(
+    state: SnapshotState, message: _journal.WriteUnanswered, now: float
+) -> list[object]:
+    current = _current(state, message.write_id)
+    if current is None:
+        return []
+    if state.resolving:
+        state.read_at = now + _journal.READ_RETRY_S
+        return []
+    return _read(state, current, now)
+
+
+def _on_read_back(
+    state: SnapshotState, message: _journal.ReadBack, now: float
+) -> list[object]:
+    current = _current(state, message.write_id)
+    if current is None or not state.resolving:
+        return []
+    if message.entry_write_id == current.write_id:
+        return _finish(state, current, message.revision)
+    state.resolving = False
+    if message.revision == current.expected_revision:
+        return [current]
+    is_chunk = current.key != manifest_key(state.shard)
+    if is_chunk and _chunk_epoch(message.value) <= state.epoch:
+        # A delayed chunk of a former owner; it is replaced.
+        state.revisions[current.key] = message.revision
+        state.queue.appendleft((current.key, current.value))
+        state.current = None
+        return []
+    state.deposed = True
+    state.current = None
+    state.queue.clear()
+    epoch = state.epoch
+    if message.value is not None and not is_chunk:
+        epoch = decode_manifest(message.value).epoch
+    if not state.fenced and epoch <= state.epoch:
+        return [ManifestConflict()]
+    return [_journal.Deposed()]
+
+
+_HANDLERS: dict[
+    type, collections.abc.Callable[..., collections.abc.Sequence[object]]
+] = {
+    _journal.JournalTick: _on_tick,
+    _journal.ReadBack: _on_read_back,
+    _journal.SnapshotReady: _on_ready,
+    _journal.WriteConflict: _on_conflict,
+    _journal.WriteSucceeded: _on_succeeded,
+    _journal.WriteUnanswered: _on_unanswered,
+}
+
+
+def _chunk_epoch(value: bytes | None) -> int:
+    return 0 if value is None else decode_chunk(value)[0]
+
+
+def _queue_manifest(state: SnapshotState, manifest: Manifest) -> None:
+    state.following = manifest
+    key = manifest_key(state.shard)
+    state.queue.append((key, encode_manifest(manifest)))
+
+
+def _current(
+    state: SnapshotState, write_id: str
+) -> _journal.WriteBatch | None:
+    if state.current is None or state.current.write_id != write_id:
+        return None
+    return state.current
+
+
+def _read(
+    state: SnapshotState, current: _journal.WriteBatch, now: float
+) -> list[object]:
+    state.resolving = True
+    state.read_at = now + _journal.READ_RETRY_S
+    return [_journal.ReadKey(key=current.key, write_id=current.write_id)]
+
+
+def _finish(
+    state: SnapshotState, current: _journal.WriteBatch, revision: int
+) -> list[object]:
+    state.revisions[current.key] = revision
+    state.current = None
+    state.resolving = False
+    if state.queue or state.following is None:
+        return []
+    state.manifest = state.following
+    state.following = None
+    outputs: list[object] = []
+    if state.fenced:
+        base_seq = state.manifest.base_seq
+        outputs.append(_journal.SnapshotWritten(base_seq=base_seq))
+    else:
+        state.fenced = True
+        outputs.append(Fenced())
+    if state.waiting is not None:
+        _begin(state, state.waiting)
+        state.waiting = None
+    return outputs
+
+
+def _advance(state: SnapshotState) -> list[object]:
+    if state.deposed or state.current is not None or not state.queue:
+        return []
+    key, value = state.queue.popleft()
+    state.current = _journal.WriteBatch(
+        key=key,
+        expected_revision=state.revisions.get(key, 0),
+        value=value,
+        write_id=state.make_write_id(),
+    )
+    return [state.current]
+
+
+def _malformed() -> errors.ProtocolError:
+    return errors.ProtocolError(
+        message="A key of a snapshot holds an unknown value.",
+        remedy="Check which versions of the program use this store.",
+    )
--- /dev/null
+++ b/chestnuttide/coordination/_tokens.py
@@ -0,0 +1,65 @@
+"""A token bucket, for example for the store writes of one instance."""
+
+import attrs
+
+
+@attrs.define(kw_only=True)
+class TokenBucket:
+    """State of a token bucket.
+
+    Attributes
+    ----------
+    rate_per_s : float
+        Tokens added per second.
+    burst : float
+        Most tokens that the bucket holds.
+    tokens : float
+        Tokens that it held at `updated_at`.
+    updated_at : float
+        Monotonic time, in seconds, of the last update.
+    """
+
+    rate_per_s: float
+    burst: float
+    tokens: float
+    updated_at: float
+
+
+def make_bucket(rate_per_s: float, burst: float, now: float) -> TokenBucket:
+    """Return a full bucket.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Tokens added per second; above 0.
+    burst : float
+        Most tokens that the bucket holds; at least 1.
+    now : float
+        Monotonic time in seconds.
+    """
+    return TokenBucket(
+        rate_per_s=rate_per_s, burst=burst, tokens=burst, updated_at=now
+    )
+
+
+def take(bucket: TokenBucket, now: float, count: float = 1.0) -> bool:
+    """Take tokens if there are enough, and return whether there were."""
+    _fill(bucket, now)
+    if bucket.tokens < count:
+        return False
+    bucket.tokens -= count
+    return True
+
+
+def wait_s(bucket: TokenBucket, now: float, count: float = 1.0) -> float:
+    """Return the seconds until `count` tokens are there; 0 if they are."""
+    _fill(bucket, now)
+    return max(0.0, (count - bucket.tokens) / bucket.rate_per_s)
+
+
+def _fill(bucket: TokenBucket, now: float) -> None:
+    passed = max(0.0, now - bucket.updated_at)
+    bucket.tokens = min(
+        bucket.burst, bucket.tokens + passed * bucket.rate_per_s
+    )
+    bucket.updated_at = max(bucket.updated_at, now)
