Add the placement package and a script that measures it

The scheduler needs the exact reservations of each worker and a quick answer to where a task fits, also when nothing fits.

Workers are filed per shape and free accelerators in rankings: sorted lists in blocks that know the largest secondary value of each block. A plain sorted list has to walk past all workers that are short of the other dimension, which is the whole list in a full cell.

--- /dev/null
+++ b/bench/_placement_rate.py
@@ -0,0 +1,391 @@
+"""Rate and latency of placement decisions on one core.
+
+Each case fills a cell of mixed workers until nothing more fits, and then
+replaces tasks at random, so that every decision meets a full cell. Run
+``python -m bench._placement_rate`` for a table of all cases.
+"""
+
+import collections.abc
+import random
+import sys
+import time
+
+import attrs
+from hdrh import histogram
+
+from chestnuttide import model
+from chestnuttide import placement
+
+WORKER_COUNTS = (100, 500, 2_500)
+TASKS_PER_WORKER = 24
+DATA_CENTRES = 25
+WORKERS_PER_RACK = 5
+DECISIONS = 20_000
+REFUSALS = 5_000
+VICTIMS = 500
+SEED = 20
+
+# Longest recorded latency, 10 s in nanoseconds, with 3 significant digits.
+HIGHEST_NS = 10_000_000_000
+DIGITS = 3
+NS_PER_S = 1e9
+NS_PER_MS = 1e6
+
+# Workers without and with accelerators, and how often each shape occurs.
+SHAPES = (
+    (0.4, model.Resources(cpu_millis=16_000, memory_mb=32_768)),
+    (0.3, model.Resources(cpu_millis=64_000, memory_mb=131_072)),
+    (
+        0.2,
+        model.Resources(cpu_millis=64_000, memory_mb=262_144, accelerators=8),
+    ),
+    (
+        0.1,
+        model.Resources(cpu_millis=32_000, memory_mb=65_536, accelerators=8),
+    ),
+)
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class PlacementFigures:
+    """What one case measured.
+
+    Attributes
+    ----------
+    case : str
+        Name of the case.
+    workers : int
+        Number of workers.
+    running : int
+        Tasks that run when the measurement starts.
+    per_s : float
+        Decisions per second; a decision that places a task includes its
+        reservation and the release of the task that it replaces.
+    p50_ms, p99_ms, max_ms : float
+        Latency of a decision with its reservation.
+    placed_share : float
+        Share of the decisions that found a worker.
+    """
+
+    case: str
+    workers: int
+    running: int
+    per_s: float
+    p50_ms: float
+    p99_ms: float
+    max_ms: float
+    placed_share: float
+
+
+def fill_cell(
+    workers: int, rng: random.Random, *, preemptible: float = 0.5
+) -> tuple[placement.Cell, list[model.Attempt]]:
+    """Return a cell without room for another task of usual size."""
+    cell = placement.make_cell()
+    for number in range(workers):
+        rack = number // WORKERS_PER_RACK
+        capacity = rng.choices(
+            [shape for _weight, shape in SHAPES],
+            [weight for weight, _shape in SHAPES],
+        )[0]
+        placement.upsert_worker(
+            cell,
+            model.Instance(
+                instance_id=f"w{number:05d}",
+                kind=model.InstanceKind.WORKER,
+                state=model.InstanceState.LIVE,
+                data_centre=f"dc{rack % DATA_CENTRES:02d}",
+                rack=f"r{rack:04d}",
+                address="",
+                capacity=capacity,
+            ),
+            0.0,
+        )
+    running: list[model.Attempt] = []
+    misses = 0
+    while misses < 20 and len(running) < 4 * TASKS_PER_WORKER * workers:
+        attempt = model.Attempt(
+            job_id=f"fill{len(running)}", index=0, number=1
+        )
+        if _place(
+            cell,
+            attempt,
+            _draw_need(rng),
+            counts=None,
+            preemptible=rng.random() < preemptible,
+        ):
+            running.append(attempt)
+            misses = 0
+        else:
+            misses += 1
+    return cell, running
+
+
+def measure_turnover(workers: int, *, spread: bool) -> PlacementFigures:
+    """Measure placements in a full cell in which tasks end at random."""
+    rng = random.Random(SEED)
+    cell, running = fill_cell(workers, rng)
+    counts = placement.SpreadCounts() if spread else None
+    needs = [_draw_need(rng) for _ in range(DECISIONS)]
+    ends = [rng.random() for _ in range(DECISIONS)]
+    count = len(running)
+    latency = histogram.HdrHistogram(1, HIGHEST_NS, DIGITS)
+    placed = 0
+    busy_ns = 0
+    for number in range(DECISIONS):
+        attempt = model.Attempt(job_id="turnover", index=number, number=1)
+        begin = time.perf_counter_ns()
+        position = int(ends[number] * len(running))
+        ended = running[position]
+        running[position] = running[-1]
+        running.pop()
+        placement.release(cell, ended)
+        middle = time.perf_counter_ns()
+        found = _place(cell, attempt, needs[number], counts=counts)
+        end = time.perf_counter_ns()
+        busy_ns += end - begin
+        latency.record_value(end - middle)
+        if found:
+            placed += 1
+            running.append(attempt)
+            if counts is not None:
+                placement.count_task(cell, counts, found)
+    return _figures(
+        f"full, {'spread' if spread else 'packed'}, replaced",
+        (workers, count),
+        DECISIONS * NS_PER_S / busy_ns,
+        latency,
+        placed / DECISIONS,
+    )
+
+
+def measure_fill(workers: int) -> PlacementFigures:
+    """Measure placements from an empty cell until it is full."""
+    rng = random.Random(SEED)
+    cell, _running = fill_cell(workers, rng)
+    for attempt in _running:
+        placement.release(cell, attempt)
+    latency = histogram.HdrHistogram(1, HIGHEST_NS, DIGITS)
+    busy_ns = 0
+    placed = 0
+    for number in range(len(_running)):
+        need = _draw_need(rng)
+        attempt = model.Attempt(job_id="fill", index=number, number=1)
+        begin = time.perf_counter_ns()
+        found = _place(cell, attempt, need, counts=None)
+        taken = time.perf_counter_ns() - begin
+        busy_ns += taken
+        latency.record_value(taken)
+        placed += found is not None
+    return _figures(
+        "from empty to full, packed",
+        (workers, 0),
+        len(_running) * NS_PER_S / busy_ns,
+        latency,
+        placed / len(_running),
+    )
+
+
+def measure_refusals(workers: int, *, spread: bool) -> PlacementFigures:
+    """Measure decisions that find nothing in a full cell.
+
+    The needs fit many workers in one dimension and none in both.
+    """
+    rng = random.Random(SEED)
+    cell, running = fill_cell(workers, rng)
+    frees = [
+        placement.free_of(cell, worker_id)
+        for worker_id in placement.worker_ids(cell)
+    ]
+    cpus = sorted(free.cpu_millis for free in frees)
+    needs = []
+    while len(needs) < REFUSALS:
+        need = model.Resources(
+            cpu_millis=rng.choice(cpus),
+            memory_mb=max(free.memory_mb for free in frees)
+            + 1
+            - rng.randrange(2) * 512,
+        )
+        if not any(model.fits(need, free) for free in frees):
+            needs.append(need)
+    latency = histogram.HdrHistogram(1, HIGHEST_NS, DIGITS)
+    busy_ns = 0
+    counts = placement.SpreadCounts() if spread else None
+    for need in needs:
+        begin = time.perf_counter_ns()
+        found = placement.choose_worker(
+            cell,
+            need=need,
+            spread=spread,
+            spread_counts=counts,
+            excluded=frozenset(),
+            now=0.0,
+        )
+        taken = time.perf_counter_ns() - begin
+        if found is not None:
+            raise AssertionError("a need that fits nowhere was placed")
+        busy_ns += taken
+        latency.record_value(taken)
+    return _figures(
+        f"full, {'spread' if spread else 'packed'}, nothing fits",
+        (workers, len(running)),
+        REFUSALS * NS_PER_S / busy_ns,
+        latency,
+        0.0,
+    )
+
+
+def measure_victims(workers: int) -> PlacementFigures:
+    """Measure the choice of attempts to evict in a full cell."""
+    rng = random.Random(SEED)
+    cell, running = fill_cell(workers, rng)
+    latency = histogram.HdrHistogram(1, HIGHEST_NS, DIGITS)
+    busy_ns = 0
+    found = 0
+    for _ in range(VICTIMS):
+        need = _draw_need(rng)
+        begin = time.perf_counter_ns()
+        victims = placement.choose_victims(
+            cell, need=need, priority=5, now=0.0, excluded=frozenset()
+        )
+        taken = time.perf_counter_ns() - begin
+        busy_ns += taken
+        latency.record_value(taken)
+        found += victims is not None
+    return _figures(
+        "full, victims",
+        (workers, len(running)),
+        VICTIMS * NS_PER_S / busy_ns,
+        latency,
+        found / VICTIMS,
+    )
+
+
+def measure_gangs(workers: int, *, planned: bool) -> PlacementFigures:
+    """Measure choosing (or planning a reservation for) gangs of 64 tasks."""
+    rng = random.Random(SEED)
+    cell, running = fill_cell(workers, rng)
+    latency = histogram.HdrHistogram(1, HIGHEST_NS, DIGITS)
+    busy_ns = 0
+    found = 0
+    rounds = 20
+    need = model.Resources(cpu_millis=8_000, memory_mb=8_192)
+    for _ in range(rounds):
+        begin = time.perf_counter_ns()
+        if planned:
+            gang: object = placement.plan_gang_reservation(
+                cell, need=need, count=64, now=0.0, limit_s=30.0
+            )
+        else:
+            gang = placement.choose_gang(
+                cell,
+                need=need,
+                count=64,
+                spread=False,
+                excluded=frozenset(),
+                now=0.0,
+            )
+        taken = time.perf_counter_ns() - begin
+        busy_ns += taken
+        latency.record_value(taken)
+        found += gang is not None
+    return _figures(
+        f"full, gang of 64, {'planned' if planned else 'now'}",
+        (workers, len(running)),
+        rounds * NS_PER_S / busy_ns,
+        latency,
+        found / rounds,
+    )
+
+
+def measure_all() -> collections.abc.Iterator[PlacementFigures]:
+    """Yield the figures of all cases."""
+    for workers in WORKER_COUNTS:
+        yield measure_fill(workers)
+        yield measure_turnover(workers, spread=False)
+        yield measure_turnover(workers, spread=True)
+        yield measure_refusals(workers, spread=False)
+        yield measure_refusals(workers, spread=True)
+        yield measure_victims(workers)
+        yield measure_gangs(workers, planned=False)
+        yield measure_gangs(workers, planned=True)
+
+
+def main() -> None:
+    """Print the figures of all cases."""
+    sys.stdout.write(
+        f"{'case':32}{'workers':>8}{'running':>8}{'per s':>10}"
+        f"{'p50 ms':>9}{'p99 ms':>9}{'max ms':>9}{'placed':>8}\n"
+    )
+    for item in measure_all():
+        sys.stdout.write(
+            f"{item.case:32}{item.workers:8}{item.running:8}"
+            f"{item.per_s:10.0f}{item.p50_ms:9.3f}{item.p99_ms:9.3f}"
+            f"{item.max_ms:9.3f}{item.placed_share:8.2f}\n"
+        )
+        sys.stdout.flush()
+
+
+def _draw_need(rng: random.Random) -> model.Resources:
+    """Return a need near a 24th of an average worker, some much larger."""
+    cpu = rng.choice((250, 500, 1_000, 1_500, 2_000, 4_000))
+    accelerators = rng.choice((0, 0, 0, 0, 0, 0, 0, 1, 1, 2))
+    memory = int(cpu * rng.uniform(0.5, 4.0))
+    return model.Resources(
+        cpu_millis=cpu, memory_mb=memory, accelerators=accelerators
+    )
+
+
+def _place(
+    cell: placement.Cell,
+    attempt: model.Attempt,
+    need: model.Resources,
+    *,
+    counts: placement.SpreadCounts | None,
+    preemptible: bool = False,
+) -> str | None:
+    worker_id = placement.choose_worker(
+        cell,
+        need=need,
+        spread=counts is not None,
+        spread_counts=counts,
+        excluded=frozenset(),
+        now=0.0,
+    )
+    if worker_id is not None:
+        placement.reserve(
+            cell,
+            worker_id=worker_id,
+            attempt=attempt,
+            need=need,
+            priority=0 if preemptible else 3,
+            preemptible=preemptible,
+            checkpoint=preemptible,
+            throttle=False,
+            urgent=False,
+            expected_end=1.0 + len(attempt.job_id) + attempt.index % 60,
+        )
+    return worker_id
+
+
+def _figures(
+    case: str,
+    size: tuple[int, int],
+    per_s: float,
+    latency: histogram.HdrHistogram,
+    placed_share: float,
+) -> PlacementFigures:
+    return PlacementFigures(
+        case=case,
+        workers=size[0],
+        running=size[1],
+        per_s=per_s,
+        p50_ms=latency.get_value_at_percentile(50) / NS_PER_MS,
+        p99_ms=latency.get_value_at_percentile(99) / NS_PER_MS,
+        max_ms=latency.get_max_value() / NS_PER_MS,
+        placed_share=placed_share,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/chestnuttide/placement/__init__.py
@@ -0,0 +1,99 @@
+"""The cell of workers: where a task fits, and what must make room."""
+
+from chestnuttide.placement import _cells
+from chestnuttide.placement import _errors
+from chestnuttide.placement import _gangs
+from chestnuttide.placement import _health
+from chestnuttide.placement import _holds
+from chestnuttide.placement import _preemption
+from chestnuttide.placement import _reclaim
+from chestnuttide.placement import _scoring
+from chestnuttide.placement import _state
+
+AttemptConflictError = _errors.AttemptConflictError
+CapacityError = _errors.CapacityError
+Cell = _state.Cell
+GangPlan = _state.GangPlan
+HoldConflictError = _errors.HoldConflictError
+Relief = _reclaim.Relief
+ReliefAction = _reclaim.ReliefAction
+Reservation = _state.Reservation
+SpreadCounts = _scoring.SpreadCounts
+WorkerUnavailableError = _errors.WorkerUnavailableError
+adopt = _cells.adopt
+attempts_on = _cells.attempts_on
+capacity_total = _cells.capacity_total
+choose_gang = _gangs.choose_gang
+choose_reclaimed_worker = _reclaim.choose_reclaimed_worker
+choose_victims = _preemption.choose_victims
+choose_worker = _scoring.choose_worker
+count_spread = _scoring.count_spread
+count_task = _scoring.count_task
+free_of = _cells.free_of
+gang_capacity = _scoring.gang_capacity
+held_key = _holds.held_key
+hold = _holds.hold
+is_ejected = _health.is_ejected
+largest_worker_fits = _scoring.largest_worker_fits
+make_cell = _cells.make_cell
+mark_throttled = _reclaim.mark_throttled
+overcommitted = _reclaim.overcommitted
+plan_gang_reservation = _gangs.plan_gang_reservation
+reclaimable = _reclaim.reclaimable
+record_outcome = _health.record_outcome
+record_usage = _reclaim.record_usage
+release = _cells.release
+release_hold = _holds.release_hold
+remove_worker = _cells.remove_worker
+reservation_of = _cells.reservation_of
+reserve = _cells.reserve
+reserved_total = _cells.reserved_total
+set_limits = _cells.set_limits
+upsert_worker = _cells.upsert_worker
+worker_count = _cells.worker_count
+worker_ids = _cells.worker_ids
+
+__all__ = [
+    "AttemptConflictError",
+    "CapacityError",
+    "Cell",
+    "GangPlan",
+    "HoldConflictError",
+    "Relief",
+    "ReliefAction",
+    "Reservation",
+    "SpreadCounts",
+    "WorkerUnavailableError",
+    "adopt",
+    "attempts_on",
+    "capacity_total",
+    "choose_gang",
+    "choose_reclaimed_worker",
+    "choose_victims",
+    "choose_worker",
+    "count_spread",
+    "count_task",
+    "free_of",
+    "gang_capacity",
+    "held_key",
+    "hold",
+    "is_ejected",
+    "largest_worker_fits",
+    "make_cell",
+    "mark_throttled",
+    "overcommitted",
+    "plan_gang_reservation",
+    "reclaimable",
+    "record_outcome",
+    "record_usage",
+    "release",
+    "release_hold",
+    "remove_worker",
+    "reservation_of",
+    "reserve",
+    "reserved_total",
+    "set_limits",
+    "upsert_worker",
+    "worker_count",
+    "worker_ids",
+]
--- /dev/null
+++ b/chestnuttide/placement/_cells.py
@@ -0,0 +1,382 @@
+"""The cell's workers and the exact reservations on them."""
+
+from chestnuttide import config
+from chestnuttide import model
+from chestnuttide.placement import _errors
+from chestnuttide.placement import _health
+from chestnuttide.placement import _index
+from chestnuttide.placement import _reclaim
+from chestnuttide.placement import _state
+
+
+def make_cell(pool: config.PoolConfig | None = None) -> _state.Cell:
+    """Return a cell without workers, under the limits of its pool."""
+    return _state.Cell(limits=pool or config.PoolConfig())
+
+
+def set_limits(cell: _state.Cell, pool: config.PoolConfig) -> None:
+    """Adopt the limits of a new configuration version."""
+    cell.limits = pool
+    _health.enforce_share(cell)
+
+
+def upsert_worker(
+    cell: _state.Cell, instance: model.Instance, now: float
+) -> None:
+    """Add a worker, or adopt its new state, place and capacity.
+
+    A worker that is leaving or gone takes no new work and keeps its
+    reservations until they are released. One whose capacity shrank below its
+    reservations takes nothing new either.
+    """
+    cell.now = max(cell.now, now)
+    worker = cell.workers.get(instance.instance_id)
+    if worker is None:
+        worker = _add_worker(cell, instance.instance_id)
+    _uncount(cell, worker)
+    worker.state = instance.state
+    worker.capacity = instance.capacity
+    worker.data_centre = instance.data_centre
+    worker.rack = instance.rack
+    _count(cell, worker)
+    if instance.state is not model.InstanceState.LIVE:
+        _health.forget(cell, worker)
+    _refresh(cell, worker)
+    _health.enforce_share(cell)
+
+
+def remove_worker(cell: _state.Cell, worker_id: str) -> list[model.Attempt]:
+    """Forget a worker; returns the attempts whose reservations it held."""
+    worker = cell.workers.get(worker_id)
+    if worker is None:
+        return []
+    attempts = list(worker.reservations)
+    for attempt in attempts:
+        release(cell, attempt)
+    _uncount(cell, worker)
+    worker.state = model.InstanceState.GONE
+    _health.forget(cell, worker)
+    _refresh(cell, worker)
+    del cell.workers[worker_id]
+    cell.strained.pop(worker_id, None)
+    _health.enforce_share(cell)
+    return attempts
+
+
+def worker_ids(cell: _state.Cell) -> list[str]:
+    """Return the ids of all known workers, in the order of their arrival."""
+    return list(cell.workers)
+
+
+def worker_count(cell: _state.Cell) -> int:
+    """Return the number of live workers."""
+    return cell.live
+
+
+def capacity_total(cell: _state.Cell) -> model.Resources:
+    """Return the sum of the capacities of live workers."""
+    return model.Resources(
+        cpu_millis=cell.capacity_cpu,
+        memory_mb=cell.capacity_memory,
+        accelerators=cell.capacity_accelerators,
+    )
+
+
+def reserved_total(cell: _state.Cell) -> model.Resources:
+    """Return the sum of all reservations that are not reclaimed."""
+    return model.Resources(
+        cpu_millis=cell.reserved_cpu,
+        memory_mb=cell.reserved_memory,
+        accelerators=cell.reserved_accelerators,
+    )
+
+
+def free_of(cell: _state.Cell, worker_id: str) -> model.Resources:
+    """Return what exact reservations may still take on a worker.
+
+    It is negative in a dimension that is exceeded after an adoption or a
+    change of capacity. Raises `WorkerUnavailableError` for unknown workers.
+    """
+    worker = _known(cell, worker_id)
+    return model.Resources(
+        cpu_millis=worker.free_cpu,
+        memory_mb=worker.free_memory,
+        accelerators=worker.free_accelerators,
+    )
+
+
+def reserve(
+    cell: _state.Cell,
+    *,
+    worker_id: str,
+    attempt: model.Attempt,
+    need: model.Resources,
+    priority: int,
+    preemptible: bool,
+    checkpoint: bool,
+    throttle: bool,
+    urgent: bool,
+    expected_end: float,
+    reclaimed: bool = False,
+    started: float | None = None,
+) -> None:
+    """Reserve resources on a worker for an attempt.
+
+    Parameters
+    ----------
+    cell : Cell
+        The cell.
+    worker_id : str
+        Worker that will run the attempt.
+    attempt : Attempt
+        The attempt.
+    need : Resources
+        Exact amount.
+    priority : int
+        Importance; a higher one may evict a lower one.
+    preemptible, checkpoint, throttle, urgent : bool
+        See `Reservation`.
+    expected_end : float
+        Time in seconds at which it is expected to end; infinite for services.
+    reclaimed : bool
+        Whether it uses capacity that others reserved and do not use.
+    started : float, optional
+        Time in seconds; the latest time given to the cell by default.
+
+    Raises
+    ------
+    WorkerUnavailableError
+        The worker is unknown or takes no new work.
+    AttemptConflictError
+        The attempt holds a reservation already.
+    CapacityError
+        The worker has less free, or can lend less, than the need.
+    """
+    worker = _known(cell, worker_id)
+    if worker.place is None:
+        raise _errors.WorkerUnavailableError(
+            message=f"Worker {worker_id} takes no new work.",
+            remedy="Choose another worker.",
+        )
+    if attempt in cell.reservations:
+        raise _errors.AttemptConflictError(
+            message=f"{attempt} holds a reservation already.",
+            remedy="Release it first, or use the next attempt number.",
+        )
+    if reclaimed:
+        _reclaim.require_reclaimable(
+            worker, need=need, checkpoint=checkpoint, throttle=throttle
+        )
+    elif (
+        need.cpu_millis > worker.free_cpu
+        or need.memory_mb > worker.free_memory
+        or need.accelerators > worker.free_accelerators
+    ):
+        raise _errors.CapacityError(
+            message=f"Worker {worker_id} has less free than {need}.",
+            remedy="Choose another worker.",
+        )
+    _add(
+        cell,
+        worker,
+        _state.Reservation(
+            attempt=attempt,
+            worker_id=worker_id,
+            need=need,
+            priority=priority,
+            preemptible=preemptible,
+            checkpoint=checkpoint,
+            throttle=throttle,
+            urgent=urgent,
+            reclaimed=reclaimed,
+            started=cell.now if started is None else started,
+            expected_end=expected_end,
+        ),
+    )
+
+
+def adopt(
+    cell: _state.Cell,
+    *,
+    worker_id: str,
+    attempt: model.Attempt,
+    need: model.Resources,
+    priority: int,
+    preemptible: bool,
+    checkpoint: bool,
+    throttle: bool,
+    urgent: bool,
+    expected_end: float,
+    started: float,
+) -> None:
+    """Record what a worker reports as running, even beyond what is free.
+
+    The parameters are those of `reserve`. A worker that is not listed yet is
+    added without capacity, so it takes nothing new. Adopting an attempt again
+    on the same worker replaces its reservation; on another worker it raises
+    `AttemptConflictError`.
+    """
+    known = cell.reservations.get(attempt)
+    if known is not None:
+        if known.worker_id != worker_id:
+            raise _errors.AttemptConflictError(
+                message=(
+                    f"{attempt} is reserved on {known.worker_id} and reported"
+                    f" by {worker_id}."
+                ),
+                remedy="Stop it on the worker that reported it last.",
+            )
+        release(cell, attempt)
+    worker = cell.workers.get(worker_id)
+    if worker is None:
+        worker = _add_worker(cell, worker_id)
+    _add(
+        cell,
+        worker,
+        _state.Reservation(
+            attempt=attempt,
+            worker_id=worker_id,
+            need=need,
+            priority=priority,
+            preemptible=preemptible,
+            checkpoint=checkpoint,
+            throttle=throttle,
+            urgent=urgent,
+            reclaimed=False,
+            started=started,
+            expected_end=expected_end,
+        ),
+    )
+
+
+def release(cell: _state.Cell, attempt: model.Attempt) -> str | None:
+    """Release an attempt's reservation.
+
+    Returns the id of its worker, or None if it holds no reservation.
+    """
+    reservation = cell.reservations.pop(attempt, None)
+    if reservation is None:
+        return None
+    worker = cell.workers[reservation.worker_id]
+    del worker.reservations[attempt]
+    _sum(cell, worker, reservation, -1)
+    _reclaim.drop_charge(worker, reservation)
+    _health.note_end(worker, attempt)
+    _refresh(cell, worker)
+    return worker.worker_id
+
+
+def attempts_on(cell: _state.Cell, worker_id: str) -> list[model.Attempt]:
+    """Return the attempts on a worker; none for an unknown worker."""
+    worker = cell.workers.get(worker_id)
+    return [] if worker is None else list(worker.reservations)
+
+
+def reservation_of(
+    cell: _state.Cell, attempt: model.Attempt
+) -> _state.Reservation | None:
+    """Return the reservation of an attempt, or None."""
+    return cell.reservations.get(attempt)
+
+
+def _known(cell: _state.Cell, worker_id: str) -> _state.Worker:
+    worker = cell.workers.get(worker_id)
+    if worker is None:
+        raise _errors.WorkerUnavailableError(
+            message=f"Worker {worker_id} is unknown.",
+            remedy="Choose a worker of the cell.",
+        )
+    return worker
+
+
+def _add_worker(cell: _state.Cell, worker_id: str) -> _state.Worker:
+    worker = cell.workers[worker_id] = _state.Worker(worker_id=worker_id)
+    _count(cell, worker)
+    return worker
+
+
+def _count(cell: _state.Cell, worker: _state.Worker) -> None:
+    racks = cell.racks.setdefault(worker.data_centre, {})
+    racks[worker.rack] = racks.get(worker.rack, 0) + 1
+    if worker.state is model.InstanceState.LIVE:
+        _count_live(cell, worker.capacity, 1)
+
+
+def _uncount(cell: _state.Cell, worker: _state.Worker) -> None:
+    racks = cell.racks[worker.data_centre]
+    racks[worker.rack] -= 1
+    if not racks[worker.rack]:
+        del racks[worker.rack]
+        if not racks:
+            del cell.racks[worker.data_centre]
+    if worker.state is model.InstanceState.LIVE:
+        _count_live(cell, worker.capacity, -1)
+
+
+def _count_live(
+    cell: _state.Cell, capacity: model.Resources, sign: int
+) -> None:
+    cell.live += sign
+    cell.capacity_cpu += sign * capacity.cpu_millis
+    cell.capacity_memory += sign * capacity.memory_mb
+    cell.capacity_accelerators += sign * capacity.accelerators
+
+
+def _add(
+    cell: _state.Cell,
+    worker: _state.Worker,
+    reservation: _state.Reservation,
+) -> None:
+    attempt = reservation.attempt
+    cell.reservations[attempt] = reservation
+    worker.reservations[attempt] = reservation
+    _sum(cell, worker, reservation, 1)
+    _reclaim.add_charge(worker, reservation)
+    _health.note_start(worker, attempt)
+    _refresh(cell, worker)
+
+
+def _sum(
+    cell: _state.Cell,
+    worker: _state.Worker,
+    reservation: _state.Reservation,
+    sign: int,
+) -> None:
+    """Add or take a reservation to or from all sums that include it."""
+    need = reservation.need
+    cpu = sign * need.cpu_millis
+    memory = sign * need.memory_mb
+    accelerators = sign * need.accelerators
+    worker.accelerators += accelerators
+    cell.reserved_accelerators += accelerators
+    if not reservation.reclaimed:
+        worker.firm_cpu += cpu
+        worker.firm_memory += memory
+        cell.reserved_cpu += cpu
+        cell.reserved_memory += memory
+    if not reservation.throttle:
+        worker.strict_cpu += cpu
+        worker.strict_memory += memory
+    if not reservation.checkpoint:
+        worker.pinned_memory += memory
+    if not reservation.preemptible:
+        return
+    priority = reservation.priority
+    evictable = worker.evictable.get(priority)
+    if evictable is None:
+        evictable = worker.evictable[priority] = _state.Evictable()
+        cell.preemptible.setdefault(priority, {})[worker.worker_id] = None
+    evictable.count += sign
+    evictable.cpu_millis += cpu
+    evictable.memory_mb += memory
+    evictable.accelerators += accelerators
+    if not evictable.count:
+        del worker.evictable[priority]
+        del cell.preemptible[priority][worker.worker_id]
+        if not cell.preemptible[priority]:
+            del cell.preemptible[priority]
+
+
+def _refresh(cell: _state.Cell, worker: _state.Worker) -> None:
+    _index.refresh(cell, worker)
+    _reclaim.refresh(cell, worker)
--- /dev/null
+++ b/chestnuttide/placement/_gangs.py
@@ -0,0 +1,244 @@
+"""Gangs: all tasks at once or none, now or at an expected time."""
+
+import collections.abc
+
+import attrs
+
+from chestnuttide import model
+from chestnuttide.placement import _health
+from chestnuttide.placement import _holds
+from chestnuttide.placement import _index
+from chestnuttide.placement import _scoring
+from chestnuttide.placement import _state
+
+
+@attrs.define(kw_only=True, slots=True, eq=False)
+class _Room:
+    """How many more tasks of the gang a worker takes."""
+
+    worker_id: str
+    data_centre: str
+    rack: str
+    left: int
+    taken: int = 0
+
+
+def choose_gang(
+    cell: _state.Cell,
+    *,
+    need: model.Resources,
+    count: int,
+    spread: bool,
+    excluded: frozenset[str] | set[str],
+    now: float,
+    use_hold: bool = False,
+) -> list[str] | None:
+    """Return one worker per task of a gang, or None if not all fit now.
+
+    Parameters
+    ----------
+    cell : Cell
+        The cell; no reservation is made.
+    need : Resources
+        What each task needs.
+    count : int
+        Number of tasks.
+    spread : bool
+        Whether they are spread over data centres, racks and workers;
+        otherwise they are packed.
+    excluded : set of str
+        Workers that are left out.
+    now : float
+        Time in seconds.
+    use_hold : bool
+        Whether this gang owns the current hold and may use its workers.
+
+    Returns
+    -------
+    list of str or None
+        Worker ids with repetition, of length `count`.
+    """
+    _health.open_probes(cell, now)
+    _holds.expire(cell, now)
+    indexes = (cell.held, cell.open) if use_hold else (cell.open,)
+    rooms: list[_Room] = []
+    total = 0
+    for worker in _fitting(cell, indexes, need, excluded):
+        left = min(
+            count,
+            _scoring.times_of(
+                need,
+                worker.free_cpu,
+                worker.free_memory,
+                worker.free_accelerators,
+            ),
+        )
+        rooms.append(
+            _Room(
+                worker_id=worker.worker_id,
+                data_centre=worker.data_centre,
+                rack=worker.rack,
+                left=left,
+            )
+        )
+        total += left
+        if total >= count and not spread:
+            break
+    if total < count:
+        return None
+    return _spread(rooms, count) if spread else _pack(rooms, count)
+
+
+def plan_gang_reservation(
+    cell: _state.Cell,
+    *,
+    need: model.Resources,
+    count: int,
+    now: float,
+    limit_s: float,
+    excluded: frozenset[str] | set[str] = frozenset(),
+) -> _state.GangPlan | None:
+    """Plan when and where a gang fits, by the expected ends of tasks.
+
+    A task past its expected end is taken to run on beyond the limit, because
+    nothing is known about its end. Few workers are preferred, since a hold
+    keeps other work off them.
+
+    Parameters
+    ----------
+    cell : Cell
+        The cell; it is not changed.
+    need : Resources
+        What each task needs.
+    count : int
+        Number of tasks.
+    now : float
+        Time in seconds.
+    limit_s : float
+        Longest time in seconds until the gang starts; a hold of the plan
+        expires after it.
+    excluded : set of str
+        Workers that are left out.
+
+    Returns
+    -------
+    GangPlan or None
+        None if the gang is not expected to fit within the limit.
+    """
+    free: dict[str, list[int]] = {}
+    fits: dict[str, int] = {}
+    total = 0
+    for worker in cell.workers.values():
+        if (
+            worker.state is not model.InstanceState.LIVE
+            or worker.ejected
+            or worker.worker_id in excluded
+            or not model.fits(need, worker.capacity)
+        ):
+            continue
+        amounts = [
+            worker.free_cpu,
+            worker.free_memory,
+            worker.free_accelerators,
+        ]
+        free[worker.worker_id] = amounts
+        times = min(count, _scoring.times_of(need, *amounts))
+        fits[worker.worker_id] = times
+        total += times
+    starts_at = now
+    if total < count:
+        for end, worker_id, freed in _ends(cell, free, now, now + limit_s):
+            amounts = free[worker_id]
+            amounts[0] += freed.cpu_millis
+            amounts[1] += freed.memory_mb
+            amounts[2] += freed.accelerators
+            times = min(count, _scoring.times_of(need, *amounts))
+            total += times - fits[worker_id]
+            fits[worker_id] = times
+            starts_at = end
+            if total >= count:
+                break
+    if total < count:
+        return None
+    chosen: list[str] = []
+    for worker_id in sorted(fits, key=lambda item: (-fits[item], item)):
+        chosen.extend([worker_id] * min(fits[worker_id], count - len(chosen)))
+        if len(chosen) == count:
+            break
+    return _state.GangPlan(
+        worker_ids=tuple(chosen),
+        starts_at=starts_at,
+        expires_at=now + limit_s,
+    )
+
+
+def _fitting(
+    cell: _state.Cell,
+    indexes: collections.abc.Iterable[_state.Index],
+    need: model.Resources,
+    excluded: frozenset[str] | set[str],
+) -> collections.abc.Iterator[_state.Worker]:
+    """Yield workers that take several tasks; a probed one takes just one."""
+    for index in indexes:
+        for worker_id in _index.fitting(index, need):
+            worker = cell.workers[worker_id]
+            if worker_id not in excluded and not worker.ejected:
+                yield worker
+
+
+def _ends(
+    cell: _state.Cell,
+    free: dict[str, list[int]],
+    now: float,
+    until: float,
+) -> list[tuple[float, str, model.Resources]]:
+    """Return the expected ends until a time, in order."""
+    ends = [
+        (reservation.expected_end, reservation.worker_id, reservation.need)
+        for reservation in cell.reservations.values()
+        if now < reservation.expected_end <= until
+        and not reservation.reclaimed
+        and reservation.worker_id in free
+    ]
+    ends.sort(key=lambda item: item[:2])
+    return ends
+
+
+def _pack(rooms: list[_Room], count: int) -> list[str]:
+    chosen: list[str] = []
+    for room in rooms:
+        chosen.extend([room.worker_id] * min(room.left, count - len(chosen)))
+    return chosen
+
+
+def _spread(rooms: list[_Room], count: int) -> list[str]:
+    """Place task by task where the gang has fewest tasks so far."""
+    centres: dict[str, dict[str, list[_Room]]] = {}
+    for room in rooms:
+        racks = centres.setdefault(room.data_centre, {})
+        racks.setdefault(room.rack, []).append(room)
+    in_centre = dict.fromkeys(centres, 0)
+    in_rack = {
+        (centre, rack): 0 for centre in centres for rack in centres[centre]
+    }
+    chosen: list[str] = []
+    while len(chosen) < count:
+        centre = min(centres, key=lambda item: (in_centre[item], item))
+        racks = centres[centre]
+        rack = min(
+            racks,
+            key=lambda item: (in_rack[(centre, item)], item),
+        )
+        room = min(racks[rack], key=lambda item: (item.taken, item.worker_id))
+        chosen.append(room.worker_id)
+        in_centre[centre] += 1
+        in_rack[(centre, rack)] += 1
+        room.taken += 1
+        room.left -= 1
+        if not room.left:
+            racks[rack].remove(room)
+            if not racks[rack]:
+                del racks[rack]
+                if not racks:
+                    del centres[centre]
+    return chosen
--- /dev/null
+++ b/chestnuttide/placement/_index.py
@@ -0,0 +1,243 @@
+"""Keeps the indexes in step with the workers' free amounts, and looks up."""
+
+import collections.abc
+
+from chestnuttide import model
+from chestnuttide.placement import _ranking
+from chestnuttide.placement import _state
+
+
+def takes_work(worker: _state.Worker) -> bool:
+    """Return whether the worker may be given new work of some size."""
+    return (
+        worker.state is model.InstanceState.LIVE
+        and worker.free_cpu >= 0
+        and worker.free_memory >= 0
+        and worker.free_accelerators >= 0
+        and (not worker.ejected or (worker.probing and worker.probe is None))
+    )
+
+
+def refresh(cell: _state.Cell, worker: _state.Worker) -> None:
+    """Recompute the free amounts of a worker and file it under them.
+
+    Work that cannot be throttled is limited by the exact reservations of all
+    such work, reclaimed or not; memory cannot be throttled, so it is limited
+    by all work that cannot be checkpointed as well.
+    """
+    capacity = worker.capacity
+    worker.free_cpu = capacity.cpu_millis - max(
+        worker.firm_cpu, worker.strict_cpu
+    )
+    worker.free_memory = capacity.memory_mb - max(
+        worker.firm_memory, worker.strict_memory, worker.pinned_memory
+    )
+    worker.free_accelerators = capacity.accelerators - worker.accelerators
+    place = worker.place
+    if not takes_work(worker):
+        if place is not None:
+            _withdraw(worker, place)
+        return
+    index = cell.held if worker.held else cell.open
+    if place is not None:
+        if (
+            place.index is index
+            and place.cpu_millis == worker.free_cpu
+            and place.memory_mb == worker.free_memory
+            and place.accelerators == worker.free_accelerators
+            and place.capacity == capacity
+            and place.data_centre == worker.data_centre
+        ):
+            return
+        _withdraw(worker, place)
+    _file(worker, index)
+
+
+def best_fit(
+    index: _state.Index,
+    *,
+    need: model.Resources,
+    excluded: collections.abc.Container[str],
+) -> str | None:
+    """Return the worker with the least left over, or None if none fits.
+
+    Work without accelerators goes to a worker with accelerators only if no
+    other worker fits, and then to one that has few of them free.
+    """
+    if need.accelerators == 0:
+        found = _best_of(index.plain, need=need, excluded=excluded)
+        if found is not None:
+            return found
+    return _best_of(index.accelerated, need=need, excluded=excluded)
+
+
+def fitting(
+    index: _state.Index, need: model.Resources
+) -> collections.abc.Iterator[str]:
+    """Yield the workers that fit the need, in order of preference."""
+    if need.accelerators == 0:
+        for key in sorted(index.plain):
+            yield from _fitting_of(index.plain[key], need)
+    for key in sorted(index.accelerated):
+        yield from _fitting_of(index.accelerated[key], need)
+
+
+def shape_key(capacity: model.Resources) -> _state.ShapeKey:
+    """Return the shape of a worker of that capacity."""
+    return (
+        capacity.accelerators,
+        capacity.cpu_millis.bit_length(),
+        capacity.memory_mb.bit_length(),
+    )
+
+
+def _cpu_binds(shape: _state.Shape, need: model.Resources) -> bool:
+    """Return whether processors are the scarcer dimension for the need."""
+    return (
+        need.cpu_millis * shape.memory_mb >= need.memory_mb * shape.cpu_millis
+    )
+
+
+def _best_of(
+    shapes: dict[_state.ShapeKey, _state.Shape],
+    *,
+    need: model.Resources,
+    excluded: collections.abc.Container[str],
+) -> str | None:
+    best: tuple[int, float, str] | None = None
+    cpu = need.cpu_millis
+    memory = need.memory_mb
+    for shape in shapes.values():
+        by_cpu = _cpu_binds(shape, need)
+        for free in sorted(shape.groups):
+            left = free - need.accelerators
+            if left < 0:
+                continue
+            if best is not None and left > best[0]:
+                break
+            group = shape.groups[free]
+            if by_cpu:
+                entry = _ranking.first_fit(
+                    group.by_cpu,
+                    primary=cpu,
+                    secondary=memory,
+                    excluded=excluded,
+                )
+                if entry is None:
+                    continue
+                share = (
+                    (entry[0] - cpu) * shape.members / (shape.cpu_millis or 1)
+                )
+            else:
+                entry = _ranking.first_fit(
+                    group.by_memory,
+                    primary=memory,
+                    secondary=cpu,
+                    excluded=excluded,
+                )
+                if entry is None:
+                    continue
+                share = (
+                    (entry[0] - memory)
+                    * shape.members
+                    / (shape.memory_mb or 1)
+                )
+            rank = (left, share, entry[2])
+            if best is None or rank < best:
+                best = rank
+            break
+    return None if best is None else best[2]
+
+
+def _fitting_of(
+    shape: _state.Shape, need: model.Resources
+) -> collections.abc.Iterator[str]:
+    by_cpu = _cpu_binds(shape, need)
+    for free in sorted(shape.groups):
+        if free < need.accelerators:
+            continue
+        group = shape.groups[free]
+        if by_cpu:
+            entries = _ranking.ascending(
+                group.by_cpu,
+                primary=need.cpu_millis,
+                secondary=need.memory_mb,
+            )
+        else:
+            entries = _ranking.ascending(
+                group.by_memory,
+                primary=need.memory_mb,
+                secondary=need.cpu_millis,
+            )
+        for entry in entries:
+            yield entry[2]
+
+
+def _file(worker: _state.Worker, index: _state.Index) -> None:
+    capacity = worker.capacity
+    key = shape_key(capacity)
+    worker_id = worker.worker_id
+    cpu = worker.free_cpu
+    memory = worker.free_memory
+    accelerators = worker.free_accelerators
+    worker.place = _state.Place(
+        index=index,
+        shape=key,
+        data_centre=worker.data_centre,
+        capacity=capacity,
+        cpu_millis=cpu,
+        memory_mb=memory,
+        accelerators=accelerators,
+    )
+    accelerated = capacity.accelerators > 0
+    shapes = index.accelerated if accelerated else index.plain
+    shape = shapes.get(key)
+    if shape is None:
+        shape = shapes[key] = _state.Shape()
+    shape.members += 1
+    shape.cpu_millis += capacity.cpu_millis
+    shape.memory_mb += capacity.memory_mb
+    group = shape.groups.get(accelerators)
+    if group is None:
+        group = shape.groups[accelerators] = _state.Group()
+    _ranking.insert(group.by_cpu, (cpu, memory, worker_id))
+    _ranking.insert(group.by_memory, (memory, cpu, worker_id))
+    centre = index.centres.get(worker.data_centre)
+    if centre is None:
+        centre = index.centres[worker.data_centre] = _state.Centre()
+    centre.free_cpu += cpu
+    ranking = centre.rankings.get((accelerated, accelerators))
+    if ranking is None:
+        ranking = _ranking.Ranking()
+        centre.rankings[(accelerated, accelerators)] = ranking
+    _ranking.insert(ranking, (cpu, memory, worker_id))
+
+
+def _withdraw(worker: _state.Worker, place: _state.Place) -> None:
+    index = place.index
+    worker_id = worker.worker_id
+    cpu = place.cpu_millis
+    memory = place.memory_mb
+    accelerators = place.accelerators
+    accelerated = place.capacity.accelerators > 0
+    shapes = index.accelerated if accelerated else index.plain
+    shape = shapes[place.shape]
+    group = shape.groups[accelerators]
+    _ranking.remove(group.by_cpu, (cpu, memory, worker_id))
+    _ranking.remove(group.by_memory, (memory, cpu, worker_id))
+    if not group.by_cpu.blocks:
+        del shape.groups[accelerators]
+    shape.members -= 1
+    shape.cpu_millis -= place.capacity.cpu_millis
+    shape.memory_mb -= place.capacity.memory_mb
+    if not shape.members:
+        del shapes[place.shape]
+    centre = index.centres[place.data_centre]
+    centre.free_cpu -= cpu
+    ranking = centre.rankings[(accelerated, accelerators)]
+    _ranking.remove(ranking, (cpu, memory, worker_id))
+    if not ranking.blocks:
+        del centre.rankings[(accelerated, accelerators)]
+        if not centre.rankings:
+            del index.centres[place.data_centre]
+    worker.place = None
--- /dev/null
+++ b/chestnuttide/placement/_preemption.py
@@ -0,0 +1,193 @@
+"""Choice of attempts to evict for more important work."""
+
+import collections.abc
+
+from chestnuttide import model
+from chestnuttide.placement import _state
+
+# Workers that are compared in detail per priority. Comparing all of them
+# takes tens of milliseconds at 2,500 workers.
+CANDIDATES = 24
+
+_Rank = tuple[int, int, int, int, float]
+
+
+def choose_victims(
+    cell: _state.Cell,
+    *,
+    need: model.Resources,
+    priority: int,
+    now: float,
+    excluded: frozenset[str] | set[str],
+    protected: collections.abc.Container[model.Attempt] = frozenset(),
+) -> tuple[str, list[model.Attempt]] | None:
+    """Return a worker and the attempts to evict there, or None.
+
+    The least important attempts come first, then the fewest, then those that
+    are checkpointed, then those that started last and so lose least work.
+    Workers are searched by ascending priority of what they have to evict, and
+    the search ends after `CANDIDATES` workers of one priority that would do.
+
+    Parameters
+    ----------
+    cell : Cell
+        The cell; it is not changed.
+    need : Resources
+        What the more important task needs.
+    priority : int
+        Its priority; only attempts of lower priority are evicted.
+    now : float
+        Time in seconds.
+    excluded : set of str
+        Workers that are left out.
+    protected : container of Attempt
+        Attempts that are not evicted, for example to keep the minimum number
+        of a service's replicas up.
+    """
+    lower = sorted(level for level in cell.preemptible if level < priority)
+    for position, level in enumerate(lower):
+        best: tuple[_Rank, str, list[model.Attempt]] | None = None
+        candidates = 0
+        for worker_id in cell.preemptible[level]:
+            if worker_id in excluded:
+                continue
+            worker = cell.workers[worker_id]
+            if not _yields(worker, lower[: position + 1], need):
+                continue
+            found = _victims_on(worker, need, level, now, protected)
+            if found is None:
+                continue
+            if best is None or (found[0], worker_id) < best[:2]:
+                best = (found[0], worker_id, found[1])
+            candidates += 1
+            if candidates == CANDIDATES:
+                break
+        if best is not None:
+            return best[1], best[2]
+    return None
+
+
+def _yields(
+    worker: _state.Worker, levels: list[int], need: model.Resources
+) -> bool:
+    """Return whether evicting all work of the levels makes enough room."""
+    if (
+        worker.state is not model.InstanceState.LIVE
+        or worker.ejected
+        or worker.held
+    ):
+        return False
+    cpu = worker.free_cpu - need.cpu_millis
+    memory = worker.free_memory - need.memory_mb
+    accelerators = worker.free_accelerators - need.accelerators
+    evictable = worker.evictable
+    for level in levels:
+        held = evictable.get(level)
+        if held is not None:
+            cpu += held.cpu_millis
+            memory += held.memory_mb
+            accelerators += held.accelerators
+    return cpu >= 0 and memory >= 0 and accelerators >= 0
+
+
+def _victims_on(
+    worker: _state.Worker,
+    need: model.Resources,
+    level: int,
+    now: float,
+    protected: collections.abc.Container[model.Attempt],
+) -> tuple[_Rank, list[model.Attempt]] | None:
+    """Return the victims on one worker and their rank; least is best."""
+    candidates = [
+        reservation
+        for reservation in worker.reservations.values()
+        if reservation.preemptible
+        and reservation.priority <= level
+        and reservation.attempt not in protected
+    ]
+    candidates.sort(key=_loss)
+    # One greedy pass takes the least important attempts, the other the
+    # largest ones; the better result is kept.
+    best: tuple[_Rank, list[model.Attempt]] | None = None
+    for order in (candidates, sorted(candidates, key=_largest)):
+        chosen = _take(worker, need, order)
+        if chosen is None:
+            return None
+        rank = (
+            max((item.priority for item in chosen), default=0),
+            len(chosen),
+            sum(not item.checkpoint for item in chosen),
+            sum(item.urgent for item in chosen),
+            sum(now - item.started for item in chosen),
+        )
+        if best is None or rank < best[0]:
+            best = (rank, [item.attempt for item in chosen])
+    return best
+
+
+def _loss(
+    reservation: _state.Reservation,
+) -> tuple[int, bool, bool, float, str, int]:
+    return (
+        reservation.priority,
+        reservation.urgent,
+        not reservation.checkpoint,
+        -reservation.started,
+        reservation.attempt.job_id,
+        reservation.attempt.index,
+    )
+
+
+def _largest(reservation: _state.Reservation) -> tuple[int, int, int]:
+    need = reservation.need
+    return (-need.accelerators, -need.cpu_millis, -need.memory_mb)
+
+
+def _room_without(
+    worker: _state.Worker, evicted: list[_state.Reservation]
+) -> model.Resources:
+    """Return what is free on a worker once the attempts are evicted."""
+    firm_cpu = worker.firm_cpu
+    firm_memory = worker.firm_memory
+    strict_cpu = worker.strict_cpu
+    strict_memory = worker.strict_memory
+    pinned_memory = worker.pinned_memory
+    accelerators = worker.accelerators
+    for reservation in evicted:
+        need = reservation.need
+        accelerators -= need.accelerators
+        if not reservation.reclaimed:
+            firm_cpu -= need.cpu_millis
+            firm_memory -= need.memory_mb
+        if not reservation.throttle:
+            strict_cpu -= need.cpu_millis
+            strict_memory -= need.memory_mb
+        if not reservation.checkpoint:
+            pinned_memory -= need.memory_mb
+    capacity = worker.capacity
+    return model.Resources(
+        cpu_millis=capacity.cpu_millis - max(firm_cpu, strict_cpu),
+        memory_mb=capacity.memory_mb
+        - max(firm_memory, strict_memory, pinned_memory),
+        accelerators=capacity.accelerators - accelerators,
+    )
+
+
+def _take(
+    worker: _state.Worker,
+    need: model.Resources,
+    order: list[_state.Reservation],
+) -> list[_state.Reservation] | None:
+    """Take attempts in order until the need fits, then drop spare ones."""
+    chosen: list[_state.Reservation] = []
+    for reservation in order:
+        if model.fits(need, _room_without(worker, chosen)):
+            break
+        chosen.append(reservation)
+    if not model.fits(need, _room_without(worker, chosen)):
+        return None
+    for reservation in reversed(list(chosen)):
+        rest = [item for item in chosen if item is not reservation]
+        if model.fits(need, _room_without(worker, rest)):
+            chosen = rest
+    return chosen
