Add platform clients and the stand-ins they talk to

Cause: daemons and tests need the store, the instance list, worker agents and targets before any real platform is there. Change: one client and one wire module per format over libcurl; stand-ins with a pure state module, a server, faults and evidence under /control. libcurl's pre-request callback checks may_send before each send and stops libcurl from repeating a request on a reused connection by itself.

--- /dev/null
+++ b/chestnuttide/platform/_target_client.py
@@ -0,0 +1,102 @@
+"""Client of the targets of services."""
+
+import collections.abc
+import typing
+
+from tornado import curl_httpclient
+
+from chestnuttide import errors
+from chestnuttide.platform import _http
+from chestnuttide.platform import _ports
+from chestnuttide.platform import _target_wire
+
+# Requests at work at once in one process; 128 targets with 8 slots each.
+MAX_CLIENTS: typing.Final[int] = 1024
+
+# A target accepts 64 connections from up to 8 instances that may own it one
+# after the other, and runs 8 requests at once.
+MAX_TARGET_CONNECTIONS: typing.Final[int] = 8
+
+# Limit of a status call in seconds. It is no work and is answered at once.
+STATUS_TIMEOUT_S: typing.Final[float] = 1.0
+
+_MAX_STATUS_CLIENTS: typing.Final[int] = 64
+
+
+def make_targets(
+    *,
+    max_clients: int = MAX_CLIENTS,
+    http_client: curl_httpclient.CurlAsyncHTTPClient | None = None,
+    status_client: curl_httpclient.CurlAsyncHTTPClient | None = None,
+) -> _ports.Targets:
+    """Return the functions that call targets.
+
+    Parameters
+    ----------
+    max_clients : int
+        Requests at work at once; further ones wait in the client.
+    http_client, status_client : CurlAsyncHTTPClient, optional
+        Clients to use in place of new ones.
+
+    Returns
+    -------
+    Targets
+        The functions of the port. A request is written at most once, also
+        when a reused connection turns out to be closed.
+    """
+    client = http_client or _http.make_client(
+        max_clients=max_clients, max_host_connections=MAX_TARGET_CONNECTIONS
+    )
+    status = status_client or _http.make_client(
+        max_clients=_MAX_STATUS_CLIENTS
+    )
+
+    async def work(
+        address: str,
+        request_id: str,
+        attempt: int,
+        epoch: int,
+        payload: bytes,
+        timeout_s: float,
+        may_send: collections.abc.Callable[[], bool],
+    ) -> _ports.TargetAnswer:
+        reply = await _http.fetch(
+            client,
+            url=f"http://{address}{_target_wire.WORK_PATH}",
+            timeout_s=timeout_s,
+            body=payload,
+            headers=_target_wire.encode_headers(request_id, attempt, epoch),
+            may_send=may_send,
+        )
+        return _ports.TargetAnswer(
+            status=reply.status,
+            content_type=reply.headers.get(
+                "Content-Type", _target_wire.DEFAULT_CONTENT_TYPE
+            ),
+            body=reply.body,
+            leaving=_target_wire.is_leaving(reply.status, reply.headers),
+        )
+
+    async def busy_slots(address: str, path: str) -> int:
+        # The connection is closed afterwards, so that it does not add to
+        # those that the target holds for work.
+        reply = await _http.fetch(
+            status,
+            url=f"http://{address}{path}",
+            timeout_s=STATUS_TIMEOUT_S,
+            keep=False,
+        )
+        if reply.status != 200:
+            raise errors.PlatformError(
+                message=f"The target's status call answered {reply.status}.",
+                remedy="Check the service's status_path.",
+                sent=True,
+            )
+        try:
+            return _target_wire.decode_busy(reply.body)
+        except errors.ProtocolError as error:
+            raise errors.PlatformError(
+                message=error.message, remedy=error.remedy, sent=True
+            ) from error
+
+    return _ports.Targets(work=work, busy_slots=busy_slots)
--- /dev/null
+++ b/chestnuttide/platform/_worker_agent_wire.py
@@ -0,0 +1,257 @@
+"""Encoding of the calls to worker agents: HTTP POST with JSON."""
+
+import collections.abc
+import json
+import typing
+
+import attrs
+
+from chestnuttide import errors
+from chestnuttide import model
+from chestnuttide.platform import _json_wire
+from chestnuttide.platform import _ports
+
+CONTENT_TYPE: typing.Final[str] = "application/json"
+START_PATH: typing.Final[str] = "/v1/start"
+SYNC_PATH: typing.Final[str] = "/v1/sync"
+STOP_PATH: typing.Final[str] = "/v1/stop"
+THROTTLE_PATH: typing.Final[str] = "/v1/throttle"
+STALE_EPOCH: typing.Final[str] = "stale_epoch"
+
+Attempts: typing.TypeAlias = collections.abc.Sequence[model.Attempt]
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class StartCall:
+    """A call to start attempts.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch of the shard that owns the worker.
+    lease_s : float
+        Lease of each started task in seconds.
+    starts : tuple of TaskStart
+        The attempts to start.
+    """
+
+    epoch: int
+    lease_s: float
+    starts: tuple[_ports.TaskStart, ...]
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class SyncCall:
+    """A call to renew all leases and to wait for events.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch of the shard that owns the worker.
+    lease_s : float
+        Lease of each live task from now on, in seconds.
+    acknowledged : list of Attempt
+        Ended attempts that the worker may forget.
+    wait_s : float
+        Seconds to wait for an event.
+    after : int
+        Sequence of the last event that the caller knows.
+    """
+
+    epoch: int
+    lease_s: float
+    acknowledged: list[model.Attempt]
+    wait_s: float
+    after: int
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class StopCall:
+    """A call to stop attempts.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch of the shard that owns the worker.
+    checkpoint : bool
+        Whether the progress of the tasks is kept.
+    tasks : list of Attempt
+        The attempts to stop.
+    """
+
+    epoch: int
+    checkpoint: bool
+    tasks: list[model.Attempt]
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class ThrottleCall:
+    """A call to limit attempts.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch of the shard that owns the worker.
+    share : float
+        Share of their processor time, 0 to 1.
+    tasks : list of Attempt
+        The attempts to limit.
+    """
+
+    epoch: int
+    share: float
+    tasks: list[model.Attempt]
+
+
+def encode_start(
+    epoch: int,
+    lease_s: float,
+    starts: collections.abc.Sequence[_ports.TaskStart],
+) -> bytes:
+    """Return the body of a start.
+
+    Raises
+    ------
+    ValueError
+        A payload is no JSON.
+    """
+    tasks = [
+        {
+            "job_id": start.attempt.job_id,
+            "index": start.attempt.index,
+            "number": start.attempt.number,
+            "resources": start.resources,
+            "payload": json.loads(start.payload),
+        }
+        for start in starts
+    ]
+    return _json_wire.dump(
+        {"epoch": epoch, "lease_s": lease_s, "tasks": tasks}
+    )
+
+
+def decode_start(body: bytes) -> StartCall:
+    """Return the start in a body.
+
+    Raises
+    ------
+    ProtocolError
+        The body is malformed.
+    """
+    fields = _json_wire.load(body)
+    try:
+        return StartCall(
+            epoch=int(fields["epoch"]),
+            lease_s=float(fields["lease_s"]),
+            starts=tuple(
+                _ports.TaskStart(
+                    attempt=_json_wire.from_plain(task, model.Attempt),
+                    resources=_json_wire.from_plain(
+                        task["resources"], model.Resources
+                    ),
+                    payload=_json_wire.dump(task["payload"]),
+                )
+                for task in fields["tasks"]
+            ),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise _json_wire.malformed(f"a start lacks {error}") from error
+
+
+def encode_outcomes(
+    outcomes: collections.abc.Iterable[_ports.StartOutcome],
+) -> bytes:
+    """Return the body of the answer to a start."""
+    results = [
+        {
+            "job_id": outcome.attempt.job_id,
+            "index": outcome.attempt.index,
+            "number": outcome.attempt.number,
+            "outcome": outcome.outcome,
+        }
+        for outcome in outcomes
+    ]
+    return _json_wire.dump({"results": results})
+
+
+def decode_outcomes(body: bytes) -> list[_ports.StartOutcome]:
+    """Return the outcomes in the answer to a start.
+
+    Raises
+    ------
+    ProtocolError
+        The body is malformed.
+    """
+    try:
+        return [
+            _ports.StartOutcome(
+                attempt=_json_wire.from_plain(result, model.Attempt),
+                outcome=result["outcome"],
+            )
+            for result in _json_wire.load(body)["results"]
+        ]
+    except (KeyError, TypeError) as error:
+        raise _json_wire.malformed(f"an outcome lacks {error}") from error
+
+
+def encode_call(call: SyncCall | StopCall | ThrottleCall) -> bytes:
+    """Return the body of a sync, a stop or a throttle."""
+    return _json_wire.dump(call)
+
+
+def decode_sync(body: bytes) -> SyncCall:
+    """Return the sync in a body; raises `errors.ProtocolError`."""
+    return _json_wire.from_plain(_json_wire.load(body), SyncCall)
+
+
+def decode_stop(body: bytes) -> StopCall:
+    """Return the stop in a body; raises `errors.ProtocolError`."""
+    return _json_wire.from_plain(_json_wire.load(body), StopCall)
+
+
+def decode_throttle(body: bytes) -> ThrottleCall:
+    """Return the throttle in a body; raises `errors.ProtocolError`."""
+    return _json_wire.from_plain(_json_wire.load(body), ThrottleCall)
+
+
+def encode_sync_result(result: _ports.SyncResult) -> bytes:
+    """Return the body of the answer to a sync."""
+    return _json_wire.dump(result)
+
+
+def decode_sync_result(body: bytes) -> _ports.SyncResult:
+    """Return the answer to a sync; raises `errors.ProtocolError`."""
+    return _json_wire.from_plain(_json_wire.load(body), _ports.SyncResult)
+
+
+def encode_stale_epoch(epoch: int) -> bytes:
+    """Return the body of the answer to a call with an old epoch."""
+    return _json_wire.dump({"error": {"code": STALE_EPOCH, "epoch": epoch}})
+
+
+def check_status(status: int, body: bytes) -> None:
+    """Return when a call succeeded.
+
+    Raises
+    ------
+    DeposedError
+        The worker has seen a higher epoch.
+    PlatformError
+        Any other status than 200.
+    ProtocolError
+        The body of a 409 is malformed.
+    """
+    if status == 200:
+        return
+    if status == 409:
+        error = _json_wire.load(body).get("error")
+        if isinstance(error, dict) and error.get("code") == STALE_EPOCH:
+            raise errors.DeposedError(
+                message=f"The worker has seen epoch {error.get('epoch')}.",
+                remedy="Stop acting as the owner of its pool.",
+            )
+    raise errors.PlatformError(
+        message=f"The worker answered {status}.",
+        remedy="Try again on the same worker.",
+        sent=True,
+    )
--- /dev/null
+++ b/standins/instance_list/__init__.py
@@ -0,0 +1,24 @@
+"""Stand-in for the platform's lagging instance list."""
+
+from standins.instance_list import _server
+from standins.instance_list import _state
+
+Desk = _server.Desk
+State = _state.State
+changes = _state.changes
+control = _server.control
+evidence = _server.evidence
+listen = _server.listen
+main = _server.main
+put = _state.put
+
+__all__ = [
+    "Desk",
+    "State",
+    "changes",
+    "control",
+    "evidence",
+    "listen",
+    "main",
+    "put",
+]
--- /dev/null
+++ b/standins/store/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the stand-in."""
+
+from standins import store
+
+store.main()
--- /dev/null
+++ b/standins/store/_calls.py
@@ -0,0 +1,223 @@
+"""Calls to the store's state with faults, counts and waiting watches."""
+
+import asyncio
+import collections
+import collections.abc
+import random
+import typing
+
+import attrs
+
+from standins import _faults
+from standins.store import _state
+
+# Kinds whose answers are lost when `drop_answers` names no kinds.
+_DROPPED_KINDS: typing.Final[tuple[str, ...]] = ("write", "delete")
+
+Clock: typing.TypeAlias = collections.abc.Callable[[], float]
+
+
+@attrs.define(kw_only=True)
+class Desk:
+    """A store's state with its faults and counts.
+
+    Attributes
+    ----------
+    state : State
+        The keys and leases.
+    clock : function
+        Returns the time in seconds.
+    rng : Random
+        Draws which answers are lost.
+    faults : Faults
+        The faults for every client.
+    client_faults : dict of str to Faults
+        The faults for single clients, in addition.
+    counts : Counter
+        Calls by kind.
+    client_counts : dict of str to Counter
+        Calls by client and kind.
+    failures : Counter
+        Calls that were refused, held or whose answer was lost.
+    waiting : int
+        Watches that are waiting.
+    bytes_in, bytes_out : int
+        Bytes of requests and answers, with their headers.
+    watch_step_s : float
+        Longest sleep of a waiting watch in seconds. A given clock that jumps
+        over the end of a lease or of a wait is noticed after that.
+    lifted : Event
+        Set and replaced when the faults change.
+    """
+
+    state: _state.State = attrs.Factory(_state.State)
+    clock: Clock
+    rng: random.Random = attrs.Factory(lambda: random.Random(0))
+    faults: _faults.Faults = attrs.Factory(
+        lambda: _faults.Faults(drop_kinds=list(_DROPPED_KINDS))
+    )
+    client_faults: dict[str, _faults.Faults] = attrs.Factory(dict)
+    counts: collections.Counter[str] = attrs.Factory(collections.Counter)
+    client_counts: dict[str, collections.Counter[str]] = attrs.Factory(dict)
+    failures: collections.Counter[str] = attrs.Factory(collections.Counter)
+    waiting: int = 0
+    bytes_in: int = 0
+    bytes_out: int = 0
+    watch_step_s: float = 0.02
+    lifted: asyncio.Event = attrs.Factory(asyncio.Event)
+
+
+class Refused(Exception):
+    """The store is down for this call."""
+
+
+class Lost(Exception):
+    """The call gets no answer."""
+
+
+def control(desk: Desk, fields: dict[str, typing.Any]) -> None:
+    """Set faults.
+
+    Parameters
+    ----------
+    desk : Desk
+        The store.
+    fields : dict
+        Fields of `Faults`. ``for_client`` (an id or a list of them) limits
+        them to clients; ``reset`` first lifts all faults.
+    """
+    changes = dict(fields)
+    if changes.pop("reset", False):
+        desk.faults = _faults.Faults(drop_kinds=list(_DROPPED_KINDS))
+        desk.client_faults = {}
+    clients = changes.pop("for_client", None)
+    if clients is None:
+        _faults.update(desk.faults, changes)
+    else:
+        for client in [clients] if isinstance(clients, str) else clients:
+            _faults.update(
+                desk.client_faults.setdefault(
+                    client, _faults.Faults(drop_kinds=list(_DROPPED_KINDS))
+                ),
+                changes,
+            )
+    desk.lifted.set()
+    desk.lifted = asyncio.Event()
+    for listener in list(desk.state.listeners):
+        listener()
+
+
+def evidence(desk: Desk) -> dict[str, typing.Any]:
+    """Return counts of calls and bytes, and the faults in force."""
+    _state.expire(desk.state, desk.clock())
+    return {
+        "counts": dict(desk.counts),
+        "calls": sum(desk.counts.values()),
+        "by_client": {
+            client: dict(counts)
+            for client, counts in desk.client_counts.items()
+        },
+        "failures": dict(desk.failures),
+        "waiting_watches": desk.waiting,
+        "bytes_in": desk.bytes_in,
+        "bytes_out": desk.bytes_out,
+        "revision": desk.state.revision,
+        "keys": len(desk.state.entries),
+        "leases": len(desk.state.leases),
+        "faults": desk.faults,
+        "client_faults": desk.client_faults,
+    }
+
+
+async def call(
+    desk: Desk, client: str, kind: str, fields: dict[str, typing.Any]
+) -> dict[str, typing.Any]:
+    """Carry out a call under the faults in force.
+
+    Parameters
+    ----------
+    desk : Desk
+        The store.
+    client : str
+        Id of the client.
+    kind : str
+        Key of `_store_wire.PATHS`.
+    fields : dict
+        Fields of the request.
+
+    Returns
+    -------
+    dict
+        Fields of the answer.
+
+    Raises
+    ------
+    Refused
+        The store is down for this call; it had no effect.
+    Lost
+        The answer is lost; the call may have had an effect.
+    SchedulerError
+        See `_state.call`.
+    """
+    desk.counts[kind] += 1
+    desk.client_counts.setdefault(client, collections.Counter())[kind] += 1
+    key = str(fields.get("key", fields.get("prefix", "")))
+    verdict = _judge(desk, client, kind, key)
+    if verdict.hold:
+        desk.failures["held"] += 1
+        while verdict.hold:
+            await desk.lifted.wait()
+            verdict = _judge(desk, client, kind, key)
+        raise Lost
+    if verdict.delay_s:
+        await asyncio.sleep(verdict.delay_s)
+    if verdict.refuse:
+        desk.failures["refused"] += 1
+        raise Refused
+    if kind == "watch":
+        return await _watch(desk, client, fields)
+    try:
+        return _state.call(desk.state, kind, fields, desk.clock())
+    finally:
+        if verdict.drop:
+            desk.failures["dropped"] += 1
+            raise Lost
+
+
+def _judge(desk: Desk, client: str, kind: str, key: str) -> _faults.Verdict:
+    every = [desk.faults]
+    if client in desk.client_faults:
+        every.append(desk.client_faults[client])
+    return _faults.join(
+        _faults.judge(faults, kind, key, desk.rng) for faults in every
+    )
+
+
+async def _watch(
+    desk: Desk, client: str, fields: dict[str, typing.Any]
+) -> dict[str, typing.Any]:
+    deadline = desk.clock() + fields["wait_s"]
+    changed = asyncio.Event()
+    desk.state.listeners.append(changed.set)
+    desk.waiting += 1
+    try:
+        while True:
+            changed.clear()
+            answer = _state.call(desk.state, "watch", fields, desk.clock())
+            now = desk.clock()
+            if answer["entries"] or now >= deadline:
+                return answer
+            verdict = _judge(desk, client, "", fields["prefix"])
+            if verdict.refuse or verdict.hold:
+                desk.failures["refused"] += 1
+                raise Refused if verdict.refuse else Lost
+            expiry = _state.next_expiry(desk.state) or deadline
+            step_s = min(deadline - now, expiry - now, desk.watch_step_s)
+            try:
+                async with asyncio.timeout(step_s):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+    finally:
+        desk.waiting -= 1
+        desk.state.listeners.remove(changed.set)
--- /dev/null
+++ b/standins/store/_server.py
@@ -0,0 +1,82 @@
+"""HTTP server of the store."""
+
+import time
+import typing
+
+from chestnuttide import errors
+from chestnuttide.platform import _store_wire
+from standins import _serving
+from standins.store import _calls
+
+# The server's clock is a real one, so its watches sleep until the next lease
+# ends.
+_WATCH_STEP_S: typing.Final[float] = 60.0
+
+
+class CallHandler(_serving.Handler):
+    """One kind of call."""
+
+    def initialize(self, desk: _calls.Desk, kind: str) -> None:
+        """Keep the store and the kind of call."""
+        self._desk = desk
+        self._kind = kind
+
+    async def post(self) -> None:
+        """Carry the call out."""
+        desk = self._desk
+        client = self.request.headers.get(_store_wire.CLIENT_HEADER, "")
+        desk.bytes_in += len(self.request.body) + _header_bytes(
+            self.request.headers.get_all()
+        )
+        try:
+            answer = await _calls.call(
+                desk,
+                client,
+                self._kind,
+                _store_wire.decode(self.request.body),
+            )
+        except _calls.Lost:
+            self.hang_up()
+            return
+        except _calls.Refused:
+            status, body = _store_wire.encode_error(
+                _store_wire.unavailable("down")
+            )
+        except errors.ProtocolError as error:
+            status, body = 400, _store_wire.encode({"code": str(error)})
+        except errors.SchedulerError as error:
+            status, body = _store_wire.encode_error(error)
+        else:
+            status, body = 200, _store_wire.encode(answer)
+        self.reply(status, body, _store_wire.CONTENT_TYPE)
+        desk.bytes_out += len(body) + _header_bytes(self._headers.get_all())
+
+
+def listen(*, port: int, desk: _calls.Desk | None = None) -> _serving.Served:
+    """Serve a store on a loopback port; 0 picks a free one."""
+    used = desk or _calls.Desk(
+        clock=time.monotonic, watch_step_s=_WATCH_STEP_S
+    )
+    return _serving.listen(
+        name="store",
+        port=port,
+        routes=[
+            (path, CallHandler, {"desk": used, "kind": kind})
+            for kind, path in _store_wire.PATHS.items()
+        ],
+        control=lambda fields: _calls.control(used, fields),
+        evidence=lambda _query: _calls.evidence(used),
+    )
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = _serving.make_parser("Stand-in for the key-value store.")
+    arguments = parser.parse_args()
+    _serving.run(arguments.control_port, lambda: [listen(port=arguments.port)])
+
+
+def _header_bytes(headers: object) -> int:
+    # Each header line has ": " and a line end; the start line has about 30
+    # bytes.
+    return 30 + sum(len(name) + len(value) + 4 for name, value in headers)
--- /dev/null
+++ b/standins/worker_agent/__init__.py
@@ -0,0 +1,25 @@
+"""Stand-in for the agents of workers."""
+
+from standins.worker_agent import _checks
+from standins.worker_agent import _server
+from standins.worker_agent import _state
+
+Desk = _server.Desk
+State = _state.State
+control = _server.control
+evidence = _server.evidence
+find_double_runs = _checks.find_double_runs
+listen = _server.listen
+main = _server.main
+make_desk = _server.make_desk
+
+__all__ = [
+    "Desk",
+    "State",
+    "control",
+    "evidence",
+    "find_double_runs",
+    "listen",
+    "main",
+    "make_desk",
+]
