--- /dev/null
+++ b/chestnuttide/daemon/__init__.py
@@ -0,0 +1,23 @@
+"""What the entry and the scheduler daemon share."""
+
+from chestnuttide.daemon import _instances
+from chestnuttide.daemon import _main
+from chestnuttide.daemon import _mesh
+
+count_traffic = _mesh.count_traffic
+make_main = _main.make_main
+make_network = _mesh.make_network
+poll_instances = _instances.poll_instances
+to_config_message = _mesh.to_config_message
+to_patches_message = _mesh.to_patches_message
+update_addresses = _instances.update_addresses
+
+__all__ = [
+    "count_traffic",
+    "make_main",
+    "make_network",
+    "poll_instances",
+    "to_config_message",
+    "to_patches_message",
+    "update_addresses",
+]
--- a/chestnuttide/entry/__init__.py
+++ b/chestnuttide/entry/__init__.py
@@ -1,9 +1,9 @@
 """The daemon that callers and operators talk to."""
 
+from chestnuttide import daemon
 from chestnuttide.entry import _daemon
-from chestnuttide.entry import _main
 
-main = _main.main
+main = daemon.make_main("entry", _daemon.run)
 run = _daemon.run
 
 __all__ = ["main", "run"]
--- a/chestnuttide/entry/_daemon.py
+++ b/chestnuttide/entry/_daemon.py
@@ -1,22 +1,19 @@
 """The entry daemon: wiring, peers, planned stop."""
 
 import asyncio
-import random
 import signal
 import time
-import uuid
 
 import tornado.httpserver
 import tornado.web
 
 from chestnuttide import config as config_module
+from chestnuttide import daemon
 from chestnuttide.entry import _handlers
 from chestnuttide.entry import _owners
 from chestnuttide.entry import _state
-from chestnuttide import errors
 from chestnuttide import mesh
 from chestnuttide import model
-from chestnuttide import platform
 from chestnuttide import settings as settings_module
 from chestnuttide import telemetry
 
@@ -24,7 +21,6 @@
 # the balancer sees the readiness change first.
 READINESS_NOTICE_S = 1.0
 POLL_S = 0.05
-INSTANCE_LIST_TIMEOUT_S = 2.0
 
 LOG = telemetry.make_logger("entry")
 
@@ -63,29 +59,11 @@
 
 def make_state(settings: settings_module.Settings) -> _state.EntryState:
     """Return the state of an entry that is not connected yet."""
-    metrics = telemetry.make_metrics()
     config_state = config_module.ConfigState()
-    rng = random.Random()  # noqa: S311
-    network = mesh.Network(
-        hello=mesh.Hello(
-            sender=settings.instance_id,
-            kind="entry",
-            incarnation=uuid.uuid4().hex,
-            data_centre=settings.data_centre,
-        ),
-        codec=mesh.make_daemon_codec(),
-        limits=mesh.Limits(
-            queue_messages=settings.mesh.mesh_queue_messages,
-            queue_bytes=settings.mesh.mesh_queue_bytes,
-        ),
-        on_message=lambda connection, message: None,
-        on_connected=lambda connection: None,
-        on_disconnected=lambda connection: None,
-        rng=rng,
-    )
+    network = daemon.make_network(settings, "entry")
     state = _state.EntryState(
         settings=settings,
-        metrics=metrics,
+        metrics=telemetry.make_metrics(),
         network=network,
         config_filter=config_module.make_config_filter(config_state),
         config=config_state,
@@ -145,62 +123,32 @@
 async def _poll_instances(state: _state.EntryState) -> None:
     """Keep a connection to each scheduler that the platform lists."""
     settings = state.settings
-    instances = platform.make_instance_list(
-        address=settings.platform.instance_list_address,
-        timeout_s=INSTANCE_LIST_TIMEOUT_S,
-        client_id=settings.instance_id,
-    )
-    addresses: dict[str, str] = {
+    addresses = {
         settings.instance_id: (
             f"{settings.advertise_ip}:{settings.scheduler.mesh_port}"
         )
     }
-    revision = 0
-    while True:
-        try:
-            changes = await instances.changes(
-                revision, model.InstanceKind.ENTRY.value
-            )
-        except errors.PlatformError as error:
-            LOG.warning("instance list did not answer: %s", error)
-        else:
-            revision = changes.revision
-            for each in changes.instances:
-                if each.state is model.InstanceState.GONE:
-                    addresses.pop(each.instance_id, None)
-                else:
-                    addresses[each.instance_id] = each.address
+    mesh.set_addresses(state.network, set(addresses.values()))
+
+    def take_changes(instances: tuple[model.Instance, ...]) -> None:
+        daemon.update_addresses(addresses, instances)
         mesh.set_addresses(state.network, set(addresses.values()))
-        await asyncio.sleep(settings.platform.instance_list_poll_s)
+
+    await daemon.poll_instances(
+        settings, model.InstanceKind.ENTRY.value, take_changes
+    )
 
 
 async def _tick(state: _state.EntryState) -> None:
     """Send heartbeats and keep the metrics and the config up to date."""
-    counted = {"sent": 0, "received": 0, "unmatched": 0}
+    counted = mesh.Traffic()
     while True:
         await asyncio.sleep(state.settings.mesh.heartbeat_s)
         _run_config(state, config_module.Tick())
         heartbeat = mesh.Heartbeat(config_version=state.config.history.version)
         for connection in mesh.schedulers(state.network):
             mesh.send_if_possible(connection, heartbeat)
-        _count_traffic(state, counted)
-
-
-def _count_traffic(state: _state.EntryState, counted: dict[str, int]) -> None:
-    traffic = state.network.traffic
-    totals = {
-        "sent": traffic.bytes_sent,
-        "received": traffic.bytes_received,
-        "unmatched": state.calls.unmatched,
-    }
-    for name in ("sent", "received"):
-        state.metrics.mesh_bytes.add(
-            {"direction": name}, totals[name] - counted[name]
-        )
-    state.metrics.mesh_dropped.add(
-        {"reason": "unmatched"}, totals["unmatched"] - counted["unmatched"]
-    )
-    counted.update(totals)
+        daemon.count_traffic(state.metrics, state.network.traffic, counted)
 
 
 def _connected(state: _state.EntryState, connection: mesh.Connection) -> None:
@@ -227,22 +175,10 @@
             mesh.resolve(state.calls, connection, message)
         case mesh.OwnedShards():
             _owners.take_owned(state.owners, connection, message)
-        case mesh.Heartbeat():
-            seen = config_module.VersionSeen(version=message.config_version)
-            _run_config(state, seen, connection)
-        case mesh.ConfigPatches():
-            entries = tuple(
-                config_module.decode_entry(version, value)
-                for version, value in message.patches
-            )
-            received = config_module.PatchesReceived(entries=entries)
-            _run_config(state, received, connection)
-        case mesh.ConfigSnapshot():
-            snapshot = mesh.to_snapshot(message)
-            received = config_module.SnapshotReceived(snapshot=snapshot)
-            _run_config(state, received, connection)
         case _:
-            pass
+            config_message = daemon.to_config_message(message)
+            if config_message is not None:
+                _run_config(state, config_message, connection)
 
 
 def _run_config(
--- a/chestnuttide/mesh/_network.py
+++ b/chestnuttide/mesh/_network.py
@@ -5,6 +5,7 @@
 import contextlib
 import random
 import socket as socket_module
+import typing
 
 import attrs
 import websockets
@@ -25,6 +26,12 @@
 REDIAL_MAXIMUM_S = 2.0
 
 
+# A function that is told of a connection's begin or end.
+Event: typing.TypeAlias = collections.abc.Callable[
+    [_connection.Connection], None
+]
+
+
 @attrs.define(kw_only=True, slots=True, eq=False)
 class Network:
     """State of all connections of a daemon.
@@ -37,12 +44,12 @@
         Encoding of messages.
     limits : Limits
         Limits of each connection.
+    rng : random.Random
+        Source of the jitter of redials.
     on_message : function
         Called with the connection and each received message.
     on_connected, on_disconnected : function
         Called with a connection after its handshake and after its end.
-    rng : random.Random
-        Source of the jitter of redials.
     traffic : Traffic
         Counts over all connections.
     connections : dict of (str, str) to Connection
@@ -56,10 +63,10 @@
     hello: _messages.Hello
     codec: _codec.Codec
     limits: _connection.Limits
-    on_message: _connection.Handler
-    on_connected: collections.abc.Callable[[_connection.Connection], None]
-    on_disconnected: collections.abc.Callable[[_connection.Connection], None]
     rng: random.Random
+    on_message: _connection.Handler = lambda connection, message: None
+    on_connected: Event = lambda connection: None
+    on_disconnected: Event = lambda connection: None
     traffic: _connection.Traffic = attrs.field(factory=_connection.Traffic)
     connections: dict[tuple[str, str], _connection.Connection] = attrs.field(
         factory=dict
--- a/chestnuttide/routing/_admission.py
+++ b/chestnuttide/routing/_admission.py
@@ -29,7 +29,7 @@
         attached = _attach(state, message)
         if attached is not None:
             return attached
-    known = coordination.begin(state.ledger, request.request_id, now)
+    known = coordination.begin_request(state.ledger, request.request_id, now)
     if known is not None:
         return [_refuse_known(message, known)]
     state.calls[call.call] = call
--- a/chestnuttide/routing/_answering.py
+++ b/chestnuttide/routing/_answering.py
@@ -49,7 +49,7 @@
     if answer.run_state is errors.RunState.UNKNOWN:
         coordination.mark_unknown(state.ledger, request_id, now)
         return []
-    if coordination.refuse(state.ledger, request_id):
+    if coordination.refuse_request(state.ledger, request_id):
         return [
             _messages.RecordOutcome(
                 request_id=request_id, status=coordination.NOT_RUN_STATUS
--- /dev/null
+++ b/chestnuttide/scheduler/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the scheduler daemon as a module."""
+
+import sys
+
+from chestnuttide import scheduler
+
+sys.exit(scheduler.main())
--- /dev/null
+++ b/chestnuttide/scheduler/_daemon.py
@@ -0,0 +1,465 @@
+"""The scheduler daemon: wiring, mesh messages, planned stop."""
+
+import asyncio
+import itertools
+import json
+import signal
+import sys
+import time
+
+import tornado.httpserver
+import tornado.web
+
+from chestnuttide import config as config_module
+from chestnuttide import coordination
+from chestnuttide import daemon
+from chestnuttide import errors
+from chestnuttide import mesh
+from chestnuttide import model
+from chestnuttide import platform
+from chestnuttide import routing
+from chestnuttide.scheduler import _configuration
+from chestnuttide.scheduler import _journals
+from chestnuttide.scheduler import _membership
+from chestnuttide.scheduler import _requests
+from chestnuttide.scheduler import _state
+from chestnuttide.scheduler import _takeover
+from chestnuttide import settings as settings_module
+from chestnuttide import telemetry
+
+# Seconds between two ticks of the pure parts; bounds how late a deadline is
+# noticed.
+TICK_S = 0.05
+# A lease renewal must fail soon enough for promises to be asked for while
+# the lease still holds.
+LEASE_TIMEOUT_SHARE = 0.2
+# Journal writes that may be made at once after a quiet time.
+JOURNAL_BURST_S = 1.0
+AGENT_TIMEOUT_S = 2.0
+POLL_S = 0.02
+
+LOG = telemetry.make_logger("scheduler")
+
+
+def make_state(settings: settings_module.Settings) -> _state.SchedulerState:
+    """Return the state of a scheduler that is not connected yet."""
+    metrics = telemetry.make_metrics()
+    network = daemon.make_network(settings, "scheduler")
+    incarnation = network.hello.incarnation
+    times = settings.coordination
+    now = time.monotonic()
+    ownership = coordination.make_ownership_state(
+        instance_id=settings.instance_id,
+        incarnation=incarnation,
+        now=now,
+        settings=coordination.OwnershipSettings(promise_s=times.promise_s),
+    )
+    config_state = config_module.ConfigState()
+
+    def make_store(timeout_s: float) -> platform.Store:
+        return platform.make_store(
+            address=settings.platform.store_address,
+            timeout_s=timeout_s,
+            call_counts=lambda kind: telemetry.count_store_call(metrics, kind),
+            client_id=settings.instance_id,
+        )
+
+    state = _state.SchedulerState(
+        settings=settings,
+        metrics=metrics,
+        network=network,
+        store=make_store(settings.platform.store_timeout_s),
+        lease_store=make_store(times.lease_ttl_s * LEASE_TIMEOUT_SHARE),
+        targets=platform.make_targets(),
+        agents=platform.make_worker_agent(timeout_s=AGENT_TIMEOUT_S),
+        ownership=ownership,
+        run_ownership=coordination.make_ownership_filter(state=ownership),
+        config=config_state,
+        run_config=config_module.make_config_filter(config_state),
+        bucket=coordination.make_token_bucket(
+            times.journal_writes_per_s,
+            max(1.0, times.journal_writes_per_s * JOURNAL_BURST_S),
+            now,
+        ),
+        write_ids=(
+            f"{settings.instance_id}/{incarnation}/{number}"
+            for number in itertools.count(1)
+        ),
+    )
+    _connect_parts(state)
+    return state
+
+
+async def run(settings: settings_module.Settings) -> None:
+    """Serve until SIGTERM, SIGINT or a drain, then stop gracefully."""
+    state = make_state(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, state.stop.set)
+    await mesh.listen(
+        state.network,
+        ip=settings.advertise_ip,
+        port=settings.scheduler.mesh_port,
+    )
+    server = _serve_metrics(state)
+    LOG.info("listening on port %d", settings.scheduler.mesh_port)
+    loops = [
+        asyncio.ensure_future(each)
+        for each in (
+            _membership.keep_lease(state),
+            _membership.watch_cell(state),
+            _load_and_watch_config(state),
+            daemon.poll_instances(
+                settings,
+                "",
+                lambda instances: _take_instances(state, instances),
+            ),
+            _tick(state),
+            _send_heartbeats(state),
+        )
+    ]
+    stop = asyncio.ensure_future(state.stop.wait())
+    done, _ = await asyncio.wait(
+        [stop, *loops], return_when=asyncio.FIRST_COMPLETED
+    )
+    for each in done - {stop}:
+        # A loop that ends has failed: another instance takes over.
+        LOG.critical("a loop has failed", exc_info=each.exception())
+        sys.exit(1)
+    await _stop(state)
+    for each in loops:
+        each.cancel()
+    server.stop()
+    await mesh.close(state.network)
+    LOG.info("stopped")
+
+
+def _connect_parts(state: _state.SchedulerState) -> None:
+    """Set the functions by which the parts call each other."""
+    network = state.network
+    network.on_message = lambda connection, message: _take_message(
+        state, connection, message
+    )
+    network.on_connected = lambda connection: _connected(state, connection)
+    network.on_disconnected = lambda connection: _disconnected(
+        state, connection
+    )
+    state.on_acquired = lambda message: _takeover.acquired(state, message)
+    state.on_lost = lambda message: _takeover.lost(state, message)
+    state.on_should_release = lambda message: _takeover.should_release(
+        state, message
+    )
+    state.on_leaving = lambda target_id: _learn_leaving(
+        state, (target_id,), tell=True
+    )
+    state.broadcast = lambda message: _broadcast(state, message)
+
+
+async def _load_and_watch_config(state: _state.SchedulerState) -> None:
+    await _configuration.load(state)
+    await _configuration.watch(state)
+
+
+async def _tick(state: _state.SchedulerState) -> None:
+    while True:
+        await asyncio.sleep(TICK_S)
+        _membership.feed(state, coordination.Tick())
+        _configuration.feed(state, config_module.Tick())
+        for shard in list(state.shards.values()):
+            _journals.tick(shard.journal)
+            shard.tick()
+
+
+async def _send_heartbeats(state: _state.SchedulerState) -> None:
+    counted = mesh.Traffic()
+    while True:
+        heartbeat = mesh.Heartbeat(config_version=state.config.history.version)
+        _broadcast_all(state, heartbeat)
+        daemon.count_traffic(state.metrics, state.network.traffic, counted)
+        await asyncio.sleep(state.settings.mesh.heartbeat_s)
+
+
+def _broadcast(state: _state.SchedulerState, message: object) -> None:
+    for connection in mesh.schedulers(state.network):
+        mesh.send_if_possible(connection, message)
+
+
+def _broadcast_all(state: _state.SchedulerState, message: object) -> None:
+    for connection in state.network.connections.values():
+        mesh.send_if_possible(connection, message)
+
+
+def _connected(
+    state: _state.SchedulerState, connection: mesh.Connection
+) -> None:
+    LOG.info(
+        "connected to %s %s", connection.peer.kind, connection.peer.sender
+    )
+    mesh.send_if_possible(connection, _takeover.owned_shards(state))
+    if connection.peer.kind == "scheduler":
+        if state.leaving:
+            mesh.send_if_possible(
+                connection,
+                mesh.TargetsLeaving(targets=tuple(sorted(state.leaving))),
+            )
+        mesh.send_if_possible(
+            connection,
+            mesh.ConfigFetch(after=state.config.history.version),
+        )
+        _membership.update_peers(state)
+
+
+def _disconnected(
+    state: _state.SchedulerState, connection: mesh.Connection
+) -> None:
+    LOG.info("lost %s %s", connection.peer.kind, connection.peer.sender)
+    for shard in list(state.shards.values()):
+        shard.drop_connection(connection)
+    if connection.peer.kind == "scheduler":
+        _membership.update_peers(state)
+
+
+def _take_message(
+    state: _state.SchedulerState, connection: mesh.Connection, message: object
+) -> None:
+    match message:
+        case (
+            mesh.RequestCall()
+            | mesh.RequestRead()
+            | mesh.JobSubmit()
+            | mesh.JobRead()
+            | mesh.JobCancel()
+        ):
+            _take_shard_call(state, connection, message)
+        case mesh.RequestCancel():
+            for shard in list(state.shards.values()):
+                if not model.is_pool(shard.name):
+                    shard.take(connection, message)
+        case mesh.SlotsFreed():
+            _take_slots_freed(state, connection, message)
+        case mesh.TargetsLeaving():
+            _learn_leaving(state, message.targets, tell=False)
+        case mesh.PatchSubmit():
+            _configuration.submit_patch(state, connection, message)
+        case mesh.ConfigRead():
+            _configuration.answer_read(state, connection, message)
+        case mesh.ConfigFetch():
+            _configuration.answer_fetch(state, connection, message)
+        case mesh.StatusRead():
+            _answer_status(state, connection, message)
+        case mesh.Drain():
+            LOG.info("a drain is asked for by %s", connection.peer.sender)
+            state.stop.set()
+            mesh.send_if_possible(
+                connection,
+                mesh.Reply(
+                    call_id=message.call_id,
+                    status=202,
+                    reason="",
+                    body=b'{"draining": true}',
+                ),
+            )
+        case _:
+            if not _membership.carry_ownership_message(state, message):
+                config_message = daemon.to_config_message(message)
+                if config_message is not None:
+                    _configuration.feed(state, config_message)
+
+
+def _take_shard_call(
+    state: _state.SchedulerState, connection: mesh.Connection, message: object
+) -> None:
+    shard = state.shards.get(message.shard)
+    if shard is not None:
+        shard.take(connection, message)
+        return
+    error = routing.make_error(
+        errors.Reason.NOT_OWNER,
+        f"Shard {message.shard} is not served here.",
+    )
+    telemetry.count_refusal(state.metrics, error.reason)
+    if not isinstance(message, mesh.RequestCall):
+        reply = _requests.make_refusal_reply(message.call_id, error)
+        mesh.send_if_possible(connection, reply)
+        return
+    mesh.send_if_possible(
+        connection,
+        mesh.RequestReply(
+            call_id=message.call_id,
+            request_id=message.request_id,
+            status=errors.HTTP_STATUS[error.reason],
+            content_type=routing.JSON_TYPE,
+            body=routing.encode_error(error),
+            reason=error.reason.value,
+            run_state=error.run_state.value,
+            target="",
+        ),
+    )
+
+
+def _take_slots_freed(
+    state: _state.SchedulerState,
+    connection: mesh.Connection,
+    message: mesh.SlotsFreed,
+) -> None:
+    shard = state.shards.get(message.shard)
+    if shard is not None:
+        shard.take(connection, message)
+    elif message.shard in state.activations:
+        key = (message.shard, message.target)
+        state.early_frees[key] = state.early_frees.get(key, 0) + message.count
+
+
+def _learn_leaving(
+    state: _state.SchedulerState, targets: tuple[str, ...], *, tell: bool
+) -> None:
+    news = tuple(each for each in targets if each not in state.leaving)
+    if not news:
+        return
+    state.leaving.update(news)
+    for shard in list(state.shards.values()):
+        for target_id in news:
+            shard.put_leaving(target_id)
+    if tell:
+        _broadcast(state, mesh.TargetsLeaving(targets=news))
+
+
+def _take_instances(
+    state: _state.SchedulerState, instances: tuple[model.Instance, ...]
+) -> None:
+    left = []
+    for each in instances:
+        state.instances[each.instance_id] = each
+        if each.state is model.InstanceState.GONE:
+            state.leaving.discard(each.instance_id)
+        elif (
+            each.kind is model.InstanceKind.TARGET
+            and each.state is model.InstanceState.LEAVING
+        ):
+            left.append(each.instance_id)
+    for shard in list(state.shards.values()):
+        shard.put_instances(instances)
+    # The list reaches instances at different times; the first one tells.
+    _learn_leaving(state, tuple(left), tell=True)
+    if any(each.kind is model.InstanceKind.ENTRY for each in instances):
+        _update_schedulers(state)
+
+
+def _update_schedulers(state: _state.SchedulerState) -> None:
+    """Dial the schedulers with higher ids; the others dial this one."""
+    own = state.settings.instance_id
+    addresses: dict[str, str] = {}
+    daemon.update_addresses(addresses, tuple(state.instances.values()))
+    mesh.set_addresses(
+        state.network,
+        {
+            address
+            for instance_id, address in addresses.items()
+            if instance_id > own
+        },
+    )
+    gone = frozenset(
+        each.instance_id
+        for each in state.instances.values()
+        if each.kind is model.InstanceKind.ENTRY
+        and each.state is model.InstanceState.GONE
+    )
+    _membership.feed(state, coordination.InstancesGone(ids=gone))
+
+
+def _answer_status(
+    state: _state.SchedulerState,
+    connection: mesh.Connection,
+    message: mesh.StatusRead,
+) -> None:
+    status: dict[str, list[object]] = {
+        "instances": [
+            {
+                "instance_id": state.settings.instance_id,
+                "data_centre": state.settings.data_centre,
+                "state": "draining" if state.draining else "live",
+                "config_version": state.config.history.version,
+            }
+        ],
+        "shards": [],
+        "workers": [],
+        "queues": [],
+    }
+    for shard in state.shards.values():
+        status["shards"].append(
+            {
+                "shard": shard.name,
+                "owner": state.settings.instance_id,
+                "epoch": shard.epoch,
+            }
+        )
+        for table, rows in shard.describe().items():
+            status[table] += rows
+    mesh.send_if_possible(
+        connection,
+        mesh.Reply(
+            call_id=message.call_id,
+            status=200,
+            reason="",
+            body=json.dumps(status).encode(),
+        ),
+    )
+
+
+async def _stop(state: _state.SchedulerState) -> None:
+    """Hand all shards over and finish all dispatches in flight."""
+    LOG.info("stopping")
+    state.draining = True
+    deadline = time.monotonic() + state.settings.coordination.stop_grace_s
+    served = list(state.shards.values())
+    await _membership.announce_leaving(state)
+    _membership.feed(state, coordination.Drain())
+    _takeover.announce_shards(state)
+    while time.monotonic() < deadline:
+        in_flight = sum(shard.in_flight() for shard in served)
+        holding = coordination.held_shards(state.ownership)
+        if not in_flight and not holding and not state.releases:
+            break
+        await asyncio.sleep(POLL_S)
+    else:
+        LOG.warning("the stop was cut short by stop_grace_s")
+    await _membership.leave(state)
+
+
+class _MetricsHandler(tornado.web.RequestHandler):
+    """Serves the metrics."""
+
+    def initialize(self, state: _state.SchedulerState) -> None:
+        """Take the daemon's state; called by tornado."""
+        self._state = state
+
+    def get(self) -> None:
+        """Answer in the text format of Prometheus."""
+        body, content_type = telemetry.render(self._state.metrics.registry)
+        self.set_header("Content-Type", content_type)
+        self.finish(body)
+
+
+class _HealthHandler(tornado.web.RequestHandler):
+    """Tells that the process answers."""
+
+    def get(self) -> None:
+        """Answer 200."""
+        self.finish({"healthy": True})
+
+
+def _serve_metrics(
+    state: _state.SchedulerState,
+) -> tornado.httpserver.HTTPServer:
+    application = tornado.web.Application(
+        [
+            ("/metrics", _MetricsHandler, {"state": state}),
+            ("/healthz", _HealthHandler),
+        ]
+    )
+    server = tornado.httpserver.HTTPServer(application)
+    settings = state.settings
+    server.listen(
+        settings.scheduler.metrics_port, address=settings.advertise_ip
+    )
+    return server
--- /dev/null
+++ b/chestnuttide/scheduler/_takeover.py
@@ -0,0 +1,155 @@
+"""Taking shards over and handing them over."""
+
+import asyncio
+import functools
+import time
+
+from chestnuttide import coordination
+from chestnuttide import errors
+from chestnuttide import mesh
+from chestnuttide import model
+from chestnuttide.scheduler import _journals
+from chestnuttide.scheduler import _membership
+from chestnuttide.scheduler import _pools
+from chestnuttide.scheduler import _requests
+from chestnuttide.scheduler import _state
+from chestnuttide import telemetry
+
+# Seconds that a handover waits for dispatches to end, because slots in use
+# are occupied for the successor until it hears of their end.
+HANDOVER_WAIT_S = 0.5
+# Seconds that a handover waits for the journal.
+FLUSH_WAIT_S = 2.0
+POLL_S = 0.01
+
+LOG = telemetry.make_logger("takeover")
+
+
+def acquired(
+    state: _state.SchedulerState, message: coordination.ShardAcquired
+) -> None:
+    """Begin to take a shard over."""
+    LOG.info(
+        "shard %s is acquired",
+        message.shard,
+        epoch=message.epoch,
+        clean=message.clean,
+    )
+    former = state.activations.pop(message.shard, None)
+    if former is not None:
+        former.cancel()
+    state.activations[message.shard] = _state.start_task(
+        state, _activate(state, message)
+    )
+
+
+def lost(
+    state: _state.SchedulerState, message: coordination.ShardLost
+) -> None:
+    """Stop serving a shard that this instance no longer owns."""
+    LOG.info(
+        "shard %s is lost",
+        message.shard,
+        epoch=message.epoch,
+        reason=message.reason,
+    )
+    activation = state.activations.pop(message.shard, None)
+    if activation is not None:
+        activation.cancel()
+    shard = state.shards.pop(message.shard, None)
+    if shard is not None:
+        shard.stop()
+        _journals.close(shard.journal)
+        announce_shards(state)
+
+
+def should_release(
+    state: _state.SchedulerState, message: coordination.ShouldRelease
+) -> None:
+    """Begin to hand a shard over."""
+    if message.shard in state.releases:
+        return
+    task = _state.start_task(state, _release(state, message))
+    state.releases[message.shard] = task
+    task.add_done_callback(lambda _: state.releases.pop(message.shard, None))
+
+
+def announce_shards(state: _state.SchedulerState) -> None:
+    """Tell all peers which shards this instance serves."""
+    message = owned_shards(state)
+    for connection in state.network.connections.values():
+        mesh.send_if_possible(connection, message)
+    state.metrics.shards_owned.set({}, len(state.shards))
+
+
+def owned_shards(state: _state.SchedulerState) -> mesh.OwnedShards:
+    """Return the message that names the shards served here."""
+    return mesh.OwnedShards(
+        shards=tuple(
+            (shard.name, shard.epoch) for shard in state.shards.values()
+        ),
+        draining=state.draining,
+    )
+
+
+async def _activate(
+    state: _state.SchedulerState, message: coordination.ShardAcquired
+) -> None:
+    started = time.monotonic()
+    try:
+        recovery, journal = await _journals.open_journal(
+            shard=message.shard,
+            epoch=message.epoch,
+            store=state.store,
+            bucket=state.bucket,
+            metrics=state.metrics,
+            make_write_id=functools.partial(next, state.write_ids),
+        )
+    except errors.DeposedError as error:
+        LOG.warning("shard %s is not taken over: %s", message.shard, error)
+        return
+    make_shard = (
+        _pools.make_shard
+        if model.is_pool(message.shard)
+        else _requests.make_shard
+    )
+    shard = make_shard(state, message, recovery, journal)
+    state.shards[message.shard] = shard
+    state.activations.pop(message.shard, None)
+    LOG.info(
+        "shard %s is served",
+        message.shard,
+        epoch=message.epoch,
+        takeover_s=round(time.monotonic() - started, 3),
+    )
+    announce_shards(state)
+
+
+async def _release(
+    state: _state.SchedulerState, message: coordination.ShouldRelease
+) -> None:
+    activation = state.activations.get(message.shard)
+    if activation is not None:
+        await asyncio.wait([activation], timeout=FLUSH_WAIT_S)
+    shard = state.shards.pop(message.shard, None)
+    residual: dict[str, tuple[float, ...]] = {}
+    if shard is not None:
+        LOG.info("shard %s is handed over", shard.name, to=message.to)
+        shard.stop()
+        announce_shards(state)
+        await _wait_until(lambda: not shard.in_flight(), HANDOVER_WAIT_S)
+        await _wait_until(
+            lambda: _journals.is_idle(shard.journal), FLUSH_WAIT_S
+        )
+        residual = shard.residual()
+        _journals.close(shard.journal)
+    _membership.feed(
+        state,
+        coordination.ReleaseRequested(shard=message.shard, residual=residual),
+    )
+
+
+async def _wait_until(condition: object, limit_s: float) -> None:
+    deadline = time.monotonic() + limit_s
+    while not condition() and time.monotonic() < deadline:
+        await asyncio.sleep(POLL_S)
