--- /dev/null
+++ b/chestnuttide/platform/tests/test_store.py
@@ -0,0 +1,439 @@
+"""One table of cases for the real client and the in-memory store."""
+
+import asyncio
+import collections.abc
+import contextlib
+import time
+import typing
+
+import attrs
+import pytest
+
+from chestnuttide import errors
+from chestnuttide import platform
+from chestnuttide.platform import _http
+from standins import _serving
+from standins import store
+
+_FORMS = ("http", "memory")
+_TIMEOUT_S = 0.3
+
+_Conflict = errors.RevisionConflictError
+_Expired = errors.LeaseExpiredError
+_Unavailable = errors.StoreUnavailableError
+
+
+@attrs.define(kw_only=True)
+class _Bench:
+    """A store under test with its clock."""
+
+    now: float = 1000.0
+    desk: store.Desk | None = None
+    counts: dict[str, int] = attrs.Factory(dict)
+    connect: collections.abc.Callable[[str], platform.Store] | None = None
+
+
+@contextlib.asynccontextmanager
+async def _opened(
+    form: str,
+    clock: collections.abc.Callable[[], float] | None = None,
+) -> collections.abc.AsyncIterator[_Bench]:
+    bench = _Bench()
+    bench.desk = store.make_desk(store.State(), clock or (lambda: bench.now))
+    if form == "memory":
+        bench.connect = lambda client_id: store.make_in_memory_store(
+            bench.desk.state,
+            bench.desk.clock,
+            client_id=client_id,
+            desk=bench.desk,
+        )
+        yield bench
+        return
+    served = store.listen(port=0, desk=bench.desk)
+    client = _http.make_client(max_clients=32)
+    bench.connect = lambda client_id: platform.make_store(
+        address=f"127.0.0.1:{served.port}",
+        timeout_s=_TIMEOUT_S,
+        call_counts=bench.counts,
+        client_id=client_id,
+        http_client=client,
+    )
+    try:
+        yield bench
+    finally:
+        client.close()
+        await _serving.close(served)
+
+
+def _entry(
+    key: str, value: bytes | None, revision: int, write_id: str = "w"
+) -> platform.Entry:
+    return platform.Entry(
+        key=key, value=value, revision=revision, write_id=write_id
+    )
+
+
+def _changes(revision: int, *entries: platform.Entry) -> platform.WatchResult:
+    return platform.WatchResult(revision=revision, entries=entries)
+
+
+# Each step is a call with its arguments and what comes of it. `advance` moves
+# the clock.
+_STEPS = [
+    pytest.param(
+        [
+            ("write", ("k", b"1", 0, "w", 0), 1),
+            ("write", ("k", b"2", 0, "x", 0), _Conflict),
+            ("get", ("k",), _entry("k", b"1", 1)),
+        ],
+        id="create_twice_overwrites",
+    ),
+    pytest.param(
+        [
+            ("write", ("k", b"1", 0, "w", 0), 1),
+            ("write", ("k", b"2", 1, "w", 0), 2),
+            ("write", ("k", b"3", 1, "w", 0), _Conflict),
+            ("write", ("k", b"3", 7, "w", 0), _Conflict),
+            ("get", ("k",), _entry("k", b"2", 2)),
+        ],
+        id="write_at_old_revision_succeeds",
+    ),
+    pytest.param(
+        [
+            ("write", ("k", b"1", 5, "w", 0), _Conflict),
+            ("get", ("k",), None),
+        ],
+        id="update_creates_absent_key",
+    ),
+    pytest.param(
+        [
+            ("write", ("a", b"1", 0, "w", 0), 1),
+            ("write", ("b", b"1", 0, "w", 0), 2),
+            ("write", ("a", b"", 1, "w", 0), 3),
+            ("get", ("a",), _entry("a", b"", 3)),
+        ],
+        id="revision_is_per_key_or_empty_value_lost",
+    ),
+    pytest.param(
+        [
+            ("write", ("p/b", b"2", 0, "w", 0), 1),
+            ("write", ("p/a", b"1", 0, "w", 0), 2),
+            ("write", ("p", b"0", 0, "w", 0), 3),
+            ("write", ("q", b"0", 0, "w", 0), 4),
+            (
+                "list_range",
+                ("p/",),
+                [_entry("p/a", b"1", 2), _entry("p/b", b"2", 1)],
+            ),
+            ("list_range", ("z",), []),
+        ],
+        id="range_out_of_order_or_beyond_prefix",
+    ),
+    pytest.param(
+        [
+            ("write", ("k", b"1", 0, "w", 0), 1),
+            ("delete", ("k", 3), _Conflict),
+            ("delete", ("k", 1), None),
+            ("delete", ("k", 1), _Conflict),
+            ("get", ("k",), None),
+            ("write", ("k", b"2", 0, "w", 0), 3),
+        ],
+        id="delete_ignores_revision",
+    ),
+    pytest.param(
+        [
+            ("grant_lease", (2.0,), 1),
+            ("write", ("m", b"1", 0, "w", 1), 1),
+            ("advance", 1.9, None),
+            ("renew_lease", (1,), None),
+            ("advance", 1.9, None),
+            ("get", ("m",), _entry("m", b"1", 1)),
+            ("advance", 0.2, None),
+            ("get", ("m",), None),
+            ("renew_lease", (1,), _Expired),
+            ("write", ("m", b"1", 0, "w", 1), _Expired),
+        ],
+        id="lease_outlives_its_time",
+    ),
+    pytest.param(
+        [
+            ("grant_lease", (2.0,), 1),
+            ("write", ("m", b"1", 0, "w", 1), 1),
+            ("write", ("m", b"2", 1, "w", 0), 2),
+            ("advance", 3.0, None),
+            ("get", ("m",), _entry("m", b"2", 2)),
+        ],
+        id="detached_key_dies_with_old_lease",
+    ),
+    pytest.param(
+        [
+            ("grant_lease", (2.0,), 1),
+            ("grant_lease", (9.0,), 2),
+            ("write", ("m", b"1", 0, "w", 1), 1),
+            ("write", ("m", b"1", 1, "w", 2), 2),
+            ("revoke_lease", (1,), None),
+            ("get", ("m",), _entry("m", b"1", 2)),
+            ("revoke_lease", (2,), None),
+            ("get", ("m",), None),
+            ("revoke_lease", (2,), None),
+        ],
+        id="moved_key_dies_with_old_lease",
+    ),
+    pytest.param(
+        [
+            ("write", ("p/a", b"1", 0, "w", 0), 1),
+            ("write", ("p/b", b"1", 0, "w", 0), 2),
+            ("write", ("p/a", b"2", 1, "w", 0), 3),
+            ("write", ("q", b"2", 0, "w", 0), 4),
+            ("delete", ("p/b", 2), None),
+            (
+                "watch",
+                ("p/", 1, 0.0),
+                _changes(
+                    5, _entry("p/a", b"2", 3), _entry("p/b", None, 5, "w")
+                ),
+            ),
+            ("watch", ("p/", 5, 0.0), _changes(5)),
+        ],
+        id="watch_misses_change_or_deletion",
+    ),
+    pytest.param(
+        [
+            ("grant_lease", (1.0,), 1),
+            ("write", ("m/1", b"1", 0, "w", 1), 1),
+            ("advance", 1.0, None),
+            ("watch", ("m/", 1, 0.0), _changes(2, _entry("m/1", None, 2))),
+        ],
+        id="watch_misses_expired_lease",
+    ),
+    pytest.param(
+        [("write", ("k", bytes(1_000_000), 0, "w", 0), 1)],
+        id="largest_value_refused",
+    ),
+]
+
+
+@pytest.mark.parametrize("form", _FORMS)
+@pytest.mark.parametrize("steps", _STEPS)
+def test_calls(
+    form: str, steps: list[tuple[str, typing.Any, typing.Any]]
+) -> None:
+    async def scenario() -> None:
+        async with _opened(form) as bench:
+            port = bench.connect("i1")
+            for name, arguments, expected in steps:
+                if name == "advance":
+                    bench.now += arguments
+                elif isinstance(expected, type):
+                    with pytest.raises(expected):
+                        await getattr(port, name)(*arguments)
+                else:
+                    assert await getattr(port, name)(*arguments) == expected, (
+                        name
+                    )
+
+    asyncio.run(scenario())
+
+
+# A write under faults: the switches, what the client sees, and whether the
+# write has taken effect afterwards.
+_FAULTS = [
+    pytest.param({"down": True}, _Unavailable, False, id="down_takes_effect"),
+    pytest.param(
+        {"drop_answers": 1}, _Unavailable, True, id="lost_answer_has_no_effect"
+    ),
+    pytest.param(
+        {"drop_answers": 0.999999},
+        _Unavailable,
+        True,
+        id="share_of_answers_is_not_lost",
+    ),
+    pytest.param(
+        {"down": True, "for_prefix": "other/"},
+        None,
+        True,
+        id="fault_hits_other_prefix",
+    ),
+    pytest.param(
+        {"down": True, "for_prefix": "k"},
+        _Unavailable,
+        False,
+        id="fault_misses_its_prefix",
+    ),
+    pytest.param(
+        {"down": True, "for_client": "i2"},
+        None,
+        True,
+        id="partition_hits_other_client",
+    ),
+    pytest.param(
+        {"down": True, "for_client": ["i1", "i2"]},
+        _Unavailable,
+        False,
+        id="partition_misses_its_client",
+    ),
+    pytest.param({"slow_s": 0.05}, None, True, id="slow_store_fails"),
+    pytest.param(
+        {"drop_answers": 1, "drop_kinds": ["get"]},
+        None,
+        True,
+        id="lost_answer_hits_other_kind",
+    ),
+]
+
+
+@pytest.mark.parametrize("form", _FORMS)
+@pytest.mark.parametrize(("switches", "error", "effect"), _FAULTS)
+def test_faults(
+    form: str,
+    switches: dict[str, typing.Any],
+    error: type[Exception] | None,
+    effect: bool,
+) -> None:
+    async def scenario() -> None:
+        async with _opened(form) as bench:
+            port = bench.connect("i1")
+            store.control(bench.desk, switches)
+            if error is None:
+                await port.write("k", b"1", 0, "w", 0)
+            else:
+                with pytest.raises(error):
+                    await port.write("k", b"1", 0, "w", 0)
+            store.control(bench.desk, {"reset": True})
+            found = await port.get("k")
+            assert (found is not None) == effect
+            evidence = store.evidence(bench.desk)
+            assert evidence["counts"] == {"write": 1, "get": 1}
+            assert evidence["by_client"] == {"i1": {"write": 1, "get": 1}}
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("form", _FORMS)
+@pytest.mark.parametrize(
+    ("action", "changed"),
+    [
+        pytest.param("write", ("m/1", b"1"), id="write_wakes_no_watch"),
+        pytest.param("lapse", ("m/0", None), id="lapse_wakes_no_watch"),
+        pytest.param("other", None, id="other_prefix_ends_watch"),
+        pytest.param("down", _Unavailable, id="outage_leaves_watch_waiting"),
+    ],
+)
+def test_waiting_watch(form: str, action: str, changed: typing.Any) -> None:
+    async def scenario() -> None:
+        async with _opened(form, time.monotonic) as bench:
+            port = bench.connect("i1")
+            lease_id = await port.grant_lease(0.15)
+            await port.write("m/0", b"0", 0, "w", lease_id)
+            if action != "lapse":
+                await port.revoke_lease(lease_id)
+            start = time.monotonic()
+            revision = bench.desk.state.revision
+            watch = asyncio.create_task(port.watch("m/", revision, 0.5))
+            await asyncio.sleep(0.05)
+            assert store.evidence(bench.desk)["waiting_watches"] == 1
+            if action == "write":
+                await port.write("m/1", b"1", 0, "w", 0)
+            elif action == "other":
+                await port.write("n", b"1", 0, "w", 0)
+            elif action == "down":
+                store.control(bench.desk, {"down": True})
+            if isinstance(changed, type):
+                with pytest.raises(changed):
+                    await watch
+            else:
+                result = await watch
+                seen = [(entry.key, entry.value) for entry in result.entries]
+                assert seen == ([changed] if changed else [])
+            waited_s = time.monotonic() - start
+            assert (waited_s >= 0.5) == (changed is None)
+            assert store.evidence(bench.desk)["waiting_watches"] == 0
+
+    asyncio.run(scenario())
+
+
+def test_calls_are_counted_by_kind() -> None:
+    """Miscounts would hide that the budget of store calls is exceeded."""
+
+    async def scenario() -> None:
+        async with _opened("http") as bench:
+            port = bench.connect("i1")
+            await port.list_range("")
+            await port.watch("", 0, 0.0)
+            store.control(bench.desk, {"down": True})
+            for _ in range(2):
+                with pytest.raises(_Unavailable):
+                    await port.renew_lease(1)
+            counts = store.evidence(bench.desk)["counts"]
+            assert bench.counts == counts
+            assert counts == {"range": 1, "watch": 1, "lease_renew": 2}
+            seen: list[str] = []
+            other = platform.make_store(
+                address="127.0.0.1:1",
+                timeout_s=_TIMEOUT_S,
+                call_counts=seen.append,
+            )
+            with pytest.raises(_Unavailable):
+                await other.get("k")
+            assert seen == ["get"]
+
+    asyncio.run(scenario())
+
+
+def test_silent_store_ends_with_timeout() -> None:
+    """A call without an answer would block its caller forever."""
+
+    async def scenario() -> None:
+        async with _opened("http") as bench:
+            port = bench.connect("i1")
+            store.control(bench.desk, {"silent": True})
+            start = time.monotonic()
+            with pytest.raises(_Unavailable):
+                await port.get("k")
+            assert _TIMEOUT_S <= time.monotonic() - start < 3 * _TIMEOUT_S
+            store.control(bench.desk, {"reset": True})
+            assert await port.get("k") is None
+
+    asyncio.run(scenario())
+
+
+def test_late_write_lands_after_timeout() -> None:
+    """A client must be ready for a write that lands after it gave up."""
+
+    async def scenario() -> None:
+        async with _opened("http") as bench:
+            port = bench.connect("i1")
+            store.control(bench.desk, {"slow_s": _TIMEOUT_S + 0.1})
+            with pytest.raises(_Unavailable):
+                await port.write("k", b"1", 0, "w", 0)
+            store.control(bench.desk, {"reset": True})
+            assert await port.get("k") is None
+            await asyncio.sleep(0.2)
+            assert await port.get("k") == _entry("k", b"1", 1)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [
+        pytest.param(b"\xff", 400, id="no_cbor_crashes_store"),
+        pytest.param(b"\x01", 400, id="no_map_crashes_store"),
+        pytest.param(b"\xa0", 400, id="missing_field_crashes_store"),
+    ],
+)
+def test_malformed_call(body: bytes, status: int) -> None:
+    async def scenario() -> None:
+        served = store.listen(port=0)
+        client = _http.make_client(max_clients=1)
+        reply = await _http.fetch(
+            client,
+            url=f"http://127.0.0.1:{served.port}/v1/get",
+            timeout_s=1.0,
+            body=body,
+        )
+        assert reply.status == status
+        client.close()
+        await _serving.close(served)
+
+    asyncio.run(scenario())
