Check a reused connection before each send

Cause: libcurl checks an idle connection only after a second without use. A target that closes its idle connections made the next request end as sent and unknown, found by the case closed_idle_connection_fails_request. Change: the pre-request callback polls the connection's socket; a closed one counts as unsent and the request goes out on a new connection. Conclusion: only a close within the round trip leaves an outcome unknown.

--- a/chestnuttide/platform/_http.py
+++ b/chestnuttide/platform/_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import select
 import typing
 
 import attrs
@@ -20,6 +21,10 @@
 # handed over a shard does not keep using up its targets' connections.
 MAX_IDLE_S: typing.Final[int] = 10
 
+# Sockets that a client remembers per transfer that it may run at once. Of
+# those of closed connections the oldest are forgotten first.
+_SOCKETS_PER_CLIENT: typing.Final[int] = 4
+
 # libcurl reads a timeout of 0 ms as "no timeout".
 _MIN_TIMEOUT_S: typing.Final[float] = 0.001
 
@@ -45,6 +50,37 @@
     body: bytes
 
 
+@attrs.frozen(kw_only=True, slots=True, eq=False)
+class HttpClient:
+    """A libcurl client with its own pool of connections.
+
+    Attributes
+    ----------
+    curl : CurlAsyncHTTPClient
+        The client, bound to one event loop.
+    sockets : dict
+        File descriptors of connections by local port and peer.
+    max_sockets : int
+        Descriptors to remember.
+    """
+
+    curl: curl_httpclient.CurlAsyncHTTPClient
+    sockets: dict[tuple[int, str, int], int]
+    max_sockets: int
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class _Call:
+    """The arguments of `fetch` that hold for every connection it tries."""
+
+    url: str
+    body: bytes | None
+    headers: dict[str, str] | None
+    may_send: collections.abc.Callable[[], bool] | None
+    resend: bool
+    keep: bool
+
+
 @attrs.define(kw_only=True, slots=True)
 class _Transfer:
     """Progress of one transfer.
@@ -57,20 +93,27 @@
         Whether `may_send` returned False.
     repeated : bool
         Whether libcurl was kept from sending the request again.
+    stale : bool
+        Whether the peer had closed the reused connection before.
     cancelled : bool
         Whether the caller has given the transfer up.
+    descriptor : int
+        File descriptor of the socket opened for it; -1 when libcurl reuses a
+        connection.
     """
 
     sent: bool = False
     withheld: bool = False
     repeated: bool = False
+    stale: bool = False
     cancelled: bool = False
+    descriptor: int = -1
 
 
 def make_client(
     *, max_clients: int, max_host_connections: int = 0
-) -> curl_httpclient.CurlAsyncHTTPClient:
-    """Return a libcurl client with its own pool of connections.
+) -> HttpClient:
+    """Return a client for `fetch`, bound to the current event loop.
 
     Parameters
     ----------
@@ -82,22 +125,31 @@
 
     Returns
     -------
-    CurlAsyncHTTPClient
-        A client bound to the current event loop.
+    HttpClient
+        A client with its own pool of connections.
     """
-    client = curl_httpclient.CurlAsyncHTTPClient(
+    curl = curl_httpclient.CurlAsyncHTTPClient(
         force_instance=True, max_clients=max_clients
     )
-    multi = client._multi
+    multi = curl._multi
     # Without a limit of its own libcurl keeps four idle connections per
     # running transfer and closes the rest, also those of a busy peer.
     multi.setopt(pycurl.M_MAXCONNECTS, max_clients)
     multi.setopt(pycurl.M_MAX_HOST_CONNECTIONS, max_host_connections)
-    return client
+    return HttpClient(
+        curl=curl,
+        sockets={},
+        max_sockets=_SOCKETS_PER_CLIENT * max_clients,
+    )
+
+
+def close(client: HttpClient) -> None:
+    """Close a client and its connections; no transfer may be running."""
+    client.curl.close()
 
 
 async def fetch(
-    client: curl_httpclient.CurlAsyncHTTPClient,
+    client: HttpClient,
     *,
     url: str,
     timeout_s: float,
@@ -111,7 +163,7 @@
 
     Parameters
     ----------
-    client : CurlAsyncHTTPClient
+    client : HttpClient
         A client from `make_client`.
     url : str
         The whole URL.
@@ -143,38 +195,81 @@
     """
     if timeout_s < _MIN_TIMEOUT_S:
         raise _failure(url, "the deadline has passed", sent=False)
+    call = _Call(
+        url=url,
+        body=body,
+        headers=headers,
+        may_send=may_send,
+        resend=resend,
+        keep=keep,
+    )
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + timeout_s
     transfer = _Transfer()
+    try:
+        return await _transfer(client, call, transfer, timeout_s, fresh=False)
+    except errors.PlatformError:
+        remaining_s = deadline - loop.time()
+        if not transfer.stale or remaining_s < _MIN_TIMEOUT_S:
+            raise
+    # Nothing was sent, so a new connection is safe for every request.
+    return await _transfer(client, call, _Transfer(), remaining_s, fresh=True)
+
+
+async def _transfer(
+    client: HttpClient,
+    call: _Call,
+    transfer: _Transfer,
+    timeout_s: float,
+    *,
+    fresh: bool,
+) -> Reply:
+    def after_open(descriptor: int, _purpose: int) -> int:
+        transfer.descriptor = descriptor
+        return pycurl.SOCKOPT_OK
 
-    def before_send(*_addresses: object) -> int:
+    def before_send(
+        peer_ip: str, _local_ip: str, peer_port: int, local_port: int
+    ) -> int:
         # libcurl calls this for each request that it is about to write, also
         # on a reused connection and also when it repeats a request by
-        # itself. The second call is therefore a repetition.
+        # itself. A call after a send is therefore a repetition.
         if transfer.cancelled:
             return pycurl.PREREQFUNC_ABORT
-        if transfer.sent and not resend:
+        if transfer.sent and not call.resend:
             transfer.repeated = True
             return pycurl.PREREQFUNC_ABORT
-        if may_send is not None and not may_send():
+        key = (local_port, peer_ip, peer_port)
+        if transfer.descriptor >= 0:
+            _remember(client, key, transfer.descriptor)
+        elif _is_closed(client.sockets.get(key)):
+            transfer.stale = True
+            return pycurl.PREREQFUNC_ABORT
+        if call.may_send is not None and not call.may_send():
             transfer.withheld = True
             return pycurl.PREREQFUNC_ABORT
         transfer.sent = True
         return pycurl.PREREQFUNC_OK
 
     def prepare(curl: pycurl.Curl) -> None:
+        curl.setopt(pycurl.SOCKOPTFUNCTION, after_open)
         curl.setopt(pycurl.PREREQFUNCTION, before_send)
-        curl.setopt(pycurl.TCP_NODELAY, 1)
+        # Keeps libcurl from two sigaction calls around each step. TCP_NODELAY
+        # and HTTP/1.1 are its defaults for http.
         curl.setopt(pycurl.NOSIGNAL, 1)
         # Proxy settings of the environment do not apply inside the cell.
         curl.setopt(pycurl.NOPROXY, "*")
-        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_S)
-        curl.setopt(pycurl.FORBID_REUSE, 0 if keep else 1)
+        if fresh:
+            curl.setopt(pycurl.FRESH_CONNECT, 1)
+        if not call.keep:
+            curl.setopt(pycurl.FORBID_REUSE, 1)
 
     request = httpclient.HTTPRequest(
-        url,
-        method="GET" if body is None else "POST",
-        body=body,
-        headers=headers,
+        call.url,
+        method="GET" if call.body is None else "POST",
+        body=call.body,
+        headers=call.headers,
         connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
         request_timeout=timeout_s,
         follow_redirects=False,
@@ -183,7 +278,7 @@
         prepare_curl_callback=prepare,
     )
     try:
-        response = await client.fetch(request, raise_error=False)
+        response = await client.curl.fetch(request, raise_error=False)
     except asyncio.CancelledError:
         transfer.cancelled = True
         raise
@@ -195,12 +290,35 @@
             reason = "the caller may no longer send"
         elif transfer.repeated:
             reason = "the connection was closed without a response"
-        raise _failure(url, reason, sent=transfer.sent) from error
+        raise _failure(call.url, reason, sent=transfer.sent) from error
     return Reply(
         status=response.code, headers=response.headers, body=response.body
     )
 
 
+def _remember(
+    client: HttpClient, key: tuple[int, str, int], descriptor: int
+) -> None:
+    client.sockets.pop(key, None)
+    client.sockets[key] = descriptor
+    if len(client.sockets) > client.max_sockets:
+        del client.sockets[next(iter(client.sockets))]
+
+
+def _is_closed(descriptor: int | None) -> bool:
+    """Return whether an idle connection was closed by its peer.
+
+    libcurl itself checks a connection only when it was idle for a second. On
+    an idle connection anything that can be read is the close or the rest of
+    an earlier answer, and both make it unusable.
+    """
+    if descriptor is None:
+        return False
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN | select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def _failure(url: str, reason: str, *, sent: bool) -> errors.PlatformError:
     return errors.PlatformError(
         message=f"No response from {url}: {reason}.",
--- a/chestnuttide/platform/_instance_list_client.py
+++ b/chestnuttide/platform/_instance_list_client.py
@@ -2,8 +2,6 @@
 
 import typing
 
-from tornado import curl_httpclient
-
 from chestnuttide import errors
 from chestnuttide.platform import _http
 from chestnuttide.platform import _instance_list_wire
@@ -17,7 +15,7 @@
     *,
     address: str,
     timeout_s: float,
-    http_client: curl_httpclient.CurlAsyncHTTPClient | None = None,
+    http_client: _http.HttpClient | None = None,
 ) -> _ports.InstanceList:
     """Return the instance list at an address.
 
@@ -27,7 +25,7 @@
         ``ip:port`` of the list.
     timeout_s : float
         Limit of a call in seconds.
-    http_client : CurlAsyncHTTPClient, optional
+    http_client : HttpClient, optional
         Client to use in place of a new one.
 
     Returns
--- a/chestnuttide/platform/_store_client.py
+++ b/chestnuttide/platform/_store_client.py
@@ -3,8 +3,6 @@
 import collections.abc
 import typing
 
-from tornado import curl_httpclient
-
 from chestnuttide import errors
 from chestnuttide.platform import _http
 from chestnuttide.platform import _ports
@@ -30,7 +28,7 @@
     timeout_s: float,
     call_counts: CallCounts,
     client_id: str = "",
-    http_client: curl_httpclient.CurlAsyncHTTPClient | None = None,
+    http_client: _http.HttpClient | None = None,
 ) -> _ports.Store:
     """Return the store at an address.
 
@@ -45,7 +43,7 @@
         with the kind. Kinds are the keys of `_store_wire.PATHS`.
     client_id : str
         Instance id, sent as ``X-Client``.
-    http_client : CurlAsyncHTTPClient, optional
+    http_client : HttpClient, optional
         Client to use in place of a new one.
 
     Returns
--- a/chestnuttide/platform/_target_client.py
+++ b/chestnuttide/platform/_target_client.py
@@ -3,8 +3,6 @@
 import collections.abc
 import typing
 
-from tornado import curl_httpclient
-
 from chestnuttide import errors
 from chestnuttide.platform import _http
 from chestnuttide.platform import _ports
@@ -26,8 +24,8 @@
 def make_targets(
     *,
     max_clients: int = MAX_CLIENTS,
-    http_client: curl_httpclient.CurlAsyncHTTPClient | None = None,
-    status_client: curl_httpclient.CurlAsyncHTTPClient | None = None,
+    http_client: _http.HttpClient | None = None,
+    status_client: _http.HttpClient | None = None,
 ) -> _ports.Targets:
     """Return the functions that call targets.
 
@@ -35,7 +33,7 @@
     ----------
     max_clients : int
         Requests at work at once; further ones wait in the client.
-    http_client, status_client : CurlAsyncHTTPClient, optional
+    http_client, status_client : HttpClient, optional
         Clients to use in place of new ones.
 
     Returns
--- a/chestnuttide/platform/_worker_agent_client.py
+++ b/chestnuttide/platform/_worker_agent_client.py
@@ -3,8 +3,6 @@
 import collections.abc
 import typing
 
-from tornado import curl_httpclient
-
 from chestnuttide import errors
 from chestnuttide import model
 from chestnuttide.platform import _http
@@ -25,8 +23,8 @@
     timeout_s: float,
     max_syncs: int = MAX_SYNCS,
     max_commands: int = MAX_COMMANDS,
-    sync_client: curl_httpclient.CurlAsyncHTTPClient | None = None,
-    command_client: curl_httpclient.CurlAsyncHTTPClient | None = None,
+    sync_client: _http.HttpClient | None = None,
+    command_client: _http.HttpClient | None = None,
 ) -> _ports.WorkerAgent:
     """Return the functions that call worker agents.
 
@@ -37,7 +35,7 @@
     max_syncs, max_commands : int
         Syncs and other calls at once; further ones wait in the client. Each
         takes about 5 KB from the start.
-    sync_client, command_client : CurlAsyncHTTPClient, optional
+    sync_client, command_client : HttpClient, optional
         Clients to use in place of new ones.
 
     Returns
@@ -51,7 +49,7 @@
     headers = {"Content-Type": _worker_agent_wire.CONTENT_TYPE}
 
     async def call(
-        client: curl_httpclient.CurlAsyncHTTPClient,
+        client: _http.HttpClient,
         address: str,
         path: str,
         body: bytes,
--- a/chestnuttide/platform/tests/test_store.py
+++ b/chestnuttide/platform/tests/test_store.py
@@ -61,7 +61,7 @@
     try:
         yield bench
     finally:
-        client.close()
+        _http.close(client)
         await _serving.close(served)
 
 
@@ -433,7 +433,7 @@
             body=body,
         )
         assert reply.status == status
-        client.close()
+        _http.close(client)
         await _serving.close(served)
 
     asyncio.run(scenario())
--- a/chestnuttide/platform/tests/test_target_client.py
+++ b/chestnuttide/platform/tests/test_target_client.py
@@ -100,8 +100,8 @@
     try:
         yield platform.make_targets(http_client=work, status_client=status)
     finally:
-        work.close()
-        status.close()
+        _http.close(work)
+        _http.close(status)
 
 
 async def _work(
