--- a/chestnuttide/config/_structure.py
+++ b/chestnuttide/config/_structure.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import difflib
+import functools
 import typing
 
 import attrs
@@ -20,6 +21,10 @@
     dict: "an object",
 }
 
+# Largest whole number that every JSON implementation keeps exactly. The check
+# also refuses NaN and infinities, which JSON cannot carry.
+_MAX_NUMBER: typing.Final = 2**53 - 1
+
 
 class FieldError(Exception):
     """A value of a document cannot be used.
@@ -98,7 +103,9 @@
     FieldError
         The first value that cannot be used.
     """
-    return _make_converter(list(path)).structure(document, cls)
+    current_path, converter = _shared_converter()
+    current_path[:] = path
+    return converter.structure(document, cls)
 
 
 def _describe_validator(validator: object) -> str:
@@ -126,14 +133,25 @@
     return matches[0] if matches else ""
 
 
+@functools.cache
+def _shared_converter() -> tuple[list[str], cattrs.Converter]:
+    """Return the converter and the path at which it works.
+
+    A converter takes a millisecond to make, so there is one. The path is a
+    list that the hooks change, because cattrs passes them none. Structuring
+    never awaits, so no two documents use it at the same time.
+    """
+    path: list[str] = []
+    return path, _make_converter(path)
+
+
 def _make_converter(path: list[str]) -> cattrs.Converter:
     """Return a converter whose errors carry the path of the value.
 
     Parameters
     ----------
     path : list of str
-        Path of the root; changes while the converter descends, because cattrs
-        passes no path to its hooks.
+        Path of the root; changes while the converter descends.
     """
 
     def fail(problem: str, value: object, **more: str) -> FieldError:
@@ -146,11 +164,12 @@
             raise fail("has the wrong type", value, allowed=_TYPE_WORDS[dict])
 
     def structure_scalar(value: object, kind: type) -> object:
-        if kind is float and type(value) is int:
-            return float(value)
-        if type(value) is not kind:
+        is_whole = type(value) is int
+        if type(value) is not kind and not (kind is float and is_whole):
             raise fail("has the wrong type", value, allowed=_TYPE_WORDS[kind])
-        return value
+        if kind in (int, float) and not abs(value) <= _MAX_NUMBER:
+            raise fail("is out of range", value, allowed=_TYPE_WORDS[kind])
+        return float(value) if kind is float else value
 
     def structure_mapping(value: object, kind: object) -> dict[str, object]:
         require_object(value)
