--- a/chestnuttide/entry/_handlers.py
+++ b/chestnuttide/entry/_handlers.py
@@ -1,6 +1,7 @@
 """HTTP handlers for callers and operators."""
 
 import asyncio
+import collections.abc
 import json
 import time
 import typing
@@ -180,11 +181,12 @@
     async def get(self) -> None:
         """List the jobs of all pools."""
         team = self.get_query_argument("team", "")
+        after = self.get_query_argument("after", "")
         pools = self.state.config.cell_config.pool.pools
         replies = await asyncio.gather(
             *(
                 _forwarding.call_shard(
-                    self.state, shard, _make_job_read(shard, "", team)
+                    self.state, shard, _make_job_read(shard, "", team, after)
                 )
                 for shard in model.pool_shards(pools)
             )
@@ -203,7 +205,7 @@
         shard = _pool_shard(self.state, job_id)
         self.answer_reply(
             await _forwarding.call_shard(
-                self.state, shard, _make_job_read(shard, job_id, "")
+                self.state, shard, _make_job_read(shard, job_id, "", "")
             )
         )
 
@@ -397,7 +399,7 @@
 
 async def _call_any(
     state: _state.EntryState,
-    make_message: typing.Callable[[int], object],
+    make_message: collections.abc.Callable[[int], object],
     timeout_s: float,
 ) -> mesh.Reply | None:
     """Call this instance's scheduler, or else the others in turn."""
@@ -416,10 +418,10 @@
 
 
 def _make_job_read(
-    shard: str, job_id: str, team: str
-) -> typing.Callable[[int], mesh.JobRead]:
+    shard: str, job_id: str, team: str, after: str
+) -> collections.abc.Callable[[int], mesh.JobRead]:
     return lambda call_id: mesh.JobRead(
-        call_id=call_id, shard=shard, job_id=job_id, team=team
+        call_id=call_id, shard=shard, job_id=job_id, team=team, after=after
     )
 
 
--- a/chestnuttide/mesh/_messages.py
+++ b/chestnuttide/mesh/_messages.py
@@ -219,12 +219,15 @@
         Id of the job; empty for all.
     team : str
         Restricts a list to one team; empty for all.
+    after : str
+        Id after which a list begins.
     """
 
     call_id: int
     shard: str
     job_id: str
     team: str
+    after: str = ""
 
 
 @attrs.frozen(kw_only=True, slots=True)
--- a/chestnuttide/model/_shards.py
+++ b/chestnuttide/model/_shards.py
@@ -52,4 +52,4 @@
 
 
 def _slot(key: str, count: int) -> int:
-    return xxhash.xxh64_intdigest(key) % count
+    return xxhash.xxh64_intdigest(key.encode()) % count
--- a/chestnuttide/scheduler/_daemon.py
+++ b/chestnuttide/scheduler/_daemon.py
@@ -417,7 +417,7 @@
     _takeover.announce_shards(state)
     while time.monotonic() < deadline:
         in_flight = sum(shard.in_flight() for shard in served)
-        holding = coordination.held_shards(state.ownership)
+        holding = state.ownership.held
         if not in_flight and not holding and not state.releases:
             break
         await asyncio.sleep(POLL_S)
--- a/chestnuttide/scheduler/_journals.py
+++ b/chestnuttide/scheduler/_journals.py
@@ -1,4 +1,5 @@
 """Driver of one shard's journal and snapshots."""
+
 import asyncio
 import collections.abc
 import time
--- a/chestnuttide/scheduler/_pools.py
+++ b/chestnuttide/scheduler/_pools.py
@@ -15,6 +15,7 @@
 from chestnuttide import mesh
 from chestnuttide import model
 from chestnuttide import pipes
+from chestnuttide import placement
 from chestnuttide import platform
 from chestnuttide import queueing
 from chestnuttide.scheduler import _journals
@@ -95,6 +96,8 @@
         Whether the journal does not commit.
     flushing : bool
         Whether the end of the loop iteration is waited for.
+    continuing : bool
+        Whether a step of long work is due in the next loop iteration.
     released : bool
         Whether the shard was given up.
     """
@@ -112,6 +115,7 @@
     unsaved: int = 0
     stalled: bool = False
     flushing: bool = False
+    continuing: bool = False
     released: bool = False
 
 
@@ -134,11 +138,8 @@
     journal : Journal
         The open journal.
     """
-    pool = jobs.make_pool_state(
-        shard=acquired.shard,
-        epoch=acquired.epoch,
-        cell_config=daemon.config.cell_config,
-        rng=random.Random(),
+    pool = jobs.PoolState(
+        document=daemon.config.cell_config, rng=random.Random()
     )
     shard = PoolShard(
         daemon=daemon,
@@ -185,12 +186,23 @@
     for output in outputs:
         placed += isinstance(output, jobs.Placed)
         _carry_out(shard, output)
+    if not shard.continuing and jobs.is_busy(shard.pool, started):
+        # Long work is cut into short steps, so that other messages get
+        # their turn in between.
+        shard.continuing = True
+        asyncio.get_running_loop().call_soon(_continue, shard)
     if placed:
         shard.daemon.metrics.placement_seconds.observe(
             {}, (time.monotonic() - started) / placed
         )
 
 
+def _continue(shard: PoolShard) -> None:
+    shard.continuing = False
+    if not shard.released:
+        _feed(shard, jobs.Tick())
+
+
 def _tick(shard: PoolShard) -> None:
     grace_s = shard.daemon.settings.coordination.store_grace_s
     waited_s = time.monotonic() - shard.oldest_append
@@ -209,9 +221,9 @@
         case mesh.JobSubmit():
             token = (connection, message.call_id)
             job = _to_job(message)
-            known = jobs.read_job(shard.pool, job.job_id)
+            known = jobs.read_job(shard.pool, job.job_id, time.monotonic())
             if message.resend and known is not None and known.job == job:
-                _reply(token, HTTP_ACCEPTED, jobs.describe_job(known))
+                _reply(token, HTTP_ACCEPTED, _describe_job(known))
                 return
             _feed(shard, jobs.SubmitJob(token=token, job=job))
         case mesh.JobCancel():
@@ -273,14 +285,17 @@
 ) -> None:
     token = (connection, message.call_id)
     if not message.job_id:
-        found = [
-            jobs.describe_job(each)
-            for each in jobs.list_jobs(shard.pool, message.team)
-        ]
-        _reply(token, HTTP_OK, {"jobs": found})
+        found = jobs.list_jobs(
+            shard.pool,
+            time.monotonic(),
+            team=message.team,
+            after=message.after,
+        )
+        documents = [_describe_job(each) for each in found]
+        _reply(token, HTTP_OK, {"jobs": documents})
         return
-    record = jobs.read_job(shard.pool, message.job_id)
-    if record is None:
+    view = jobs.read_job(shard.pool, message.job_id, time.monotonic())
+    if view is None:
         _refuse(
             shard,
             token,
@@ -291,7 +306,7 @@
             ),
         )
         return
-    _reply(token, HTTP_OK, jobs.describe_job(record))
+    _reply(token, HTTP_OK, _describe_job(view))
 
 
 def _carry_out(shard: PoolShard, output: object) -> None:
@@ -321,6 +336,9 @@
             telemetry.count_retry(metrics, output.reason)
         case jobs.Refused():
             telemetry.count_refusal(metrics, output.reason)
+        case jobs.Deposed():
+            # The shard's record will tell; until then workers refuse.
+            LOG.warning("a worker has seen a higher epoch", shard=shard.name)
         case _:
             pass
 
@@ -479,7 +497,10 @@
     rng = random.Random()
     wait_s = shard.daemon.settings.coordination.worker_sync_s
     while not shard.released:
-        if not _state.may_act(shard.daemon, shard.name):
+        if not (
+            _state.may_act(shard.daemon, shard.name)
+            and jobs.may_sync(shard.pool, link.worker_id)
+        ):
             await asyncio.sleep(NOT_OWNER_PAUSE_S)
             continue
         lease_s = shard.daemon.config.cell_config.pool.task_lease_s
@@ -569,8 +590,54 @@
             link.task.cancel()
 
 
+def _describe_job(view: jobs.JobView) -> dict[str, object]:
+    """Return a job as the callers' interface shows it."""
+    job = view.job
+    return {
+        "id": job.job_id,
+        "kind": job.kind.value,
+        "team": job.team,
+        "workload_class": job.workload_class,
+        "urgent": job.urgent,
+        "state": view.state.value,
+        "reason": view.reason,
+        "tasks": job.tasks,
+        "done": view.done,
+        "running": view.running,
+        "waiting": view.waiting,
+        "waited_s": round(view.waited_s, 3),
+        "workers": view.workers,
+    }
+
+
 def _describe(shard: PoolShard) -> dict[str, list[object]]:
+    view = jobs.read_pool(shard.pool)
+    cell = shard.pool.cell
+    workers = []
+    for worker_id in placement.worker_ids(cell):
+        capacity = placement.capacity_of(cell, worker_id)
+        reserved = model.subtract(capacity, placement.free_of(cell, worker_id))
+        instance = shard.daemon.instances.get(worker_id)
+        workers.append(
+            {
+                "worker_id": worker_id,
+                "state": instance.state.value,
+                "ejected": placement.is_ejected(cell, worker_id),
+                "cpu_millis": capacity.cpu_millis,
+                "cpu_millis_reserved": reserved.cpu_millis,
+                "memory_mb": capacity.memory_mb,
+                "memory_mb_reserved": reserved.memory_mb,
+                "accelerators": capacity.accelerators,
+                "accelerators_reserved": reserved.accelerators,
+            }
+        )
     return {
-        "workers": jobs.describe_workers(shard.pool),
-        "queues": [jobs.describe_queue(shard.pool)],
+        "workers": workers,
+        "queues": [
+            {
+                "shard": shard.name,
+                "waiting": view.waiting_tasks,
+                "running": view.live_attempts,
+            }
+        ],
     }
