Share the address check of settings with the command line

Cause: settings and the command line checked ip:port with two copies of the same code, and one validator was a class with behaviour. Change: one public check in settings; the validators are closures.

--- a/chestnuttide/cli/_commands.py
+++ b/chestnuttide/cli/_commands.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import ipaddress
 import json
 import os
 import pathlib
@@ -21,6 +20,7 @@
 from chestnuttide.cli import _client
 from chestnuttide.cli import _exits
 from chestnuttide import config
+from chestnuttide import settings
 
 ENTRY_VARIABLE: typing.Final = "CHESTNUTTIDE_ENTRY"
 AUTHOR_VARIABLE: typing.Final = "USER"
@@ -36,7 +36,6 @@
 
 _MS_PER_S: typing.Final = 1_000
 _FIRST_ERROR_STATUS: typing.Final = 400
-_MAX_PORT: typing.Final = 65_535
 _STDIN: typing.Final = "-"
 
 
@@ -79,7 +78,7 @@
         text = self.option("entry") or os.environ.get(ENTRY_VARIABLE, "")
         found = tuple(part.strip() for part in text.split(",") if part.strip())
         for address in found:
-            if not _is_address(address):
+            if not settings.is_address(address):
                 raise _exits.usage_error(
                     f"{address!r} is not an address.",
                     "Give --entry as ip:port, for example 10.0.0.7:8080.",
@@ -214,15 +213,6 @@
     return show
 
 
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
-    except ValueError:
-        return False
-    return port.isascii() and port.isdigit() and 1 <= int(port) <= _MAX_PORT
-
-
 def _format_cell(value: object) -> str:
     if value is None:
         return "-"
--- a/chestnuttide/settings/_fields.py
+++ b/chestnuttide/settings/_fields.py
@@ -14,28 +14,33 @@
 _NAME_PATTERN: typing.Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 
 
-@attrs.frozen(kw_only=True, slots=True)
-class _Check:
-    """A validator that can describe the values it allows.
+_Validator: typing.TypeAlias = collections.abc.Callable[
+    [object, attrs.Attribute, typing.Any], None
+]
 
-    Attributes
+
+def _make_check(
+    allowed: str, accepts: collections.abc.Callable[[typing.Any], bool]
+) -> _Validator:
+    """Return an attrs validator that can describe the values it allows.
+
+    Parameters
     ----------
     allowed : str
-        The allowed values in words, for errors and the reference.
+        The allowed values in words, which errors and the reference read from
+        the attribute `allowed` of the validator.
     accepts : function
         ``accepts(value)`` returns whether the value is allowed.
     """
 
-    allowed: str
-    accepts: collections.abc.Callable[[typing.Any], bool]
-
-    # attrs calls a validator, so the class has to be callable.
-    def __call__(
-        self, instance: object, attribute: attrs.Attribute, value: object
+    def validate(
+        instance: object, attribute: attrs.Attribute, value: typing.Any
     ) -> None:
-        """Raise ValueError if `value` is not allowed."""
-        if not self.accepts(value):
-            raise ValueError(f"{attribute.name} must be {self.allowed}")
+        if not accepts(value):
+            raise ValueError(f"{attribute.name} must be {allowed}")
+
+    validate.allowed = allowed
+    return validate
 
 
 def _is_ip(value: str) -> bool:
@@ -46,7 +51,8 @@
     return True
 
 
-def _is_address(value: str) -> bool:
+def is_address(value: str) -> bool:
+    """Return whether a value is an address of the form ``ip:port``."""
     host, _, port = value.rpartition(":")
     return (
         _is_ip(host.removeprefix("[").removesuffix("]"))
@@ -56,20 +62,24 @@
     )
 
 
-_NAME: typing.Final = _Check(
+def _is_name(value: str) -> bool:
+    return _NAME_PATTERN.fullmatch(value) is not None
+
+
+_NAME: typing.Final = _make_check(
     allowed="of 1 to 63 letters, digits, '.', '_' and '-'",
-    accepts=lambda value: _NAME_PATTERN.fullmatch(value) is not None,
+    accepts=_is_name,
 )
-_NAME_OR_EMPTY: typing.Final = _Check(
+_NAME_OR_EMPTY: typing.Final = _make_check(
     allowed="of up to 63 letters, digits, '.', '_' and '-'",
-    accepts=lambda value: not value or _NAME.accepts(value),
+    accepts=lambda value: not value or _is_name(value),
 )
-_IP: typing.Final = _Check(
+_IP: typing.Final = _make_check(
     allowed="that is an IP address, for example 10.0.0.7", accepts=_is_ip
 )
-_ADDRESS: typing.Final = _Check(
+_ADDRESS: typing.Final = _make_check(
     allowed="of the form ip:port, for example 10.0.0.7:2379",
-    accepts=_is_address,
+    accepts=is_address,
 )
 
 
