Test workers, runners and the instance list against their clients

Cause: only the store and the target client had cases. Change: tables for the worker agent, the runner and the instance list, and a run of 600 requests against a runner that closes connections.

--- a/chestnuttide/platform/_http.py
+++ b/chestnuttide/platform/_http.py
@@ -95,6 +95,8 @@
         Whether libcurl was kept from sending the request again.
     stale : bool
         Whether the peer had closed the reused connection before.
+    fault : Exception or None
+        What `may_send` raised.
     cancelled : bool
         Whether the caller has given the transfer up.
     descriptor : int
@@ -106,6 +108,7 @@
     withheld: bool = False
     repeated: bool = False
     stale: bool = False
+    fault: Exception | None = None
     cancelled: bool = False
     descriptor: int = -1
 
@@ -245,7 +248,14 @@
         elif _is_closed(client.sockets.get(key)):
             transfer.stale = True
             return pycurl.PREREQFUNC_ABORT
-        if call.may_send is not None and not call.may_send():
+        try:
+            allowed = call.may_send is None or call.may_send()
+        except Exception as error:
+            # libcurl cannot pass an exception on; it would wait until the
+            # connect timeout.
+            transfer.fault = error
+            return pycurl.PREREQFUNC_ABORT
+        if not allowed:
             transfer.withheld = True
             return pycurl.PREREQFUNC_ABORT
         transfer.sent = True
@@ -288,6 +298,8 @@
         reason = str(error)
         if transfer.withheld:
             reason = "the caller may no longer send"
+        elif transfer.fault is not None:
+            reason = f"the check before the send failed: {transfer.fault!r}"
         elif transfer.repeated:
             reason = "the connection was closed without a response"
         raise _failure(call.url, reason, sent=transfer.sent) from error
--- a/chestnuttide/platform/_target_client.py
+++ b/chestnuttide/platform/_target_client.py
@@ -24,6 +24,7 @@
 def make_targets(
     *,
     max_clients: int = MAX_CLIENTS,
+    max_target_connections: int = MAX_TARGET_CONNECTIONS,
     http_client: _http.HttpClient | None = None,
     status_client: _http.HttpClient | None = None,
 ) -> _ports.Targets:
@@ -33,6 +34,8 @@
     ----------
     max_clients : int
         Requests at work at once; further ones wait in the client.
+    max_target_connections : int
+        Connections to one target; further requests wait for one of them.
     http_client, status_client : HttpClient, optional
         Clients to use in place of new ones.
 
@@ -43,7 +46,7 @@
         when a reused connection turns out to be closed.
     """
     client = http_client or _http.make_client(
-        max_clients=max_clients, max_host_connections=MAX_TARGET_CONNECTIONS
+        max_clients=max_clients, max_host_connections=max_target_connections
     )
     status = status_client or _http.make_client(
         max_clients=_MAX_STATUS_CLIENTS
--- /dev/null
+++ b/chestnuttide/platform/tests/test_instance_list_client.py
@@ -0,0 +1,150 @@
+import asyncio
+import collections.abc
+import contextlib
+import typing
+
+import pytest
+
+from chestnuttide import errors
+from chestnuttide import model
+from chestnuttide import platform
+from chestnuttide.platform import _http
+from standins import _serving
+from standins import instance_list
+
+
+def _plain(name: str, **fields: typing.Any) -> dict[str, typing.Any]:
+    return {
+        "instance_id": name,
+        "kind": "entry",
+        "state": "live",
+        "data_centre": "dc-1",
+        "address": "127.0.0.1:1",
+        **fields,
+    }
+
+
+@contextlib.asynccontextmanager
+async def _opened() -> collections.abc.AsyncIterator[
+    tuple[instance_list.Desk, platform.InstanceList]
+]:
+    desk = instance_list.Desk()
+    served = instance_list.listen(port=0, desk=desk)
+    client = _http.make_client(max_clients=4)
+    try:
+        yield (
+            desk,
+            platform.make_instance_list(
+                address=f"127.0.0.1:{served.port}",
+                timeout_s=0.3,
+                http_client=client,
+            ),
+        )
+    finally:
+        _http.close(client)
+        await _serving.close(served)
+
+
+# Changes made one after the other, the call, and the ids and the revision
+# that it returns.
+_CALLS = [
+    pytest.param([], (0, ""), [], 0, id="empty_list_fails"),
+    pytest.param(
+        [[_plain("a"), _plain("b")]], (0, ""), ["a", "b"], 2, id="all_lost"
+    ),
+    pytest.param(
+        [[_plain("a"), _plain("b")], [_plain("a", state="gone")]],
+        (2, ""),
+        ["a"],
+        3,
+        id="change_after_revision_lost",
+    ),
+    pytest.param(
+        [[_plain("a")], [_plain("a")]], (1, ""), [], 1, id="same_is_change"
+    ),
+    pytest.param(
+        [[_plain("a"), _plain("w", kind="worker")]],
+        (0, "worker"),
+        ["w"],
+        2,
+        id="kind_ignored",
+    ),
+    pytest.param(
+        [[_plain("a")]], (9, ""), ["a"], 1, id="restarted_list_hides_all"
+    ),
+]
+
+
+@pytest.mark.parametrize(("changes", "call", "names", "revision"), _CALLS)
+def test_changes(
+    changes: list[list[dict[str, typing.Any]]],
+    call: tuple[int, str],
+    names: list[str],
+    revision: int,
+) -> None:
+    async def scenario() -> None:
+        async with _opened() as (desk, port):
+            for instances in changes:
+                instance_list.control(desk, {"set": instances})
+            result = await port.changes(*call)
+            found = [instance.instance_id for instance in result.instances]
+            assert (found, result.revision) == (names, revision)
+
+    asyncio.run(scenario())
+
+
+def test_fields_survive() -> None:
+    """A lost field would place work on the wrong rack or beyond capacity."""
+    capacity = model.Resources(cpu_millis=1, memory_mb=2, accelerators=3)
+    instance = model.Instance(
+        instance_id="r-1",
+        kind=model.InstanceKind.TARGET,
+        state=model.InstanceState.LEAVING,
+        data_centre="dc-2",
+        rack="k",
+        address="127.0.0.1:2",
+        service="render",
+        slots=8,
+        connections=64,
+        capacity=capacity,
+    )
+
+    async def scenario() -> None:
+        async with _opened() as (desk, port):
+            instance_list.put(desk.state, [instance], 0.0)
+            assert (await port.changes(0, "")).instances == (instance,)
+
+    asyncio.run(scenario())
+
+
+def test_change_shows_after_lag() -> None:
+    async def scenario() -> None:
+        async with _opened() as (desk, port):
+            instance_list.control(desk, {"lag_s": 0.15, "set": [_plain("a")]})
+            assert (await port.changes(0, "")).revision == 0
+            assert instance_list.evidence(desk)["pending"] == 1
+            await asyncio.sleep(0.2)
+            assert (await port.changes(0, "")).revision == 1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "switches",
+    [
+        pytest.param({"down": True}, id="refusal_taken_for_empty_list"),
+        pytest.param({"silent": True}, id="silence_blocks_for_ever"),
+        pytest.param({"drop_answers": 9}, id="lost_answer_blocks_for_ever"),
+        pytest.param({"slow_s": 1.0}, id="slow_list_blocks"),
+    ],
+)
+def test_faults(switches: dict[str, typing.Any]) -> None:
+    async def scenario() -> None:
+        async with _opened() as (desk, port):
+            instance_list.control(desk, switches)
+            with pytest.raises(errors.PlatformError):
+                await port.changes(0, "")
+            instance_list.control(desk, {"reset": True})
+            assert (await port.changes(0, "")).revision == 0
+
+    asyncio.run(scenario())
--- a/chestnuttide/platform/tests/test_target_client.py
+++ b/chestnuttide/platform/tests/test_target_client.py
@@ -1,6 +1,9 @@
 import asyncio
 import collections.abc
 import contextlib
+import os
+import random
+import socket
 import typing
 
 import attrs
@@ -26,7 +29,8 @@
     b"HTTP/1.1 503 Service Unavailable\r\nX-Leaving: 1\r\n"
     b"Connection: close\r\nContent-Length: 0\r\n\r\n"
 )
-_TIMEOUT_S = 0.4
+_TIMEOUT_S = 5.0
+_SHORT_TIMEOUT_S = 0.3
 
 
 @attrs.define(kw_only=True)
@@ -66,7 +70,7 @@
             peer.ids.append(fields["X-Request-Id"])
             await reader.readexactly(int(fields["Content-Length"]))
             if action == "hang":
-                await asyncio.sleep(2 * _TIMEOUT_S)
+                await asyncio.sleep(2 * _SHORT_TIMEOUT_S)
             elif isinstance(action, bytes):
                 writer.write(action)
                 await writer.drain()
@@ -125,9 +129,6 @@
 # What the requests a, b... one after the other come to, and the ids that the
 # peer has read.
 _SCRIPTS = [
-    pytest.param(
-        [[_ANSWER, _ANSWER]], [b"done", b"done"], ["a", "b"], id="no_reuse"
-    ),
     pytest.param(
         [["close_after_read"]], [True], ["a"], id="first_request_repeated"
     ),
@@ -180,8 +181,14 @@
 ) -> None:
     async def scenario() -> None:
         async with _playing(script) as (peer, targets):
+            timeout_s = _SHORT_TIMEOUT_S if ["hang"] in script else _TIMEOUT_S
             for number, expected in enumerate(results):
-                result = await _work(targets, peer.address, "ab"[number])
+                result = await _work(
+                    targets,
+                    peer.address,
+                    "ab"[number],
+                    timeout_s=timeout_s,
+                )
                 assert result == expected
                 # Lets the close of an idle connection arrive.
                 await asyncio.sleep(0.02)
@@ -192,6 +199,26 @@
     asyncio.run(scenario())
 
 
+def test_connection_is_reused_without_delay() -> None:
+    """New connections or Nagle's algorithm would slow down every request."""
+
+    async def scenario() -> None:
+        async with _playing([[_ANSWER] * 9]) as (peer, _targets):
+            client = _http.make_client(max_clients=4)
+            targets = platform.make_targets(
+                http_client=client, status_client=client
+            )
+            for number in range(9):
+                assert await _work(targets, peer.address, str(number))
+            assert peer.connections == 1
+            (descriptor,) = client.sockets.values()
+            with socket.socket(fileno=os.dup(descriptor)) as used:
+                assert used.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            _http.close(client)
+
+    asyncio.run(scenario())
+
+
 def test_refused_connect_is_unsent() -> None:
     """A request to a dead target could not be retried elsewhere."""
 
@@ -436,3 +463,49 @@
             assert peer.connections == 0
 
     asyncio.run(scenario())
+
+
+def test_no_request_is_sent_twice_under_faults() -> None:
+    """A lost answer would be retried, or a run called unsent."""
+    rng = random.Random(5)
+    requests, callers = 600, 12
+    results: dict[str, bytes | bool] = {}
+
+    async def scenario() -> None:
+        async with _runner() as (desk, address, targets):
+            runner.control(desk, {"close_idle": True, "close_after_read": 0.2})
+            waiting = iter(range(requests))
+
+            async def call() -> None:
+                for number in waiting:
+                    name = f"r{number}"
+                    results[name] = await _work(
+                        targets,
+                        address,
+                        name,
+                        lambda: rng.random() < 0.8,
+                        payload=b'{"run_ms":1,"size":50}',
+                    )
+                    await asyncio.sleep(rng.random() * 0.02)
+
+            await asyncio.gather(*(call() for _ in range(callers)))
+            seen = desk.state.seen
+        kinds = {"answered": 0, "unknown": 0, "unsent": 0}
+        for name, result in results.items():
+            if isinstance(result, bytes):
+                kinds["answered"] += 1
+                assert runner.check_answer(result, name, 50) == ""
+                assert seen[name] == 1
+            elif result:
+                kinds["unknown"] += 1
+                assert seen[name] <= 1
+            else:
+                kinds["unsent"] += 1
+                assert seen[name] == 0
+        assert sum(kinds.values()) == requests
+        assert all(count > requests / 20 for count in kinds.values()), kinds
+        # A fifth of those that were sent lose their answer; a few more may
+        # lose a race with the close of their connection.
+        assert kinds["unknown"] < requests / 4, kinds
+
+    asyncio.run(scenario())
--- a/standins/harness.py
+++ b/standins/harness.py
@@ -37,6 +37,7 @@
 
 _ROOT: typing.Final = pathlib.Path(__file__).resolve().parent.parent
 _POLL_S: typing.Final[float] = 0.02
+_PAUSE_POLL_S: typing.Final[float] = 0.001
 _CONTROL_TIMEOUT_S: typing.Final[float] = 10.0
 _READY_MESSAGE: typing.Final[str] = '"stand-in: ready"'
 _PR_SET_PDEATHSIG: typing.Final[int] = 1
@@ -351,8 +352,15 @@
 
 
 def pause(process: Process) -> None:
-    """Pause a process with SIGSTOP."""
+    """Pause a process with SIGSTOP and wait until it stands still."""
     _signal(process, signal.SIGSTOP)
+    # The kernel stops a process some time after the signal was sent. WSTOPPED
+    # alone leaves the exit status to Popen.
+    options = os.WSTOPPED | os.WNOHANG
+    while process.popen.poll() is None:
+        if os.waitid(os.P_PID, process.popen.pid, options) is not None:
+            return
+        time.sleep(_PAUSE_POLL_S)
 
 
 def resume(process: Process) -> None:
--- a/standins/runner/_server.py
+++ b/standins/runner/_server.py
@@ -5,6 +5,7 @@
 import random
 import time
 import typing
+import weakref
 
 import attrs
 from tornado import netutil
@@ -35,8 +36,8 @@
         Requests that run and whose connection is closed without an answer:
         a whole number counts down, a fraction below 1 is a probability.
     close_idle : bool
-        Whether a connection is closed after each answer, without a
-        ``Connection: close`` header.
+        Whether a connection is closed soon after each answer, without a
+        ``Connection: close`` header, unless the next request is there.
     refuse_connects : bool
         Whether the port is closed; use ``--control-port`` to open it again.
     keep_working : bool
@@ -71,6 +72,8 @@
         Its server.
     listening : bool
         Whether its port is open.
+    last_requests : WeakKeyDictionary
+        Mark of the last request of each connection.
     """
 
     state: _state.State
@@ -78,6 +81,9 @@
     rng: random.Random = attrs.Factory(lambda: random.Random(0))
     served: _serving.Served | None = None
     listening: bool = True
+    last_requests: weakref.WeakKeyDictionary = attrs.Factory(
+        weakref.WeakKeyDictionary
+    )
 
 
 class WorkHandler(_serving.Handler):
@@ -96,6 +102,8 @@
         """Run a request."""
         desk, headers = self._desk, self.request.headers
         state, switches = desk.state, desk.switches
+        stream = self.request.connection.stream
+        desk.last_requests[stream] = self._gone
         if switches.leaving and switches.say_leaving:
             state.refused_leaving += 1
             self.set_header(_target_wire.LEAVING_HEADER, "1")
@@ -132,9 +140,9 @@
             _state.make_answer(state, request_id, attempt, size),
         )
         if switches.close_idle:
-            stream = self.request.connection.stream
             await asyncio.sleep(_CLOSE_DELAY_S)
-            stream.close()
+            if desk.last_requests.get(stream) is self._gone:
+                stream.close()
 
     async def _run(self, payload: dict[str, typing.Any]) -> bool:
         run_s = float(payload.get("run_ms", 0.0)) / 1000.0
--- /dev/null
+++ b/standins/tests/test_runner.py
@@ -0,0 +1,202 @@
+import asyncio
+import collections.abc
+import contextlib
+import json
+import typing
+
+import pytest
+
+from chestnuttide import errors
+from chestnuttide import platform
+from chestnuttide.platform import _http
+from standins import _serving
+from standins import runner
+from standins.runner import _state
+
+
+@contextlib.asynccontextmanager
+async def _opened() -> collections.abc.AsyncIterator[
+    tuple[runner.Desk, collections.abc.Callable[..., typing.Any]]
+]:
+    desk = runner.make_desk("runner-1")
+    served = runner.listen(port=0, desk=desk)
+    # Without a limit per target, so that a test can overload the runner.
+    client = _http.make_client(max_clients=128)
+    targets = platform.make_targets(http_client=client, status_client=client)
+
+    async def work(
+        request_id: str, timeout_s: float = 1.0, **payload: typing.Any
+    ) -> platform.TargetAnswer:
+        return await targets.work(
+            f"127.0.0.1:{served.port}",
+            request_id,
+            1,
+            3,
+            json.dumps(payload).encode(),
+            timeout_s,
+            lambda: True,
+        )
+
+    try:
+        yield desk, work
+    finally:
+        _http.close(client)
+        await _serving.close(served)
+
+
+@pytest.mark.parametrize(
+    ("requests", "slot_overruns", "connection_overruns"),
+    [
+        pytest.param(8, 0, 0, id="full_runner_counts_as_overrun"),
+        pytest.param(9, 1, 0, id="slot_overrun_missed"),
+        pytest.param(66, 58, 2, id="connection_overrun_missed"),
+    ],
+)
+def test_overruns(
+    requests: int, slot_overruns: int, connection_overruns: int
+) -> None:
+    async def scenario() -> None:
+        async with _opened() as (desk, work):
+            await asyncio.gather(
+                *(work(f"r{n}", run_ms=150) for n in range(requests))
+            )
+            evidence = runner.evidence(desk, {})
+            assert evidence["slot_overruns"] == slot_overruns
+            assert evidence["connection_overruns"] == connection_overruns
+            assert evidence["peak_busy"] == requests
+            assert evidence["peak_connections"] == requests
+            assert evidence["busy"] == 0
+            assert evidence["finished"] == requests
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("say_leaving", "runs"),
+    [
+        pytest.param(True, 0, id="refusal_counts_as_run"),
+        pytest.param(False, 1, id="run_after_mark_missed"),
+    ],
+)
+def test_leaving(say_leaving: bool, runs: int) -> None:
+    async def scenario() -> None:
+        async with _opened() as (desk, work):
+            await work("before")
+            runner.control(desk, {"leaving": True, "say_leaving": say_leaving})
+            answer = await work("after")
+            assert answer.leaving == say_leaving
+            evidence = runner.evidence(desk, {})
+            assert evidence["runs_after_leaving"] == runs
+            assert evidence["refused_leaving"] == 1 - runs
+            late = evidence["last_new_request"] > evidence["leaving_since"]
+            assert late == bool(runs)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("keep_working", "finished"),
+    [
+        pytest.param(True, 1, id="run_ends_with_its_caller"),
+        pytest.param(False, 0, id="run_outlives_its_caller"),
+    ],
+)
+def test_caller_disconnects(keep_working: bool, finished: int) -> None:
+    async def scenario() -> None:
+        async with _opened() as (desk, work):
+            runner.control(desk, {"keep_working": keep_working})
+            with pytest.raises(errors.PlatformError):
+                await work("a", 0.05, run_ms=150)
+            await asyncio.sleep(0.2)
+            evidence = runner.evidence(desk, {})
+            assert (evidence["finished"], evidence["busy"]) == (finished, 0)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("switches", "fails"),
+    [
+        pytest.param({"close_after_read": 1}, True, id="connection_kept"),
+        pytest.param({"refuse_connects": True}, True, id="port_stays_open"),
+        pytest.param({"delay_s": 0.5}, True, id="answer_not_delayed"),
+        pytest.param({"close_idle": True}, False, id="answer_cut"),
+        pytest.param({"fail": True}, False, id="failure_not_answered"),
+    ],
+)
+def test_faults(switches: dict[str, typing.Any], fails: bool) -> None:
+    async def scenario() -> None:
+        async with _opened() as (desk, work):
+            runner.control(desk, switches)
+            if fails:
+                with pytest.raises(errors.PlatformError):
+                    await work("a", 0.2)
+            else:
+                answer = await work("a", 0.2)
+                assert answer.status == (500 if "fail" in switches else 200)
+            runner.control(desk, {"reset": True})
+            await asyncio.sleep(0.05)
+            answer = await work("b")
+            assert runner.check_answer(answer.body, "b", 0) == ""
+
+    asyncio.run(scenario())
+
+
+def test_open_connections_are_closed() -> None:
+    """A runner that fails would go on answering on old connections."""
+
+    async def scenario() -> None:
+        async with _opened() as (desk, work):
+            await work("a")
+            runner.control(
+                desk, {"refuse_connects": True, "close_connections": True}
+            )
+            await asyncio.sleep(0.05)
+            with pytest.raises(errors.PlatformError) as caught:
+                await work("b")
+            assert not caught.value.sent
+            assert runner.evidence(desk, {})["open_connections"] == 0
+
+    asyncio.run(scenario())
+
+
+def test_doubled_requests() -> None:
+    """A non-idempotent request that ran twice would not be noticed."""
+
+    async def scenario() -> None:
+        evidences = []
+        for _ in range(2):
+            async with _opened() as (desk, work):
+                await work("once", idempotent=False)
+                await work("again")
+                await work("again")
+                await work(f"other{len(evidences)}", idempotent=False)
+                evidence = runner.evidence(desk, {"ids": "1"})
+                assert evidence["repeated"] == {"again": 2}
+                assert evidence["doubled"] == {}
+                evidences.append(evidence)
+        assert runner.find_doubled_requests(evidences) == {"once": 2}
+
+    asyncio.run(scenario())
+
+
+def _answer(**changes: object) -> bytes:
+    state = runner.State(runner_id="runner-1")
+    whole = json.loads(_state.make_answer(state, "a", 1, 20))
+    return json.dumps({**whole, **changes}).encode()
+
+
+@pytest.mark.parametrize(
+    ("body", "whole"),
+    [
+        pytest.param(_answer(), True, id="whole_answer_rejected"),
+        pytest.param(_answer(request_id="b"), False, id="foreign_answer"),
+        pytest.param(_answer(content="x" * 20), False, id="foreign_content"),
+        pytest.param(_answer(size=19), False, id="wrong_size"),
+        pytest.param(_answer(checksum="0"), False, id="wrong_checksum"),
+        pytest.param(_answer()[:-5], False, id="cut_answer"),
+        pytest.param(b"[]", False, id="no_answer"),
+    ],
+)
+def test_check_answer(body: bytes, whole: bool) -> None:
+    assert (runner.check_answer(body, "a", 20) == "") == whole
--- /dev/null
+++ b/standins/tests/test_worker_agent.py
@@ -0,0 +1,278 @@
+import json
+import typing
+
+import pytest
+
+from chestnuttide import model
+from chestnuttide import platform
+from chestnuttide.platform import _worker_agent_wire
+from standins import worker_agent
+from standins.worker_agent import _state
+
+_CAPACITY = model.Resources(cpu_millis=4000, memory_mb=1000, accelerators=1)
+_ONE = model.Resources(cpu_millis=1000, memory_mb=100)
+_BIG = model.Resources(cpu_millis=3500, memory_mb=100)
+_STATE = model.TaskState
+
+
+def _attempt(name: str) -> model.Attempt:
+    """Return the attempt in ``<job>.<index>.<number>``."""
+    job_id, index, number = name.split(".")
+    return model.Attempt(job_id=job_id, index=int(index), number=int(number))
+
+
+def _start(
+    state: worker_agent.State,
+    now: float,
+    name: str,
+    payload: dict[str, typing.Any] | None = None,
+    resources: model.Resources = _ONE,
+    lease_s: float = 10.0,
+) -> str:
+    call = _worker_agent_wire.StartCall(
+        epoch=1,
+        lease_s=lease_s,
+        starts=(
+            platform.TaskStart(
+                attempt=_attempt(name),
+                resources=resources,
+                payload=json.dumps(payload or {}).encode(),
+            ),
+        ),
+    )
+    return _state.start(state, call, now)[0].outcome
+
+
+def _sync(
+    state: worker_agent.State, now: float, *acknowledged: str
+) -> dict[str, tuple[str, float]]:
+    call = _worker_agent_wire.SyncCall(
+        epoch=1,
+        lease_s=10.0,
+        acknowledged=[_attempt(name) for name in acknowledged],
+        wait_s=0.0,
+        after=0,
+    )
+    _state.sync(state, call, now)
+    return {
+        f"{report.attempt.job_id}.{report.attempt.index}"
+        f".{report.attempt.number}": (report.state, round(report.run_s, 6))
+        for report in _state.reports(state, now).reports
+    }
+
+
+def _stop(
+    state: worker_agent.State, now: float, name: str, checkpoint: bool
+) -> None:
+    call = _worker_agent_wire.StopCall(
+        epoch=1, checkpoint=checkpoint, tasks=[_attempt(name)]
+    )
+    _state.stop(state, call, now)
+
+
+def _throttle(
+    state: worker_agent.State, now: float, name: str, share: float
+) -> None:
+    call = _worker_agent_wire.ThrottleCall(
+        epoch=1, share=share, tasks=[_attempt(name)]
+    )
+    _state.throttle(state, call, now)
+
+
+# Each step is a function, the time, its arguments, and its result.
+_STEPS = [
+    pytest.param(
+        [
+            (_start, 0.0, ("j.0.1", {"run_s": 2.0}), "started"),
+            (_sync, 1.9, (), {"j.0.1": (_STATE.RUNNING, 1.9)}),
+            (_sync, 3.0, (), {"j.0.1": (_STATE.SUCCEEDED, 2.0)}),
+            (_sync, 4.0, (), {"j.0.1": (_STATE.SUCCEEDED, 2.0)}),
+            (_sync, 4.0, ("j.0.1",), {}),
+            (_start, 5.0, ("j.0.1",), "ended"),
+        ],
+        id="ended_attempt_is_lost_or_runs_again",
+    ),
+    pytest.param(
+        [
+            (_start, 0.0, ("j.0.1", {}), "started"),
+            (_start, 0.0, ("j.0.1", {}), "running"),
+            (_sync, 9.0, (), {"j.0.1": (_STATE.RUNNING, 9.0)}),
+            (_sync, 18.0, (), {"j.0.1": (_STATE.RUNNING, 18.0)}),
+            (_sync, 28.5, (), {"j.0.1": (_STATE.LAPSED, 28.0)}),
+        ],
+        id="service_outlives_its_lease_or_ends_by_itself",
+    ),
+    pytest.param(
+        [
+            (_start, 0.0, ("j.0.1", {"run_s": 5.0}, _ONE, 2.0), "started"),
+            (_sync, 6.0, (), {"j.0.1": (_STATE.LAPSED, 2.0)}),
+        ],
+        id="lapsed_attempt_counts_as_success",
+    ),
+    pytest.param(
+        [
+            (_start, 0.0, ("j.0.1", {"run_s": 5, "fail": True}), "started"),
+            (_start, 0.0, ("j.1.1", {"fail": True}), "started"),
+            (
+                _start,
+                0.0,
+                ("j.2.1", {"run_s": 5, "fail_after_s": 1}),
+                "started",
+            ),
+            (
+                _sync,
+                6.0,
+                (),
+                {
+                    "j.0.1": (_STATE.FAILED, 5.0),
+                    "j.1.1": (_STATE.FAILED, 0.0),
+                    "j.2.1": (_STATE.FAILED, 1.0),
+                },
+            ),
+        ],
+        id="failure_at_wrong_time",
+    ),
+    pytest.param(
+        [
+            (_start, 0.0, ("j.0.1", {"run_s": 1.0}, _BIG), "started"),
+            (_start, 0.5, ("j.1.1", {}, _ONE), "no_capacity"),
+            (_start, 1.0, ("j.1.1", {}, _ONE), "started"),
+        ],
+        id="overrun_accepted_or_capacity_kept_after_end",
+    ),
+    pytest.param(
+        [
+            (_start, 0.0, ("j.0.1", {"run_s": 4.0}), "started"),
+            (_stop, 3.0, ("j.0.1", True), None),
+            (_start, 5.0, ("j.0.2", {"run_s": 4.0}), "started"),
+            (
+                _sync,
+                6.5,
+                ("j.0.1",),
+                {"j.0.2": (_STATE.SUCCEEDED, 1.0)},
+            ),
+        ],
+        id="checkpoint_is_lost",
+    ),
+    pytest.param(
+        [
+            (_start, 0.0, ("j.0.1", {"run_s": 4.0}), "started"),
+            (_stop, 3.0, ("j.0.1", False), None),
+            (_start, 5.0, ("j.0.2", {"run_s": 4.0}), "started"),
+            (_sync, 6.5, ("j.0.1",), {"j.0.2": (_STATE.RUNNING, 1.5)}),
+        ],
+        id="progress_kept_without_checkpoint",
+    ),
+    pytest.param(
+        [
+            (_start, 0.0, ("j.0.1", {"run_s": 4.0}), "started"),
+            (_throttle, 2.0, ("j.0.1", 0.5), None),
+            (_sync, 5.9, (), {"j.0.1": (_STATE.RUNNING, 5.9)}),
+            (_sync, 6.1, (), {"j.0.1": (_STATE.SUCCEEDED, 6.0)}),
+        ],
+        id="throttle_does_not_slow_progress",
+    ),
+    pytest.param(
+        [
+            (_start, 0.0, ("j.0.1", {"run_s": 4.0}), "started"),
+            (_throttle, 1.0, ("j.0.1", 0.0), None),
+            (_sync, 9.0, (), {"j.0.1": (_STATE.RUNNING, 9.0)}),
+            (_throttle, 9.0, ("j.0.1", 1.0), None),
+            (_sync, 12.0, (), {"j.0.1": (_STATE.SUCCEEDED, 12.0)}),
+        ],
+        id="task_throttled_to_nothing_never_continues",
+    ),
+    pytest.param(
+        [
+            (_stop, 0.0, ("j.0.1", False), None),
+            (_start, 1.0, ("j.0.1",), "ended"),
+        ],
+        id="start_that_arrives_after_its_stop_runs",
+    ),
+]
+
+
+@pytest.mark.parametrize("steps", _STEPS)
+def test_attempts(steps: list[tuple]) -> None:
+    state = worker_agent.State(worker_id="w", capacity=_CAPACITY)
+    for function, now, arguments, expected in steps:
+        assert function(state, now, *arguments) == expected, (function, now)
+
+
+def test_evidence_of_overrun_and_peak() -> None:
+    """A scenario would pass although a worker was overloaded."""
+    state = worker_agent.State(worker_id="w", capacity=_CAPACITY)
+    _start(state, 0.0, "j.0.1", {"run_s": 1.0}, _BIG)
+    _start(state, 0.0, "j.1.1", {}, _ONE)
+    _start(state, 2.0, "j.2.1", {}, _ONE)
+    _start(state, 2.0, "j.2.2", {}, _ONE)
+    evidence = _state.evidence(state, 3.0)
+    assert evidence["overruns"] == 1
+    assert [fault["fault"] for fault in evidence["faults"]] == [
+        "overrun",
+        "double_run",
+    ]
+    assert evidence["peak"] == model.Resources(cpu_millis=3500, memory_mb=200)
+    assert evidence["used"] == model.add(_ONE, _ONE)
+
+
+def test_usage_lags() -> None:
+    """Reclaiming would be tested against usage that is known at once."""
+    state = worker_agent.State(worker_id="w", capacity=_CAPACITY)
+    _start(state, 0.0, "j.0.1", {"usage_share": 0.5})
+    usage = [
+        _state.reports(state, now).reports[0].usage.cpu_millis
+        for now in (0.5, 2.0)
+    ]
+    assert usage == [1000, 500]
+
+
+def _history(worker_id: str, *runs: tuple) -> dict[str, typing.Any]:
+    return {
+        "worker_id": worker_id,
+        "history": [
+            {
+                "job_id": job_id,
+                "index": 0,
+                "number": number,
+                "start": start,
+                "end": end,
+            }
+            for job_id, number, start, end in runs
+        ],
+    }
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "found"),
+    [
+        pytest.param(
+            [("j", 1, 0, 5)], [("j", 2, 5, 9)], [], id="handover_counts"
+        ),
+        pytest.param(
+            [("j", 1, 0, 5)], [("j", 2, 4, 9)], [1], id="overlap_missed"
+        ),
+        pytest.param(
+            [("j", 1, 0, None)],
+            [("j", 2, 4, None)],
+            [None],
+            id="overlap_of_live_runs_missed",
+        ),
+        pytest.param(
+            [("j", 1, 0, 9), ("j", 2, 1, 2)],
+            [("j", 3, 5, 7)],
+            [1, 2],
+            id="overlap_with_run_before_last_missed",
+        ),
+        pytest.param(
+            [("j", 1, 0, 5)], [("k", 1, 0, 5)], [], id="other_job_counts"
+        ),
+    ],
+)
+def test_find_double_runs(
+    first: list[tuple], second: list[tuple], found: list[float | None]
+) -> None:
+    doubles = worker_agent.find_double_runs(
+        [_history("a", *first), _history("b", *second)]
+    )
+    assert [double["overlap_s"] for double in doubles] == found
--- a/standins/worker_agent/_state.py
+++ b/standins/worker_agent/_state.py
@@ -300,8 +300,7 @@
             }
         )
         return "no_capacity"
-    payload = json.loads(task.payload)
-    work_s, fails = _plan(state, payload)
+    work_s, fails, usage_share = _plan(state, task.payload)
     record = {
         "job_id": attempt.job_id,
         "index": attempt.index,
@@ -317,7 +316,7 @@
         lease_until=now + lease_s,
         work_s=work_s,
         fails=fails,
-        usage_share=float(payload.get("usage_share", 1.0)),
+        usage_share=usage_share,
         progress_s=state.checkpoints.get(key, 0.0),
         progress_at=now,
         record=record,
@@ -333,16 +332,26 @@
     return "started"
 
 
-def _plan(state: State, payload: dict[str, typing.Any]) -> tuple[float, bool]:
+def _plan(state: State, payload: bytes) -> tuple[float, bool, float]:
+    """Return the work, whether it fails, and the share of use.
+
+    A task with a payload that it cannot use fails at once, as a program
+    with wrong arguments does.
+    """
     if state.fail_all:
-        return FAIL_ALL_RUN_S, True
-    run_s = float(payload.get("run_s", 0.0)) or math.inf
-    fail_after_s = float(payload.get("fail_after_s", 0.0))
-    if fail_after_s > 0 and fail_after_s <= run_s:
-        return fail_after_s, True
-    if payload.get("fail", False):
-        return (0.0 if run_s == math.inf else run_s), True
-    return run_s, False
+        return FAIL_ALL_RUN_S, True, 1.0
+    try:
+        fields = json.loads(payload)
+        run_s = float(fields.get("run_s", 0.0)) or math.inf
+        fail_after_s = float(fields.get("fail_after_s", 0.0))
+        usage_share = float(fields.get("usage_share", 1.0))
+    except (AttributeError, TypeError, ValueError):
+        return 0.0, True, 1.0
+    if 0 < fail_after_s <= run_s:
+        return fail_after_s, True, usage_share
+    if fields.get("fail", False):
+        return 0.0 if run_s == math.inf else run_s, True, usage_share
+    return run_s, False, usage_share
 
 
 def _progress(run: Running, now: float) -> float:
