Hold calls that wait when a partition begins

Cause: a watch or a sync that was waiting when a partition began was closed at once, which clients see sooner than a real partition. Change: such calls are held until the partition is lifted; the in-memory store takes a timeout so that held calls end there, too. Conclusion: a partition now looks like silence in every state of a call.

--- a/chestnuttide/platform/tests/test_store.py
+++ b/chestnuttide/platform/tests/test_store.py
@@ -45,6 +45,7 @@
             bench.desk.state,
             bench.desk.clock,
             client_id=client_id,
+            timeout_s=_TIMEOUT_S,
             desk=bench.desk,
         )
         yield bench
@@ -317,6 +318,7 @@
         pytest.param("lapse", ("m/0", None), id="lapse_wakes_no_watch"),
         pytest.param("other", None, id="other_prefix_ends_watch"),
         pytest.param("down", _Unavailable, id="outage_leaves_watch_waiting"),
+        pytest.param("silent", TimeoutError, id="partition_ends_watch_early"),
     ],
 )
 def test_waiting_watch(form: str, action: str, changed: typing.Any) -> None:
@@ -336,17 +338,19 @@
                 await port.write("m/1", b"1", 0, "w", 0)
             elif action == "other":
                 await port.write("n", b"1", 0, "w", 0)
-            elif action == "down":
-                store.control(bench.desk, {"down": True})
+            elif action in ("down", "silent"):
+                store.control(bench.desk, {action: True, "for_client": "i1"})
             if isinstance(changed, type):
-                with pytest.raises(changed):
+                with pytest.raises(_Unavailable):
                     await watch
             else:
                 result = await watch
                 seen = [(entry.key, entry.value) for entry in result.entries]
                 assert seen == ([changed] if changed else [])
             waited_s = time.monotonic() - start
-            assert (waited_s >= 0.5) == (changed is None)
+            assert (waited_s >= 0.5) == (changed in (None, TimeoutError))
+            store.control(bench.desk, {"reset": True})
+            await asyncio.sleep(0.05)
             assert store.evidence(bench.desk)["waiting_watches"] == 0
 
     asyncio.run(scenario())
@@ -380,11 +384,12 @@
     asyncio.run(scenario())
 
 
-def test_silent_store_ends_with_timeout() -> None:
+@pytest.mark.parametrize("form", _FORMS)
+def test_silent_store_ends_with_timeout(form: str) -> None:
     """A call without an answer would block its caller forever."""
 
     async def scenario() -> None:
-        async with _opened("http") as bench:
+        async with _opened(form) as bench:
             port = bench.connect("i1")
             store.control(bench.desk, {"silent": True})
             start = time.monotonic()
--- a/chestnuttide/platform/tests/test_worker_agent_client.py
+++ b/chestnuttide/platform/tests/test_worker_agent_client.py
@@ -252,6 +252,28 @@
     asyncio.run(scenario())
 
 
+def test_partition_holds_waiting_sync() -> None:
+    """A partition would look like a crash, which ends calls at once."""
+
+    async def scenario() -> None:
+        async with _opened() as (desk, address, agent):
+            await _outcomes(agent, address, _task(payload=b'{"run_s":0.1}'))
+            waiting = asyncio.create_task(
+                agent.sync(address, 1, 10.0, [], 0.2, 0)
+            )
+            await asyncio.sleep(0.05)
+            worker_agent.control(desk, {"partition": True})
+            begun = time.monotonic()
+            with pytest.raises(errors.PlatformError):
+                await waiting
+            assert time.monotonic() - begun >= _TIMEOUT_S
+            worker_agent.control(desk, {"reset": True})
+            result = await agent.sync(address, 1, 10.0, [], 0.0, 0)
+            assert result.reports[0].state == model.TaskState.SUCCEEDED
+
+    asyncio.run(scenario())
+
+
 def test_restarted_worker_answers_at_once() -> None:
     """A sync after a sequence from before a restart would wait in vain."""
 
--- a/standins/store/_calls.py
+++ b/standins/store/_calls.py
@@ -164,11 +164,7 @@
     key = str(fields.get("key", fields.get("prefix", "")))
     verdict = _judge(desk, client, kind, key)
     if verdict.hold:
-        desk.failures["held"] += 1
-        while verdict.hold:
-            await desk.lifted.wait()
-            verdict = _judge(desk, client, kind, key)
-        raise Lost
+        await _hold(desk, client, key)
     if verdict.delay_s:
         await asyncio.sleep(verdict.delay_s)
     if verdict.refuse:
@@ -193,6 +189,13 @@
     )
 
 
+async def _hold(desk: Desk, client: str, key: str) -> typing.NoReturn:
+    desk.failures["held"] += 1
+    while _judge(desk, client, "", key).hold:
+        await desk.lifted.wait()
+    raise Lost
+
+
 async def _watch(
     desk: Desk, client: str, fields: dict[str, typing.Any]
 ) -> dict[str, typing.Any]:
@@ -208,9 +211,11 @@
             if answer["entries"] or now >= deadline:
                 return answer
             verdict = _judge(desk, client, "", fields["prefix"])
-            if verdict.refuse or verdict.hold:
+            if verdict.hold:
+                await _hold(desk, client, fields["prefix"])
+            if verdict.refuse:
                 desk.failures["refused"] += 1
-                raise Refused if verdict.refuse else Lost
+                raise Refused
             expiry = _state.next_expiry(desk.state) or deadline
             step_s = min(deadline - now, expiry - now, desk.watch_step_s)
             try:
--- a/standins/store/_memory.py
+++ b/standins/store/_memory.py
@@ -1,5 +1,6 @@
 """The store's port without HTTP."""
 
+import asyncio
 import random
 import typing
 
@@ -19,6 +20,7 @@
     clock: _calls.Clock,
     *,
     client_id: str = "",
+    timeout_s: float | None = None,
     desk: _calls.Desk | None = None,
 ) -> platform.Store:
     """Return the port of a store in this process.
@@ -31,6 +33,9 @@
         Returns the time in seconds, for leases and watches.
     client_id : str
         Id of the client, for faults of single clients.
+    timeout_s : float, optional
+        Limit of a call that the faults hold, in seconds of the event loop; a
+        watch has its wait in addition. None for no limit.
     desk : Desk, optional
         Faults and counts to share, from `make_desk`; it replaces `state` and
         `clock`.
@@ -43,9 +48,13 @@
     used = desk or make_desk(state, clock)
 
     async def call(kind: str, **fields: typing.Any) -> dict[str, typing.Any]:
+        limit_s = timeout_s
+        if limit_s is not None:
+            limit_s += fields.get("wait_s", 0.0)
         try:
-            return await _calls.call(used, client_id, kind, fields)
-        except (_calls.Refused, _calls.Lost) as error:
+            async with asyncio.timeout(limit_s):
+                return await _calls.call(used, client_id, kind, fields)
+        except (_calls.Refused, _calls.Lost, TimeoutError) as error:
             raise _store_wire.unavailable(type(error).__name__) from error
 
     async def get(key: str) -> platform.Entry | None:
--- a/standins/worker_agent/_server.py
+++ b/standins/worker_agent/_server.py
@@ -67,9 +67,7 @@
         desk.counts[kind] += 1
         verdict = _faults.judge(desk.faults, kind, "", desk.rng)
         if verdict.hold:
-            while desk.faults.silent:
-                await desk.changed.wait()
-            self.hang_up()
+            await self._hold()
             return
         if verdict.delay_s:
             await asyncio.sleep(verdict.delay_s)
@@ -80,11 +78,18 @@
             status, body = await _CALLS[kind](desk, self.request.body)
         except errors.ProtocolError as error:
             status, body = 400, error.message.encode()
-        # A partition that began while a sync was waiting holds its answer.
-        if verdict.drop or desk.faults.silent:
+        if desk.faults.silent:
+            # The partition began while a sync was waiting.
+            await self._hold()
+        elif verdict.drop:
             self.hang_up()
-            return
-        self.reply(status, body)
+        else:
+            self.reply(status, body)
+
+    async def _hold(self) -> None:
+        while self._desk.faults.silent:
+            await self._desk.changed.wait()
+        self.hang_up()
 
 
 def control(desk: Desk, fields: dict[str, typing.Any]) -> None:
