--- a/chestnuttide/cli/_api.py
+++ b/chestnuttide/cli/_api.py
@@ -41,9 +41,9 @@
     TEAM,
     STATE,
     TASKS,
+    "tasks_waiting",
     "tasks_running",
     TASKS_SUCCEEDED,
-    "tasks_failed",
 )
 SUCCEEDED_STATE: typing.Final = "succeeded"
 FINAL_JOB_STATES: typing.Final = (SUCCEEDED_STATE, "failed", "cancelled")
--- a/chestnuttide/entry/_daemon.py
+++ b/chestnuttide/entry/_daemon.py
@@ -41,6 +41,11 @@
                 _handlers.RequestHandler,
                 shared,
             ),
+            (
+                f"/v1/services/{name}/requests/{name}/answer",
+                _handlers.AnswerHandler,
+                shared,
+            ),
             ("/v1/jobs", _handlers.JobsHandler, shared),
             (f"/v1/jobs/{name}", _handlers.JobHandler, shared),
             ("/v1/config", _handlers.ConfigHandler, shared),
@@ -50,10 +55,12 @@
             (f"/v1/instances/{name}/drain", _handlers.DrainHandler, shared),
             ("/healthz", _handlers.HealthHandler, shared),
             ("/readyz", _handlers.ReadyHandler, shared),
-            ("/metrics", _handlers.MetricsHandler, shared),
         ],
         default_handler_class=_handlers.UnknownPathHandler,
         default_handler_args=shared,
+        # Refusals are counted by reason; a log line for each would cost more
+        # than the request.
+        log_function=lambda handler: None,
     )
 
 
@@ -87,6 +94,11 @@
         max_buffer_size=2 * settings.entry.max_body_bytes,
     )
     server.listen(settings.entry.http_port, address=settings.advertise_ip)
+    metrics_server = daemon.serve_metrics(
+        state.metrics,
+        ip=settings.advertise_ip,
+        port=settings.entry.metrics_port,
+    )
     LOG.info("listening on port %d", settings.entry.http_port)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -100,6 +112,7 @@
     await _stop(state, server)
     for task in tasks:
         task.cancel()
+    metrics_server.stop()
     await mesh.close(state.network)
     LOG.info("stopped")
 
--- a/chestnuttide/entry/_forwarding.py
+++ b/chestnuttide/entry/_forwarding.py
@@ -99,7 +99,7 @@
     state: _state.EntryState,
     shard: str,
     make_message: collections.abc.Callable[[int], object],
-) -> mesh.Reply:
+) -> mesh.Reply | mesh.RequestReply:
     """Return the reply of a shard's owner to a call that may be repeated.
 
     Parameters
@@ -146,7 +146,7 @@
     connection: mesh.Connection,
     make_message: collections.abc.Callable[[int], object],
     timeout_s: float,
-) -> mesh.Reply | None:
+) -> mesh.Reply | mesh.RequestReply | None:
     """Return the reply to one call, or None if there was none."""
     call_id, future = mesh.open_call(state.calls, connection)
     try:
--- a/chestnuttide/entry/_handlers.py
+++ b/chestnuttide/entry/_handlers.py
@@ -76,6 +76,15 @@
         self.set_header("Content-Type", routing.JSON_TYPE)
         self.finish(reply.body)
 
+    def answer_request(self, reply: mesh.RequestReply) -> None:
+        """Answer with a target's answer or the refusal of a request."""
+        self.set_status(reply.status)
+        self.set_header("Content-Type", reply.content_type)
+        self.set_header("X-Request-Id", reply.request_id)
+        if reply.target:
+            self.set_header("X-Target", reply.target)
+        self.finish(reply.body)
+
     def answer_json(self, document: object) -> None:
         """Answer with a JSON document."""
         self.set_header("Content-Type", routing.JSON_TYPE)
@@ -109,12 +118,7 @@
         self.state.metrics.request_seconds.observe(
             {}, time.monotonic() - self._started
         )
-        self.set_status(reply.status)
-        self.set_header("Content-Type", reply.content_type)
-        self.set_header("X-Request-Id", reply.request_id)
-        if reply.target:
-            self.set_header("X-Target", reply.target)
-        self.finish(reply.body)
+        self.answer_request(reply)
 
     def on_connection_close(self) -> None:
         """Give up the call when its caller is gone; called by tornado."""
@@ -139,6 +143,28 @@
         )
 
 
+class AnswerHandler(BaseHandler):
+    """Gives the answer of a non-idempotent request once more."""
+
+    async def get(self, service: str, request_id: str) -> None:
+        """Answer with the target's answer if the owner still has it."""
+        shard = _request_shard(self.state, service, request_id)
+        reply = await _forwarding.call_shard(
+            self.state,
+            shard,
+            lambda call_id: mesh.RequestRead(
+                call_id=call_id,
+                shard=shard,
+                request_id=request_id,
+                want_answer=True,
+            ),
+        )
+        if isinstance(reply, mesh.RequestReply):
+            self.answer_request(reply)
+        else:
+            self.answer_reply(reply)
+
+
 class JobsHandler(BaseHandler):
     """Takes and lists jobs."""
 
@@ -364,16 +390,6 @@
         )
 
 
-class MetricsHandler(BaseHandler):
-    """Serves the metrics."""
-
-    def get(self) -> None:
-        """Answer in the text format of Prometheus."""
-        body, content_type = telemetry.render(self.state.metrics.registry)
-        self.set_header("Content-Type", content_type)
-        self.finish(body)
-
-
 class UnknownPathHandler(BaseHandler):
     """Refuses all other paths."""
 
--- a/chestnuttide/mesh/_messages.py
+++ b/chestnuttide/mesh/_messages.py
@@ -156,11 +156,14 @@
         Shard that decides about the request.
     request_id : str
         The caller's id.
+    want_answer : bool
+        Whether the kept answer is wanted in place of the state.
     """
 
     call_id: int
     shard: str
     request_id: str
+    want_answer: bool = False
 
 
 @attrs.frozen(kw_only=True, slots=True)
--- a/chestnuttide/routing/_admission.py
+++ b/chestnuttide/routing/_admission.py
@@ -55,7 +55,11 @@
     call = state.calls.get(message.call)
     if call is None or call.state is not _state.CallState.RECORDING:
         return []
-    coordination.record_intent(state.ledger, call.request.request_id, now)
+    request_id = call.request.request_id
+    if not coordination.record_intent(
+        state.ledger, request_id, message.token, now
+    ):
+        return []
     return enqueue(state, call, now)
 
 
--- a/chestnuttide/routing/_dispatching.py
+++ b/chestnuttide/routing/_dispatching.py
@@ -19,7 +19,7 @@
 def pump(state: _state.RouterState, now: float) -> list[object]:
     """Dispatch queued requests while slots are free."""
     outputs: list[object] = []
-    while state.pool.free_slots > 0 and not state.handing_over:
+    while state.pool.free_slots > 0:
         item = queueing.peek(state.queue)
         if item is None:
             break
@@ -164,9 +164,15 @@
     request = record.call.request
     if request.idempotent or result is None or result.leaving:
         return []
-    coordination.mark_answered(state.ledger, request.request_id, now)
+    coordination.mark_answered(
+        state.ledger, request.request_id, result.status, now
+    )
     _state.keep_answer(state, _make_answer(record, result))
-    return [_messages.RecordOutcome(request_id=request.request_id, ran=True)]
+    return [
+        _messages.RecordOutcome(
+            request_id=request.request_id, status=result.status
+        )
+    ]
 
 
 def _make_answer(
@@ -193,7 +199,7 @@
             # Another dispatch of the same request may still succeed.
             return []
         if _may_retry(state, call, now):
-            return _retry(state, call, errors.RetryReason.TARGET_ERROR)
+            return _retry(state, call, errors.RetryReason.TARGET_ERROR, now)
     answer = _make_answer(record, result)
     return _answering.answer_call(state, call, answer, now)
 
@@ -215,16 +221,16 @@
             now,
         )
     if message.result is not None:
-        return _retry(state, call, errors.RetryReason.TARGET_LEAVING)
+        return _retry(state, call, errors.RetryReason.TARGET_LEAVING, now)
     if not message.sent:
         if call.attempts < state.policy.max_attempts + len(state.pool.targets):
-            return _retry(state, call, errors.RetryReason.CONNECT_FAILED)
+            return _retry(state, call, errors.RetryReason.CONNECT_FAILED, now)
         reason = errors.Reason.TARGET_FAILED
         return _answering.refuse_call(
             state, call, reason, "No target accepted a connection.", now
         )
     if call.request.idempotent and _may_retry(state, call, now):
-        return _retry(state, call, errors.RetryReason.CONNECTION_LOST)
+        return _retry(state, call, errors.RetryReason.CONNECTION_LOST, now)
     return _answering.refuse_call(
         state,
         call,
@@ -248,8 +254,17 @@
     state: _state.RouterState,
     call: _state.Call,
     reason: errors.RetryReason,
+    now: float,
 ) -> list[object]:
     """Queue a call again; its time of arrival keeps its place."""
+    if state.handing_over:
+        return _answering.refuse_call(
+            state,
+            call,
+            errors.Reason.NOT_OWNER,
+            f"Shard {state.shard} is being handed over.",
+            now,
+        )
     call.state = _state.CallState.QUEUED
     queueing.push(state.queue, _admission.make_item(call), forced=True)
     return [_messages.Retried(reason=reason)]
--- a/chestnuttide/routing/_messages.py
+++ b/chestnuttide/routing/_messages.py
@@ -48,9 +48,12 @@
     ----------
     call : int
         Number of the call.
+    token : int
+        Token that the intent event was made with.
     """
 
     call: int
+    token: int
 
 
 @attrs.frozen(kw_only=True, slots=True)
--- a/chestnuttide/scheduler/_configuration.py
+++ b/chestnuttide/scheduler/_configuration.py
@@ -61,8 +61,8 @@
     try:
         if message.history:
             document: object = {
-                "version": history.version,
-                "history": [
+                "head": history.version,
+                "patches": [
                     {
                         "version": each.version,
                         "base": each.base,
--- a/chestnuttide/scheduler/_daemon.py
+++ b/chestnuttide/scheduler/_daemon.py
@@ -7,9 +7,6 @@
 import sys
 import time
 
-import tornado.httpserver
-import tornado.web
-
 from chestnuttide import config as config_module
 from chestnuttide import coordination
 from chestnuttide import daemon
@@ -101,7 +98,11 @@
         ip=settings.advertise_ip,
         port=settings.scheduler.mesh_port,
     )
-    server = _serve_metrics(state)
+    server = daemon.serve_metrics(
+        state.metrics,
+        ip=settings.advertise_ip,
+        port=settings.scheduler.metrics_port,
+    )
     LOG.info("listening on port %d", settings.scheduler.mesh_port)
     loops = [
         asyncio.ensure_future(each)
@@ -256,7 +257,12 @@
                     call_id=message.call_id,
                     status=202,
                     reason="",
-                    body=b'{"draining": true}',
+                    body=json.dumps(
+                        {
+                            "instance_id": state.settings.instance_id,
+                            "state": "draining",
+                        }
+                    ).encode(),
                 ),
             )
         case _:
@@ -282,18 +288,9 @@
         reply = _requests.make_refusal_reply(message.call_id, error)
         mesh.send_if_possible(connection, reply)
         return
+    answer = routing.make_answer(message.request_id, error)
     mesh.send_if_possible(
-        connection,
-        mesh.RequestReply(
-            call_id=message.call_id,
-            request_id=message.request_id,
-            status=errors.HTTP_STATUS[error.reason],
-            content_type=routing.JSON_TYPE,
-            body=routing.encode_error(error),
-            reason=error.reason.value,
-            run_state=error.run_state.value,
-            target="",
-        ),
+        connection, _requests.make_request_reply(message.call_id, answer)
     )
 
 
@@ -424,42 +421,3 @@
     else:
         LOG.warning("the stop was cut short by stop_grace_s")
     await _membership.leave(state)
-
-
-class _MetricsHandler(tornado.web.RequestHandler):
-    """Serves the metrics."""
-
-    def initialize(self, state: _state.SchedulerState) -> None:
-        """Take the daemon's state; called by tornado."""
-        self._state = state
-
-    def get(self) -> None:
-        """Answer in the text format of Prometheus."""
-        body, content_type = telemetry.render(self._state.metrics.registry)
-        self.set_header("Content-Type", content_type)
-        self.finish(body)
-
-
-class _HealthHandler(tornado.web.RequestHandler):
-    """Tells that the process answers."""
-
-    def get(self) -> None:
-        """Answer 200."""
-        self.finish({"healthy": True})
-
-
-def _serve_metrics(
-    state: _state.SchedulerState,
-) -> tornado.httpserver.HTTPServer:
-    application = tornado.web.Application(
-        [
-            ("/metrics", _MetricsHandler, {"state": state}),
-            ("/healthz", _HealthHandler),
-        ]
-    )
-    server = tornado.httpserver.HTTPServer(application)
-    settings = state.settings
-    server.listen(
-        settings.scheduler.metrics_port, address=settings.advertise_ip
-    )
-    return server
--- a/chestnuttide/scheduler/_pools.py
+++ b/chestnuttide/scheduler/_pools.py
@@ -495,7 +495,9 @@
     after = 0
     failures = 0
     rng = random.Random()
-    wait_s = shard.daemon.settings.coordination.worker_sync_s
+    sync_s = shard.daemon.settings.coordination.worker_sync_s
+    # The first answer is wanted at once: it tells what runs on the worker.
+    wait_s = 0.0
     while not shard.released:
         if not (
             _state.may_act(shard.daemon, shard.name)
@@ -519,6 +521,7 @@
         except (errors.PlatformError, errors.DeposedError) as error:
             link.acknowledged = acknowledged + link.acknowledged
             failures += 1
+            wait_s = 0.0
             received = getattr(error, "sent", False)
             _feed(
                 shard,
@@ -538,6 +541,7 @@
             )
             continue
         failures = 0
+        wait_s = sync_s
         after = result.sequence
         _feed(
             shard,
@@ -602,9 +606,9 @@
         "state": view.state.value,
         "reason": view.reason,
         "tasks": job.tasks,
-        "done": view.done,
-        "running": view.running,
-        "waiting": view.waiting,
+        "tasks_waiting": view.waiting,
+        "tasks_running": view.running,
+        "tasks_succeeded": view.done,
         "waited_s": round(view.waited_s, 3),
         "workers": view.workers,
     }
@@ -615,9 +619,9 @@
     cell = shard.pool.cell
     workers = []
     for worker_id in placement.worker_ids(cell):
-        capacity = placement.capacity_of(cell, worker_id)
+        instance = shard.daemon.instances[worker_id]
+        capacity = instance.capacity
         reserved = model.subtract(capacity, placement.free_of(cell, worker_id))
-        instance = shard.daemon.instances.get(worker_id)
         workers.append(
             {
                 "worker_id": worker_id,
--- a/chestnuttide/scheduler/_requests.py
+++ b/chestnuttide/scheduler/_requests.py
@@ -50,6 +50,8 @@
         Intents to be journalled at the end of this loop iteration.
     outcomes : list of RecordOutcome
         Outcomes to be journalled at the end of this loop iteration.
+    next_token : int
+        Token of the last journalled intents.
     flushing : bool
         Whether the end of the loop iteration is waited for.
     released : bool
@@ -67,6 +69,7 @@
     next_call: int = 1
     intents: list[routing.RecordIntent] = attrs.field(factory=list)
     outcomes: list[routing.RecordOutcome] = attrs.field(factory=list)
+    next_token: int = 0
     flushing: bool = False
     released: bool = False
 
@@ -219,6 +222,11 @@
     connection: mesh.Connection,
     message: mesh.RequestRead,
 ) -> None:
+    answer = shard.router.answers.get(message.request_id)
+    if message.want_answer and answer is not None:
+        reply = make_request_reply(message.call_id, answer)
+        mesh.send_if_possible(connection, reply)
+        return
     entry = coordination.request_state(
         shard.router.ledger, message.request_id, time.monotonic()
     )
@@ -243,6 +251,22 @@
     mesh.send_if_possible(connection, reply)
 
 
+def make_request_reply(
+    call_id: int, answer: model.Answer
+) -> mesh.RequestReply:
+    """Return the reply that carries an answer or the refusal of a request."""
+    return mesh.RequestReply(
+        call_id=call_id,
+        request_id=answer.request_id,
+        status=answer.status,
+        content_type=answer.content_type,
+        body=answer.body,
+        reason="" if answer.reason is None else answer.reason.value,
+        run_state=answer.run_state.value,
+        target=answer.target,
+    )
+
+
 def make_refusal_reply(call_id: int, error: errors.RefusedError) -> mesh.Reply:
     """Return the reply that carries a refusal."""
     return mesh.Reply(
@@ -286,19 +310,7 @@
     if origin is None:
         return
     connection, call_id = origin
-    mesh.send_if_possible(
-        connection,
-        mesh.RequestReply(
-            call_id=call_id,
-            request_id=answer.request_id,
-            status=answer.status,
-            content_type=answer.content_type,
-            body=answer.body,
-            reason="" if answer.reason is None else answer.reason.value,
-            run_state=answer.run_state.value,
-            target=answer.target,
-        ),
-    )
+    mesh.send_if_possible(connection, make_request_reply(call_id, answer))
 
 
 def _flush_soon(shard: RequestShard) -> None:
@@ -317,26 +329,27 @@
         )
         _journals.append(shard.journal, event)
     intents, shard.intents = shard.intents, []
-    # A request that was refused in the same loop iteration has left the
-    # ledger.
-    entries = shard.router.ledger.entries
-    intents = [each for each in intents if each.request_id in entries]
-    if intents:
-        event = coordination.make_intent_event(
-            shard.router.ledger, [each.request_id for each in intents]
-        )
-        _journals.append(
-            shard.journal,
-            event,
-            functools.partial(_intents_durable, shard, intents),
-        )
+    # A request may have been refused in the same loop iteration.
+    intents = [each for each in intents if each.call in shard.router.calls]
+    if not intents:
+        return
+    shard.next_token += 1
+    token = shard.next_token
+    event = coordination.make_intent_event(
+        shard.router.ledger, [each.request_id for each in intents], token
+    )
+    _journals.append(
+        shard.journal,
+        event,
+        functools.partial(_intents_durable, shard, intents, token),
+    )
 
 
 def _intents_durable(
-    shard: RequestShard, intents: list[routing.RecordIntent]
+    shard: RequestShard, intents: list[routing.RecordIntent], token: int
 ) -> None:
     for each in intents:
-        _feed(shard, routing.IntentRecorded(call=each.call))
+        _feed(shard, routing.IntentRecorded(call=each.call, token=token))
 
 
 async def _dispatch(shard: RequestShard, output: routing.Dispatch) -> None:
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration of a whole cell on loopback."""
