Add the jobs package: the decisions of one pool shard

Cause: jobs need one place that decides on acceptance, starts, leases, preemption, gangs and takeover, without I/O, so that it can be tested.

--- /dev/null
+++ b/chestnuttide/jobs/_gangs.py
@@ -0,0 +1,137 @@
+"""Gangs: all tasks start at once or none, with one reservation at a time."""
+
+from chestnuttide.jobs import _backlog
+from chestnuttide.jobs import _holding
+from chestnuttide.jobs import _outcomes
+from chestnuttide.jobs import _state
+from chestnuttide.jobs import _timers
+from chestnuttide import model
+from chestnuttide import placement
+from chestnuttide import queueing
+
+# Seconds within which all members of a gang must be confirmed.
+GANG_START_S = 3.0
+
+# Seconds between two plans of a reservation. A plan looks at the expected
+# ends of all attempts, so it is not made for each decision.
+PLAN_INTERVAL_S = 1.0
+
+
+def need_of(record: _state.JobRecord) -> model.Resources:
+    """Return what all tasks of a gang that are to start need together."""
+    need = record.job.resources
+    count = _state.pending(record)
+    return model.Resources(
+        cpu_millis=need.cpu_millis * count,
+        memory_mb=need.memory_mb * count,
+        accelerators=need.accelerators * count,
+    )
+
+
+def place(
+    state: _state.PoolState,
+    record: _state.JobRecord,
+    excluded: set[str],
+    now: float,
+    out: list[object],
+) -> int:
+    """Start a whole gang if it fits now.
+
+    Returns
+    -------
+    int
+        Number of tasks started; 0 when the gang does not fit.
+    """
+    job = record.job
+    count = _state.pending(record)
+    worker_ids = placement.choose_gang(
+        state.cell,
+        need=job.resources,
+        count=count,
+        spread=_state.class_config(state, job).spread,
+        excluded=excluded,
+        now=now,
+        use_hold=placement.held_key(state.cell) == job.job_id,
+    )
+    if worker_ids is None:
+        _reserve(state, record, excluded, now)
+        return 0
+    queueing.cancel(state.queue, job.job_id)
+    if placement.held_key(state.cell) == job.job_id:
+        placement.release_hold(state.cell)
+    record.gang_serial += 1
+    for worker_id in worker_ids:
+        index = _backlog.take_task(record)
+        if index is not None:
+            _holding.begin(state, record, index, worker_id, now, out)
+    _timers.schedule(
+        state,
+        now + GANG_START_S,
+        "gang_start",
+        job.job_id,
+        record.gang_serial,
+    )
+    return count
+
+
+def on_start_timer(
+    state: _state.PoolState,
+    job_id: str,
+    serial: int,
+    now: float,
+    out: list[object],
+) -> None:
+    """Break a gang of which not all members were confirmed in time."""
+    record = state.jobs.get(job_id)
+    if (
+        record is None
+        or record.gang_serial != serial
+        or not _state.is_open(record)
+    ):
+        return
+    if any(
+        state.attempts[attempt].phase is _state.Phase.STARTING
+        for attempt in record.live.values()
+    ):
+        _outcomes.break_gang(state, record, now, out)
+
+
+def on_backoff_timer(state: _state.PoolState, job_id: str) -> None:
+    """Queue a gang again after its backoff."""
+    record = state.jobs.get(job_id)
+    if record is None or not _state.is_open(record):
+        return
+    for index in sorted(record.delayed):
+        record.waiting[index] = None
+    record.delayed = set()
+    _backlog.enqueue(state, record)
+
+
+def _reserve(
+    state: _state.PoolState,
+    record: _state.JobRecord,
+    excluded: set[str],
+    now: float,
+) -> None:
+    """Hold workers for a gang, if none are held for another one."""
+    if (
+        placement.held_key(state.cell) is not None
+        or now < state.gang_plan_at
+        or now < record.hold_after
+    ):
+        return
+    limit_s = state.document.pool.gang_reservation_s
+    state.gang_plan_at = now + PLAN_INTERVAL_S
+    plan = placement.plan_gang_reservation(
+        state.cell,
+        need=record.job.resources,
+        count=_state.pending(record),
+        now=now,
+        limit_s=limit_s,
+        excluded=excluded,
+    )
+    if plan is None:
+        return
+    placement.hold(state.cell, plan=plan, key=record.job.job_id, now=now)
+    # After a hold that did not help, another gang has its turn first.
+    record.hold_after = now + 2 * limit_s
--- /dev/null
+++ b/chestnuttide/jobs/_holding.py
@@ -0,0 +1,329 @@
+"""Attempts and the capacity that they hold, from start to release."""
+
+import math
+
+from chestnuttide.jobs import _backlog
+from chestnuttide.jobs import _events
+from chestnuttide.jobs import _journal
+from chestnuttide.jobs import _messages
+from chestnuttide.jobs import _state
+from chestnuttide.jobs import _timers
+from chestnuttide import model
+from chestnuttide import placement
+from chestnuttide import queueing
+
+# Seconds after which a stop whose end is not reported is sent again.
+STOP_RETRY_S = 1.0
+
+
+def lease_s(state: _state.PoolState) -> float:
+    """Return the lease of tasks, in seconds."""
+    return state.document.pool.task_lease_s
+
+
+def next_number(
+    state: _state.PoolState, record: _state.JobRecord, index: int
+) -> int:
+    """Return the number of the next attempt of a task."""
+    return max(
+        record.numbers.get(index, 0) + 1,
+        state.generation * _state.NUMBER_STRIDE + 1,
+    )
+
+
+def begin(
+    state: _state.PoolState,
+    record: _state.JobRecord,
+    index: int,
+    worker_id: str,
+    now: float,
+    out: list[object],
+    *,
+    claimed: bool = False,
+    reclaimed: bool = False,
+) -> _state.AttemptRecord:
+    """Reserve capacity for the next attempt of a task and start it.
+
+    A claimed attempt reserves nothing yet and is not started. The task must
+    have been taken out of the waiting ones.
+    """
+    job = record.job
+    attempt = model.Attempt(
+        job_id=job.job_id,
+        index=index,
+        number=next_number(state, record, index),
+    )
+    expected = _backlog.expectation(state, job)
+    held = _state.AttemptRecord(
+        attempt=attempt,
+        worker_id=worker_id,
+        phase=_state.Phase.CLAIMED if claimed else _state.Phase.STARTING,
+        need=job.resources,
+        long=record.lane in _backlog.LONG_LANES,
+        cost=_backlog.cost(state, job.resources, expected.median_s),
+        started_at=now,
+        reclaimed=reclaimed,
+    )
+    if not claimed:
+        reserve(state, record, held, job.resources)
+    _register(state, record, held)
+    queueing.charge(state.queue, job.team, held.cost)
+    if not claimed:
+        launch(state, record, held, now, out)
+    return held
+
+
+def launch(
+    state: _state.PoolState,
+    record: _state.JobRecord,
+    held: _state.AttemptRecord,
+    now: float,
+    out: list[object],
+) -> None:
+    """Send the first start of an attempt whose capacity is reserved."""
+    job = record.job
+    attempt = held.attempt
+    held.phase = _state.Phase.STARTING
+    held.started_at = now
+    if attempt.index not in record.numbers:
+        out.append(
+            _messages.Placed(
+                wait_s=now - record.entered_at,
+                workload_class=job.workload_class,
+                urgent=job.urgent,
+            )
+        )
+    record.numbers[attempt.index] = attempt.number
+    if record.state is model.JobState.QUEUED:
+        record.state = model.JobState.RUNNING
+        if job.wait_limit_s > 0:
+            # Without it a successor would hold the wait limit against a job
+            # whose worker has failed.
+            event = _events.job_started(job.job_id, now)
+            _journal.append(state, event, out)
+    worker = state.workers[held.worker_id]
+    worker.claims.pop(attempt, None)
+    worker.attempts[attempt] = None
+    state.claims.pop(attempt, None)
+    send_start(state, held, out)
+
+
+def reserve(
+    state: _state.PoolState,
+    record: _state.JobRecord,
+    held: _state.AttemptRecord,
+    amount: model.Resources,
+) -> None:
+    """Reserve an amount on the worker of an attempt.
+
+    Raises
+    ------
+    WorkerUnavailableError, CapacityError
+        See `placement.reserve`.
+    """
+    policy = _state.class_config(state, record.job)
+    placement.reserve(
+        state.cell,
+        worker_id=held.worker_id,
+        attempt=held.attempt,
+        need=amount,
+        priority=_state.priority(record),
+        preemptible=(
+            held.phase is not _state.Phase.CLAIMED
+            and is_preemptible(state, record, held.attempt.index)
+        ),
+        checkpoint=policy.checkpoint,
+        throttle=policy.throttle,
+        urgent=record.job.urgent,
+        expected_end=(
+            held.started_at + _backlog.expectation(state, record.job).p90_s
+        ),
+        reclaimed=held.reclaimed,
+        started=held.started_at,
+    )
+
+
+def is_preemptible(
+    state: _state.PoolState, record: _state.JobRecord, index: int
+) -> bool:
+    """Return whether a task may be evicted for more important work.
+
+    The first tasks of a service, up to its minimum, and members of a gang
+    are not evicted.
+    """
+    policy = _state.class_config(state, record.job)
+    if not policy.preemptible or record.job.urgent or _state.is_gang(record):
+        return False
+    return not _state.is_service(record) or index >= policy.minimum_up
+
+
+def adopt(
+    state: _state.PoolState,
+    record: _state.JobRecord,
+    worker_id: str,
+    report: model.AttemptReport,
+    now: float,
+) -> _state.AttemptRecord:
+    """Take over an attempt that a worker reports as running."""
+    policy = _state.class_config(state, record.job)
+    expected = _backlog.expectation(state, record.job)
+    lane = _backlog.lane(state, record, expected.median_s)
+    held = _state.AttemptRecord(
+        attempt=report.attempt,
+        worker_id=worker_id,
+        phase=_state.Phase.RUNNING,
+        need=report.resources,
+        long=lane in _backlog.LONG_LANES,
+        started_at=now - report.run_s,
+        confirmed_at=now,
+    )
+    placement.adopt(
+        state.cell,
+        worker_id=worker_id,
+        attempt=report.attempt,
+        need=report.resources,
+        priority=_state.priority(record),
+        preemptible=is_preemptible(state, record, report.attempt.index),
+        checkpoint=policy.checkpoint,
+        throttle=policy.throttle,
+        urgent=record.job.urgent,
+        expected_end=held.started_at + expected.p90_s,
+        started=held.started_at,
+    )
+    _register(state, record, held)
+    state.workers[worker_id].attempts[report.attempt] = None
+    record.numbers[report.attempt.index] = report.attempt.number
+    record.state = model.JobState.RUNNING
+    return held
+
+
+def send_start(
+    state: _state.PoolState, held: _state.AttemptRecord, out: list[object]
+) -> None:
+    """Send the start of an attempt, for the first time or again."""
+    held.tries += 1
+    held.in_flight = True
+    held.lease_s = lease_s(state)
+    record = state.jobs[held.attempt.job_id]
+    out.append(
+        _messages.StartTask(
+            worker_id=held.worker_id,
+            attempt=held.attempt,
+            resources=held.need,
+            payload=record.job.payload,
+            lease_s=held.lease_s,
+        )
+    )
+
+
+def stop(
+    state: _state.PoolState,
+    held: _state.AttemptRecord,
+    now: float,
+    out: list[object],
+    *,
+    checkpoint: bool,
+) -> None:
+    """Ask a worker to stop an attempt that was sent.
+
+    Its capacity stays reserved until the worker confirms its end or its lease
+    has expired.
+    """
+    if held.phase is not _state.Phase.ENDING:
+        held.phase = _state.Phase.ENDING
+        held.checkpoint = checkpoint
+        state.ending.add(held.attempt)
+    send_stop(state, held, now, out)
+
+
+def send_stop(
+    state: _state.PoolState,
+    held: _state.AttemptRecord,
+    now: float,
+    out: list[object],
+) -> None:
+    """Send the stop of an ending attempt unless one was just sent."""
+    if now < held.stop_sent_at + STOP_RETRY_S:
+        return
+    held.stop_sent_at = now
+    out.append(
+        _messages.StopTask(
+            worker_id=held.worker_id,
+            attempt=held.attempt,
+            checkpoint=held.checkpoint,
+        )
+    )
+    _timers.schedule(state, now + STOP_RETRY_S, "stop", held.attempt)
+
+
+def release(state: _state.PoolState, held: _state.AttemptRecord) -> None:
+    """Give back what an attempt held, once it certainly runs no more."""
+    attempt = held.attempt
+    record = state.jobs[attempt.job_id]
+    placement.release(state.cell, attempt)
+    queueing.release(state.quota, record.job.team, held.need)
+    queueing.unblock_team(state.queue, record.job.team)
+    if held.long:
+        state.long_held = model.subtract(state.long_held, held.need)
+    del state.attempts[attempt]
+    state.ending.discard(attempt)
+    state.claims.pop(attempt, None)
+    del record.live[attempt.index]
+    worker = state.workers.get(held.worker_id)
+    if worker is not None:
+        worker.attempts.pop(attempt, None)
+        worker.claims.pop(attempt, None)
+        _count_spread(record, worker.instance, -1)
+    state.freed[held.worker_id] = None
+    if _state.is_open(record):
+        state.waiting_tasks += 1
+    _state.capacity_changed(state)
+
+
+def expires_at(
+    held: _state.AttemptRecord, worker: _state.WorkerRecord | None
+) -> float:
+    """Return when an attempt has certainly lapsed; infinite if unknown."""
+    if held.phase is _state.Phase.CLAIMED or held.in_flight:
+        return math.inf
+    if worker is None:
+        return held.expires_at
+    return max(held.expires_at, worker.expires_at, worker.sync_expires_at)
+
+
+def _register(
+    state: _state.PoolState,
+    record: _state.JobRecord,
+    held: _state.AttemptRecord,
+) -> None:
+    """Enter an attempt into the indexes."""
+    attempt = held.attempt
+    state.attempts[attempt] = held
+    record.live[attempt.index] = attempt
+    state.waiting_tasks -= 1
+    _count_spread(record, state.workers[held.worker_id].instance, 1)
+    queueing.acquire(state.quota, record.job.team, held.need)
+    if held.long:
+        state.long_held = model.add(state.long_held, held.need)
+
+
+def _count_spread(
+    record: _state.JobRecord, instance: model.Instance, change: int
+) -> None:
+    """Add to the counts of where the live attempts of a job are."""
+    if record.job.kind is model.JobKind.BATCH and record.job.tasks == 1:
+        return
+    counts = record.spread
+    rack = (instance.data_centre, instance.rack)
+    _add(counts.workers, instance.instance_id, change)
+    _add(counts.racks, rack, change)
+    _add(counts.data_centres, instance.data_centre, change)
+
+
+def _add(counts: dict, key: object, change: int) -> None:
+    """Add to a counter; a counter of 0 is removed."""
+    count = counts.get(key, 0) + change
+    if count > 0:
+        counts[key] = count
+    else:
+        counts.pop(key, None)
--- /dev/null
+++ b/chestnuttide/jobs/_outcomes.py
@@ -0,0 +1,333 @@
+"""What follows from the end of an attempt or a job."""
+
+from chestnuttide import errors
+from chestnuttide.jobs import _backlog
+from chestnuttide.jobs import _events
+from chestnuttide.jobs import _holding
+from chestnuttide.jobs import _journal
+from chestnuttide.jobs import _messages
+from chestnuttide.jobs import _state
+from chestnuttide.jobs import _timers
+from chestnuttide import model
+from chestnuttide import placement
+from chestnuttide import queueing
+
+# Backoff before a failed task, a service's ended task or an aborted gang is
+# started again.
+BACKOFF_BASE_S = 0.5
+BACKOFF_LIMIT_S = 30.0
+
+# A service's task that ran this long ends the row of restarts.
+STABLE_RUN_S = 60.0
+
+# Failures in total after which a task's job fails even if they happened on
+# fewer different workers, as multiple of the allowed attempts. In a small
+# pool there may be no other worker.
+TOTAL_FAILURES_FACTOR = 2
+
+# Ended jobs stay readable for this many seconds and up to this many jobs.
+ENDED_KEEP_S = 900.0
+ENDED_KEEP_COUNT = 20_000
+
+# Attempts of ended jobs that are asked to stop per call.
+STOPS_PER_CALL = 256
+
+TASK_FAILED = errors.RetryReason.TASK_FAILED.value
+
+
+def end_job(
+    state: _state.PoolState,
+    record: _state.JobRecord,
+    job_state: model.JobState,
+    reason: str,
+    now: float,
+) -> None:
+    """End a job in memory; its attempts are stopped by `stop_closing`."""
+    if not _state.is_open(record):
+        return
+    job_id = record.job.job_id
+    state.waiting_tasks -= (
+        record.job.tasks - record.done_count - len(record.live)
+    )
+    record.state = job_state
+    record.reason = reason
+    record.ended_at = now
+    record.waiting = {}
+    record.delayed = set()
+    record.numbers = {}
+    record.failed_on = {}
+    queueing.cancel(state.queue, job_id)
+    if placement.held_key(state.cell) == job_id:
+        placement.release_hold(state.cell)
+        _state.capacity_changed(state)
+    if record.live:
+        state.closing.append(job_id)
+    state.ended.append((now, job_id))
+
+
+def finish_job(
+    state: _state.PoolState,
+    record: _state.JobRecord,
+    job_state: model.JobState,
+    reason: str,
+    now: float,
+    out: list[object],
+) -> None:
+    """End a job and journal it."""
+    end_job(state, record, job_state, reason, now)
+    event = _events.job_ended(record.job.job_id, job_state, reason, now)
+    _journal.append(state, event, out)
+
+
+def stop_closing(
+    state: _state.PoolState, now: float, out: list[object]
+) -> None:
+    """Stop attempts of ended jobs, a bounded number per call."""
+    budget = STOPS_PER_CALL
+    while state.closing and budget > 0:
+        record = state.jobs.get(state.closing[0])
+        attempts = [] if record is None else list(record.live.values())
+        for attempt in attempts:
+            held = state.attempts[attempt]
+            if held.phase is _state.Phase.CLAIMED:
+                _holding.release(state, held)
+            elif held.phase is not _state.Phase.ENDING:
+                _holding.stop(state, held, now, out, checkpoint=False)
+            else:
+                continue
+            budget -= 1
+            if budget == 0:
+                return
+        state.closing.popleft()
+
+
+def forget_ended(state: _state.PoolState, now: float) -> None:
+    """Forget jobs that ended long ago, or the oldest of too many."""
+    for _ in range(min(len(state.ended), STOPS_PER_CALL)):
+        ended_at, job_id = state.ended[0]
+        if (
+            ended_at + ENDED_KEEP_S > now
+            and len(state.ended) <= ENDED_KEEP_COUNT
+        ):
+            return
+        state.ended.popleft()
+        record = state.jobs[job_id]
+        if record.live:
+            # Its attempts still hold capacity.
+            state.ended.append((now, job_id))
+        else:
+            del state.jobs[job_id]
+
+
+def attempt_over(
+    state: _state.PoolState,
+    record: _state.JobRecord,
+    report: model.AttemptReport,
+    worker_id: str,
+    now: float,
+    out: list[object],
+    *,
+    asked: bool,
+) -> None:
+    """Decide how a task goes on after an attempt ended or lapsed.
+
+    Parameters
+    ----------
+    state : PoolState
+        The pool.
+    record : JobRecord
+        Its job; the attempt holds nothing any more and the task is in none
+        of the places where it waits.
+    report : AttemptReport
+        How the attempt ended.
+    worker_id : str
+        Worker that ran it.
+    now : float
+        Time in seconds.
+    out : list
+        Messages of this call.
+    asked : bool
+        Whether it was asked to stop.
+    """
+    if not _state.is_open(record):
+        return
+    index = report.attempt.index
+    succeeded = report.state is model.TaskState.SUCCEEDED
+    failed = report.state is model.TaskState.FAILED and not asked
+    if succeeded or failed:
+        placement.record_outcome(
+            state.cell,
+            worker_id=worker_id,
+            task=(record.job.job_id, index),
+            succeeded=succeeded,
+            now=now,
+        )
+        # An outcome may eject a worker or readmit another.
+        _state.capacity_changed(state)
+    if _state.is_service(record):
+        _restart(state, record, report, worker_id, now, out, asked=asked)
+        return
+    if succeeded:
+        _succeed(state, record, report, now, out)
+        return
+    if failed:
+        if _count_failure(state, record, index, worker_id):
+            finish_job(
+                state, record, model.JobState.FAILED, TASK_FAILED, now, out
+            )
+            return
+        out.append(_messages.Retried(reason=errors.RetryReason.TASK_FAILED))
+    else:
+        out.append(_messages.Retried(reason=_reason(report, asked)))
+    if _state.is_gang(record):
+        record.waiting[index] = None
+        if record.settled:
+            break_gang(state, record, now, out)
+    elif failed:
+        failures = sum(record.failed_on[index].values())
+        delay_task(state, record, index, failures, now)
+    else:
+        _backlog.wait_again(state, record, index)
+
+
+def delay_task(
+    state: _state.PoolState,
+    record: _state.JobRecord,
+    index: int,
+    failures: int,
+    now: float,
+) -> None:
+    """Let a task wait for a backoff before it waits for its next start."""
+    record.delayed.add(index)
+    delay_s = queueing.delay_s(
+        failures, state.rng, base_s=BACKOFF_BASE_S, limit_s=BACKOFF_LIMIT_S
+    )
+    _timers.schedule(state, now + delay_s, "task", record.job.job_id, index)
+
+
+def break_gang(
+    state: _state.PoolState,
+    record: _state.JobRecord,
+    now: float,
+    out: list[object],
+) -> None:
+    """Stop a gang that cannot go on as a whole; it is queued again later.
+
+    Tasks that succeeded stay done; the others start together again.
+    """
+    record.aborting = True
+    for attempt in list(record.live.values()):
+        held = state.attempts[attempt]
+        if held.phase is not _state.Phase.ENDING:
+            _holding.stop(state, held, now, out, checkpoint=False)
+    requeue_gang(state, record, now)
+
+
+def requeue_gang(
+    state: _state.PoolState, record: _state.JobRecord, now: float
+) -> None:
+    """Queue an aborted gang after a backoff, once none of it is live."""
+    if (
+        not record.aborting
+        or record.live
+        or not record.settled
+        or not _state.is_open(record)
+    ):
+        return
+    record.aborting = False
+    record.restarts += 1
+    record.delayed = set(record.waiting)
+    record.delayed.update(range(record.fresh, record.job.tasks))
+    record.fresh = record.job.tasks
+    record.waiting = {}
+    delay_s = queueing.delay_s(
+        record.restarts,
+        state.rng,
+        base_s=BACKOFF_BASE_S,
+        limit_s=BACKOFF_LIMIT_S,
+    )
+    _timers.schedule(state, now + delay_s, "gang", record.job.job_id)
+
+
+def _succeed(
+    state: _state.PoolState,
+    record: _state.JobRecord,
+    report: model.AttemptReport,
+    now: float,
+    out: list[object],
+) -> None:
+    """Note the success of a task, and the end of its job after the last."""
+    if not _state.is_done(record, report.attempt.index):
+        _state.set_done(record, report.attempt.index)
+        state.waiting_tasks -= 1
+    job = record.job
+    if report.run_s > 0:
+        queueing.observe(
+            state.estimates,
+            job.workload_class,
+            report.run_s,
+            job.declared_run_s,
+        )
+    if record.done_count == job.tasks:
+        finish_job(state, record, model.JobState.SUCCEEDED, "", now, out)
+    elif _state.is_gang(record):
+        requeue_gang(state, record, now)
+
+
+def _restart(
+    state: _state.PoolState,
+    record: _state.JobRecord,
+    report: model.AttemptReport,
+    worker_id: str,
+    now: float,
+    out: list[object],
+    *,
+    asked: bool,
+) -> None:
+    """Start a service's task again, after a backoff if it ended by itself."""
+    index = report.attempt.index
+    ended_itself = not asked and report.state in (
+        model.TaskState.SUCCEEDED,
+        model.TaskState.FAILED,
+    )
+    if not ended_itself:
+        out.append(_messages.Retried(reason=_reason(report, asked)))
+        _backlog.wait_again(state, record, index)
+        return
+    out.append(_messages.Retried(reason=errors.RetryReason.TASK_FAILED))
+    if report.run_s >= STABLE_RUN_S:
+        record.failed_on.pop(index, None)
+    count_failure(record, index, worker_id)
+    failures = sum(record.failed_on[index].values())
+    delay_task(state, record, index, failures, now)
+
+
+def _reason(report: model.AttemptReport, asked: bool) -> errors.RetryReason:
+    """Return why a task that did not fail runs again."""
+    if asked and report.state is not model.TaskState.LAPSED:
+        return errors.RetryReason.PREEMPTED
+    return errors.RetryReason.WORKER_LOST
+
+
+def _count_failure(
+    state: _state.PoolState,
+    record: _state.JobRecord,
+    index: int,
+    worker_id: str,
+) -> bool:
+    """Count a failure of a task; returns whether its job has failed."""
+    count_failure(record, index, worker_id)
+    failures = record.failed_on[index]
+    limit = _state.class_config(state, record.job).max_attempts
+    return (
+        len(failures) >= limit
+        or sum(failures.values()) >= limit * TOTAL_FAILURES_FACTOR
+    )
+
+
+def count_failure(
+    record: _state.JobRecord, index: int, worker_id: str
+) -> None:
+    """Count a failure of a task on a worker."""
+    failures = record.failed_on.setdefault(index, {})
+    failures[worker_id] = failures.get(worker_id, 0) + 1
--- /dev/null
+++ b/chestnuttide/jobs/_recovery.py
@@ -0,0 +1,134 @@
+"""Takeover of a pool shard, and the list of its workers."""
+
+from chestnuttide.jobs import _acceptance
+from chestnuttide.jobs import _attempts
+from chestnuttide.jobs import _backlog
+from chestnuttide.jobs import _events
+from chestnuttide.jobs import _holding
+from chestnuttide.jobs import _journal
+from chestnuttide.jobs import _messages
+from chestnuttide.jobs import _outcomes
+from chestnuttide.jobs import _snapshot
+from chestnuttide.jobs import _state
+from chestnuttide.jobs import _timers
+from chestnuttide import model
+from chestnuttide import placement
+
+
+def on_recovered(
+    state: _state.PoolState,
+    message: _messages.Recovered,
+    now: float,
+    out: list[object],
+) -> None:
+    """Rebuild the jobs, and wait for the reports of the workers.
+
+    Nothing starts before the takeover is durable, because the attempt numbers
+    of this owner depend on it. The tasks of recovered jobs start only when
+    all listed workers have reported, or the leases that the former owner may
+    have granted have expired.
+    """
+    _snapshot.rebuild(state, message.snapshot, message.events, now)
+    state.recovered_at = now
+    state.ready = False
+    state.settled = False
+    state.settle_at = now + _holding.lease_s(state) * _state.LEASE_MARGIN
+    for worker_id, worker in state.workers.items():
+        worker.reported = False
+        state.unreported.add(worker_id)
+        _state.update_shut(state, worker, now)
+    _timers.schedule(state, state.settle_at, "settle")
+    _journal.append(state, _events.owner(state.generation, now), out, "owner")
+
+
+def on_workers_changed(
+    state: _state.PoolState,
+    message: _messages.WorkersChanged,
+    now: float,
+) -> None:
+    """Adopt changes of the instance list.
+
+    A worker gets no work before its first report. One that is listed as gone
+    keeps its attempts until their leases have expired.
+    """
+    for instance in message.instances:
+        if instance.kind is not model.InstanceKind.WORKER:
+            continue
+        worker_id = instance.instance_id
+        gone = instance.state is model.InstanceState.GONE
+        worker = state.workers.get(worker_id)
+        if worker is None:
+            if gone:
+                continue
+            worker = _state.WorkerRecord(instance=instance)
+            state.workers[worker_id] = worker
+            if not state.settled:
+                state.unreported.add(worker_id)
+        worker.instance = instance
+        worker.lends = True
+        placement.upsert_worker(state.cell, instance, now)
+        if instance.state is model.InstanceState.LEAVING:
+            state.leaving[worker_id] = None
+        else:
+            state.leaving.pop(worker_id, None)
+        state.freed[worker_id] = None
+        _state.update_shut(state, worker, now)
+        _attempts.watch_leases(state, worker)
+        _attempts.remove_if_gone(state, worker)
+    _state.capacity_changed(state)
+
+
+def settle_if_known(
+    state: _state.PoolState, now: float, out: list[object]
+) -> None:
+    """Sort the tasks of recovered jobs once it is known which ones run."""
+    if state.settled:
+        return
+    known = bool(state.workers) and not state.unreported
+    if not known and now < state.settle_at:
+        return
+    state.settled = True
+    state.unreported.clear()
+    for record in list(state.jobs.values()):
+        if not record.settled:
+            _settle(state, record, now, out)
+    for worker in list(state.workers.values()):
+        _attempts.remove_if_gone(state, worker)
+    _state.capacity_changed(state)
+
+
+def _settle(
+    state: _state.PoolState,
+    record: _state.JobRecord,
+    now: float,
+    out: list[object],
+) -> None:
+    """Sort the tasks of one recovered job."""
+    record.settled = True
+    if not _state.is_open(record):
+        return
+    _acceptance.watch_wait(state, record)
+    tasks = record.job.tasks
+    if record.done_count == tasks:
+        _outcomes.finish_job(
+            state, record, model.JobState.SUCCEEDED, "", now, out
+        )
+        return
+    touched = max(
+        len(record.done) * 8,
+        max(record.live, default=-1) + 1,
+        max(record.delayed, default=-1) + 1,
+        max(record.numbers, default=-1) + 1,
+    )
+    record.fresh = min(touched, tasks)
+    record.waiting = {
+        index: None
+        for index in range(record.fresh)
+        if index not in record.live
+        and index not in record.delayed
+        and not _state.is_done(record, index)
+    }
+    if _state.is_gang(record) and record.live and _state.pending(record):
+        _outcomes.break_gang(state, record, now, out)
+        return
+    _backlog.enqueue(state, record)
--- /dev/null
+++ b/chestnuttide/jobs/_snapshot.py
@@ -0,0 +1,198 @@
+"""Snapshots of a pool shard, and the replay of snapshot and events."""
+
+import attrs
+import cbor2
+
+from chestnuttide.jobs import _events
+from chestnuttide.jobs import _outcomes
+from chestnuttide.jobs import _state
+from chestnuttide import model
+from chestnuttide import queueing
+
+# Version of the snapshot's layout.
+LAYOUT = 1
+
+
+@attrs.define(kw_only=True)
+class _Replay:
+    """Clock of a replay.
+
+    Owners have different monotonic clocks. The replay runs on one time line
+    that stands still between two owners, so ages are lower bounds.
+
+    Attributes
+    ----------
+    last_at : float
+        Last time seen on the current owner's clock.
+    offset : float
+        What is added to that clock to give the time line.
+    """
+
+    last_at: float
+    offset: float = 0.0
+
+
+def encode_snapshot(state: _state.PoolState, now: float) -> bytes:
+    """Return the durable state of a pool as CBOR.
+
+    Finished tasks are bitmaps; attempts are not included, because workers
+    report them to the next owner.
+
+    Parameters
+    ----------
+    state : PoolState
+        The pool.
+    now : float
+        Time in seconds.
+    """
+    return cbor2.dumps(
+        [
+            LAYOUT,
+            now,
+            state.generation,
+            [_encode_record(record, now) for record in state.jobs.values()],
+            queueing.dump_estimates(state.estimates),
+        ]
+    )
+
+
+def rebuild(
+    state: _state.PoolState,
+    snapshot: bytes,
+    events: tuple[bytes, ...],
+    now: float,
+) -> None:
+    """Rebuild jobs from a snapshot and the events after it.
+
+    Replaying an event that the snapshot includes has no effect. The tasks of
+    open jobs are not yet sorted into places.
+    """
+    replay = None
+    highest = -1
+    if snapshot:
+        _, at, highest, records, estimates = cbor2.loads(snapshot)
+        replay = _Replay(last_at=at)
+        for fields in records:
+            record = _decode_record(fields, at)
+            state.jobs[record.job.job_id] = record
+        state.estimates = queueing.load_estimates(estimates)
+    for event in events:
+        tag, at, *fields = _events.decode(event)
+        if replay is None:
+            replay = _Replay(last_at=at)
+        if tag == _events.OWNER:
+            highest = max(highest, fields[0])
+            replay.offset += replay.last_at - at
+        replay.last_at = at
+        highest = max(highest, 0)
+        _apply(state, tag, fields, at + replay.offset)
+    state.generation = highest + 1
+    if replay is None:
+        return
+    shift = now - (replay.last_at + replay.offset)
+    ended = []
+    for record in state.jobs.values():
+        record.entered_at += shift
+        if _state.is_open(record):
+            record.settled = False
+            state.waiting_tasks += record.job.tasks - record.done_count
+        else:
+            record.ended_at = min(now, record.ended_at + shift)
+            ended.append((record.ended_at, record.job.job_id))
+    state.ended.extend(sorted(ended))
+
+
+def _encode_record(record: _state.JobRecord, now: float) -> list[object]:
+    """Return the durable fields of a job."""
+    is_open = _state.is_open(record)
+    return [
+        _events.encode_job(record.job),
+        record.state.value,
+        record.reason,
+        now - record.entered_at,
+        0.0 if is_open else now - record.ended_at,
+        bytes(record.done.rstrip(b"\0")) if is_open else b"",
+        record.done_count,
+        record.failed_on,
+        {
+            index: record.numbers[index]
+            for index in record.failed_on
+            if index in record.numbers
+        },
+    ]
+
+
+def _decode_record(fields: list, at: float) -> _state.JobRecord:
+    """Return the job of its durable fields."""
+    job, job_state, reason, age_s, ended_s, done, count, failed_on, numbers = (
+        fields
+    )
+    record = _state.JobRecord(
+        job=_events.decode_job(job),
+        entered_at=at - age_s,
+        reason=reason,
+        durable=True,
+        done=bytearray(done),
+        done_count=count,
+        failed_on=failed_on,
+        numbers=numbers,
+    )
+    record.state = model.JobState(job_state)
+    if not _state.is_open(record):
+        record.ended_at = at - ended_s
+    return record
+
+
+def _apply(state: _state.PoolState, tag: str, fields: list, at: float) -> None:
+    """Apply one event to the jobs."""
+    if tag == _events.ACCEPTED:
+        job = _events.decode_job(fields[0])
+        if job.job_id not in state.jobs:
+            state.jobs[job.job_id] = _state.JobRecord(
+                job=job, entered_at=at, durable=True
+            )
+        return
+    if tag == _events.OWNER:
+        return
+    record = state.jobs.get(fields[0])
+    if record is None or not _state.is_open(record):
+        return
+    if tag == _events.CANCELLED:
+        _end(record, model.JobState.CANCELLED, "cancelled", at)
+    elif tag == _events.JOB_STARTED:
+        record.state = model.JobState.RUNNING
+    elif tag == _events.JOB_ENDED:
+        _end(record, model.JobState(fields[1]), fields[2], at)
+    elif tag == _events.TASK_ENDED:
+        _apply_task_end(record, fields)
+
+
+def _end(
+    record: _state.JobRecord,
+    job_state: model.JobState,
+    reason: str,
+    at: float,
+) -> None:
+    """Note the end of a job."""
+    record.state = job_state
+    record.reason = reason
+    record.ended_at = at
+    record.numbers = {}
+    record.failed_on = {}
+
+
+def _apply_task_end(record: _state.JobRecord, fields: list) -> None:
+    """Note the end of an attempt unless it is known."""
+    _, index, number, result, worker_id = fields
+    if _state.is_done(record, index) or (
+        number <= record.numbers.get(index, 0)
+        and result != model.TaskState.SUCCEEDED
+    ):
+        return
+    record.numbers[index] = max(number, record.numbers.get(index, 0))
+    if _state.is_service(record):
+        return
+    if result == model.TaskState.SUCCEEDED:
+        _state.set_done(record, index)
+    elif result == model.TaskState.FAILED:
+        _outcomes.count_failure(record, index, worker_id)
--- a/chestnuttide/queueing/__init__.py
+++ b/chestnuttide/queueing/__init__.py
@@ -20,8 +20,10 @@
 charge = _fair_queue.charge
 could_ever_allow = _quota.could_ever_allow
 delay_s = _backoff.delay_s
+dump_estimates = _estimates.dump_estimates
 expect = _estimates.expect
 expire = _fair_queue.expire
+load_estimates = _estimates.load_estimates
 observe = _estimates.observe
 peek = _fair_queue.peek
 pop = _fair_queue.pop
@@ -47,8 +49,10 @@
     "charge",
     "could_ever_allow",
     "delay_s",
+    "dump_estimates",
     "expect",
     "expire",
+    "load_estimates",
     "observe",
     "peek",
     "pop",
--- a/chestnuttide/queueing/_estimates.py
+++ b/chestnuttide/queueing/_estimates.py
@@ -212,3 +212,48 @@
             below += weight
         found.append(math.exp(bucket * _LOG_RATIO))
     return tuple(found)
+
+
+def dump_estimates(estimates: Estimates) -> dict[str, list]:
+    """Return the learned run times as plain values."""
+    return {
+        name: [
+            _dump_histogram(learned.runs),
+            _dump_histogram(learned.ratios),
+        ]
+        for name, learned in estimates.classes.items()
+    }
+
+
+def load_estimates(values: dict[str, list]) -> Estimates:
+    """Return the learned run times of their plain values."""
+    estimates = Estimates()
+    for name, (runs, ratios) in values.items():
+        learned = ClassEstimate(
+            runs=_load_histogram(runs), ratios=_load_histogram(ratios)
+        )
+        if learned.runs.samples:
+            learned.median_s, learned.p90_s = quantiles(
+                learned.runs, (0.5, 0.9)
+            )
+        if learned.ratios.samples:
+            (learned.ratio,) = quantiles(learned.ratios, (0.5,))
+        estimates.classes[name] = learned
+    return estimates
+
+
+def _dump_histogram(histogram: Histogram) -> list:
+    """Return a histogram as plain values, scaled to small numbers."""
+    scale = 1.0 / histogram.next_weight
+    return [
+        histogram.samples,
+        {
+            bucket: weight * scale
+            for bucket, weight in histogram.weights.items()
+        },
+    ]
+
+
+def _load_histogram(values: list) -> Histogram:
+    """Return the histogram of its plain values."""
+    return Histogram(samples=values[0], weights=dict(values[1]))
