End a wait of the command line before a poll without time

Cause: the last poll of a wait was given the few milliseconds that were left; its failure replaced the job's last known state in the message, and the test of it failed once in a busy run. Change: no poll begins with less than 50 ms left. Conclusion: the message names the last known state.

--- a/chestnuttide/cli/_commands.py
+++ b/chestnuttide/cli/_commands.py
@@ -29,6 +29,9 @@
 
 # Seconds between two polls of a wait.
 POLL_S: typing.Final = 0.5
+# A poll with less time left than this would fail for want of time, and its
+# failure would replace the last known state in the message.
+SHORTEST_CALL_S: typing.Final = 0.05
 
 # Added to a request's deadline, so that the entry's own refusal for a missed
 # deadline arrives before the client gives up.
@@ -167,7 +170,7 @@
         try:
             while True:
                 left_s = limit_s - (time.monotonic() - started)
-                if left_s <= 0:
+                if left_s <= SHORTEST_CALL_S:
                     raise _exits.timeout_error(
                         f"{what} not done within {limit_s:g} s ({words}).",
                         "Wait again with a longer --timeout.",
