Retry failed takeovers and fix the number of shards of a service

Cause: an exception while a shard was taken over left it owned and unserved; a change of a service's number of shards would forget the ids of its requests, so that one could run twice. Change: a takeover is tried again with backoff; a patch that changes the number of shards or pools is refused as config_invalid; a patch that another instance has made a version already is accepted once.

--- a/chestnuttide/config/_filter.py
+++ b/chestnuttide/config/_filter.py
@@ -472,6 +472,12 @@
     flight.retry_at = now
     flight.retry_s = RETRY_S
     flight.written = False
+    known = _history.find_write(state.history, submitted.write_id)
+    if known is not None:
+        # Another instance made it a version before its answer was lost.
+        flight.version = known.version
+        _decide(state, flight, known, now, out)
+        return
     if type(submitted.base) is int and submitted.base > head:
         # The author read a version that this instance has not heard of yet.
         flight.version = head + 1
--- a/chestnuttide/config/_history.py
+++ b/chestnuttide/config/_history.py
@@ -328,6 +328,13 @@
     return history.recent[index] if 0 <= index < len(history.recent) else None
 
 
+def find_write(history: History, write_id: str) -> PatchEntry | None:
+    """Return the kept patch with a write id; None if there is none."""
+    return next(
+        (each for each in history.recent if each.write_id == write_id), None
+    )
+
+
 def document_at(history: History, version: int) -> dict[str, typing.Any]:
     """Return the document of a version.
 
@@ -383,7 +390,8 @@
         )
     _require_known_version(history, base)
     _check_conflicts(history, base, patch)
-    structure(_patches.apply_patch(history.document, patch))
+    following = structure(_patches.apply_patch(history.document, patch))
+    _check_fixed_counts(history, following)
     version = history.version + 1
     value = encode_entry(
         PatchEntry(
@@ -576,3 +584,33 @@
             "head": history.version,
         },
     )
+
+
+def _check_fixed_counts(
+    history: History, following: _document.CellConfig
+) -> None:
+    """Refuse a change of the number of shards or pools.
+
+    The number decides which shard remembers a request id or a job id. After
+    a change an id could run once more at another shard.
+    """
+    if history.version == 0:
+        return
+    fixed = {
+        ("services", name, "shards"): each.shards
+        for name, each in following.services.items()
+        if name in history.document.get("services", {})
+    }
+    fixed["pool", "pools"] = following.pool.pools
+    for path, value in fixed.items():
+        former: typing.Any = history.document
+        for part in path:
+            former = former.get(part, {} if part != path[-1] else 1)
+        if former != value:
+            name = ".".join(path)
+            raise errors.RefusedError(
+                reason=errors.Reason.CONFIG_INVALID,
+                message=f"{name} cannot change from {former} to {value}.",
+                remedy="Add a service with the new number and move callers.",
+                details={"path": name, "value": value, "allowed": former},
+            )
--- a/chestnuttide/config/tests/test_filter.py
+++ b/chestnuttide/config/tests/test_filter.py
@@ -502,3 +502,15 @@
         assert state.history.document == document
         assert state.history.version == len(entries)
         assert versions == sorted(set(versions))
+
+
+def test_patch_sent_again_through_another_instance_is_applied_once() -> None:
+    """Guards against a second version when an entry loses its scheduler."""
+    run = config.make_config_filter()
+    theirs = _entry(1, "w-x", _team("mill", 2))
+    later = _entry(2, "w-z", _team("loom", 3))
+    run(config.PatchesReceived(entries=(theirs, later)), 1.0)
+    outputs = run(_submit("x", 0, **_team("mill", 2)), 2.0)
+    accepted = [o for o in outputs if isinstance(o, config.PatchAccepted)]
+    assert [each.version for each in accepted] == [1]
+    assert not [o for o in outputs if isinstance(o, config.WritePatch)]
--- a/chestnuttide/config/tests/test_history.py
+++ b/chestnuttide/config/tests/test_history.py
@@ -267,3 +267,46 @@
     assert config.entry_key(164).startswith(config.entry_prefix(128))
     with pytest.raises(errors.ProtocolError):
         config.version_of_key("config/snapshot")
+
+
+@pytest.mark.parametrize(
+    ("patch", "path"),
+    [
+        pytest.param(
+            {"services": {"layout": {"shards": 3}}},
+            "services.layout.shards",
+            id="ids_of_requests_are_forgotten",
+        ),
+        pytest.param(
+            {"services": {"layout": {"shards": None}}},
+            "services.layout.shards",
+            id="default_number_of_shards",
+        ),
+        pytest.param(
+            {"pool": {"pools": 2}},
+            "pool.pools",
+            id="ids_of_jobs_are_forgotten",
+        ),
+    ],
+)
+def test_number_of_shards_is_fixed(patch: dict, path: str) -> None:
+    first = {"services": {"layout": {"shards": 2}}}
+    history = config.adopt(
+        config.History(),
+        config.PatchEntry(
+            version=1, base=0, patch=first, author="a", write_id="w"
+        ),
+    )
+    with pytest.raises(errors.RefusedError) as caught:
+        config.plan_patch(
+            history, base=1, patch=patch, author="a", write_id="w2"
+        )
+    assert caught.value.reason is errors.Reason.CONFIG_INVALID
+    assert caught.value.details["path"] == path
+    config.plan_patch(
+        history,
+        base=1,
+        patch={"services": {"render": {"shards": 4}}},
+        author="a",
+        write_id="w3",
+    )
--- a/chestnuttide/scheduler/_daemon.py
+++ b/chestnuttide/scheduler/_daemon.py
@@ -33,6 +33,9 @@
 # Journal writes that may be made at once after a quiet time.
 JOURNAL_BURST_S = 1.0
 AGENT_TIMEOUT_S = 2.0
+# Each worker of the pools served here holds one; above the 400 workers of
+# four pools at the target size. Each costs some 8 KB.
+MAX_SYNCS = 1024
 POLL_S = 0.02
 
 LOG = telemetry.make_logger("scheduler")
@@ -68,7 +71,9 @@
         store=make_store(settings.platform.store_timeout_s),
         lease_store=make_store(times.lease_ttl_s * LEASE_TIMEOUT_SHARE),
         targets=platform.make_targets(),
-        agents=platform.make_worker_agent(timeout_s=AGENT_TIMEOUT_S),
+        agents=platform.make_worker_agent(
+            timeout_s=AGENT_TIMEOUT_S, max_syncs=MAX_SYNCS
+        ),
         ownership=ownership,
         run_ownership=coordination.make_ownership_filter(state=ownership),
         config=config_state,
@@ -176,10 +181,16 @@
     while True:
         heartbeat = mesh.Heartbeat(config_version=state.config.history.version)
         _broadcast_all(state, heartbeat)
+        _update_gauges(state)
         daemon.count_traffic(state.metrics, state.network.traffic, counted)
         await asyncio.sleep(state.settings.mesh.heartbeat_s)
 
 
+def _update_gauges(state: _state.SchedulerState) -> None:
+    for shard in state.shards.values():
+        state.metrics.queue_length.set({"queue": shard.name}, shard.waiting())
+
+
 def _broadcast(state: _state.SchedulerState, message: object) -> None:
     for connection in mesh.schedulers(state.network):
         mesh.send_if_possible(connection, message)
--- a/chestnuttide/scheduler/_pools.py
+++ b/chestnuttide/scheduler/_pools.py
@@ -165,6 +165,7 @@
         stop=functools.partial(_stop, shard),
         in_flight=lambda: shard.starting,
         residual=dict,
+        waiting=lambda: pool.waiting_tasks,
         describe=functools.partial(_describe, shard),
     )
     _put_instances(shard, list(daemon.instances.values()))
--- a/chestnuttide/scheduler/_requests.py
+++ b/chestnuttide/scheduler/_requests.py
@@ -137,6 +137,7 @@
         stop=functools.partial(_stop, shard),
         in_flight=lambda: routing.in_flight(router.pool),
         residual=functools.partial(_residual, shard),
+        waiting=lambda: len(router.queue.items),
         describe=functools.partial(_describe, shard),
     )
     _put_instances(shard, list(daemon.instances.values()))
--- a/chestnuttide/scheduler/_state.py
+++ b/chestnuttide/scheduler/_state.py
@@ -52,6 +52,8 @@
         Returns the number of dispatches that have not ended.
     residual : function
         Returns the slots in use by target, as seconds until they are free.
+    waiting : function
+        Returns the number of requests or tasks that wait.
     describe : function
         Returns the shard's rows of the status, by table.
     """
@@ -70,6 +72,7 @@
     stop: collections.abc.Callable[[], None]
     in_flight: collections.abc.Callable[[], int]
     residual: collections.abc.Callable[[], dict[str, tuple[float, ...]]]
+    waiting: collections.abc.Callable[[], int]
     describe: collections.abc.Callable[[], dict[str, list[object]]]
 
 
--- a/chestnuttide/scheduler/_takeover.py
+++ b/chestnuttide/scheduler/_takeover.py
@@ -1,13 +1,16 @@
 """Taking shards over and handing them over."""
 
 import asyncio
+import collections.abc
 import functools
+import random
 import time
 
 from chestnuttide import coordination
 from chestnuttide import errors
 from chestnuttide import mesh
 from chestnuttide import model
+from chestnuttide import queueing
 from chestnuttide.scheduler import _journals
 from chestnuttide.scheduler import _membership
 from chestnuttide.scheduler import _pools
@@ -21,6 +24,9 @@
 # Seconds that a handover waits for the journal.
 FLUSH_WAIT_S = 2.0
 POLL_S = 0.01
+# Bounds of the pause before a takeover that failed is tried again.
+TAKEOVER_RETRY_S = 0.2
+TAKEOVER_RETRY_LIMIT_S = 5.0
 
 LOG = telemetry.make_logger("takeover")
 
@@ -95,25 +101,31 @@
 async def _activate(
     state: _state.SchedulerState, message: coordination.ShardAcquired
 ) -> None:
+    """Take a shard over; a failure is tried again while it is owned.
+
+    A shard that cannot be recovered must not stop the others, and would fail
+    at the next owner as well.
+    """
     started = time.monotonic()
-    try:
-        recovery, journal = await _journals.open_journal(
-            shard=message.shard,
-            epoch=message.epoch,
-            store=state.store,
-            bucket=state.bucket,
-            metrics=state.metrics,
-            make_write_id=functools.partial(next, state.write_ids),
-        )
-    except errors.DeposedError as error:
-        LOG.warning("shard %s is not taken over: %s", message.shard, error)
-        return
-    make_shard = (
-        _pools.make_shard
-        if model.is_pool(message.shard)
-        else _requests.make_shard
-    )
-    shard = make_shard(state, message, recovery, journal)
+    failures = 0
+    while True:
+        try:
+            shard = await _open_shard(state, message)
+            break
+        except errors.DeposedError as error:
+            LOG.warning("shard %s is not taken over: %s", message.shard, error)
+            return
+        except Exception:
+            failures += 1
+            LOG.exception("the takeover of shard %s failed", message.shard)
+            await asyncio.sleep(
+                queueing.delay_s(
+                    failures,
+                    random.Random(),
+                    base_s=TAKEOVER_RETRY_S,
+                    limit_s=TAKEOVER_RETRY_LIMIT_S,
+                )
+            )
     state.shards[message.shard] = shard
     state.activations.pop(message.shard, None)
     LOG.info(
@@ -125,6 +137,29 @@
     announce_shards(state)
 
 
+async def _open_shard(
+    state: _state.SchedulerState, message: coordination.ShardAcquired
+) -> _state.Shard:
+    recovery, journal = await _journals.open_journal(
+        shard=message.shard,
+        epoch=message.epoch,
+        store=state.store,
+        bucket=state.bucket,
+        metrics=state.metrics,
+        make_write_id=functools.partial(next, state.write_ids),
+    )
+    make_shard = (
+        _pools.make_shard
+        if model.is_pool(message.shard)
+        else _requests.make_shard
+    )
+    try:
+        return make_shard(state, message, recovery, journal)
+    except Exception:
+        _journals.close(journal)
+        raise
+
+
 async def _release(
     state: _state.SchedulerState, message: coordination.ShouldRelease
 ) -> None:
@@ -149,7 +184,9 @@
     )
 
 
-async def _wait_until(condition: object, limit_s: float) -> None:
+async def _wait_until(
+    condition: collections.abc.Callable[[], bool], limit_s: float
+) -> None:
     deadline = time.monotonic() + limit_s
     while not condition() and time.monotonic() < deadline:
         await asyncio.sleep(POLL_S)
