Test placement against plain recomputations, and plan gangs faster

Planning a gang reservation sorted all reservations, and choosing victims recomputed a worker's sums for each attempt tried.

Reservations are now filed by the second of their expected end, so a plan reads only the ends up to its start; victims are chosen with running sums; a worker whose group stays the same is refiled in place. Random orders of events are compared with plain recomputations after each event.

--- a/chestnuttide/placement/_cells.py
+++ b/chestnuttide/placement/_cells.py
@@ -1,5 +1,7 @@
 """The cell's workers and the exact reservations on them."""
 
+import math
+
 from chestnuttide import config
 from chestnuttide import model
 from chestnuttide.placement import _errors
@@ -208,6 +210,7 @@
     urgent: bool,
     expected_end: float,
     started: float,
+    reclaimed: bool = False,
 ) -> None:
     """Record what a worker reports as running, even beyond what is free.
 
@@ -242,7 +245,7 @@
             checkpoint=checkpoint,
             throttle=throttle,
             urgent=urgent,
-            reclaimed=False,
+            reclaimed=reclaimed,
             started=started,
             expected_end=expected_end,
         ),
@@ -348,6 +351,7 @@
     memory = sign * need.memory_mb
     accelerators = sign * need.accelerators
     worker.accelerators += accelerators
+    _note_expected_end(cell, reservation, sign)
     cell.reserved_accelerators += accelerators
     if not reservation.reclaimed:
         worker.firm_cpu += cpu
@@ -377,6 +381,22 @@
             del cell.preemptible[priority]
 
 
+def _note_expected_end(
+    cell: _state.Cell, reservation: _state.Reservation, sign: int
+) -> None:
+    end = reservation.expected_end
+    if reservation.reclaimed or end == math.inf:
+        return
+    second = int(end)
+    if sign > 0:
+        cell.ends.setdefault(second, {})[reservation] = None
+        return
+    ends = cell.ends[second]
+    del ends[reservation]
+    if not ends:
+        del cell.ends[second]
+
+
 def _refresh(cell: _state.Cell, worker: _state.Worker) -> None:
     _index.refresh(cell, worker)
     _reclaim.refresh(cell, worker)
--- a/chestnuttide/placement/_gangs.py
+++ b/chestnuttide/placement/_gangs.py
@@ -125,37 +125,33 @@
     GangPlan or None
         None if the gang is not expected to fit within the limit.
     """
+    # Only workers that have room now, or get some, are looked at.
     free: dict[str, list[int]] = {}
     fits: dict[str, int] = {}
     total = 0
-    for worker in cell.workers.values():
-        if (
-            worker.state is not model.InstanceState.LIVE
-            or worker.ejected
-            or worker.worker_id in excluded
-            or not model.fits(need, worker.capacity)
-        ):
-            continue
-        amounts = [
-            worker.free_cpu,
-            worker.free_memory,
-            worker.free_accelerators,
-        ]
-        free[worker.worker_id] = amounts
+    for worker in _fitting(cell, (cell.held, cell.open), need, excluded):
+        amounts = free[worker.worker_id] = _free_amounts(worker)
         times = min(count, _scoring.times_of(need, *amounts))
         fits[worker.worker_id] = times
         total += times
     starts_at = now
     if total < count:
-        for end, worker_id, freed in _ends(cell, free, now, now + limit_s):
-            amounts = free[worker_id]
-            amounts[0] += freed.cpu_millis
-            amounts[1] += freed.memory_mb
-            amounts[2] += freed.accelerators
+        for ending in _ends(cell, now, now + limit_s):
+            worker_id = ending.worker_id
+            amounts = free.get(worker_id)
+            if amounts is None:
+                worker = cell.workers[worker_id]
+                if not _may_plan(worker, need, excluded):
+                    continue
+                amounts = free[worker_id] = _free_amounts(worker)
+                fits[worker_id] = 0
+            amounts[0] += ending.need.cpu_millis
+            amounts[1] += ending.need.memory_mb
+            amounts[2] += ending.need.accelerators
             times = min(count, _scoring.times_of(need, *amounts))
             total += times - fits[worker_id]
             fits[worker_id] = times
-            starts_at = end
+            starts_at = ending.expected_end
             if total >= count:
                 break
     if total < count:
@@ -186,22 +182,51 @@
                 yield worker
 
 
+def _may_plan(
+    worker: _state.Worker,
+    need: model.Resources,
+    excluded: frozenset[str] | set[str],
+) -> bool:
+    return (
+        worker.state is model.InstanceState.LIVE
+        and not worker.ejected
+        and worker.worker_id not in excluded
+        and model.fits(need, worker.capacity)
+    )
+
+
+def _free_amounts(worker: _state.Worker) -> list[int]:
+    return [worker.free_cpu, worker.free_memory, worker.free_accelerators]
+
+
 def _ends(
-    cell: _state.Cell,
-    free: dict[str, list[int]],
-    now: float,
-    until: float,
-) -> list[tuple[float, str, model.Resources]]:
-    """Return the expected ends until a time, in order."""
-    ends = [
-        (reservation.expected_end, reservation.worker_id, reservation.need)
-        for reservation in cell.reservations.values()
-        if now < reservation.expected_end <= until
-        and not reservation.reclaimed
-        and reservation.worker_id in free
-    ]
-    ends.sort(key=lambda item: item[:2])
-    return ends
+    cell: _state.Cell, now: float, until: float
+) -> collections.abc.Iterator[_state.Reservation]:
+    """Yield the reservations that are expected to end until a time."""
+    for second in sorted(cell.ends):
+        if second + 1 < now:
+            continue
+        if second > until:
+            return
+        for reservation in sorted(
+            [
+                item
+                for item in cell.ends[second]
+                if now < item.expected_end <= until
+            ],
+            key=_by_end,
+        ):
+            yield reservation
+
+
+def _by_end(reservation: _state.Reservation) -> tuple[float, str, str, int]:
+    attempt = reservation.attempt
+    return (
+        reservation.expected_end,
+        reservation.worker_id,
+        attempt.job_id,
+        attempt.index,
+    )
 
 
 def _pack(rooms: list[_Room], count: int) -> list[str]:
--- a/chestnuttide/placement/_index.py
+++ b/chestnuttide/placement/_index.py
@@ -1,5 +1,6 @@
 """Keeps the indexes in step with the workers' free amounts, and looks up."""
 
+import bisect
 import collections.abc
 
 from chestnuttide import model
@@ -42,13 +43,11 @@
     if place is not None:
         if (
             place.index is index
-            and place.cpu_millis == worker.free_cpu
-            and place.memory_mb == worker.free_memory
-            and place.accelerators == worker.free_accelerators
-            and place.capacity == capacity
+            and place.capacity is capacity
             and place.data_centre == worker.data_centre
         ):
-            return
+            if _move(worker, place):
+                return
         _withdraw(worker, place)
     _file(worker, index)
 
@@ -109,7 +108,7 @@
     memory = need.memory_mb
     for shape in shapes.values():
         by_cpu = _cpu_binds(shape, need)
-        for free in sorted(shape.groups):
+        for free in shape.order:
             left = free - need.accelerators
             if left < 0:
                 continue
@@ -153,7 +152,7 @@
     shape: _state.Shape, need: model.Resources
 ) -> collections.abc.Iterator[str]:
     by_cpu = _cpu_binds(shape, need)
-    for free in sorted(shape.groups):
+    for free in shape.order:
         if free < need.accelerators:
             continue
         group = shape.groups[free]
@@ -173,6 +172,38 @@
             yield entry[2]
 
 
+def _move(worker: _state.Worker, place: _state.Place) -> bool:
+    """Refile a worker that keeps its group; returns whether it does."""
+    accelerators = place.accelerators
+    if worker.free_accelerators != accelerators:
+        return False
+    old_cpu = place.cpu_millis
+    old_memory = place.memory_mb
+    cpu = worker.free_cpu
+    memory = worker.free_memory
+    if cpu == old_cpu and memory == old_memory:
+        return True
+    worker_id = worker.worker_id
+    index = place.index
+    accelerated = place.capacity.accelerators > 0
+    shapes = index.accelerated if accelerated else index.plain
+    group = shapes[place.shape].groups[accelerators]
+    old = (old_cpu, old_memory, worker_id)
+    new = (cpu, memory, worker_id)
+    _ranking.replace(group.by_cpu, old, new)
+    _ranking.replace(
+        group.by_memory,
+        (old_memory, old_cpu, worker_id),
+        (memory, cpu, worker_id),
+    )
+    centre = index.centres[place.data_centre]
+    centre.free_cpu += cpu - old_cpu
+    _ranking.replace(centre.rankings[(accelerated, accelerators)], old, new)
+    place.cpu_millis = cpu
+    place.memory_mb = memory
+    return True
+
+
 def _file(worker: _state.Worker, index: _state.Index) -> None:
     capacity = worker.capacity
     key = shape_key(capacity)
@@ -200,6 +231,7 @@
     group = shape.groups.get(accelerators)
     if group is None:
         group = shape.groups[accelerators] = _state.Group()
+        bisect.insort(shape.order, accelerators)
     _ranking.insert(group.by_cpu, (cpu, memory, worker_id))
     _ranking.insert(group.by_memory, (memory, cpu, worker_id))
     centre = index.centres.get(worker.data_centre)
@@ -227,6 +259,7 @@
     _ranking.remove(group.by_memory, (memory, cpu, worker_id))
     if not group.by_cpu.blocks:
         del shape.groups[accelerators]
+        shape.order.remove(accelerators)
     shape.members -= 1
     shape.cpu_millis -= place.capacity.cpu_millis
     shape.memory_mb -= place.capacity.memory_mb
--- a/chestnuttide/placement/_preemption.py
+++ b/chestnuttide/placement/_preemption.py
@@ -7,7 +7,11 @@
 
 # Workers that are compared in detail per priority. Comparing all of them
 # takes tens of milliseconds at 2,500 workers.
-CANDIDATES = 24
+CANDIDATES = 16
+
+# Workers that are examined in detail per priority, including those on which
+# protected attempts leave too little to evict.
+EXAMINED = 128
 
 _Rank = tuple[int, int, int, int, float]
 
@@ -48,12 +52,16 @@
     for position, level in enumerate(lower):
         best: tuple[_Rank, str, list[model.Attempt]] | None = None
         candidates = 0
+        examined = 0
         for worker_id in cell.preemptible[level]:
             if worker_id in excluded:
                 continue
             worker = cell.workers[worker_id]
             if not _yields(worker, lower[: position + 1], need):
                 continue
+            if examined == EXAMINED:
+                break
+            examined += 1
             found = _victims_on(worker, need, level, now, protected)
             if found is None:
                 continue
@@ -143,51 +151,72 @@
     return (-need.accelerators, -need.cpu_millis, -need.memory_mb)
 
 
-def _room_without(
-    worker: _state.Worker, evicted: list[_state.Reservation]
-) -> model.Resources:
-    """Return what is free on a worker once the attempts are evicted."""
-    firm_cpu = worker.firm_cpu
-    firm_memory = worker.firm_memory
-    strict_cpu = worker.strict_cpu
-    strict_memory = worker.strict_memory
-    pinned_memory = worker.pinned_memory
-    accelerators = worker.accelerators
-    for reservation in evicted:
-        need = reservation.need
-        accelerators -= need.accelerators
-        if not reservation.reclaimed:
-            firm_cpu -= need.cpu_millis
-            firm_memory -= need.memory_mb
-        if not reservation.throttle:
-            strict_cpu -= need.cpu_millis
-            strict_memory -= need.memory_mb
-        if not reservation.checkpoint:
-            pinned_memory -= need.memory_mb
+def _fits_after(
+    worker: _state.Worker, need: model.Resources, sums: list[int]
+) -> bool:
+    """Return whether a need fits once the summed amounts are evicted.
+
+    The sums are those of `_count`.
+    """
     capacity = worker.capacity
-    return model.Resources(
-        cpu_millis=capacity.cpu_millis - max(firm_cpu, strict_cpu),
-        memory_mb=capacity.memory_mb
-        - max(firm_memory, strict_memory, pinned_memory),
-        accelerators=capacity.accelerators - accelerators,
+    return (
+        worker.accelerators - sums[5] + need.accelerators
+        <= capacity.accelerators
+        and max(worker.firm_cpu - sums[0], worker.strict_cpu - sums[1])
+        + need.cpu_millis
+        <= capacity.cpu_millis
+        and max(
+            worker.firm_memory - sums[2],
+            worker.strict_memory - sums[3],
+            worker.pinned_memory - sums[4],
+        )
+        + need.memory_mb
+        <= capacity.memory_mb
     )
 
 
+def _count(
+    sums: list[int], reservation: _state.Reservation, sign: int
+) -> None:
+    """Add or take a reservation to or from the sums that include it.
+
+    The sums are firm and strict processors, firm, strict and pinned memory,
+    and accelerators; see `Worker`.
+    """
+    need = reservation.need
+    cpu = sign * need.cpu_millis
+    memory = sign * need.memory_mb
+    if not reservation.reclaimed:
+        sums[0] += cpu
+        sums[2] += memory
+    if not reservation.throttle:
+        sums[1] += cpu
+        sums[3] += memory
+    if not reservation.checkpoint:
+        sums[4] += memory
+    sums[5] += sign * need.accelerators
+
+
 def _take(
     worker: _state.Worker,
     need: model.Resources,
     order: list[_state.Reservation],
 ) -> list[_state.Reservation] | None:
     """Take attempts in order until the need fits, then drop spare ones."""
+    sums = [0, 0, 0, 0, 0, 0]
     chosen: list[_state.Reservation] = []
     for reservation in order:
-        if model.fits(need, _room_without(worker, chosen)):
+        if _fits_after(worker, need, sums):
             break
         chosen.append(reservation)
-    if not model.fits(need, _room_without(worker, chosen)):
+        _count(sums, reservation, 1)
+    if not _fits_after(worker, need, sums):
         return None
-    for reservation in reversed(list(chosen)):
-        rest = [item for item in chosen if item is not reservation]
-        if model.fits(need, _room_without(worker, rest)):
-            chosen = rest
-    return chosen
+    # The last one taken made the need fit, so it is never spare.
+    kept = chosen[-1:]
+    for reservation in reversed(chosen[:-1]):
+        _count(sums, reservation, -1)
+        if not _fits_after(worker, need, sums):
+            _count(sums, reservation, 1)
+            kept.append(reservation)
+    return kept
--- a/chestnuttide/placement/_ranking.py
+++ b/chestnuttide/placement/_ranking.py
@@ -76,9 +76,26 @@
         ranking.tops[at] = max([item[1] for item in block])
 
 
-def is_empty(ranking: Ranking) -> bool:
-    """Return whether the ranking holds no entry."""
-    return not ranking.blocks
+def replace(ranking: Ranking, old: Entry, new: Entry) -> None:
+    """Replace an entry that the ranking holds by another."""
+    lasts = ranking.lasts
+    at = bisect.bisect_left(lasts, old)
+    block = ranking.blocks[at]
+    if len(block) < 2 or new > lasts[at] or (at and new <= lasts[at - 1]):
+        remove(ranking, old)
+        insert(ranking, new)
+        return
+    position = bisect.bisect_left(block, old)
+    if block[position] != old:
+        raise KeyError(old)
+    del block[position]
+    bisect.insort(block, new)
+    lasts[at] = block[-1]
+    top = ranking.tops[at]
+    if new[1] >= top:
+        ranking.tops[at] = new[1]
+    elif old[1] == top:
+        ranking.tops[at] = max([item[1] for item in block])
 
 
 def first_fit(
--- a/chestnuttide/placement/_state.py
+++ b/chestnuttide/placement/_state.py
@@ -119,12 +119,15 @@
         Sum of their capacities; gives the scale of each dimension.
     groups : dict of int to Group
         Groups by free accelerators; no group is empty.
+    order : list of int
+        Keys of `groups`, ascending.
     """
 
     members: int = 0
     cpu_millis: int = 0
     memory_mb: int = 0
     groups: dict[int, Group] = attrs.field(factory=dict)
+    order: list[int] = attrs.field(factory=list)
 
 
 # Accelerators of the capacity, and the magnitude (bit length) of processors
@@ -170,7 +173,7 @@
     centres: dict[str, Centre] = attrs.field(factory=dict)
 
 
-@attrs.frozen(kw_only=True, slots=True, eq=False)
+@attrs.define(kw_only=True, slots=True, eq=False)
 class Place:
     """Where a worker is found in an index.
 
@@ -340,6 +343,9 @@
         Workers that take only work which ends before the hold starts.
     reclaimable : Ranking
         Open workers by reclaimable processors and memory, rounded down.
+    ends : dict of int to dict of Reservation to None
+        Reservations that are not reclaimed by whole seconds of their finite
+        expected end.
     racks : dict of str to dict of str to int
         Number of workers by data centre and rack.
     live : int
@@ -372,6 +378,7 @@
     open: Index = attrs.field(factory=Index)
     held: Index = attrs.field(factory=Index)
     reclaimable: _ranking.Ranking = attrs.field(factory=_ranking.Ranking)
+    ends: dict[int, dict[Reservation, None]] = attrs.field(factory=dict)
     racks: dict[str, dict[str, int]] = attrs.field(factory=dict)
     live: int = 0
     capacity_cpu: int = 0
--- /dev/null
+++ b/chestnuttide/placement/tests/test_preemption.py
@@ -0,0 +1,147 @@
+import pytest
+
+from chestnuttide import model
+from chestnuttide import placement
+from chestnuttide.placement.tests import _builders as builders
+
+_A = builders.amounts
+_SIZE = _A(4_000, 4_000)
+
+# Each row: worker, job, processors, priority, preemptible, checkpoint, start.
+_Row = tuple[str, str, int, int, bool, bool, float]
+
+
+@pytest.mark.parametrize(
+    ("rows", "cpu", "expected"),
+    [
+        pytest.param(
+            [("w", "x", 4_000, 3, True, True, 0.0)],
+            1_000,
+            None,
+            id="equal_priority_is_evicted",
+        ),
+        pytest.param(
+            [("w", "x", 4_000, 0, False, True, 0.0)],
+            1_000,
+            None,
+            id="work_that_may_not_be_evicted_is",
+        ),
+        pytest.param(
+            [
+                ("w", "high", 4_000, 2, True, True, 0.0),
+                ("v", "low", 4_000, 1, True, True, 0.0),
+            ],
+            1_000,
+            ("v", ["low"]),
+            id="more_important_work_is_evicted",
+        ),
+        pytest.param(
+            [
+                ("w", "two", 2_000, 0, True, True, 0.0),
+                ("w", "three", 2_000, 0, True, True, 0.0),
+                ("v", "one", 4_000, 0, True, True, 0.0),
+            ],
+            4_000,
+            ("v", ["one"]),
+            id="more_attempts_than_needed_on_another_worker",
+        ),
+        pytest.param(
+            [
+                ("w", "small", 1_000, 0, True, True, 9.0),
+                ("w", "large", 3_000, 0, True, True, 0.0),
+            ],
+            3_000,
+            ("w", ["large"]),
+            id="small_attempt_is_evicted_in_vain",
+        ),
+        pytest.param(
+            [
+                ("w", "plain", 2_000, 0, True, False, 0.0),
+                ("w", "saved", 2_000, 0, True, True, 0.0),
+            ],
+            2_000,
+            ("w", ["saved"]),
+            id="work_without_checkpoint_is_lost",
+        ),
+        pytest.param(
+            [
+                ("w", "old", 2_000, 0, True, True, 1.0),
+                ("w", "new", 2_000, 0, True, True, 5.0),
+            ],
+            2_000,
+            ("w", ["new"]),
+            id="longest_run_is_lost",
+        ),
+        pytest.param(
+            [
+                ("w", "low", 2_000, 0, True, True, 1.0),
+                ("w", "mid", 2_000, 1, True, True, 5.0),
+            ],
+            4_000,
+            ("w", ["low", "mid"]),
+            id="priorities_are_not_summed",
+        ),
+    ],
+)
+def test_choose_victims(
+    rows: list[_Row], cpu: int, expected: tuple[str, list[str]] | None
+) -> None:
+    cell = builders.cell_of({"v": ("a/1", _SIZE), "w": ("a/1", _SIZE)})
+    for worker_id, job, held, priority, may_go, saved, started in rows:
+        builders.reserve(
+            cell,
+            worker_id,
+            job,
+            _A(held),
+            priority=priority,
+            preemptible=may_go,
+            checkpoint=saved,
+            started=started,
+        )
+    for worker_id in "vw":
+        free = placement.free_of(cell, worker_id)
+        if free.cpu_millis:
+            builders.reserve(
+                cell, worker_id, f"rest-{worker_id}", _A(free.cpu_millis)
+            )
+    found = placement.choose_victims(
+        cell, need=_A(cpu), priority=3, now=10.0, excluded=frozenset()
+    )
+    if expected is None:
+        assert found is None
+    else:
+        names = sorted(item.job_id for item in found[1])
+        assert (found[0], names) == expected
+
+
+# Guards against evicting below a service's minimum, and against victims on
+# excluded, leaving or held workers.
+@pytest.mark.parametrize(
+    "obstacle", ["protected", "excluded", "leaving", "held"]
+)
+def test_victims_are_spared(obstacle: str) -> None:
+    cell = builders.cell_of({"w": ("a/1", _SIZE)})
+    held = builders.reserve(
+        cell, "w", "j", _SIZE, preemptible=True, expected_end=5.0
+    )
+    options: dict[str, object] = {"excluded": frozenset()}
+    if obstacle == "protected":
+        options["protected"] = {held}
+    elif obstacle == "excluded":
+        options["excluded"] = {"w"}
+    elif obstacle == "leaving":
+        leaving = builders.instance(
+            "w", _SIZE, state=model.InstanceState.LEAVING
+        )
+        placement.upsert_worker(cell, leaving, 1.0)
+    else:
+        plan = placement.plan_gang_reservation(
+            cell, need=_SIZE, count=1, now=0.0, limit_s=9.0
+        )
+        placement.hold(cell, plan=plan, key="gang", now=0.0)
+    assert (
+        placement.choose_victims(
+            cell, need=_A(1), priority=1, now=0.0, **options
+        )
+        is None
+    )
--- /dev/null
+++ b/chestnuttide/placement/tests/test_ranking.py
@@ -0,0 +1,90 @@
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from chestnuttide.placement import _ranking
+
+
+def _check_blocks(ranking: _ranking.Ranking, expected: list) -> None:
+    assert [entry for block in ranking.blocks for entry in block] == expected
+    assert all(ranking.blocks)
+    assert ranking.lasts == [block[-1] for block in ranking.blocks]
+    assert ranking.tops == [
+        max(entry[1] for entry in block) for block in ranking.blocks
+    ]
+    assert all(
+        len(block) < 2 * _ranking.BLOCK_LENGTH for block in ranking.blocks
+    )
+
+
+# Guards against blocks whose summaries no longer describe their entries:
+# lookups would skip workers that fit.
+@hypothesis.settings(derandomize=True, max_examples=40, deadline=None)
+@hypothesis.given(
+    seed=strategies.integers(0, 1_000_000),
+    spread=strategies.sampled_from([1, 4, 50, 10_000]),
+    steps=strategies.integers(1, 400),
+)
+def test_ranking_equals_sorted_list(
+    seed: int, spread: int, steps: int
+) -> None:
+    rng = random.Random(seed)
+    ranking = _ranking.Ranking()
+    plain: list[_ranking.Entry] = []
+
+    def draw(number: int) -> _ranking.Entry:
+        return rng.randrange(spread), rng.randrange(spread), f"w{number}"
+
+    for number in range(steps):
+        action = rng.random()
+        if not plain or action < 0.5:
+            entry = draw(number)
+            plain.append(entry)
+            _ranking.insert(ranking, entry)
+        elif action < 0.8:
+            old = plain.pop(rng.randrange(len(plain)))
+            entry = draw(number)
+            plain.append(entry)
+            _ranking.replace(ranking, old, entry)
+        else:
+            _ranking.remove(ranking, plain.pop(rng.randrange(len(plain))))
+        plain.sort()
+        low, least = rng.randrange(spread + 1), rng.randrange(spread + 1)
+        excluded = {item[2] for item in plain if rng.random() < 0.2}
+        fits = [
+            entry for entry in plain if entry[0] >= low and entry[1] >= least
+        ]
+        assert _ranking.first_fit(
+            ranking, primary=low, secondary=least, excluded=excluded
+        ) == next((item for item in fits if item[2] not in excluded), None)
+        found = _ranking.ascending(ranking, primary=low, secondary=least)
+        assert list(found) == fits
+        found = _ranking.descending(ranking, primary=low, secondary=least)
+        assert list(found) == fits[::-1]
+    _check_blocks(ranking, plain)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        pytest.param(
+            lambda ranking: _ranking.remove(ranking, (1, 1, "b")),
+            id="removes_another_workers_entry",
+        ),
+        pytest.param(
+            lambda ranking: _ranking.replace(
+                ranking, (1, 1, "b"), (1, 1, "x")
+            ),
+            id="replaces_another_workers_entry",
+        ),
+    ],
+)
+def test_ranking_refuses_unknown_entry(change: object) -> None:
+    ranking = _ranking.Ranking()
+    for name in "acd":
+        _ranking.insert(ranking, (1, 1, name))
+    with pytest.raises(KeyError):
+        change(ranking)
+    _check_blocks(ranking, [(1, 1, name) for name in "acd"])
--- /dev/null
+++ b/chestnuttide/placement/tests/test_reclaim.py
@@ -0,0 +1,181 @@
+import pytest
+
+from chestnuttide import model
+from chestnuttide import placement
+from chestnuttide.placement import _reclaim
+from chestnuttide.placement.tests import _builders as builders
+
+_A = builders.amounts
+_SIZE = _A(10_000, 10_000)
+
+
+def _cell(
+    samples: int = _reclaim.MIN_SAMPLES, **options: object
+) -> tuple[placement.Cell, model.Attempt]:
+    """Return a cell with one fully reserved worker that uses a fifth."""
+    cell = builders.cell_of({"w": ("a/1", _SIZE)})
+    owner = builders.reserve(cell, "w", "owner", _SIZE, **options)
+    _use(cell, owner, _A(2_000, 2_000), samples)
+    return cell, owner
+
+
+def _use(
+    cell: placement.Cell,
+    attempt: model.Attempt,
+    usage: model.Resources,
+    samples: int = 1,
+) -> None:
+    for _ in range(samples):
+        placement.record_usage(cell, attempt, usage, 1.0)
+
+
+def _choose(
+    cell: placement.Cell,
+    need: model.Resources,
+    *,
+    checkpoint: bool = True,
+    throttle: bool = True,
+    **options: object,
+) -> str | None:
+    return placement.choose_reclaimed_worker(
+        cell,
+        need=need,
+        checkpoint=checkpoint,
+        throttle=throttle,
+        **({"excluded": frozenset(), "now": 1.0} | options),
+    )
+
+
+@pytest.mark.parametrize(
+    ("samples", "usage", "cpu"),
+    [
+        pytest.param(4, None, 0, id="lent_after_too_few_samples"),
+        pytest.param(5, None, 6_499, id="margin_is_missing"),
+        pytest.param(5, _A(9_000, 9_000), 0, id="rise_is_ignored"),
+        pytest.param(5, _A(0, 0), 6_749, id="peak_is_forgotten"),
+    ],
+)
+def test_reclaimable(
+    samples: int, usage: model.Resources | None, cpu: int
+) -> None:
+    cell, owner = _cell(samples)
+    if usage is not None:
+        _use(cell, owner, usage)
+    lent = placement.reclaimable(cell, "w")
+    assert lent == _A(cpu, cpu)
+    assert placement.free_of(cell, "w") == model.ZERO
+
+
+@pytest.mark.parametrize(
+    ("owner_throttles", "checkpoint", "throttle", "memory", "expected"),
+    [
+        pytest.param(False, True, True, 500, "w", id="safe_work_is_refused"),
+        pytest.param(
+            False, False, False, 500, None, id="work_that_cannot_yield_is_lent"
+        ),
+        pytest.param(
+            False,
+            True,
+            False,
+            500,
+            None,
+            id="strict_work_exceeds_capacity",
+        ),
+        pytest.param(
+            True, True, False, 500, "w", id="strict_work_within_is_refused"
+        ),
+        pytest.param(
+            False, False, True, 500, None, id="pinned_memory_exceeds_capacity"
+        ),
+        pytest.param(
+            False, False, True, 0, "w", id="lent_processors_are_refused"
+        ),
+        pytest.param(False, True, True, 7_000, None, id="too_much_is_lent"),
+    ],
+)
+def test_choose_reclaimed(
+    owner_throttles: bool,
+    checkpoint: bool,
+    throttle: bool,
+    memory: int,
+    expected: str | None,
+) -> None:
+    cell, _owner = _cell(throttle=owner_throttles)
+    need = _A(500, memory)
+    kind = {"checkpoint": checkpoint, "throttle": throttle}
+    assert _choose(cell, need, **kind) == expected
+    assert _choose(cell, need, excluded={"w"}, **kind) is None
+    if expected is None:
+        with pytest.raises(placement.CapacityError):
+            builders.reserve(cell, "w", "j", need, reclaimed=True, **kind)
+    else:
+        builders.reserve(cell, "w", "j", need, reclaimed=True, **kind)
+        assert placement.reserved_total(cell) == _SIZE
+
+
+@pytest.mark.parametrize(
+    ("usage", "throttled", "expected"),
+    [
+        pytest.param(_A(4_000, 9_000), False, [], id="yields_needlessly"),
+        pytest.param(
+            _A(9_000, 2_000),
+            False,
+            [("second", "throttle")],
+            id="both_yield_for_one",
+        ),
+        pytest.param(
+            _A(10_000, 2_000),
+            False,
+            [("second", "throttle"), ("first", "throttle")],
+            id="one_yields_for_both",
+        ),
+        pytest.param(
+            _A(2_000, 9_500),
+            False,
+            [("second", "evict")],
+            id="memory_is_throttled",
+        ),
+        pytest.param(
+            _A(9_000, 2_000),
+            True,
+            [("second", "evict")],
+            id="throttling_in_vain_is_repeated",
+        ),
+    ],
+)
+def test_overcommitted(
+    usage: model.Resources,
+    throttled: bool,
+    expected: list[tuple[str, str]],
+) -> None:
+    cell, owner = _cell()
+    lent = {
+        name: builders.reserve(
+            cell,
+            "w",
+            name,
+            _A(1_000, 1_000),
+            reclaimed=True,
+            throttle=True,
+            checkpoint=True,
+            started=started,
+        )
+        for name, started in (("first", 1.0), ("second", 2.0))
+    }
+    for attempt in lent.values():
+        _use(cell, attempt, _A(1_000, 500))
+    _use(cell, owner, usage)
+    if throttled:
+        placement.mark_throttled(cell, lent["second"], throttled=True)
+        # Usage reported just after throttling tells nothing yet.
+        assert placement.overcommitted(cell) == []
+        _use(
+            cell,
+            lent["second"],
+            _A(1_000, 500),
+            _reclaim.THROTTLE_SAMPLES,
+        )
+    assert [
+        (relief.attempt.job_id, relief.action.value)
+        for relief in placement.overcommitted(cell)
+    ] == expected
