Bound the cost of refused victims, plans and job sizes

A need for which no evictions suffice was tried on each worker (3.1 ms at 2,500 workers), an impossible gang was planned over all ends (147 ms), the largest task was sought among all workers (2.4 ms), and a burst of failures of one job judged up to 64 workers each time.

Workers with preemptible work are ranked by what they have free after all evictions, capacities are counted by size, and four workers are remembered per job. The bench script adds services of 40 tasks and cells in which processors and memory are free on different workers.

Faults seen to fail the property test: a stale ranking of evictable work, eviction of equal priority, and data centres taken out of order.

--- a/bench/_placement_rate.py
+++ b/bench/_placement_rate.py
@@ -21,6 +21,7 @@
 DATA_CENTRES = 25
 WORKERS_PER_RACK = 5
 DECISIONS = 20_000
+SERVICE_TASKS = 40
 REFUSALS = 5_000
 VICTIMS = 500
 SEED = 20
@@ -83,24 +84,11 @@
     """Return a cell without room for another task of usual size."""
     cell = placement.make_cell()
     for number in range(workers):
-        rack = number // WORKERS_PER_RACK
         capacity = rng.choices(
             [shape for _weight, shape in SHAPES],
             [weight for weight, _shape in SHAPES],
         )[0]
-        placement.upsert_worker(
-            cell,
-            model.Instance(
-                instance_id=f"w{number:05d}",
-                kind=model.InstanceKind.WORKER,
-                state=model.InstanceState.LIVE,
-                data_centre=f"dc{rack % DATA_CENTRES:02d}",
-                rack=f"r{rack:04d}",
-                address="",
-                capacity=capacity,
-            ),
-            0.0,
-        )
+        _add_worker(cell, number, capacity)
     running: list[model.Attempt] = []
     misses = 0
     while misses < 20 and len(running) < 4 * TASKS_PER_WORKER * workers:
@@ -121,19 +109,39 @@
     return cell, running
 
 
-def measure_turnover(workers: int, *, spread: bool) -> PlacementFigures:
-    """Measure placements in a full cell in which tasks end at random."""
+def measure_turnover(
+    workers: int, *, spread: float = 0.0, service_tasks: int = SERVICE_TASKS
+) -> PlacementFigures:
+    """Measure placements in a full cell in which tasks end at random.
+
+    Parameters
+    ----------
+    workers : int
+        Number of workers.
+    spread : float
+        Share of the placed tasks that belong to services and are spread.
+    service_tasks : int
+        Tasks per service.
+    """
     rng = random.Random(SEED)
     cell, running = fill_cell(workers, rng)
-    counts = placement.SpreadCounts() if spread else None
+    services = [
+        placement.SpreadCounts()
+        for _ in range(max(1, int(DECISIONS * spread) // service_tasks))
+    ]
     needs = [_draw_need(rng) for _ in range(DECISIONS)]
     ends = [rng.random() for _ in range(DECISIONS)]
+    chosen_counts = [
+        rng.choice(services) if rng.random() < spread else None
+        for _ in range(DECISIONS)
+    ]
     count = len(running)
     latency = histogram.HdrHistogram(1, HIGHEST_NS, DIGITS)
     placed = 0
     busy_ns = 0
     for number in range(DECISIONS):
         attempt = model.Attempt(job_id="turnover", index=number, number=1)
+        counts = chosen_counts[number]
         begin = time.perf_counter_ns()
         position = int(ends[number] * len(running))
         ended = running[position]
@@ -150,8 +158,9 @@
             running.append(attempt)
             if counts is not None:
                 placement.count_task(cell, counts, found)
+    kind = f"services of {service_tasks}" if spread else "packed"
     return _figures(
-        f"full, {'spread' if spread else 'packed'}, replaced",
+        f"full, {kind}, {spread:.0%} spread",
         (workers, count),
         DECISIONS * NS_PER_S / busy_ns,
         latency,
@@ -187,51 +196,66 @@
 
 
 def measure_refusals(workers: int, *, spread: bool) -> PlacementFigures:
-    """Measure decisions that find nothing in a full cell.
-
-    The needs fit many workers in one dimension and none in both.
-    """
+    """Measure decisions that find nothing in a full cell."""
     rng = random.Random(SEED)
     cell, running = fill_cell(workers, rng)
     frees = [
         placement.free_of(cell, worker_id)
         for worker_id in placement.worker_ids(cell)
     ]
-    cpus = sorted(free.cpu_millis for free in frees)
+    # What is free on one worker, and a little more memory than there is.
     needs = []
     while len(needs) < REFUSALS:
+        free = rng.choice(frees)
         need = model.Resources(
-            cpu_millis=rng.choice(cpus),
-            memory_mb=max(free.memory_mb for free in frees)
-            + 1
-            - rng.randrange(2) * 512,
+            cpu_millis=free.cpu_millis + rng.randrange(1_000),
+            memory_mb=free.memory_mb + rng.randrange(1, 4_000),
         )
-        if not any(model.fits(need, free) for free in frees):
+        if not any(model.fits(need, other) for other in frees):
             needs.append(need)
-    latency = histogram.HdrHistogram(1, HIGHEST_NS, DIGITS)
-    busy_ns = 0
-    counts = placement.SpreadCounts() if spread else None
-    for need in needs:
-        begin = time.perf_counter_ns()
-        found = placement.choose_worker(
+    return _refuse(
+        f"full, {'spread' if spread else 'packed'}, nothing fits",
+        cell,
+        needs,
+        spread=spread,
+    )
+
+
+def measure_opposed(workers: int, *, spread: bool) -> PlacementFigures:
+    """Measure the hardest refusals for an index of one dimension.
+
+    The more processors a worker has free, the less memory, and each need lies
+    just beyond one of the workers.
+    """
+    rng = random.Random(SEED)
+    cell, _none = fill_cell(0, rng)
+    capacity = model.Resources(cpu_millis=64_000, memory_mb=64_000)
+    step = capacity.cpu_millis // workers
+    for number in range(workers):
+        worker_id = _add_worker(cell, number, capacity)
+        _reserve(
             cell,
-            need=need,
-            spread=spread,
-            spread_counts=counts,
-            excluded=frozenset(),
-            now=0.0,
+            worker_id,
+            model.Attempt(job_id="rest", index=number, number=1),
+            model.Resources(
+                cpu_millis=number * step,
+                memory_mb=capacity.memory_mb - number * step,
+            ),
         )
-        taken = time.perf_counter_ns() - begin
-        if found is not None:
-            raise AssertionError("a need that fits nowhere was placed")
-        busy_ns += taken
-        latency.record_value(taken)
-    return _figures(
-        f"full, {'spread' if spread else 'packed'}, nothing fits",
-        (workers, len(running)),
-        REFUSALS * NS_PER_S / busy_ns,
-        latency,
-        0.0,
+    needs = []
+    for _ in range(REFUSALS):
+        number = rng.randrange(workers)
+        needs.append(
+            model.Resources(
+                cpu_millis=capacity.cpu_millis - number * step,
+                memory_mb=number * step + 1,
+            )
+        )
+    return _refuse(
+        f"opposed, {'spread' if spread else 'packed'}, nothing fits",
+        cell,
+        needs,
+        spread=spread,
     )
 
 
@@ -302,10 +326,14 @@
     """Yield the figures of all cases."""
     for workers in WORKER_COUNTS:
         yield measure_fill(workers)
-        yield measure_turnover(workers, spread=False)
-        yield measure_turnover(workers, spread=True)
+        yield measure_turnover(workers)
+        yield measure_turnover(workers, spread=0.2)
+        yield measure_turnover(workers, spread=1.0)
+        yield measure_turnover(workers, spread=1.0, service_tasks=DECISIONS)
         yield measure_refusals(workers, spread=False)
         yield measure_refusals(workers, spread=True)
+        yield measure_opposed(workers, spread=False)
+        yield measure_opposed(workers, spread=True)
         yield measure_victims(workers)
         yield measure_gangs(workers, planned=False)
         yield measure_gangs(workers, planned=True)
@@ -314,18 +342,77 @@
 def main() -> None:
     """Print the figures of all cases."""
     sys.stdout.write(
-        f"{'case':32}{'workers':>8}{'running':>8}{'per s':>10}"
+        f"{'case':40}{'workers':>8}{'running':>8}{'per s':>10}"
         f"{'p50 ms':>9}{'p99 ms':>9}{'max ms':>9}{'placed':>8}\n"
     )
     for item in measure_all():
         sys.stdout.write(
-            f"{item.case:32}{item.workers:8}{item.running:8}"
+            f"{item.case:40}{item.workers:8}{item.running:8}"
             f"{item.per_s:10.0f}{item.p50_ms:9.3f}{item.p99_ms:9.3f}"
             f"{item.max_ms:9.3f}{item.placed_share:8.2f}\n"
         )
         sys.stdout.flush()
 
 
+def _add_worker(
+    cell: placement.Cell, number: int, capacity: model.Resources
+) -> str:
+    rack = number // WORKERS_PER_RACK
+    worker_id = f"w{number:05d}"
+    placement.upsert_worker(
+        cell,
+        model.Instance(
+            instance_id=worker_id,
+            kind=model.InstanceKind.WORKER,
+            state=model.InstanceState.LIVE,
+            data_centre=f"dc{rack % DATA_CENTRES:02d}",
+            rack=f"r{rack:04d}",
+            address="",
+            capacity=capacity,
+        ),
+        0.0,
+    )
+    return worker_id
+
+
+def _refuse(
+    case: str,
+    cell: placement.Cell,
+    needs: list[model.Resources],
+    *,
+    spread: bool,
+) -> PlacementFigures:
+    running = sum(
+        len(placement.attempts_on(cell, worker_id))
+        for worker_id in placement.worker_ids(cell)
+    )
+    latency = histogram.HdrHistogram(1, HIGHEST_NS, DIGITS)
+    busy_ns = 0
+    counts = placement.SpreadCounts() if spread else None
+    for need in needs:
+        begin = time.perf_counter_ns()
+        found = placement.choose_worker(
+            cell,
+            need=need,
+            spread=spread,
+            spread_counts=counts,
+            excluded=frozenset(),
+            now=0.0,
+        )
+        taken = time.perf_counter_ns() - begin
+        if found is not None:
+            raise AssertionError("a need that fits nowhere was placed")
+        busy_ns += taken
+        latency.record_value(taken)
+    return _figures(
+        case,
+        (placement.worker_count(cell), running),
+        len(needs) * NS_PER_S / busy_ns,
+        latency,
+        0.0,
+    )
+
+
 def _draw_need(rng: random.Random) -> model.Resources:
     """Return a need near a 24th of an average worker, some much larger."""
     cpu = rng.choice((250, 500, 1_000, 1_500, 2_000, 4_000))
@@ -353,21 +440,32 @@
         now=0.0,
     )
     if worker_id is not None:
-        placement.reserve(
-            cell,
-            worker_id=worker_id,
-            attempt=attempt,
-            need=need,
-            priority=0 if preemptible else 3,
-            preemptible=preemptible,
-            checkpoint=preemptible,
-            throttle=False,
-            urgent=False,
-            expected_end=1.0 + len(attempt.job_id) + attempt.index % 60,
-        )
+        _reserve(cell, worker_id, attempt, need, preemptible=preemptible)
     return worker_id
 
 
+def _reserve(
+    cell: placement.Cell,
+    worker_id: str,
+    attempt: model.Attempt,
+    need: model.Resources,
+    *,
+    preemptible: bool = False,
+) -> None:
+    placement.reserve(
+        cell,
+        worker_id=worker_id,
+        attempt=attempt,
+        need=need,
+        priority=0 if preemptible else 3,
+        preemptible=preemptible,
+        checkpoint=preemptible,
+        throttle=False,
+        urgent=False,
+        expected_end=1.0 + len(attempt.job_id) + attempt.index % 60,
+    )
+
+
 def _figures(
     case: str,
     size: tuple[int, int],
--- a/chestnuttide/placement/_cells.py
+++ b/chestnuttide/placement/_cells.py
@@ -7,6 +7,7 @@
 from chestnuttide.placement import _errors
 from chestnuttide.placement import _health
 from chestnuttide.placement import _index
+from chestnuttide.placement import _preemption
 from chestnuttide.placement import _reclaim
 from chestnuttide.placement import _state
 
@@ -320,6 +321,11 @@
     cell: _state.Cell, capacity: model.Resources, sign: int
 ) -> None:
     cell.live += sign
+    count = cell.capacities.get(capacity, 0) + sign
+    if count:
+        cell.capacities[capacity] = count
+    else:
+        del cell.capacities[capacity]
     cell.capacity_cpu += sign * capacity.cpu_millis
     cell.capacity_memory += sign * capacity.memory_mb
     cell.capacity_accelerators += sign * capacity.accelerators
@@ -369,14 +375,14 @@
     evictable = worker.evictable.get(priority)
     if evictable is None:
         evictable = worker.evictable[priority] = _state.Evictable()
-        cell.preemptible.setdefault(priority, {})[worker.worker_id] = None
+        cell.preemptible[priority] = cell.preemptible.get(priority, 0) + 1
     evictable.count += sign
     evictable.cpu_millis += cpu
     evictable.memory_mb += memory
     evictable.accelerators += accelerators
     if not evictable.count:
         del worker.evictable[priority]
-        del cell.preemptible[priority][worker.worker_id]
+        cell.preemptible[priority] -= 1
         if not cell.preemptible[priority]:
             del cell.preemptible[priority]
 
@@ -399,4 +405,5 @@
 
 def _refresh(cell: _state.Cell, worker: _state.Worker) -> None:
     _index.refresh(cell, worker)
+    _preemption.refresh(cell, worker)
     _reclaim.refresh(cell, worker)
--- a/chestnuttide/placement/_gangs.py
+++ b/chestnuttide/placement/_gangs.py
@@ -1,6 +1,7 @@
 """Gangs: all tasks at once or none, now or at an expected time."""
 
 import collections.abc
+import operator
 
 import attrs
 
@@ -64,6 +65,13 @@
     rooms: list[_Room] = []
     total = 0
     for worker in _fitting(cell, indexes, need, excluded):
+        if (
+            total >= count
+            and worker.capacity.accelerators
+            and not need.accelerators
+        ):
+            # The workers without accelerators, which come first, suffice.
+            break
         left = min(
             count,
             _scoring.times_of(
@@ -125,6 +133,8 @@
     GangPlan or None
         None if the gang is not expected to fit within the limit.
     """
+    if _scoring.gang_capacity(cell, need) < count:
+        return None
     # Only workers that have room now, or get some, are looked at.
     free: dict[str, list[int]] = {}
     fits: dict[str, int] = {}
@@ -214,21 +224,11 @@
                 for item in cell.ends[second]
                 if now < item.expected_end <= until
             ],
-            key=_by_end,
+            key=operator.attrgetter("expected_end"),
         ):
             yield reservation
 
 
-def _by_end(reservation: _state.Reservation) -> tuple[float, str, str, int]:
-    attempt = reservation.attempt
-    return (
-        reservation.expected_end,
-        reservation.worker_id,
-        attempt.job_id,
-        attempt.index,
-    )
-
-
 def _pack(rooms: list[_Room], count: int) -> list[str]:
     chosen: list[str] = []
     for room in rooms:
--- a/chestnuttide/placement/_health.py
+++ b/chestnuttide/placement/_health.py
@@ -16,9 +16,16 @@
 # Jobs whose outcomes are remembered; the least recent one is dropped first.
 REMEMBERED_JOBS = 4_096
 
-# Tasks, workers and suspects that are remembered per job or worker. More of
-# them do not change a decision that needs a handful of distinct failures.
-REMEMBERED_PER_JOB = 64
+# Failed tasks that are remembered per job.
+REMEMBERED_TASKS = 64
+
+# Workers that are remembered per job. Each outcome of the job judges all of
+# them, so more would make a burst of failures costly.
+REMEMBERED_WORKERS = 4
+
+# Failed tasks that are remembered per worker, as a multiple of those that
+# eject it; the rest may turn out to be the jobs' own fault.
+SUSPECTS_FACTOR = 4
 
 
 def record_outcome(
@@ -53,9 +60,11 @@
         _note_success(cell, worker, job, task)
     else:
         _note_failure(cell, worker, job, task)
+    if not succeeded:
+        _judge(cell, worker)
     for other_id in list(job.failed_on):
         other = cell.workers.get(other_id)
-        if other is not None:
+        if other is not None and other is not worker:
             _judge(cell, other)
 
 
@@ -95,7 +104,8 @@
 
 
 def forget(cell: _state.Cell, worker: _state.Worker) -> None:
-    """End the ejection of a worker that is no longer live."""
+    """Forget the outcomes of a worker that is no longer live."""
+    worker.suspects.clear()
     if worker.ejected:
         _readmit(cell, worker)
 
@@ -129,7 +139,7 @@
 ) -> None:
     if not worker.ejected:
         worker.suspects.clear()
-    if len(job.succeeded_on) < REMEMBERED_PER_JOB:
+    if len(job.succeeded_on) < REMEMBERED_WORKERS:
         job.succeeded_on[worker.worker_id] = None
     if task[1] in job.failed_tasks:
         job.cleared_tasks.add(task[1])
@@ -147,13 +157,13 @@
     worker_id = worker.worker_id
     worker.suspects.pop(task, None)
     worker.suspects[task] = None
-    if len(worker.suspects) > REMEMBERED_PER_JOB:
+    if len(worker.suspects) > SUSPECTS_FACTOR * cell.limits.eject_failures:
         del worker.suspects[next(iter(worker.suspects))]
-    if len(job.failed_on) < REMEMBERED_PER_JOB:
+    if len(job.failed_on) < REMEMBERED_WORKERS:
         job.failed_on[worker_id] = None
     if task[1] in job.failed_tasks:
         job.failed_tasks[task[1]].add(worker_id)
-    elif len(job.failed_tasks) < REMEMBERED_PER_JOB:
+    elif len(job.failed_tasks) < REMEMBERED_TASKS:
         job.failed_tasks[task[1]] = {worker_id}
     if worker.ejected and worker.probing and worker.probe_task == task:
         worker.probe_task = None
@@ -196,6 +206,8 @@
     for task in worker.suspects:
         if _blames(cell, worker.worker_id, task):
             blamed += 1
+            if blamed == needed:
+                break
     if worker.ejected:
         if blamed < needed:
             _readmit(cell, worker)
--- a/chestnuttide/placement/_preemption.py
+++ b/chestnuttide/placement/_preemption.py
@@ -3,6 +3,7 @@
 import collections.abc
 
 from chestnuttide import model
+from chestnuttide.placement import _ranking
 from chestnuttide.placement import _state
 
 # Workers that are compared in detail per priority. Comparing all of them
@@ -50,54 +51,93 @@
         Attempts that are not evicted, for example to keep the minimum number
         of a service's replicas up.
     """
-    lower = sorted(level for level in cell.preemptible if level < priority)
-    for position, level in enumerate(lower):
-        best: tuple[_Rank, str, list[model.Attempt]] | None = None
-        candidates = 0
-        examined = 0
-        for worker_id in cell.preemptible[level]:
-            if worker_id in excluded:
-                continue
-            worker = cell.workers[worker_id]
-            if not _yields(worker, lower[: position + 1], need):
-                continue
-            if examined == EXAMINED:
-                break
-            examined += 1
-            found = _victims_on(worker, need, level, now, protected)
-            if found is None:
-                continue
-            if best is None or (found[0], worker_id) < best[:2]:
-                best = (found[0], worker_id, found[1])
-            candidates += 1
-            if candidates == CANDIDATES:
-                break
+    levels = sorted(level for level in cell.preemptible if level < priority)
+    if not levels:
+        return None
+    suited: dict[int, list[_state.Worker]] = {level: [] for level in levels}
+    for _cpu, _memory, worker_id in _ranking.ascending(
+        cell.yielding,
+        primary=need.cpu_millis,
+        secondary=need.memory_mb,
+    ):
+        worker = cell.workers[worker_id]
+        if worker.held or worker.ejected or worker_id in excluded:
+            continue
+        level = _level_of(worker, levels, need)
+        if level is None:
+            continue
+        suited[level].append(worker)
+        if len(suited[levels[0]]) == EXAMINED:
+            break
+    for level in levels:
+        best = _best_on(suited[level][:EXAMINED], need, level, now, protected)
         if best is not None:
-            return best[1], best[2]
+            return best
     return None
 
 
-def _yields(
+def refresh(cell: _state.Cell, worker: _state.Worker) -> None:
+    """File a worker under what it has free once it evicts all it may.
+
+    The amounts are upper bounds: evicting lent work may free less than its
+    reservation.
+    """
+    entry: _ranking.Entry | None = None
+    if worker.evictable and worker.state is model.InstanceState.LIVE:
+        cpu = worker.free_cpu
+        memory = worker.free_memory
+        for evictable in worker.evictable.values():
+            cpu += evictable.cpu_millis
+            memory += evictable.memory_mb
+        entry = (cpu, memory, worker.worker_id)
+    if entry == worker.yield_entry:
+        return
+    if worker.yield_entry is not None:
+        _ranking.remove(cell.yielding, worker.yield_entry)
+    if entry is not None:
+        _ranking.insert(cell.yielding, entry)
+    worker.yield_entry = entry
+
+
+def _level_of(
     worker: _state.Worker, levels: list[int], need: model.Resources
-) -> bool:
-    """Return whether evicting all work of the levels makes enough room."""
-    if (
-        worker.state is not model.InstanceState.LIVE
-        or worker.ejected
-        or worker.held
-    ):
-        return False
+) -> int | None:
+    """Return the priority up to which evictions may make enough room."""
     cpu = worker.free_cpu - need.cpu_millis
     memory = worker.free_memory - need.memory_mb
     accelerators = worker.free_accelerators - need.accelerators
-    evictable = worker.evictable
     for level in levels:
-        held = evictable.get(level)
-        if held is not None:
-            cpu += held.cpu_millis
-            memory += held.memory_mb
-            accelerators += held.accelerators
-    return cpu >= 0 and memory >= 0 and accelerators >= 0
+        evictable = worker.evictable.get(level)
+        if evictable is not None:
+            cpu += evictable.cpu_millis
+            memory += evictable.memory_mb
+            accelerators += evictable.accelerators
+            if cpu >= 0 and memory >= 0 and accelerators >= 0:
+                return level
+    return None
+
+
+def _best_on(
+    workers: list[_state.Worker],
+    need: model.Resources,
+    level: int,
+    now: float,
+    protected: collections.abc.Container[model.Attempt],
+) -> tuple[str, list[model.Attempt]] | None:
+    """Return the best victims of one priority on the first few workers."""
+    best: tuple[_Rank, str, list[model.Attempt]] | None = None
+    candidates = 0
+    for worker in workers:
+        found = _victims_on(worker, need, level, now, protected)
+        if found is None:
+            continue
+        worker_id = worker.worker_id
+        if best is None or (found[0], worker_id) < best[:2]:
+            best = (found[0], worker_id, found[1])
+        candidates += 1
+        if candidates == CANDIDATES:
+            break
+    return None if best is None else (best[1], best[2])
 
 
 def _victims_on(
--- a/chestnuttide/placement/_reclaim.py
+++ b/chestnuttide/placement/_reclaim.py
@@ -140,7 +140,12 @@
     elif cell.strained:
         cell.strained.pop(worker_id, None)
     entry: _ranking.Entry | None = None
-    if worker.place is not None and not worker.held and worker.reservations:
+    if (
+        worker.charged_cpu < capacity.cpu_millis
+        and worker.place is not None
+        and not worker.held
+        and worker.reservations
+    ):
         cpu, memory = _lendable(worker)
         cpu_step = capacity.cpu_millis // FILED_STEPS or 1
         memory_step = capacity.memory_mb // FILED_STEPS or 1
--- a/chestnuttide/placement/_scoring.py
+++ b/chestnuttide/placement/_scoring.py
@@ -111,30 +111,15 @@
 
 def largest_worker_fits(cell: _state.Cell, need: model.Resources) -> bool:
     """Return whether some live worker could hold the need when empty."""
-    return gang_capacity(cell, need, enough=1) > 0
+    return gang_capacity(cell, need) > 0
 
 
-def gang_capacity(
-    cell: _state.Cell, need: model.Resources, *, enough: int | None = None
-) -> int:
-    """Return how many tasks of a need the live workers hold when empty.
-
-    Parameters
-    ----------
-    cell : Cell
-        The cell.
-    need : Resources
-        What each task needs.
-    enough : int, optional
-        Stop counting at this number.
-    """
-    total = 0
-    for worker in cell.workers.values():
-        if worker.state is model.InstanceState.LIVE:
-            total += times(need, worker.capacity)
-            if enough is not None and total >= enough:
-                return enough
-    return total
+def gang_capacity(cell: _state.Cell, need: model.Resources) -> int:
+    """Return how many tasks of a need the live workers hold when empty."""
+    return sum(
+        count * times(need, capacity)
+        for capacity, count in cell.capacities.items()
+    )
 
 
 # What `times` gives for a need of nothing, which fits without limit.
@@ -170,17 +155,20 @@
     counts: SpreadCounts | None,
     excluded: frozenset[str] | set[str],
 ) -> str | None:
-    found = _index.best_fit(index, need=need, excluded=excluded)
-    if found is None or counts is None:
-        return found
-    by_centre = counts.data_centres
-    order = sorted(
-        [
-            (by_centre.get(name, 0), -centre.free_cpu, name)
-            for name, centre in index.centres.items()
-        ]
-    )
-    for _count, _free, name in order:
+    if counts is None:
+        return _index.best_fit(index, need=need, excluded=excluded)
+    in_centres = counts.data_centres
+    order = [
+        (in_centres.get(name, 0), -centre.free_cpu, name)
+        for name, centre in index.centres.items()
+    ]
+    order.sort()
+    for position, (_count, _free, name) in enumerate(order):
+        # A full cell is recognised without a look at each data centre.
+        if position == 1 and (
+            _index.best_fit(index, need=need, excluded=excluded) is None
+        ):
+            return None
         found = _least_loaded(
             cell,
             name,
@@ -205,6 +193,8 @@
 ) -> str | None:
     """Return the best worker of a data centre for spread work."""
     floor = _rack_floor(cell, name, counts)
+    in_racks = counts.racks
+    workers = cell.workers
     for accelerated in (False, True):
         best: tuple[int, int, int, int, str] | None = None
         for (has, free), ranking in centre.rankings.items():
@@ -217,9 +207,11 @@
             ):
                 if worker_id in excluded:
                     continue
-                rack = cell.workers[worker_id].rack
+                in_rack = in_racks.get((name, workers[worker_id].rack), 0)
+                if best is not None and in_rack > best[0]:
+                    continue
                 rank = (
-                    counts.racks.get((name, rack), 0),
+                    in_rack,
                     counts.workers.get(worker_id, 0),
                     free - need.accelerators,
                     -cpu,
@@ -228,7 +220,7 @@
                 if best is None or rank < best:
                     best = rank
                 # No later entry can have fewer tasks, or more free.
-                if rank[0] <= floor and not rank[1]:
+                if in_rack <= floor and not rank[1]:
                     break
         if best is not None:
             return best[-1]
@@ -238,6 +230,7 @@
 def _rack_floor(cell: _state.Cell, name: str, counts: SpreadCounts) -> int:
     """Return a lower bound of the job's tasks in a rack of a centre."""
     racks = cell.racks[name]
-    if not counts.data_centres.get(name) or len(counts.racks) < len(racks):
+    if counts.data_centres.get(name, 0) < len(racks):
+        # Some rack has no task of the job.
         return 0
     return min(counts.racks.get((name, rack), 0) for rack in racks)
--- a/chestnuttide/placement/_state.py
+++ b/chestnuttide/placement/_state.py
@@ -234,6 +234,8 @@
         Last reported usage of all reservations.
     place : Place or None
         Where it is indexed; None while it takes no work.
+    yield_entry : Entry or None
+        Where it is ranked by what it has free after all evictions.
     reclaim_entry : Entry or None
         Where it is ranked by reclaimable capacity.
     held : bool
@@ -273,6 +275,7 @@
     used_cpu: int = 0
     used_memory: int = 0
     place: Place | None = None
+    yield_entry: _ranking.Entry | None = None
     reclaim_entry: _ranking.Entry | None = None
     held: bool = False
     suspects: dict[TaskKey, None] = attrs.field(factory=dict)
@@ -343,6 +346,9 @@
         Workers that take only work which ends before the hold starts.
     reclaimable : Ranking
         Open workers by reclaimable processors and memory, rounded down.
+    yielding : Ranking
+        Workers with preemptible work by the processors and memory that they
+        have free once all of it is evicted, or more.
     ends : dict of int to dict of Reservation to None
         Reservations that are not reclaimed by whole seconds of their finite
         expected end.
@@ -350,12 +356,14 @@
         Number of workers by data centre and rack.
     live : int
         Number of live workers.
+    capacities : dict of Resources to int
+        Number of live workers by capacity.
     capacity_cpu, capacity_memory, capacity_accelerators : int
         Sum of the capacities of live workers.
     reserved_cpu, reserved_memory, reserved_accelerators : int
         Sum of the reservations that are not reclaimed.
-    preemptible : dict of int to dict of str to None
-        Workers with preemptible work, by its priority.
+    preemptible : dict of int to int
+        Number of workers with preemptible work, by its priority.
     hold : GangPlan or None
         The gang that workers are held for.
     hold_key : str
@@ -378,16 +386,18 @@
     open: Index = attrs.field(factory=Index)
     held: Index = attrs.field(factory=Index)
     reclaimable: _ranking.Ranking = attrs.field(factory=_ranking.Ranking)
+    yielding: _ranking.Ranking = attrs.field(factory=_ranking.Ranking)
     ends: dict[int, dict[Reservation, None]] = attrs.field(factory=dict)
     racks: dict[str, dict[str, int]] = attrs.field(factory=dict)
     live: int = 0
+    capacities: dict[model.Resources, int] = attrs.field(factory=dict)
     capacity_cpu: int = 0
     capacity_memory: int = 0
     capacity_accelerators: int = 0
     reserved_cpu: int = 0
     reserved_memory: int = 0
     reserved_accelerators: int = 0
-    preemptible: dict[int, dict[str, None]] = attrs.field(factory=dict)
+    preemptible: dict[int, int] = attrs.field(factory=dict)
     hold: GangPlan | None = None
     hold_key: str = ""
     ejected: dict[str, None] = attrs.field(factory=dict)
--- a/chestnuttide/placement/tests/_checks.py
+++ b/chestnuttide/placement/tests/_checks.py
@@ -230,7 +230,7 @@
         for item in held
         if item.expected_end < math.inf and not item.reclaimed
     }
-    preemptible: dict[int, set[str]] = {}
+    preemptible: collections.Counter[int] = collections.Counter()
     racks: dict[str, dict[str, int]] = {}
     for worker in cell.workers.values():
         free = placement.free_of(cell, worker.worker_id)
@@ -258,14 +258,34 @@
             priority: (len(items), *sum_needs(items))
             for priority, items in by_priority.items()
         }
-        for priority in by_priority:
-            preemptible.setdefault(priority, set()).add(worker.worker_id)
+        preemptible.update(by_priority.keys())
+        _check_yield(cell, worker, by_priority)
         _check_usage(cell, worker)
     assert cell.racks == racks
-    assert preemptible == {
-        priority: set(workers)
-        for priority, workers in cell.preemptible.items()
-    }
+    assert cell.preemptible == preemptible
+    assert cell.capacities == collections.Counter(
+        worker.capacity for worker in live
+    )
+
+
+def _check_yield(
+    cell: placement.Cell,
+    worker: _state.Worker,
+    by_priority: dict[int, list[placement.Reservation]],
+) -> None:
+    ranked = [
+        entry[:2]
+        for block in cell.yielding.blocks
+        for entry in block
+        if entry[2] == worker.worker_id
+    ]
+    expected = []
+    if by_priority and worker.state is model.InstanceState.LIVE:
+        items = [item for items in by_priority.values() for item in items]
+        cpu, memory, _accelerators = sum_needs(items)
+        free = free_of(worker)
+        expected = [(free[0] + cpu, free[1] + memory)]
+    assert ranked == expected
 
 
 def _check_usage(cell: placement.Cell, worker: _state.Worker) -> None:
