Give each magnitude of need its own lane in the pool's queue

Cause: with a full cell, each end of a task tried a window of 16 jobs again and again: 1.5 to 4.3 ms per end at 2,500 workers, and jobs behind a window of others that did not fit were hidden. Change: a lane holds work of nearly the same need, importance and run time. A lane whose head fits nowhere is left until room for it is freed. The head of the queue is found without a walk.

--- a/chestnuttide/jobs/_backlog.py
+++ b/chestnuttide/jobs/_backlog.py
@@ -1,5 +1,6 @@
 """Jobs with tasks to start, and their place in the queue."""
 
+import collections.abc
 import math
 
 from chestnuttide.jobs import _state
@@ -7,15 +8,17 @@
 from chestnuttide import placement
 from chestnuttide import queueing
 
-# Lanes of the queue. Work that needs accelerators, gangs and long work are
-# lanes of their own, so that one of them that finds no room does not hide the
-# others.
-LONG_LANES = frozenset({"long", "long_accelerated", "long_gang"})
-
 # Run time in seconds for which a team is charged at most when a task starts.
 # Services do not end, and a wrong estimate must not shut a team out.
 MAX_CHARGED_S = 600.0
 
+# Significant bits of a need that tell lanes apart. Needs in one lane differ by
+# at most an eighth, and a pool has some dozens of lanes.
+LANE_BITS = 3
+
+# Run times in seconds above which lanes are not told apart.
+LONGEST_RUN_S = 1e5
+
 # Smallest charge for a task, so that its team moves on.
 MIN_COST = 1e-6
 
@@ -65,8 +68,7 @@
         record.aborting or record.live or record.delayed
     ):
         return
-    expected_s = expectation(state, job).median_s
-    record.lane = lane(state, record, expected_s)
+    expected_s = estimate(state, record)
     tasks = _state.pending(record) if _state.is_gang(record) else 1
     queueing.push(
         state.queue,
@@ -74,7 +76,7 @@
             key=job.job_id,
             team=job.team,
             urgent=job.urgent,
-            cost=cost(state, job.resources, expected_s) * tasks,
+            cost=record.cost * tasks,
             workload_class=job.workload_class,
             expected_s=0.0 if _state.is_service(record) else expected_s,
             entered_at=record.entered_at,
@@ -85,22 +87,69 @@
     state.dirty = True
 
 
-def lane(
-    state: _state.PoolState, record: _state.JobRecord, expected_s: float
-) -> str:
-    """Return the lane of a job. Urgent work and services are never long."""
+def estimate(state: _state.PoolState, record: _state.JobRecord) -> float:
+    """Estimate a job's run time, and what follows from it.
+
+    Work of nearly the same need, importance and run time shares a lane of the
+    queue. When its head fits nowhere, hardly anything else in the lane does,
+    so the lane is left and hides no other. Urgent work and services are never
+    long.
+
+    Returns
+    -------
+    float
+        Expected run time in seconds; infinite for services.
+    """
     job = record.job
-    long = (
+    need = job.resources
+    expected = expectation(state, job)
+    record.run_s = expected.p90_s
+    record.cost = cost(state, need, expected.median_s)
+    record.long = (
         not job.urgent
         and not _state.is_service(record)
-        and expected_s > state.document.pool.long_run_s
+        and expected.median_s > state.document.pool.long_run_s
     )
-    length = "long" if long else "short"
-    if _state.is_gang(record):
-        return f"{length}_gang"
-    if job.resources.accelerators:
-        return f"{length}_accelerated"
-    return length
+    length = "long" if record.long else "short"
+    count = _state.pending(record) if _state.is_gang(record) else 0
+    floor = _floor_need(need)
+    magnitude = (
+        0
+        if expected.p90_s < 1
+        else int(math.log10(min(expected.p90_s, LONGEST_RUN_S))) + 1
+    )
+    record.lane = (
+        f"{length}/{_state.priority(record)}/{count}/{magnitude}"
+        f"/{floor.accelerators}/{floor.cpu_millis}/{floor.memory_mb}"
+    )
+    return expected.median_s
+
+
+def is_long(lane: str) -> bool:
+    """Return whether a lane holds long work."""
+    return lane.startswith("long/")
+
+
+def stick(state: _state.PoolState, record: _state.JobRecord) -> None:
+    """Leave the lane of a job that fits nowhere, until room is freed."""
+    state.stuck[record.lane] = _floor_need(record.job.resources)
+
+
+def unstick(
+    state: _state.PoolState, worker_ids: collections.abc.Iterable[str]
+) -> None:
+    """Try the lanes again that may fit a worker on which room was freed."""
+    for worker_id in worker_ids:
+        if worker_id in state.shut or worker_id not in state.workers:
+            continue
+        free = placement.free_of(state.cell, worker_id)
+        for lane in [
+            lane
+            for lane, need in state.stuck.items()
+            if model.fits(need, free)
+        ]:
+            del state.stuck[lane]
+            state.dirty = True
 
 
 def wait_again(
@@ -142,3 +191,18 @@
     """Take a job without tasks to start out of the queue."""
     if not _state.pending(record):
         queueing.cancel(state.queue, record.job.job_id)
+
+
+def _floor_need(need: model.Resources) -> model.Resources:
+    """Return a need rounded down to what its lane is named after."""
+    return model.Resources(
+        cpu_millis=_floor(need.cpu_millis),
+        memory_mb=_floor(need.memory_mb),
+        accelerators=need.accelerators,
+    )
+
+
+def _floor(amount: int) -> int:
+    """Return an amount rounded down to its first significant bits."""
+    shift = max(0, amount.bit_length() - LANE_BITS)
+    return amount >> shift << shift
--- a/chestnuttide/jobs/_holding.py
+++ b/chestnuttide/jobs/_holding.py
@@ -53,14 +53,13 @@
         index=index,
         number=next_number(state, record, index),
     )
-    expected = _backlog.expectation(state, job)
     held = _state.AttemptRecord(
         attempt=attempt,
         worker_id=worker_id,
         phase=_state.Phase.CLAIMED if claimed else _state.Phase.STARTING,
         need=job.resources,
-        long=record.lane in _backlog.LONG_LANES,
-        cost=_backlog.cost(state, job.resources, expected.median_s),
+        long=record.long,
+        cost=record.cost,
         started_at=now,
         reclaimed=reclaimed,
     )
@@ -135,9 +134,7 @@
         checkpoint=policy.checkpoint,
         throttle=policy.throttle,
         urgent=record.job.urgent,
-        expected_end=(
-            held.started_at + _backlog.expectation(state, record.job).p90_s
-        ),
+        expected_end=held.started_at + record.run_s,
         reclaimed=held.reclaimed,
         started=held.started_at,
     )
@@ -166,14 +163,13 @@
 ) -> _state.AttemptRecord:
     """Take over an attempt that a worker reports as running."""
     policy = _state.class_config(state, record.job)
-    expected = _backlog.expectation(state, record.job)
-    lane = _backlog.lane(state, record, expected.median_s)
+    _backlog.estimate(state, record)
     held = _state.AttemptRecord(
         attempt=report.attempt,
         worker_id=worker_id,
         phase=_state.Phase.RUNNING,
         need=report.resources,
-        long=lane in _backlog.LONG_LANES,
+        long=record.long,
         started_at=now - report.run_s,
         confirmed_at=now,
     )
@@ -187,7 +183,7 @@
         checkpoint=policy.checkpoint,
         throttle=policy.throttle,
         urgent=record.job.urgent,
-        expected_end=held.started_at + expected.p90_s,
+        expected_end=held.started_at + record.run_s,
         started=held.started_at,
     )
     _register(state, record, held)
@@ -262,7 +258,9 @@
     record = state.jobs[attempt.job_id]
     placement.release(state.cell, attempt)
     queueing.release(state.quota, record.job.team, held.need)
-    queueing.unblock_team(state.queue, record.job.team)
+    if queueing.unblock_team(state.queue, record.job.team):
+        state.stuck.clear()
+        state.dirty = True
     if held.long:
         state.long_held = model.subtract(state.long_held, held.need)
     del state.attempts[attempt]
@@ -277,7 +275,6 @@
     state.freed[held.worker_id] = None
     if _state.is_open(record):
         state.waiting_tasks += 1
-    _state.capacity_changed(state)
 
 
 def expires_at(
--- a/chestnuttide/jobs/_outcomes.py
+++ b/chestnuttide/jobs/_outcomes.py
@@ -155,6 +155,7 @@
     succeeded = report.state is model.TaskState.SUCCEEDED
     failed = report.state is model.TaskState.FAILED and not asked
     if succeeded or failed:
+        ejected = placement.is_ejected(state.cell, worker_id)
         placement.record_outcome(
             state.cell,
             worker_id=worker_id,
@@ -162,8 +163,8 @@
             succeeded=succeeded,
             now=now,
         )
-        # An outcome may eject a worker or readmit another.
-        _state.capacity_changed(state)
+        if ejected != placement.is_ejected(state.cell, worker_id):
+            _state.capacity_changed(state)
     if _state.is_service(record):
         _restart(state, record, report, worker_id, now, out, asked=asked)
         return
--- a/chestnuttide/jobs/_placing.py
+++ b/chestnuttide/jobs/_placing.py
@@ -1,28 +1,23 @@
 """The loop that starts waiting tasks in the order of the queue."""
 
-import collections
-
 from chestnuttide.jobs import _attempts
 from chestnuttide.jobs import _backlog
 from chestnuttide.jobs import _gangs
 from chestnuttide.jobs import _holding
+from chestnuttide.jobs import _outcomes
 from chestnuttide.jobs import _preemption
 from chestnuttide.jobs import _state
 from chestnuttide import model
 from chestnuttide import placement
 from chestnuttide import queueing
 
-# Jobs behind a head that does not fit which are tried before their lane is
-# left for this call.
-WINDOW = 16
-
 # Tasks of one job started in a row before the order is looked at again.
 BURST = 4
 
 # Searches for victims per call; each compares many workers.
 PREEMPTIONS_PER_CALL = 4
 
-# Seconds after which needs that fitted nowhere are tried again even if no
+# Seconds after which lanes without room are tried again even if no
 # capacity was freed, for example because an ejected worker may be probed.
 REFRESH_S = 0.25
 
@@ -36,69 +31,39 @@
         return
     if now >= state.refreshed_at + REFRESH_S:
         state.refreshed_at = now
-        if state.misfits or state.queue.items:
+        if state.queue.items:
             _state.capacity_changed(state)
-    _preemption.serve_claims(state, now, out)
+    freed = _preemption.serve_claims(state, now, out)
+    _backlog.unstick(state, freed)
     if not state.dirty:
         return
     budget = state.decisions_per_call
     preemptions = [PREEMPTIONS_PER_CALL]
-    skipped: set[str] = set()
     while budget > 0:
-        if not _backlog.LONG_LANES <= skipped and _long_must_wait(
-            state, skipped
-        ):
-            skipped |= _backlog.LONG_LANES
+        skipped = state.stuck.keys() | _long_to_skip(state)
         heads = queueing.candidates(state.queue, 1, skipped_lanes=skipped)
         if not heads:
             state.dirty = False
             return
         decided = _try_job(state, heads[0], now, out, preemptions)
         budget -= max(1, decided)
-        if decided:
-            continue
-        budget -= _backfill(state, skipped, now, out, preemptions)
+        if not decided:
+            _backlog.stick(state, state.jobs[heads[0].key])
 
 
-def _backfill(
-    state: _state.PoolState,
-    skipped: set[str],
-    now: float,
-    out: list[object],
-    preemptions: list[int],
-) -> int:
-    """Try jobs behind the head; leave lanes in which nothing fits.
+def _long_to_skip(state: _state.PoolState) -> set[str]:
+    """Return the lanes of long work that must wait for short work.
 
-    Returns
-    -------
-    int
-        Number of decisions.
+    These are all of them while long work holds its share and short work
+    waits that its quota does not hold back.
     """
-    window = queueing.candidates(state.queue, WINDOW, skipped_lanes=skipped)
-    failures: collections.Counter[str] = collections.Counter()
-    decisions = 0
-    for position, item in enumerate(window):
-        decided = 0
-        if position:
-            decided = _try_job(state, item, now, out, preemptions)
-            decisions += max(1, decided)
-        if decided:
-            return decisions
-        failures[item.lane] += 1
-    # At least one lane has this many failures, so the loop makes progress.
-    enough = max(1, len(window) // max(1, len(failures)))
-    skipped.update(lane for lane, count in failures.items() if count >= enough)
-    return decisions
-
-
-def _long_must_wait(state: _state.PoolState, skipped: set[str]) -> bool:
-    """Return whether long work holds its share while short work waits."""
     held = _backlog.share(state, state.long_held)
     if held < state.document.pool.long_share:
-        return False
-    return bool(
-        queueing.candidates(state.queue, 1, skipped_lanes=_backlog.LONG_LANES)
-    )
+        return set()
+    lanes = {lane for _, lane in state.queue.bands if _backlog.is_long(lane)}
+    if lanes and queueing.candidates(state.queue, 1, skipped_lanes=lanes):
+        return lanes
+    return set()
 
 
 def _try_job(
@@ -120,15 +85,9 @@
     if _state.is_gang(record):
         if not _within_quota(state, record, _gangs.need_of(record)):
             return _BLOCKED
-        misfit = (record.job.resources, _state.pending(record), "gang")
-        if misfit in state.misfits:
-            return 0
-        started = _gangs.place(
+        return _gangs.place(
             state, record, _excluded(state, record, None), now, out
         )
-        if not started:
-            state.misfits.add(misfit)
-        return started
     started = 0
     while started < BURST and _state.pending(record):
         if not _within_quota(state, record, record.job.resources):
@@ -148,17 +107,16 @@
     out: list[object],
     preemptions: list[int],
 ) -> bool:
-    """Start the next task of a job, or evict other work for it."""
+    """Start the next task of a job, or evict other work for it.
+
+    Returns
+    -------
+    bool
+        Whether a decision was made; False if the task fits nowhere.
+    """
     job = record.job
     need = job.resources
-    run_s = _backlog.expectation(state, job).p90_s
-    misfit = (
-        need,
-        run_s if placement.held_key(state.cell) is not None else 0.0,
-    )
     failed_on = _next_failures(record)
-    if not failed_on and misfit in state.misfits:
-        return False
     policy = _state.class_config(state, job)
     spread = policy.spread or _state.is_service(record)
     excluded = _excluded(state, record, failed_on)
@@ -169,7 +127,7 @@
         spread_counts=record.spread if spread else None,
         excluded=excluded,
         now=now,
-        expected_run_s=run_s,
+        expected_run_s=record.run_s,
     )
     reclaimed = False
     if worker_id is None and state.lend and not job.urgent:
@@ -201,8 +159,12 @@
         preemptions[0] -= 1
         if _preemption.preempt(state, record, now, out):
             return True
-    if not failed_on:
-        state.misfits.add(misfit)
+    if failed_on:
+        # It avoids workers that others in its lane may use.
+        index = _backlog.take_task(record)
+        if index is not None:
+            _outcomes.delay_task(state, record, index, 1, now)
+        return True
     return False
 
 
--- a/chestnuttide/jobs/_preemption.py
+++ b/chestnuttide/jobs/_preemption.py
@@ -71,8 +71,14 @@
 
 def serve_claims(
     state: _state.PoolState, now: float, out: list[object]
-) -> None:
-    """Reserve what was freed for the claims on it, before anything else."""
+) -> list[str]:
+    """Reserve what was freed for the claims on it, before anything else.
+
+    Returns
+    -------
+    list of str
+        The workers on which room was freed.
+    """
     freed = state.freed
     state.freed = {}
     for worker_id in freed:
@@ -81,6 +87,7 @@
             continue
         for attempt in list(worker.claims):
             _serve(state, worker, state.attempts[attempt], now, out)
+    return list(freed)
 
 
 def on_claim_timer(
--- a/chestnuttide/jobs/_state.py
+++ b/chestnuttide/jobs/_state.py
@@ -150,6 +150,12 @@
         Where the live attempts of spread work are.
     lane : str
         Lane in the queue.
+    long : bool
+        Whether it counts as long work.
+    cost : float
+        What its team is charged for a task.
+    run_s : float
+        Time in seconds within which a task probably ends.
     ended_at : float
         Time of its end; infinite before.
     """
@@ -176,6 +182,9 @@
         factory=placement.SpreadCounts
     )
     lane: str = ""
+    long: bool = False
+    cost: float = 0.0
+    run_s: float = math.inf
     ended_at: float = math.inf
 
 
@@ -269,7 +278,7 @@
     claims : dict of Attempt to float
         Attempts that wait for evictions, and when they give up.
     freed : dict of str to None
-        Workers whose reservations shrank since claims were last served.
+        Workers whose reservations shrank since the last placing.
     leaving : dict of str to None
         Workers that are leaving.
     unacknowledged : dict
@@ -288,10 +297,10 @@
         Ended jobs by time.
     dirty : bool
         Whether placing may make progress.
-    misfits : set
-        Needs that fit nowhere since capacity was last freed.
+    stuck : dict of str to Resources
+        Lanes whose head fits nowhere at present, and their least need.
     refreshed_at : float
-        Time at which misfits were last forgotten.
+        Time at which all lanes were last tried again.
     gang_plan_at : float
         Earliest time of the next gang plan.
     relief_at : float
@@ -319,7 +328,7 @@
     document: config.CellConfig
     rng: random.Random
     lend: bool = False
-    decisions_per_call: int = 64
+    decisions_per_call: int = 32
     cell: placement.Cell = attrs.field(factory=placement.make_cell)
     queue: queueing.FairQueue = attrs.field(
         factory=lambda: queueing.FairQueue(limit=1 << 62)
@@ -348,7 +357,7 @@
         factory=collections.deque
     )
     dirty: bool = False
-    misfits: set[tuple] = attrs.field(factory=set)
+    stuck: dict[str, model.Resources] = attrs.field(factory=dict)
     refreshed_at: float = -math.inf
     gang_plan_at: float = -math.inf
     relief_at: float = -math.inf
@@ -426,7 +435,7 @@
 def capacity_changed(state: PoolState) -> None:
     """Note that waiting work may fit now."""
     state.dirty = True
-    state.misfits.clear()
+    state.stuck.clear()
 
 
 def update_shut(state: PoolState, worker: WorkerRecord, now: float) -> None:
--- a/chestnuttide/queueing/_fair_queue.py
+++ b/chestnuttide/queueing/_fair_queue.py
@@ -255,6 +255,8 @@
         del band.lines[item.team]
         if not team.blocked:
             band.order.remove((team.virtual_time, item.team))
+        if not band.lines:
+            del queue.bands[(item.urgent, item.lane)]
     elif len(line.heap) > 2 * line.live + MIN_TOMBSTONES:
         line.heap = [entry for entry in line.heap if _is_live(queue, entry)]
         heapq.heapify(line.heap)
@@ -310,7 +312,10 @@
             for (band_urgent, lane), band in queue.bands.items()
             if band_urgent == urgent and lane not in skipped_lanes
         ]
-        _walk_bands(queue, bands, limit, found)
+        if limit == 1:
+            _find_head(queue, bands, found)
+        else:
+            _walk_bands(queue, bands, limit, found)
         if len(found) >= limit:
             break
     return found
@@ -372,16 +377,17 @@
     team.blocked = True
 
 
-def unblock_team(queue: FairQueue, team_name: str) -> None:
-    """Take a team into the order again."""
+def unblock_team(queue: FairQueue, team_name: str) -> bool:
+    """Take a team into the order again; returns whether it was left out."""
     team = _team(queue, team_name)
     if not team.blocked:
-        return
+        return False
     team.blocked = False
     team.virtual_time = max(team.virtual_time, queue.virtual_time)
     for band in queue.bands.values():
         if team_name in band.lines:
             band.order.add((team.virtual_time, team_name))
+    return True
 
 
 def _check_limits(
@@ -442,6 +448,8 @@
         del counts[item.workload_class]
     key = (item.urgent, item.lane)
     queue.lane_counts[key] = queue.lane_counts.get(key, 0) + change
+    if not queue.lane_counts[key]:
+        del queue.lane_counts[key]
 
 
 def _walk_line(
@@ -463,6 +471,27 @@
             yield entry[0], entry[1], found[0]
 
 
+def _find_head(
+    queue: FairQueue, bands: list[_Band], found: list[QueueItem]
+) -> None:
+    """Append the head of some bands; the same as a walk of length 1."""
+    first = min((band.order[0] for band in bands if band.order), default=None)
+    if first is None:
+        return
+    best: _Entry | None = None
+    for band in bands:
+        line = band.lines.get(first[1])
+        if line is None:
+            continue
+        heap = line.heap
+        while not _is_live(queue, heap[0]):
+            heapq.heappop(heap)
+        if best is None or heap[0] < best:
+            best = heap[0]
+    if best is not None:
+        found.append(queue.items[best[2]][0])
+
+
 def _team_items(
     queue: FairQueue, bands: list[_Band], name: str, visits: int
 ) -> collections.abc.Iterator[tuple[float, int, QueueItem]]:
