--- a/chestnuttide/jobs/_attempts.py
+++ b/chestnuttide/jobs/_attempts.py
@@ -377,6 +377,9 @@
     out: list[object],
 ) -> None:
     """Release an attempt and let its task go on."""
+    if held.stray:
+        _holding.release(state, held)
+        return
     record = state.jobs[held.attempt.job_id]
     asked = held.phase is _state.Phase.ENDING
     _holding.release(state, held)
@@ -409,9 +412,11 @@
             if held.phase is _state.Phase.ENDING:
                 _holding.send_stop(state, held, now, out)
             return
-        _journal_end(state, worker_id, report, now, out)
-        _end(state, held, report, now, out)
-        return
+        if not held.stray:
+            _journal_end(state, worker_id, report, now, out)
+            _end(state, held, report, now, out)
+            return
+        _holding.release(state, held)
     if (worker_id, attempt) in state.unacknowledged:
         return
     record = state.jobs.get(attempt.job_id)
@@ -420,11 +425,7 @@
             _backlog.withdraw_task(state, record, attempt.index)
             _holding.adopt(state, record, worker_id, report, now)
             return
-        out.append(
-            _messages.StopTask(
-                worker_id=worker_id, attempt=attempt, checkpoint=False
-            )
-        )
+        _holding.hold_stray(state, worker_id, report, now, out)
         return
     if record is not None and _counts_late(state, record, report, now):
         _journal_end(state, worker_id, report, now, out)
--- a/chestnuttide/jobs/_preemption.py
+++ b/chestnuttide/jobs/_preemption.py
@@ -247,10 +247,10 @@
             continue
         for attempt in list(worker.attempts):
             held = state.attempts[attempt]
+            if held.phase is not _state.Phase.RUNNING:
+                continue
             record = state.jobs[attempt.job_id]
-            if held.phase is not _state.Phase.RUNNING or (
-                _state.is_gang(record)
-            ):
+            if _state.is_gang(record):
                 continue
             policy = _state.class_config(state, record.job)
             if _state.is_service(record):
--- a/chestnuttide/jobs/_recovery.py
+++ b/chestnuttide/jobs/_recovery.py
@@ -14,6 +14,10 @@
 from chestnuttide import model
 from chestnuttide import placement
 
+# Seconds after the end of a job during which its attempts may not have been
+# stopped yet.
+STRAY_S = 60.0
+
 
 def on_recovered(
     state: _state.PoolState,
@@ -37,6 +41,14 @@
         worker.reported = False
         state.unreported.add(worker_id)
         _state.update_shut(state, worker, now)
+    for record in state.jobs.values():
+        if _state.is_open(record) or (
+            record.state is not model.JobState.SUCCEEDED
+            and now - record.ended_at < STRAY_S
+        ):
+            _holding.assume(
+                state, record, record.job.tasks - record.done_count
+            )
     _timers.schedule(state, state.settle_at, "settle")
     _journal.append(state, _events.owner(state.generation, now), out, "owner")
 
@@ -90,6 +102,7 @@
     state.settled = True
     state.unreported.clear()
     for record in list(state.jobs.values()):
+        _holding.drop_assumed(state, record, record.assumed)
         if not record.settled:
             _settle(state, record, now, out)
     for worker in list(state.workers.values()):
--- a/chestnuttide/jobs/_state.py
+++ b/chestnuttide/jobs/_state.py
@@ -55,6 +55,10 @@
         Where it stands.
     need : Resources
         What it holds.
+    team : str
+        Team that is charged; empty if it is unknown.
+    stray : bool
+        Whether it belongs to no task that may run, and is only stopped.
     long : bool
         Whether it counts as long work.
     cost : float
@@ -86,6 +90,8 @@
     worker_id: str
     phase: Phase
     need: model.Resources
+    team: str
+    stray: bool = False
     long: bool = False
     cost: float = 0.0
     started_at: float = 0.0
@@ -148,6 +154,9 @@
         Earliest time at which workers are held for a gang again.
     spread : SpreadCounts
         Where the live attempts of spread work are.
+    assumed : int
+        Tasks of a recovered job that may run on workers which have not
+        reported; they count against the quota of its team.
     lane : str
         Lane in the queue.
     long : bool
@@ -181,6 +190,7 @@
     spread: placement.SpreadCounts = attrs.field(
         factory=placement.SpreadCounts
     )
+    assumed: int = 0
     lane: str = ""
     long: bool = False
     cost: float = 0.0
--- /dev/null
+++ b/chestnuttide/settings/__init__.py
@@ -0,0 +1,31 @@
+"""The settings of one instance, which both of its daemons read."""
+
+from chestnuttide.settings import _fields
+from chestnuttide.settings import _load
+from chestnuttide.settings import _reference
+
+CoordinationSettings = _fields.CoordinationSettings
+EntrySettings = _fields.EntrySettings
+LoggingSettings = _fields.LoggingSettings
+MeshSettings = _fields.MeshSettings
+PlatformSettings = _fields.PlatformSettings
+SchedulerSettings = _fields.SchedulerSettings
+Settings = _fields.Settings
+is_address = _fields.is_address
+load = _load.load
+parse = _load.parse
+render_reference = _reference.render_reference
+
+__all__ = [
+    "CoordinationSettings",
+    "EntrySettings",
+    "LoggingSettings",
+    "MeshSettings",
+    "PlatformSettings",
+    "SchedulerSettings",
+    "Settings",
+    "is_address",
+    "load",
+    "parse",
+    "render_reference",
+]
