--- a/chestnuttide/jobs/_recovery.py
+++ b/chestnuttide/jobs/_recovery.py
@@ -61,7 +61,10 @@
     """Adopt changes of the instance list.
 
     A worker gets no work before its first report. One that is listed as gone
-    keeps its attempts until their leases have expired.
+    keeps its attempts until their leases have expired. One that is gone when
+    the shard is taken over may still run attempts of the former owner, so it
+    is waited for like any other; callers leave out workers that have been
+    gone for longer than a lease with its margin.
     """
     for instance in message.instances:
         if instance.kind is not model.InstanceKind.WORKER:
@@ -70,7 +73,7 @@
         gone = instance.state is model.InstanceState.GONE
         worker = state.workers.get(worker_id)
         if worker is None:
-            if gone:
+            if gone and state.settled:
                 continue
             worker = _state.WorkerRecord(instance=instance)
             state.workers[worker_id] = worker
--- /dev/null
+++ b/chestnuttide/jobs/tests/test_attempts.py
@@ -0,0 +1,253 @@
+import attrs
+import pytest
+
+from chestnuttide import jobs
+from chestnuttide.jobs.tests import _pool
+from chestnuttide import model
+
+Outcome = jobs.StartOutcome
+
+# A lease of 10 s and its margin of 10%.
+LAPSE_S = 11.0
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "elsewhere_after_s"),
+    [
+        pytest.param(["no_capacity"], 0.0, id="refused_start_waits"),
+        pytest.param(["unsent"], 0.0, id="unsent_start_waits"),
+        pytest.param(
+            ["unanswered", "no_capacity", "no_capacity"],
+            LAPSE_S,
+            id="lost_start_may_still_arrive",
+        ),
+        pytest.param(
+            ["unanswered", "unsent", "unsent"],
+            LAPSE_S,
+            id="unsent_retry_clears_doubt",
+        ),
+        pytest.param(
+            ["unanswered", "unanswered", "unanswered"],
+            LAPSE_S,
+            id="doubt_counts_from_first_start",
+        ),
+    ],
+)
+def test_start_outcomes(outcomes: list[str], elsewhere_after_s: float) -> None:
+    pool = _pool.make_pool()
+    _pool.submit(pool, "j")
+    first = _pool.take_starts(pool)[0]
+    received_at = pool.now
+    starts = [first]
+    for position, outcome in enumerate(outcomes):
+        assert starts[-1].attempt == first.attempt
+        assert starts[-1].worker_id == first.worker_id
+        if outcome == "unanswered":
+            received_at = pool.now
+        _pool.answer(pool, starts[-1], Outcome(outcome))
+        if position < len(outcomes) - 1:
+            _pool.wait(pool, 2.1)
+            starts.append(_pool.take_starts(pool)[0])
+    if elsewhere_after_s:
+        left_s = received_at + elsewhere_after_s - pool.now
+        _pool.wait(pool, left_s - 0.2)
+        assert not _pool.take_starts(pool)
+        _pool.wait(pool, 1.0)
+    (second,) = _pool.take_starts(pool)
+    assert second.attempt.number == first.attempt.number + 1
+    if not elsewhere_after_s:
+        assert second.worker_id != first.worker_id
+
+
+@pytest.mark.parametrize(
+    ("failed", "received", "in_flight", "after_s"),
+    [
+        pytest.param(False, True, False, LAPSE_S, id="lapses_too_early"),
+        pytest.param(True, True, False, LAPSE_S + 3.0, id="sync_may_arrive"),
+        pytest.param(True, False, False, LAPSE_S, id="unsent_sync_renews"),
+        pytest.param(
+            False, True, True, LAPSE_S + 3.0, id="awaited_sync_may_arrive"
+        ),
+    ],
+)
+def test_silent_worker(
+    failed: bool, received: bool, in_flight: bool, after_s: float
+) -> None:
+    pool = _pool.make_pool()
+    _pool.submit(pool, "j")
+    (first,) = _pool.start_all(pool)
+    began = pool.now
+    _pool.sync(pool, first.worker_id, _pool.report(first.attempt))
+    _pool.wait(pool, 3.0)
+    if in_flight:
+        message = jobs.SyncSent(worker_id=first.worker_id, lease_s=10.0)
+        _pool.send(pool, message)
+    if failed:
+        _pool.send(
+            pool,
+            jobs.SyncFailed(
+                worker_id=first.worker_id,
+                sent_at=pool.now,
+                received=received,
+            ),
+        )
+    gone = attrs.evolve(
+        pool.state.workers[first.worker_id].instance,
+        state=model.InstanceState.GONE,
+    )
+    _pool.send(pool, jobs.WorkersChanged(instances=(gone,)))
+    _pool.wait(pool, began + after_s - 0.2 - pool.now)
+    assert not _pool.take_starts(pool)
+    _pool.wait(pool, 1.0)
+    assert _pool.take_starts(pool)[0].worker_id != first.worker_id
+
+
+def test_silent_worker_is_not_synced_for_ever() -> None:
+    # Each sync that may arrive renews the leases, so a worker that hangs
+    # would keep its tasks.
+    pool = _pool.make_pool()
+    _pool.submit(pool, "j")
+    (first,) = _pool.start_all(pool)
+    for _ in range(40):
+        if jobs.may_sync(pool.state, first.worker_id):
+            _pool.send(
+                pool,
+                jobs.SyncFailed(worker_id=first.worker_id, sent_at=pool.now),
+            )
+        _pool.wait(pool, 0.5)
+    assert _pool.take_starts(pool)[0].worker_id != first.worker_id
+    assert jobs.may_sync(pool.state, first.worker_id)
+
+
+def test_end_is_acknowledged_only_when_durable() -> None:
+    pool = _pool.make_pool()
+    _pool.submit(pool, "j")
+    (start,) = _pool.start_all(pool)
+    ended = _pool.report(start.attempt, model.TaskState.SUCCEEDED)
+    outputs = _pool.sync(pool, start.worker_id, ended, durable=False)
+    assert not _pool.of_kind(outputs, jobs.AcknowledgeEnd)
+    again = _pool.sync(pool, start.worker_id, ended, durable=False)
+    assert not again
+    tokens = tuple(
+        item.token for item in _pool.of_kind(outputs, jobs.AppendEvent)
+    )
+    outputs = _pool.send(pool, jobs.JournalDurable(tokens=tokens))
+    assert _pool.of_kind(outputs, jobs.AcknowledgeEnd)
+    outputs = _pool.sync(pool, start.worker_id, ended)
+    assert _pool.of_kind(outputs, jobs.AcknowledgeEnd)
+    assert jobs.read_job(pool.state, "j", pool.now).state == "succeeded"
+
+
+@pytest.mark.parametrize(
+    ("newer_started", "state", "reads"),
+    [
+        pytest.param(False, "succeeded", "succeeded", id="success_is_lost"),
+        pytest.param(False, "failed", "running", id="failure_after_lapse"),
+        pytest.param(True, "succeeded", "running", id="old_number_counts"),
+    ],
+)
+def test_late_end_of_a_lapsed_attempt(
+    newer_started: bool, state: str, reads: str
+) -> None:
+    pool = _pool.make_pool(workers=2 if newer_started else 1)
+    _pool.submit(pool, "j")
+    (first,) = _pool.start_all(pool)
+    for _ in range(2):
+        _pool.send(
+            pool,
+            jobs.SyncFailed(
+                worker_id=first.worker_id, sent_at=pool.now, received=False
+            ),
+        )
+    _pool.wait(pool, LAPSE_S + 1.0)
+    assert len(_pool.start_all(pool)) == newer_started
+    late = _pool.report(first.attempt, model.TaskState(state))
+    outputs = _pool.sync(pool, first.worker_id, late)
+    assert _pool.of_kind(outputs, jobs.AcknowledgeEnd)
+    assert jobs.read_job(pool.state, "j", pool.now).state == reads
+
+
+@pytest.mark.parametrize(
+    ("job_id", "index", "number"),
+    [
+        pytest.param("unknown", 0, 1, id="unknown_job_runs_on"),
+        pytest.param("j", 0, 9, id="second_attempt_runs_on"),
+        pytest.param("j", 5, 1, id="index_outside_the_job"),
+    ],
+)
+def test_reports_of_unknown_attempts(
+    job_id: str, index: int, number: int
+) -> None:
+    pool = _pool.make_pool(workers=2)
+    _pool.submit(pool, "j")
+    (start,) = _pool.start_all(pool)
+    other = "w1" if start.worker_id == "w0" else "w0"
+    attempt = model.Attempt(job_id=job_id, index=index, number=number)
+    whole = _pool.report(attempt, resources=_pool.CAPACITY)
+    outputs = _pool.sync(pool, other, whole)
+    (stop,) = _pool.of_kind(outputs, jobs.StopTask)
+    assert (stop.worker_id, stop.attempt) == (other, attempt)
+    # It holds its worker until it has ended.
+    _pool.submit(pool, "big", resources=_pool.CAPACITY)
+    assert not _pool.take_starts(pool)
+    _pool.sync(pool, other, _pool.report(attempt, model.TaskState.STOPPED))
+    assert [item.attempt.job_id for item in pool.starts] == ["big"]
+
+
+def test_task_lost_by_a_restarted_worker_runs_again() -> None:
+    pool = _pool.make_pool()
+    _pool.submit(pool, "j")
+    (start,) = _pool.start_all(pool)
+    pool.now += 0.1
+    _pool.sync(pool, start.worker_id)
+    assert len(_pool.take_starts(pool)) == 1
+
+
+def test_failing_task_fails_its_job_on_three_workers() -> None:
+    pool = _pool.make_pool(workers=4)
+    _pool.submit(pool, "j", tasks=2)
+    failed_on = set()
+    starts = _pool.start_all(pool)
+    other = next(s for s in starts if s.attempt.index == 1)
+    start = next(s for s in starts if s.attempt.index == 0)
+    for attempts in (1, 2, 3):
+        failed_on.add(start.worker_id)
+        reports = [_pool.report(start.attempt, model.TaskState.FAILED)]
+        if other.worker_id == start.worker_id:
+            reports.append(_pool.report(other.attempt))
+        outputs = _pool.sync(pool, start.worker_id, *reports)
+        assert len(failed_on) == attempts, "tried on the same worker again"
+        if attempts < 3:
+            _pool.wait(pool, 3.0)
+            (start,) = _pool.start_all(pool)
+    view = jobs.read_job(pool.state, "j", pool.now)
+    assert (view.state, view.reason) == ("failed", "task_failed")
+    stops = _pool.of_kind(outputs, jobs.StopTask)
+    assert [stop.attempt for stop in stops] == [other.attempt]
+
+
+def test_service_task_restarts_after_growing_backoff() -> None:
+    pool = _pool.make_pool(workers=4)
+    _pool.submit(
+        pool, "s", kind=model.JobKind.SERVICE, workload_class="web", tasks=1
+    )
+    waits = []
+    for _ in range(4):
+        (start,) = _pool.start_all(pool)
+        ended = _pool.report(start.attempt, model.TaskState.FAILED)
+        _pool.sync(pool, start.worker_id, ended)
+        began = pool.now
+        while not pool.starts:
+            _pool.wait(pool, 0.1)
+        waits.append(pool.now - began)
+    assert waits[-1] > 2.0 * waits[0] > 0.0
+
+
+def test_stale_epoch_stops_all_starts() -> None:
+    pool = _pool.make_pool()
+    _pool.submit(pool, "j")
+    (start,) = _pool.take_starts(pool)
+    outputs = _pool.answer(pool, start, Outcome.STALE_EPOCH)
+    assert _pool.of_kind(outputs, jobs.Deposed)
+    outputs = _pool.submit(pool, "k") + _pool.wait(pool, 20.0)
+    assert not _pool.of_kind(outputs, jobs.StartTask)
