--- a/chestnuttide/jobs/__init__.py
+++ b/chestnuttide/jobs/__init__.py
@@ -44,6 +44,7 @@
 next_due = _pool.next_due
 read_job = _views.read_job
 read_pool = _views.read_pool
+snapshot_parts = _snapshot.snapshot_parts
 
 __all__ = [
     "AcknowledgeEnd",
@@ -83,4 +84,5 @@
     "next_due",
     "read_job",
     "read_pool",
+    "snapshot_parts",
 ]
--- a/chestnuttide/jobs/_attempts.py
+++ b/chestnuttide/jobs/_attempts.py
@@ -187,10 +187,25 @@
     worker.failures = 0
     worker.doubts = 0
     worker.reported = True
-    seen = set()
+    matched = 0
     for report in message.reports:
-        seen.add(report.attempt)
-        _on_report(state, worker, report, now, out)
+        matched += _on_report(state, worker, report, now, out)
+    if matched < len(worker.attempts):
+        _lose_unreported(state, worker, message, now, out)
+    state.unreported.discard(message.worker_id)
+    _state.update_shut(state, worker, now)
+    watch_leases(state, worker)
+
+
+def _lose_unreported(
+    state: _state.PoolState,
+    worker: _state.WorkerRecord,
+    message: _messages.SyncReport,
+    now: float,
+    out: list[object],
+) -> None:
+    """Give up the attempts that a worker should report and does not."""
+    seen = {report.attempt for report in message.reports}
     for attempt in list(worker.attempts):
         if attempt in seen:
             continue
@@ -202,9 +217,6 @@
             not held.in_flight and held.expires_at <= message.sent_at
         ):
             _lose(state, held, now, out)
-    state.unreported.discard(message.worker_id)
-    _state.update_shut(state, worker, now)
-    watch_leases(state, worker)
 
 
 def watch_leases(state: _state.PoolState, worker: _state.WorkerRecord) -> None:
@@ -394,8 +406,14 @@
     report: model.AttemptReport,
     now: float,
     out: list[object],
-) -> None:
-    """Handle what a worker reports about one attempt."""
+) -> bool:
+    """Handle what a worker reports about one attempt.
+
+    Returns
+    -------
+    bool
+        Whether it is a live attempt that was known.
+    """
     worker_id = worker.instance.instance_id
     attempt = report.attempt
     live = report.state is model.TaskState.RUNNING
@@ -407,26 +425,26 @@
     ):
         if live:
             _confirm(held, now)
-            if report.usage != model.ZERO:
+            if report.usage is not model.ZERO:
                 placement.record_usage(state.cell, attempt, report.usage, now)
             if held.phase is _state.Phase.ENDING:
                 _holding.send_stop(state, held, now, out)
-            return
+            return True
         if not held.stray:
             _journal_end(state, worker_id, report, now, out)
             _end(state, held, report, now, out)
-            return
+            return False
         _holding.release(state, held)
     if (worker_id, attempt) in state.unacknowledged:
-        return
+        return False
     record = state.jobs.get(attempt.job_id)
     if live:
         if record is not None and _is_adoptable(record, attempt):
             _backlog.withdraw_task(state, record, attempt.index)
             _holding.adopt(state, record, worker_id, report, now)
-            return
-        _holding.hold_stray(state, worker_id, report, now, out)
-        return
+        else:
+            _holding.hold_stray(state, worker_id, report, now, out)
+        return False
     if record is not None and _counts_late(state, record, report, now):
         _journal_end(state, worker_id, report, now, out)
         record.numbers[attempt.index] = attempt.number
@@ -434,8 +452,9 @@
         _outcomes.attempt_over(
             state, record, report, worker_id, now, out, asked=False
         )
-        return
+        return False
     out.append(_messages.AcknowledgeEnd(worker_id=worker_id, attempt=attempt))
+    return False
 
 
 def _is_open_task(record: _state.JobRecord, attempt: model.Attempt) -> bool:
--- a/chestnuttide/jobs/_snapshot.py
+++ b/chestnuttide/jobs/_snapshot.py
@@ -1,5 +1,8 @@
 """Snapshots of a pool shard, and the replay of snapshot and events."""
 
+import collections.abc
+import io
+
 import attrs
 import cbor2
 
@@ -12,6 +15,9 @@
 # Version of the snapshot's layout.
 LAYOUT = 1
 
+# Jobs per part of a snapshot; a part takes a few milliseconds.
+PART_JOBS = 200
+
 
 @attrs.define(kw_only=True)
 class _Replay:
@@ -33,7 +39,7 @@
 
 
 def encode_snapshot(state: _state.PoolState, now: float) -> bytes:
-    """Return the durable state of a pool as CBOR.
+    """Return the durable state of a pool as a sequence of CBOR values.
 
     Finished tasks are bitmaps; attempts are not included, because workers
     report them to the next owner.
@@ -45,15 +51,41 @@
     now : float
         Time in seconds.
     """
-    return cbor2.dumps(
+    return b"".join(snapshot_parts(state, now))
+
+
+def snapshot_parts(
+    state: _state.PoolState, now: float
+) -> collections.abc.Iterator[bytes]:
+    """Yield a snapshot in parts that are encoded within milliseconds each.
+
+    The pool may change between two parts. The snapshot then holds each job as
+    it was at some time after the first part, so all events since the first
+    part must be replayed on it, which is harmless for those it includes.
+
+    Parameters
+    ----------
+    state : PoolState
+        The pool.
+    now : float
+        Time in seconds at the first part.
+    """
+    job_ids = list(state.jobs)
+    yield cbor2.dumps(
         [
             LAYOUT,
             now,
             state.generation,
-            [_encode_record(record, now) for record in state.jobs.values()],
             queueing.dump_estimates(state.estimates),
         ]
     )
+    for first in range(0, len(job_ids), PART_JOBS):
+        records = []
+        for job_id in job_ids[first : first + PART_JOBS]:
+            record = state.jobs.get(job_id)
+            if record is not None:
+                records.append(_encode_record(record, now))
+        yield cbor2.dumps(records)
 
 
 def rebuild(
@@ -70,11 +102,13 @@
     replay = None
     highest = -1
     if snapshot:
-        _, at, highest, records, estimates = cbor2.loads(snapshot)
+        stream = io.BytesIO(snapshot)
+        _, at, highest, estimates = cbor2.load(stream)
         replay = _Replay(last_at=at)
-        for fields in records:
-            record = _decode_record(fields, at)
-            state.jobs[record.job.job_id] = record
+        while stream.tell() < len(snapshot):
+            for fields in cbor2.load(stream):
+                record = _decode_record(fields, at)
+                state.jobs[record.job.job_id] = record
         state.estimates = queueing.load_estimates(estimates)
     for event in events:
         tag, at, *fields = _events.decode(event)
--- a/chestnuttide/jobs/tests/test_recovery.py
+++ b/chestnuttide/jobs/tests/test_recovery.py
@@ -164,6 +164,26 @@
     assert len(snapshot) < 120 * 500
 
 
+def test_snapshot_in_parts_while_the_pool_changes() -> None:
+    pool = _pool.make_pool()
+    for number in range(500):
+        _pool.submit(pool, f"job-{number:06}")
+    parts = jobs.snapshot_parts(pool.state, pool.now)
+    snapshot = next(parts) + next(parts)
+    pool.outputs.clear()
+    for number in (0, 499):
+        message = jobs.CancelJob(token=1, job_id=f"job-{number:06}")
+        _pool.send(pool, message)
+    _pool.submit(pool, "new")
+    snapshot += b"".join(parts)
+    late = _pool.make_pool(events=_events(pool), snapshot=snapshot)
+    views = jobs.list_jobs(late.state, late.now, limit=1000)
+    states = {view.job.job_id: view.state.value for view in views}
+    assert len(states) == 501
+    assert states["job-000000"] == states["job-000499"] == "cancelled"
+    assert "new" in states
+
+
 def test_wait_goes_on_after_a_takeover() -> None:
     pool = _pool.make_pool(workers=1)
     _pool.submit(pool, "full", resources=_pool.CAPACITY)
