--- a/chestnuttide/jobs/_preemption.py
+++ b/chestnuttide/jobs/_preemption.py
@@ -71,8 +71,14 @@
 
 def serve_claims(
     state: _state.PoolState, now: float, out: list[object]
-) -> None:
-    """Reserve what was freed for the claims on it, before anything else."""
+) -> list[str]:
+    """Reserve what was freed for the claims on it, before anything else.
+
+    Returns
+    -------
+    list of str
+        The workers on which room was freed.
+    """
     freed = state.freed
     state.freed = {}
     for worker_id in freed:
@@ -81,6 +87,7 @@
             continue
         for attempt in list(worker.claims):
             _serve(state, worker, state.attempts[attempt], now, out)
+    return list(freed)
 
 
 def on_claim_timer(
@@ -240,10 +247,10 @@
             continue
         for attempt in list(worker.attempts):
             held = state.attempts[attempt]
+            if held.phase is not _state.Phase.RUNNING:
+                continue
             record = state.jobs[attempt.job_id]
-            if held.phase is not _state.Phase.RUNNING or (
-                _state.is_gang(record)
-            ):
+            if _state.is_gang(record):
                 continue
             policy = _state.class_config(state, record.job)
             if _state.is_service(record):
--- a/chestnuttide/jobs/_recovery.py
+++ b/chestnuttide/jobs/_recovery.py
@@ -14,6 +14,10 @@
 from chestnuttide import model
 from chestnuttide import placement
 
+# Seconds after the end of a job during which its attempts may not have been
+# stopped yet.
+STRAY_S = 60.0
+
 
 def on_recovered(
     state: _state.PoolState,
@@ -37,6 +41,14 @@
         worker.reported = False
         state.unreported.add(worker_id)
         _state.update_shut(state, worker, now)
+    for record in state.jobs.values():
+        if _state.is_open(record) or (
+            record.state is not model.JobState.SUCCEEDED
+            and now - record.ended_at < STRAY_S
+        ):
+            _holding.assume(
+                state, record, record.job.tasks - record.done_count
+            )
     _timers.schedule(state, state.settle_at, "settle")
     _journal.append(state, _events.owner(state.generation, now), out, "owner")
 
@@ -49,7 +61,10 @@
     """Adopt changes of the instance list.
 
     A worker gets no work before its first report. One that is listed as gone
-    keeps its attempts until their leases have expired.
+    keeps its attempts until their leases have expired. One that is gone when
+    the shard is taken over may still run attempts of the former owner, so it
+    is waited for like any other; callers leave out workers that have been
+    gone for longer than a lease with its margin.
     """
     for instance in message.instances:
         if instance.kind is not model.InstanceKind.WORKER:
@@ -58,7 +73,7 @@
         gone = instance.state is model.InstanceState.GONE
         worker = state.workers.get(worker_id)
         if worker is None:
-            if gone:
+            if gone and state.settled:
                 continue
             worker = _state.WorkerRecord(instance=instance)
             state.workers[worker_id] = worker
@@ -90,6 +105,7 @@
     state.settled = True
     state.unreported.clear()
     for record in list(state.jobs.values()):
+        _holding.drop_assumed(state, record, record.assumed)
         if not record.settled:
             _settle(state, record, now, out)
     for worker in list(state.workers.values()):
