--- a/chestnuttide/scheduler/_daemon.py
+++ b/chestnuttide/scheduler/_daemon.py
@@ -143,7 +143,7 @@
 def _connect_parts(state: _state.SchedulerState) -> None:
     """Set the functions by which the parts call each other."""
     network = state.network
-    network.on_message = lambda connection, message: _take_message(
+    network.on_message = lambda connection, message: _take_safely(
         state, connection, message
     )
     network.on_connected = lambda connection: _connected(state, connection)
@@ -231,6 +231,29 @@
         _membership.update_peers(state)
 
 
+def _take_safely(
+    state: _state.SchedulerState, connection: mesh.Connection, message: object
+) -> None:
+    """Take a message; a fault in it must not end the connection.
+
+    All other calls on the connection would be lost with it.
+    """
+    try:
+        _take_message(state, connection, message)
+    except Exception:
+        LOG.exception("message %s has failed", type(message).__name__)
+        call_id = getattr(message, "call_id", None)
+        if call_id is None or isinstance(message, mesh.RequestCancel):
+            return
+        error = errors.RefusedError(
+            reason=errors.Reason.INTERNAL,
+            message="The scheduler failed while it took the call.",
+            remedy="Read the state of your call, and report the log line.",
+            run_state=errors.RunState.UNKNOWN,
+        )
+        _refuse_call(state, connection, message, error)
+
+
 def _take_message(
     state: _state.SchedulerState, connection: mesh.Connection, message: object
 ) -> None:
@@ -294,15 +317,22 @@
         errors.Reason.NOT_OWNER,
         f"Shard {message.shard} is not served here.",
     )
+    _refuse_call(state, connection, message, error)
+
+
+def _refuse_call(
+    state: _state.SchedulerState,
+    connection: mesh.Connection,
+    message: object,
+    error: errors.RefusedError,
+) -> None:
     telemetry.count_refusal(state.metrics, error.reason)
-    if not isinstance(message, mesh.RequestCall):
+    if isinstance(message, mesh.RequestCall):
+        answer = routing.make_answer(message.request_id, error)
+        reply: object = _requests.make_request_reply(message.call_id, answer)
+    else:
         reply = _requests.make_refusal_reply(message.call_id, error)
-        mesh.send_if_possible(connection, reply)
-        return
-    answer = routing.make_answer(message.request_id, error)
-    mesh.send_if_possible(
-        connection, _requests.make_request_reply(message.call_id, answer)
-    )
+    mesh.send_if_possible(connection, reply)
 
 
 def _take_slots_freed(
