--- a/chestnuttide/coordination/_journal.py
+++ b/chestnuttide/coordination/_journal.py
@@ -238,7 +238,7 @@
 
 @attrs.frozen(kw_only=True, slots=True)
 class SnapshotDue:
-    """Take a snapshot now and report `SnapshotTaken`."""
+    """Take a snapshot and report `SnapshotTaken` before the next `Append`."""
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -401,8 +401,9 @@
 def make_journal_filter(*, state: JournalState) -> pipes.Filter:
     """Return the filter that commits the events of one shard.
 
-    The first batch is the seal; it is written at once, without events if
-    there are none.
+    The first batch is the seal; it is written at once. Events are appended
+    only after `Sealed`, and a snapshot that is due before that is of the
+    state as recovered.
 
     Parameters
     ----------
@@ -565,15 +566,18 @@
     outputs: list[object] = []
     if state.deposed or state.in_flight is not None:
         return outputs
-    while state.sealed and state.pending:
+    used = state.next_seq - state.base_seq
+    # A full ring has no slot for the seal: then what was recovered is first
+    # written as a snapshot, which is right whether or not the seal succeeds.
+    full = used >= state.ring_size
+    while (state.sealed or full) and state.pending:
         first = state.pending[0]
         if not isinstance(first, Cut):
             break
         state.pending.popleft()
         outputs.append(SnapshotReady(data=first.data, base_seq=state.next_seq))
-    used = state.next_seq - state.base_seq
     due = state.sealed and used >= state.ring_size * SNAPSHOT_SHARE
-    if due and not state.snapshot_asked:
+    if (due or full) and not state.snapshot_asked:
         state.snapshot_asked = True
         outputs.append(SnapshotDue())
     if state.sealed and not state.pending:
--- a/chestnuttide/coordination/_records.py
+++ b/chestnuttide/coordination/_records.py
@@ -129,9 +129,23 @@
     return items
 
 
+def _strict(value: object, kind: type) -> object:
+    if kind is float and isinstance(value, int):
+        return float(value)
+    if not isinstance(value, kind):
+        raise TypeError(f"{value!r} is no {kind.__name__}")
+    return value
+
+
+# The default converter turns any value into a string or a truth value.
+_CONVERTER: typing.Final = cattrs.Converter()
+for _kind in (bool, float, int, str):
+    _CONVERTER.register_structure_hook(_kind, _strict)
+
+
 def _structure(fields: dict[str, object], kind: type) -> typing.Any:
     try:
-        return cattrs.structure(fields, kind)
+        return _CONVERTER.structure(fields, kind)
     except (cattrs.BaseValidationError, TypeError, ValueError) as error:
         raise _malformed() from error
 
