Test the turns in which members claim a shard

Removing the wait of less preferred members, or making it endless, failed no test. Adds a table for it: three members at once, a preferred member that cannot claim, and a single instance. It fails without the fallback.

--- a/chestnuttide/coordination/tests/test_ownership_rules.py
+++ b/chestnuttide/coordination/tests/test_ownership_rules.py
@@ -412,6 +412,32 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("others", "delay", "expected"),
+    [
+        pytest.param(3, 0.0, False, id="all_members_claim_at_once"),
+        pytest.param(3, 3.0, True, id="preferred_member_cannot_claim"),
+        pytest.param(0, 0.0, True, id="single_instance_waits"),
+    ],
+)
+def test_turns_of_claims(others: int, delay: float, expected: bool) -> None:
+    members = ["a", *(f"m{number}" for number in range(others))]
+    # A shard for which this instance is the least preferred member.
+    [shard, *_] = [
+        name
+        for name in (f"s{number}" for number in range(100))
+        if coordination.rank_members(name, members)[-1] == "a"
+    ]
+    _, run = _voter()
+    run(coordination.DesiredShards(shards=frozenset({shard})), AWAKE)
+    run(coordination.ShardRecordsRead(records=()), AWAKE)
+    run(_members(*members), AWAKE)
+    outputs: list = []
+    for step in range(int(delay) + 1):
+        outputs = run(_renewed(AWAKE + step, 1), AWAKE + step)
+    assert bool(_of(outputs, coordination.WriteShardRecord)) is expected
+
+
 def test_released_shard_waits_for_its_former_owner() -> None:
     state, run = _owner()
     residual = {"t": (1.5,)}
