--- a/chestnuttide/coordination/tests/test_journal_properties.py
+++ b/chestnuttide/coordination/tests/test_journal_properties.py
@@ -12,6 +12,8 @@
 
 RING_SIZE = 16
 SHARD = "workers/main"
+# Calls are answered in random order, so a snapshot of many chunks takes long.
+SETTLE_ROUNDS = 400
 
 
 @attrs.define(kw_only=True)
@@ -243,14 +245,17 @@
         _take_over(world, world.epoch, between)
         _run(world, span)
         _check(world)
-    # Without further faults the last owner commits all that it appended.
+    # Without further faults the owner of the last epoch seals and commits; a
+    # former owner may still try to recover after it.
     world.loss = 0.0
-    for _ in range(40):
+    for _ in range(SETTLE_ROUNDS):
         _run(world, 5)
-    last = world.owners[-1]
-    assert last.sealed
-    events = _check(world)
-    assert any(epoch == world.epoch for epoch, _ in events)
+        owners = [one for one in world.owners if one.epoch == world.epoch]
+        if owners[-1].alive and owners[-1].sealed:
+            events = _check(world)
+            if any(epoch == world.epoch for epoch, _ in events):
+                return
+    raise AssertionError("the last owner commits nothing")
 
 
 def test_snapshots_keep_a_small_ring_going() -> None:
