Let starts expire, so that a paused worker cannot begin one late

Ruled out: waiting longer, because no bound on a pause is known; closing the connection, because unread bytes stay readable. Change: a start names the wall clock time after which it is void; the owner counts this time and a clock difference before the lease of an unanswered start, and waits as long for unreported workers after a takeover. Conclusion: needs wall clocks within 1 s of each other.

--- a/chestnuttide/jobs/_attempts.py
+++ b/chestnuttide/jobs/_attempts.py
@@ -82,7 +82,9 @@
     ):
         held.expires_at = max(
             held.expires_at,
-            message.sent_at + held.lease_s * _state.LEASE_MARGIN,
+            message.sent_at
+            + _start_doubt_s(outcome)
+            + held.lease_s * _state.LEASE_MARGIN,
         )
         worker = state.workers.get(held.worker_id)
         if worker is not None:
@@ -96,7 +98,7 @@
         _retry_start(
             state, held, errors.RetryReason.START_UNANSWERED, now, out
         )
-    elif held.in_doubt:
+    elif held.in_doubt and outcome is not _messages.StartOutcome.EXPIRED:
         # An earlier start may still arrive, so this answer proves nothing.
         _retry_start(state, held, errors.RetryReason.CONNECT_FAILED, now, out)
     else:
@@ -292,6 +294,13 @@
         _backlog.wait_again(state, record, held.attempt.index)
 
 
+def _start_doubt_s(outcome: _messages.StartOutcome) -> float:
+    """Return how long after its sending a start may still take effect."""
+    if outcome is _messages.StartOutcome.UNANSWERED:
+        return model.START_VALID_S + model.CLOCK_SKEW_S
+    return 0.0
+
+
 def _renew(
     state: _state.PoolState, worker: _state.WorkerRecord, sent_at: float
 ) -> None:
--- a/chestnuttide/jobs/_messages.py
+++ b/chestnuttide/jobs/_messages.py
@@ -12,6 +12,8 @@
 class StartOutcome(enum.StrEnum):
     """How the sending of a start ended.
 
+    ``EXPIRED`` means that the start came too late to take effect, and so did
+    all earlier ones of the attempt.
     ``UNANSWERED`` means that the worker may have received the start,
     ``UNSENT`` that it certainly did not.
     """
@@ -20,6 +22,7 @@
     RUNNING = "running"
     ENDED = "ended"
     NO_CAPACITY = "no_capacity"
+    EXPIRED = "expired"
     UNANSWERED = "unanswered"
     UNSENT = "unsent"
     STALE_EPOCH = "stale_epoch"
--- a/chestnuttide/jobs/_recovery.py
+++ b/chestnuttide/jobs/_recovery.py
@@ -36,7 +36,13 @@
     state.recovered_at = now
     state.ready = False
     state.settled = False
-    state.settle_at = now + _holding.lease_s(state) * _state.LEASE_MARGIN
+    # A start of the former owner may take effect until it expires.
+    state.settle_at = (
+        now
+        + model.START_VALID_S
+        + model.CLOCK_SKEW_S
+        + _holding.lease_s(state) * _state.LEASE_MARGIN
+    )
     for worker_id, worker in state.workers.items():
         worker.reported = False
         state.unreported.add(worker_id)
--- a/chestnuttide/model/__init__.py
+++ b/chestnuttide/model/__init__.py
@@ -9,6 +9,7 @@
 Answer = _requests.Answer
 Attempt = _jobs.Attempt
 AttemptReport = _jobs.AttemptReport
+CLOCK_SKEW_S = _jobs.CLOCK_SKEW_S
 Instance = _instances.Instance
 InstanceKind = _instances.InstanceKind
 InstanceState = _instances.InstanceState
@@ -17,6 +18,7 @@
 JobState = _jobs.JobState
 Request = _requests.Request
 Resources = _resources.Resources
+START_VALID_S = _jobs.START_VALID_S
 TaskState = _jobs.TaskState
 ZERO = _resources.ZERO
 add = _resources.add
@@ -34,6 +36,7 @@
     "Answer",
     "Attempt",
     "AttemptReport",
+    "CLOCK_SKEW_S",
     "Instance",
     "InstanceKind",
     "InstanceState",
@@ -42,6 +45,7 @@
     "JobState",
     "Request",
     "Resources",
+    "START_VALID_S",
     "TaskState",
     "ZERO",
     "add",
--- a/chestnuttide/model/_jobs.py
+++ b/chestnuttide/model/_jobs.py
@@ -1,12 +1,21 @@
 """Jobs, their tasks and the attempts to run them."""
 
 import enum
+import typing
 
 import attrs
 
 from chestnuttide.model import _resources
 
 
+# Seconds after which a worker refuses a start that was held up on its way, for
+# example in the buffer of an agent that was paused. Without this limit such a
+# start could take effect after its task was started elsewhere.
+START_VALID_S: typing.Final = 2.0
+# Largest difference between the wall clocks of a worker and an instance.
+CLOCK_SKEW_S: typing.Final = 1.0
+
+
 class JobKind(enum.StrEnum):
     """How the tasks of a job are placed.
 
--- a/chestnuttide/platform/_ports.py
+++ b/chestnuttide/platform/_ports.py
@@ -131,7 +131,8 @@
     attempt : Attempt
         The attempt.
     outcome : str
-        ``started``, ``running``, ``ended`` or ``no_capacity``.
+        ``started``, ``running``, ``ended``, ``no_capacity`` or ``expired``;
+        an expired start has not started anything and never will.
     """
 
     attempt: model.Attempt
--- a/chestnuttide/platform/_worker_agent_client.py
+++ b/chestnuttide/platform/_worker_agent_client.py
@@ -1,6 +1,7 @@
 """Client of the agents of workers."""
 
 import collections.abc
+import time
 import typing
 
 from chestnuttide import errors
@@ -81,7 +82,9 @@
             commands,
             address,
             _worker_agent_wire.START_PATH,
-            _worker_agent_wire.encode_start(epoch, lease_s, starts),
+            _worker_agent_wire.encode_start(
+                epoch, lease_s, time.time() + model.START_VALID_S, starts
+            ),
             timeout_s,
         )
         try:
--- a/chestnuttide/platform/_worker_agent_wire.py
+++ b/chestnuttide/platform/_worker_agent_wire.py
@@ -31,12 +31,16 @@
         Epoch of the shard that owns the worker.
     lease_s : float
         Lease of each started task in seconds.
+    expires_at : float
+        Wall clock time, in seconds since the epoch, after which the worker
+        starts nothing of it.
     starts : tuple of TaskStart
         The attempts to start.
     """
 
     epoch: int
     lease_s: float
+    expires_at: float
     starts: tuple[_ports.TaskStart, ...]
 
 
@@ -106,9 +110,10 @@
 def encode_start(
     epoch: int,
     lease_s: float,
+    expires_at: float,
     starts: collections.abc.Sequence[_ports.TaskStart],
 ) -> bytes:
-    """Return the body of a start.
+    """Return the body of a start; see `StartCall`.
 
     Raises
     ------
@@ -126,7 +131,12 @@
         for start in starts
     ]
     return _json_wire.dump(
-        {"epoch": epoch, "lease_s": lease_s, "tasks": tasks}
+        {
+            "epoch": epoch,
+            "lease_s": lease_s,
+            "expires_unix_ms": round(expires_at * 1000),
+            "tasks": tasks,
+        }
     )
 
 
@@ -143,6 +153,7 @@
         return StartCall(
             epoch=int(fields["epoch"]),
             lease_s=float(fields["lease_s"]),
+            expires_at=float(fields["expires_unix_ms"]) / 1000,
             starts=tuple(
                 _ports.TaskStart(
                     attempt=_json_wire.from_plain(task, model.Attempt),
--- a/standins/tests/test_worker_agent.py
+++ b/standins/tests/test_worker_agent.py
@@ -1,4 +1,5 @@
 import json
+import math
 import typing
 
 import pytest
@@ -28,10 +29,12 @@
     payload: dict[str, typing.Any] | None = None,
     resources: model.Resources = _ONE,
     lease_s: float = 10.0,
+    expires_at: float = math.inf,
 ) -> str:
     call = _worker_agent_wire.StartCall(
         epoch=1,
         lease_s=lease_s,
+        expires_at=expires_at,
         starts=(
             platform.TaskStart(
                 attempt=_attempt(name),
@@ -276,3 +279,12 @@
         [_history("a", *first), _history("b", *second)]
     )
     assert [double["overlap_s"] for double in doubles] == found
+
+
+def test_start_that_was_held_up_is_refused() -> None:
+    """Guards against a start read from a buffer after a pause."""
+    state = worker_agent.State(worker_id="w", capacity=_CAPACITY)
+    wall = 100.0 + state.wall_offset_s
+    assert _start(state, 100.0, "j.0.1", expires_at=wall - 1) == "expired"
+    assert _start(state, 100.0, "j.0.1", expires_at=wall + 1) == "started"
+    assert _start(state, 103.0, "j.0.1", expires_at=wall - 1) == "running"
--- a/standins/worker_agent/_state.py
+++ b/standins/worker_agent/_state.py
@@ -176,7 +176,7 @@
     return [
         platform.StartOutcome(
             attempt=task.attempt,
-            outcome=_start_one(state, task, call.lease_s, now),
+            outcome=_start_one(state, task, call, now),
         )
         for task in call.starts
     ]
@@ -272,13 +272,18 @@
 
 
 def _start_one(
-    state: State, task: platform.TaskStart, lease_s: float, now: float
+    state: State,
+    task: platform.TaskStart,
+    call: _worker_agent_wire.StartCall,
+    now: float,
 ) -> str:
     attempt = task.attempt
     if attempt in state.running:
         return "running"
     if attempt in state.known:
         return "ended"
+    if now + state.wall_offset_s > call.expires_at:
+        return "expired"
     twins = [
         other.number
         for other in state.running
@@ -313,7 +318,7 @@
     state.running[attempt] = Running(
         start=task,
         started=now,
-        lease_until=now + lease_s,
+        lease_until=now + call.lease_s,
         work_s=work_s,
         fails=fails,
         usage_share=usage_share,
