Leave known reports out of worker syncs

Cause: at the target size a worker runs 24 tasks; all of their reports every 2 s are some 4 KB per sync, above the 9 KB/s of control at three workers. Change: a sync names the digest of the reports that the owner has, and the worker leaves them out if nothing has changed; one sync in five asks for all, for the usage.

--- a/chestnuttide/platform/_ports.py
+++ b/chestnuttide/platform/_ports.py
@@ -166,12 +166,16 @@
     ----------
     sequence : int
         Number of the worker's last event.
-    reports : tuple of AttemptReport
-        Live attempts and ended ones that were not acknowledged.
+    reports : tuple of AttemptReport, or None
+        Live attempts and ended ones that were not acknowledged; None if the
+        caller has them already, because their digest is the one it named.
+    digest : str
+        Digest of the reports, to be named in the next sync.
     """
 
     sequence: int
-    reports: tuple[model.AttemptReport, ...]
+    reports: tuple[model.AttemptReport, ...] | None
+    digest: str = ""
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -187,8 +191,8 @@
         ``start(address, epoch, lease_s, starts)`` returns a list of
         `StartOutcome`.
     sync : function
-        ``sync(address, epoch, lease_s, acknowledged, wait_s, after)`` returns
-        a `SyncResult`.
+        ``sync(address, epoch, lease_s, acknowledged, wait_s, after, known)``
+        returns a `SyncResult`.
     stop : function
         ``stop(address, epoch, attempts, checkpoint)``.
     throttle : function
@@ -208,6 +212,7 @@
             collections.abc.Sequence[model.Attempt],
             float,
             int,
+            str,
         ],
         collections.abc.Awaitable[SyncResult],
     ]
--- a/chestnuttide/platform/_worker_agent_client.py
+++ b/chestnuttide/platform/_worker_agent_client.py
@@ -99,6 +99,7 @@
         acknowledged: collections.abc.Sequence[model.Attempt],
         wait_s: float,
         after: int,
+        known: str = "",
     ) -> _ports.SyncResult:
         sync_call = _worker_agent_wire.SyncCall(
             epoch=epoch,
@@ -106,6 +107,7 @@
             acknowledged=list(acknowledged),
             wait_s=wait_s,
             after=after,
+            known=known,
         )
         body = await call(
             syncs,
--- a/chestnuttide/platform/_worker_agent_wire.py
+++ b/chestnuttide/platform/_worker_agent_wire.py
@@ -5,6 +5,7 @@
 import typing
 
 import attrs
+import xxhash
 
 from chestnuttide import errors
 from chestnuttide import model
@@ -60,6 +61,9 @@
         Seconds to wait for an event.
     after : int
         Sequence of the last event that the caller knows.
+    known : str
+        Digest of the reports that the caller has; empty if it wants them in
+        any case.
     """
 
     epoch: int
@@ -67,6 +71,7 @@
     acknowledged: list[model.Attempt]
     wait_s: float
     after: int
+    known: str = ""
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -225,6 +230,21 @@
     return _json_wire.from_plain(_json_wire.load(body), ThrottleCall)
 
 
+def digest_reports(
+    reports: collections.abc.Iterable[model.AttemptReport],
+) -> str:
+    """Return a digest of which attempts are reported in which state.
+
+    Run times and usage are left out; they change all the time.
+    """
+    lines = sorted(
+        f"{each.attempt.job_id}/{each.attempt.index}/{each.attempt.number}"
+        f"/{each.state.value}"
+        for each in reports
+    )
+    return xxhash.xxh64_hexdigest("\n".join(lines).encode())
+
+
 def encode_sync_result(result: _ports.SyncResult) -> bytes:
     """Return the body of the answer to a sync."""
     return _json_wire.dump(result)
--- a/chestnuttide/scheduler/_pools.py
+++ b/chestnuttide/scheduler/_pools.py
@@ -29,6 +29,10 @@
 # Pause while this instance may not act, before it looks again.
 NOT_OWNER_PAUSE_S = 0.05
 
+# Of so many syncs one asks for all reports although nothing has changed, for
+# the sake of the usage in them. 24 tasks are some 4 KB of reports.
+FULL_SYNC_EVERY = 5
+
 HTTP_ACCEPTED = 202
 HTTP_OK = 200
 
@@ -53,6 +57,10 @@
         Starts of this loop iteration.
     stops : list of StopTask
         Stops of this loop iteration.
+    reports : tuple of AttemptReport
+        What the worker reported last.
+    digest : str
+        Digest of `reports`; empty if there are none.
     """
 
     worker_id: str
@@ -61,6 +69,8 @@
     acknowledged: list[model.Attempt] = attrs.field(factory=list)
     starts: list[jobs.StartTask] = attrs.field(factory=list)
     stops: list[jobs.StopTask] = attrs.field(factory=list)
+    reports: tuple[model.AttemptReport, ...] = ()
+    digest: str = ""
 
 
 @attrs.define(kw_only=True, slots=True, eq=False)
@@ -497,6 +507,7 @@
     """Renew the worker's leases and take its reports, until stopped."""
     after = 0
     failures = 0
+    turn = 0
     rng = random.Random()
     sync_s = shard.daemon.settings.coordination.worker_sync_s
     # The first answer is wanted at once: it tells what runs on the worker.
@@ -520,11 +531,13 @@
                 acknowledged,
                 wait_s,
                 after,
+                "" if turn % FULL_SYNC_EVERY == 0 else link.digest,
             )
         except (errors.PlatformError, errors.DeposedError) as error:
             link.acknowledged = acknowledged + link.acknowledged
             failures += 1
             wait_s = 0.0
+            turn = 0
             received = getattr(error, "sent", False)
             _feed(
                 shard,
@@ -544,13 +557,17 @@
             )
             continue
         failures = 0
+        turn += 1
+        if result.reports is not None:
+            link.reports = result.reports
+        link.digest = result.digest
         wait_s = sync_s
         after = result.sequence
         _feed(
             shard,
             jobs.SyncReport(
                 worker_id=link.worker_id,
-                reports=result.reports,
+                reports=link.reports,
                 sent_at=sent_at,
             ),
         )
--- a/standins/tests/test_worker_agent.py
+++ b/standins/tests/test_worker_agent.py
@@ -288,3 +288,19 @@
     assert _start(state, 100.0, "j.0.1", expires_at=wall - 1) == "expired"
     assert _start(state, 100.0, "j.0.1", expires_at=wall + 1) == "started"
     assert _start(state, 103.0, "j.0.1", expires_at=wall - 1) == "running"
+
+
+def test_known_reports_are_left_out_until_something_changes() -> None:
+    """Guards against an owner that misses a start or an end."""
+    state = worker_agent.State(worker_id="w", capacity=_CAPACITY)
+    _start(state, 1.0, "j.0.1", {"run_s": 5})
+    first = _state.reports(state, 1.0)
+    assert first.reports
+    assert _state.reports(state, 2.0, first.digest).reports is None
+    _start(state, 2.0, "j.1.1", {"run_s": 5})
+    second = _state.reports(state, 2.0, first.digest)
+    assert len(second.reports) == 2
+    third = _state.reports(state, 6.5, second.digest)
+    assert [each.state for each in third.reports].count("succeeded") == 1
+    _sync(state, 6.6, "j.0.1")
+    assert len(_state.reports(state, 6.6, third.digest).reports) == 1
--- a/standins/worker_agent/_server.py
+++ b/standins/worker_agent/_server.py
@@ -239,7 +239,7 @@
         if call.epoch < desk.state.epoch:
             return _stale(desk)
         now = time.monotonic()
-    result = _state.reports(desk.state, time.monotonic())
+    result = _state.reports(desk.state, time.monotonic(), call.known)
     return 200, _worker_agent_wire.encode_sync_result(result)
 
 
--- a/standins/worker_agent/_state.py
+++ b/standins/worker_agent/_state.py
@@ -191,8 +191,11 @@
         state.ended.pop(attempt, None)
 
 
-def reports(state: State, now: float) -> platform.SyncResult:
-    """Return the live attempts and the ended ones not acknowledged."""
+def reports(state: State, now: float, known: str = "") -> platform.SyncResult:
+    """Return the live attempts and the ended ones not acknowledged.
+
+    They are left out if their digest is `known`.
+    """
     advance(state, now)
     live = tuple(
         model.AttemptReport(
@@ -204,8 +207,12 @@
         )
         for attempt, run in state.running.items()
     )
+    found = (*live, *state.ended.values())
+    digest = _worker_agent_wire.digest_reports(found)
     return platform.SyncResult(
-        sequence=state.sequence, reports=(*live, *state.ended.values())
+        sequence=state.sequence,
+        reports=None if digest == known else found,
+        digest=digest,
     )
 
 
