--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of recorded traces and measurements of running processes."""
