--- a/bench/_relay.py
+++ b/bench/_relay.py
@@ -101,7 +101,9 @@
     def count_down(size: int) -> None:
         relay.bytes_down += size
 
-    await asyncio.gather(
-        pump(reader, up_writer, count_up),
-        pump(up_reader, writer, count_down),
-    )
+    # The relay's end cancels this; asyncio.start_server would log that.
+    with contextlib.suppress(asyncio.CancelledError):
+        await asyncio.gather(
+            pump(reader, up_writer, count_up),
+            pump(up_reader, writer, count_down),
+        )
