--- a/chestnuttide/placement/_cells.py
+++ b/chestnuttide/placement/_cells.py
@@ -1,10 +1,13 @@
 """The cell's workers and the exact reservations on them."""
 
+import math
+
 from chestnuttide import config
 from chestnuttide import model
 from chestnuttide.placement import _errors
 from chestnuttide.placement import _health
 from chestnuttide.placement import _index
+from chestnuttide.placement import _preemption
 from chestnuttide.placement import _reclaim
 from chestnuttide.placement import _state
 
@@ -208,6 +211,7 @@
     urgent: bool,
     expected_end: float,
     started: float,
+    reclaimed: bool = False,
 ) -> None:
     """Record what a worker reports as running, even beyond what is free.
 
@@ -242,7 +246,7 @@
             checkpoint=checkpoint,
             throttle=throttle,
             urgent=urgent,
-            reclaimed=False,
+            reclaimed=reclaimed,
             started=started,
             expected_end=expected_end,
         ),
@@ -317,6 +321,11 @@
     cell: _state.Cell, capacity: model.Resources, sign: int
 ) -> None:
     cell.live += sign
+    count = cell.capacities.get(capacity, 0) + sign
+    if count:
+        cell.capacities[capacity] = count
+    else:
+        del cell.capacities[capacity]
     cell.capacity_cpu += sign * capacity.cpu_millis
     cell.capacity_memory += sign * capacity.memory_mb
     cell.capacity_accelerators += sign * capacity.accelerators
@@ -348,6 +357,7 @@
     memory = sign * need.memory_mb
     accelerators = sign * need.accelerators
     worker.accelerators += accelerators
+    _note_expected_end(cell, reservation, sign)
     cell.reserved_accelerators += accelerators
     if not reservation.reclaimed:
         worker.firm_cpu += cpu
@@ -365,18 +375,35 @@
     evictable = worker.evictable.get(priority)
     if evictable is None:
         evictable = worker.evictable[priority] = _state.Evictable()
-        cell.preemptible.setdefault(priority, {})[worker.worker_id] = None
+        cell.preemptible[priority] = cell.preemptible.get(priority, 0) + 1
     evictable.count += sign
     evictable.cpu_millis += cpu
     evictable.memory_mb += memory
     evictable.accelerators += accelerators
     if not evictable.count:
         del worker.evictable[priority]
-        del cell.preemptible[priority][worker.worker_id]
+        cell.preemptible[priority] -= 1
         if not cell.preemptible[priority]:
             del cell.preemptible[priority]
 
 
+def _note_expected_end(
+    cell: _state.Cell, reservation: _state.Reservation, sign: int
+) -> None:
+    end = reservation.expected_end
+    if reservation.reclaimed or end == math.inf:
+        return
+    second = int(end)
+    if sign > 0:
+        cell.ends.setdefault(second, {})[reservation] = None
+        return
+    ends = cell.ends[second]
+    del ends[reservation]
+    if not ends:
+        del cell.ends[second]
+
+
 def _refresh(cell: _state.Cell, worker: _state.Worker) -> None:
     _index.refresh(cell, worker)
+    _preemption.refresh(cell, worker)
     _reclaim.refresh(cell, worker)
--- a/chestnuttide/placement/_preemption.py
+++ b/chestnuttide/placement/_preemption.py
@@ -3,11 +3,16 @@
 import collections.abc
 
 from chestnuttide import model
+from chestnuttide.placement import _ranking
 from chestnuttide.placement import _state
 
 # Workers that are compared in detail per priority. Comparing all of them
 # takes tens of milliseconds at 2,500 workers.
-CANDIDATES = 24
+CANDIDATES = 16
+
+# Workers that are examined in detail per priority, including those on which
+# protected attempts leave too little to evict.
+EXAMINED = 128
 
 _Rank = tuple[int, int, int, int, float]
 
@@ -23,6 +28,8 @@
 ) -> tuple[str, list[model.Attempt]] | None:
     """Return a worker and the attempts to evict there, or None.
 
+    The list is empty if the need fits on the worker without evictions.
+
     The least important attempts come first, then the fewest, then those that
     are checkpointed, then those that started last and so lose least work.
     Workers are searched by ascending priority of what they have to evict, and
@@ -44,50 +51,93 @@
         Attempts that are not evicted, for example to keep the minimum number
         of a service's replicas up.
     """
-    lower = sorted(level for level in cell.preemptible if level < priority)
-    for position, level in enumerate(lower):
-        best: tuple[_Rank, str, list[model.Attempt]] | None = None
-        candidates = 0
-        for worker_id in cell.preemptible[level]:
-            if worker_id in excluded:
-                continue
-            worker = cell.workers[worker_id]
-            if not _yields(worker, lower[: position + 1], need):
-                continue
-            found = _victims_on(worker, need, level, now, protected)
-            if found is None:
-                continue
-            if best is None or (found[0], worker_id) < best[:2]:
-                best = (found[0], worker_id, found[1])
-            candidates += 1
-            if candidates == CANDIDATES:
-                break
+    levels = sorted(level for level in cell.preemptible if level < priority)
+    if not levels:
+        return None
+    suited: dict[int, list[_state.Worker]] = {level: [] for level in levels}
+    for _cpu, _memory, worker_id in _ranking.ascending(
+        cell.yielding,
+        primary=need.cpu_millis,
+        secondary=need.memory_mb,
+    ):
+        worker = cell.workers[worker_id]
+        if worker.held or worker.ejected or worker_id in excluded:
+            continue
+        level = _level_of(worker, levels, need)
+        if level is None:
+            continue
+        suited[level].append(worker)
+        if len(suited[levels[0]]) == EXAMINED:
+            break
+    for level in levels:
+        best = _best_on(suited[level][:EXAMINED], need, level, now, protected)
         if best is not None:
-            return best[1], best[2]
+            return best
     return None
 
 
-def _yields(
+def refresh(cell: _state.Cell, worker: _state.Worker) -> None:
+    """File a worker under what it has free once it evicts all it may.
+
+    The amounts are upper bounds: evicting lent work may free less than its
+    reservation.
+    """
+    entry: _ranking.Entry | None = None
+    if worker.evictable and worker.state is model.InstanceState.LIVE:
+        cpu = worker.free_cpu
+        memory = worker.free_memory
+        for evictable in worker.evictable.values():
+            cpu += evictable.cpu_millis
+            memory += evictable.memory_mb
+        entry = (cpu, memory, worker.worker_id)
+    if entry == worker.yield_entry:
+        return
+    if worker.yield_entry is not None:
+        _ranking.remove(cell.yielding, worker.yield_entry)
+    if entry is not None:
+        _ranking.insert(cell.yielding, entry)
+    worker.yield_entry = entry
+
+
+def _level_of(
     worker: _state.Worker, levels: list[int], need: model.Resources
-) -> bool:
-    """Return whether evicting all work of the levels makes enough room."""
-    if (
-        worker.state is not model.InstanceState.LIVE
-        or worker.ejected
-        or worker.held
-    ):
-        return False
+) -> int | None:
+    """Return the priority up to which evictions may make enough room."""
     cpu = worker.free_cpu - need.cpu_millis
     memory = worker.free_memory - need.memory_mb
     accelerators = worker.free_accelerators - need.accelerators
-    evictable = worker.evictable
     for level in levels:
-        held = evictable.get(level)
-        if held is not None:
-            cpu += held.cpu_millis
-            memory += held.memory_mb
-            accelerators += held.accelerators
-    return cpu >= 0 and memory >= 0 and accelerators >= 0
+        evictable = worker.evictable.get(level)
+        if evictable is not None:
+            cpu += evictable.cpu_millis
+            memory += evictable.memory_mb
+            accelerators += evictable.accelerators
+            if cpu >= 0 and memory >= 0 and accelerators >= 0:
+                return level
+    return None
+
+
+def _best_on(
+    workers: list[_state.Worker],
+    need: model.Resources,
+    level: int,
+    now: float,
+    protected: collections.abc.Container[model.Attempt],
+) -> tuple[str, list[model.Attempt]] | None:
+    """Return the best victims of one priority on the first few workers."""
+    best: tuple[_Rank, str, list[model.Attempt]] | None = None
+    candidates = 0
+    for worker in workers:
+        found = _victims_on(worker, need, level, now, protected)
+        if found is None:
+            continue
+        worker_id = worker.worker_id
+        if best is None or (found[0], worker_id) < best[:2]:
+            best = (found[0], worker_id, found[1])
+        candidates += 1
+        if candidates == CANDIDATES:
+            break
+    return None if best is None else (best[1], best[2])
 
 
 def _victims_on(
@@ -143,51 +193,72 @@
     return (-need.accelerators, -need.cpu_millis, -need.memory_mb)
 
 
-def _room_without(
-    worker: _state.Worker, evicted: list[_state.Reservation]
-) -> model.Resources:
-    """Return what is free on a worker once the attempts are evicted."""
-    firm_cpu = worker.firm_cpu
-    firm_memory = worker.firm_memory
-    strict_cpu = worker.strict_cpu
-    strict_memory = worker.strict_memory
-    pinned_memory = worker.pinned_memory
-    accelerators = worker.accelerators
-    for reservation in evicted:
-        need = reservation.need
-        accelerators -= need.accelerators
-        if not reservation.reclaimed:
-            firm_cpu -= need.cpu_millis
-            firm_memory -= need.memory_mb
-        if not reservation.throttle:
-            strict_cpu -= need.cpu_millis
-            strict_memory -= need.memory_mb
-        if not reservation.checkpoint:
-            pinned_memory -= need.memory_mb
+def _fits_after(
+    worker: _state.Worker, need: model.Resources, sums: list[int]
+) -> bool:
+    """Return whether a need fits once the summed amounts are evicted.
+
+    The sums are those of `_count`.
+    """
     capacity = worker.capacity
-    return model.Resources(
-        cpu_millis=capacity.cpu_millis - max(firm_cpu, strict_cpu),
-        memory_mb=capacity.memory_mb
-        - max(firm_memory, strict_memory, pinned_memory),
-        accelerators=capacity.accelerators - accelerators,
+    return (
+        worker.accelerators - sums[5] + need.accelerators
+        <= capacity.accelerators
+        and max(worker.firm_cpu - sums[0], worker.strict_cpu - sums[1])
+        + need.cpu_millis
+        <= capacity.cpu_millis
+        and max(
+            worker.firm_memory - sums[2],
+            worker.strict_memory - sums[3],
+            worker.pinned_memory - sums[4],
+        )
+        + need.memory_mb
+        <= capacity.memory_mb
     )
 
 
+def _count(
+    sums: list[int], reservation: _state.Reservation, sign: int
+) -> None:
+    """Add or take a reservation to or from the sums that include it.
+
+    The sums are firm and strict processors, firm, strict and pinned memory,
+    and accelerators; see `Worker`.
+    """
+    need = reservation.need
+    cpu = sign * need.cpu_millis
+    memory = sign * need.memory_mb
+    if not reservation.reclaimed:
+        sums[0] += cpu
+        sums[2] += memory
+    if not reservation.throttle:
+        sums[1] += cpu
+        sums[3] += memory
+    if not reservation.checkpoint:
+        sums[4] += memory
+    sums[5] += sign * need.accelerators
+
+
 def _take(
     worker: _state.Worker,
     need: model.Resources,
     order: list[_state.Reservation],
 ) -> list[_state.Reservation] | None:
     """Take attempts in order until the need fits, then drop spare ones."""
+    sums = [0, 0, 0, 0, 0, 0]
     chosen: list[_state.Reservation] = []
     for reservation in order:
-        if model.fits(need, _room_without(worker, chosen)):
+        if _fits_after(worker, need, sums):
             break
         chosen.append(reservation)
-    if not model.fits(need, _room_without(worker, chosen)):
+        _count(sums, reservation, 1)
+    if not _fits_after(worker, need, sums):
         return None
-    for reservation in reversed(list(chosen)):
-        rest = [item for item in chosen if item is not reservation]
-        if model.fits(need, _room_without(worker, rest)):
-            chosen = rest
-    return chosen
+    # The last one taken made the need fit, so it is never spare.
+    kept = chosen[-1:]
+    for reservation in reversed(chosen[:-1]):
+        _count(sums, reservation, -1)
+        if not _fits_after(worker, need, sums):
+            _count(sums, reservation, 1)
+            kept.append(reservation)
+    return kept
