Call gang_capacity without the argument that it no longer takes

The merge of placement and jobs left a call with `enough`, so each accepted submission raised a TypeError, which also ended the entry's mesh connection again and again. gang_capacity counts by distinct capacities now, which bounds its cost without that argument.

--- a/chestnuttide/jobs/_acceptance.py
+++ b/chestnuttide/jobs/_acceptance.py
@@ -229,7 +229,7 @@
     # Before the instance list is known, nothing can be said.
     if (
         placement.worker_count(state.cell)
-        and placement.gang_capacity(state.cell, need, enough=count) < count
+        and placement.gang_capacity(state.cell, need) < count
     ):
         raise errors.RefusedError(
             reason=errors.Reason.FITS_NOWHERE,
