Add baselines and policy figures to the bench

Cause: waiting times and packing say little without something beside them. Change: first-fit in arrival order, random choice and least-loaded on the same traces; figures of waiting, packing and head-of-line blocking.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
 
 from bench import _control_cost
 from bench import _figures
+from bench import _policies
 from bench import _request_path
 from bench import _takeovers
 
@@ -16,6 +17,7 @@
     "request_path": _request_path.measure,
     "control_cost": _control_cost.measure,
     "takeovers": _takeovers.measure,
+    "policies": _policies.measure,
 }
 
 
--- a/bench/_figures.py
+++ b/bench/_figures.py
@@ -41,6 +41,8 @@
         Load average of the machine over the last minute.
     note : str
         How it was counted, or what limits it.
+    brief : bool
+        Whether the table has one line for it and its baselines.
     """
 
     name: str
@@ -54,6 +56,7 @@
     spread: list[float] = attrs.Factory(list)
     load: float = attrs.Factory(lambda: os.getloadavg()[0])
     note: str = ""
+    brief: bool = False
 
 
 def percentile(values: collections.abc.Collection[float], q: float) -> float:
@@ -145,6 +148,15 @@
 
 def render(figure: Figure) -> str:
     """Return the table row of a figure, with bars for its baselines."""
+    if figure.brief:
+        others = "".join(
+            f" {name} {_number(value)}"
+            for name, value in figure.baselines.items()
+        )
+        return (
+            f"{figure.name:38}{_number(figure.ours):>10} {figure.unit:10}"
+            f"{others}"
+        )
     mark = {"met": "ok", "missed": "MISSED", "": ""}[verdict(figure)]
     goal = ""
     if figure.target is not None:
--- a/bench/_replay.py
+++ b/bench/_replay.py
@@ -122,17 +122,38 @@
     while world.calls and world.calls[0][0] <= end:
         world.now, _, call = heapq.heappop(world.calls)
         call()
-    for job_id, event in world.outcome.arrivals.items():
+    record_waits(world.outcome, world.started, world.cancelled, end)
+    return world.outcome
+
+
+def record_waits(
+    outcome: Outcome,
+    started: dict[tuple[str, int], float],
+    cancelled: set[str],
+    end: float,
+) -> None:
+    """Fill in the waits of an outcome.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        Has the arrivals; gets the waits.
+    started : dict of (str, int) to float
+        Time of the first start of each task.
+    cancelled : set of str
+        Cancelled jobs; their tasks that never started have no wait.
+    end : float
+        Time at which the replay ended.
+    """
+    for job_id, event in outcome.arrivals.items():
         for index in range(len(event["runs"])):
-            at_s = world.started.get((job_id, index))
+            at_s = started.get((job_id, index))
             if at_s is None:
-                if job_id in world.cancelled:
+                if job_id in cancelled:
                     continue
-                world.outcome.unstarted += 1
-            world.outcome.waits[job_id, index] = (
-                end if at_s is None else at_s
-            ) - event["t"]
-    return world.outcome
+                outcome.unstarted += 1
+                at_s = end
+            outcome.waits[job_id, index] = at_s - event["t"]
 
 
 def saturate(
--- a/bench/_takeovers.py
+++ b/bench/_takeovers.py
@@ -15,8 +15,11 @@
 POOL = "workers/0"
 TIMEOUT_S = 20.0
 POLL_S = 0.01
-# Pause between two tries, so that promises of the last one have ended.
-SETTLE_S = 4.0
+# Pause until the voters of a new cell or a restarted one are complete: a
+# voter neither promises nor consents for a promise time after its start.
+SETTLE_S = 7.0
+# Pause between two tries, so that the restarted voter answers again.
+RETRY_S = 4.0
 FAILOVER_COMMAND = "python -m bench takeovers"
 
 
@@ -101,7 +104,7 @@
                 harness_module.restart(cell.harness, process.name)
         cell_module.wait_until_ready(cell, ids, 60.0)
         cell_module.wait_for_owners(cell, ids[0], _processes.SHARDS, 60.0)
-        time.sleep(SETTLE_S)
+        time.sleep(RETRY_S)
 
 
 def _place(
