Send calls to the new owner when the former one is silent

The entry now ends the connection to a former owner that has sent nothing for 1.5 heartbeats when another scheduler announces one of its shards with a higher epoch; its calls are sent again as after a lost connection. A former owner that hands over still sends heartbeats and keeps its calls.

--- a/chestnuttide/entry/_daemon.py
+++ b/chestnuttide/entry/_daemon.py
@@ -21,6 +21,8 @@
 # the balancer sees the readiness change first.
 READINESS_NOTICE_S = 1.0
 POLL_S = 0.05
+# A peer that has sent nothing for this many heartbeats is taken for paused.
+SILENT_HEARTBEATS = 1.5
 
 LOG = telemetry.make_logger("entry")
 
@@ -187,13 +189,31 @@
         case mesh.RequestReply() | mesh.Reply():
             mesh.resolve(state.calls, connection, message)
         case mesh.OwnedShards():
-            _owners.take_owned(state.owners, connection, message)
+            for former in _owners.take_owned(
+                state.owners, connection, message
+            ):
+                _abort_if_silent(state, former)
         case _:
             config_message = daemon.to_config_message(message)
             if config_message is not None:
                 _run_config(state, config_message, connection)
 
 
+def _abort_if_silent(
+    state: _state.EntryState, former: mesh.Connection
+) -> None:
+    """End the connection to a former owner that is paused or unreachable.
+
+    Its calls then go to the new owner instead of waiting for their deadlines.
+    A former owner that hands over still sends heartbeats, and answers what it
+    has in flight.
+    """
+    silent_s = time.monotonic() - former.received_at
+    if silent_s > SILENT_HEARTBEATS * state.settings.mesh.heartbeat_s:
+        LOG.warning("scheduler %s is silent", former.peer.sender)
+        mesh.abort(former)
+
+
 def _run_config(
     state: _state.EntryState,
     message: object,
--- a/chestnuttide/entry/_owners.py
+++ b/chestnuttide/entry/_owners.py
@@ -30,12 +30,18 @@
 
 def take_owned(
     owners: Owners, connection: mesh.Connection, message: mesh.OwnedShards
-) -> None:
+) -> list[mesh.Connection]:
     """Take over the complete list of shards that a scheduler owns.
 
     A higher epoch wins, because a former owner that has not noticed its end
     may still name the shard.
+
+    Returns
+    -------
+    list of Connection
+        Connections to former owners that still named a shard of the list.
     """
+    former = []
     told = dict(message.shards)
     for shard, (_, owner) in list(owners.by_shard.items()):
         if owner is connection and shard not in told:
@@ -43,12 +49,15 @@
     for shard, epoch in told.items():
         known = owners.by_shard.get(shard)
         if known is None or epoch >= known[0]:
+            if known is not None and known[1] is not connection:
+                former.append(known[1])
             owners.by_shard[shard] = (epoch, connection)
     if message.draining:
         owners.draining.add(connection.peer.sender)
     else:
         owners.draining.discard(connection.peer.sender)
     _notify(owners)
+    return former
 
 
 def drop_connection(owners: Owners, connection: mesh.Connection) -> None:
--- a/chestnuttide/entry/tests/test_owners.py
+++ b/chestnuttide/entry/tests/test_owners.py
@@ -57,6 +57,23 @@
     assert _owners.owner_of(owners, "s") is owner
 
 
+@pytest.mark.parametrize(
+    ("sender", "message", "former"),
+    [
+        pytest.param(_B, _owned(("s", 2)), [_A], id="former_owner_kept"),
+        pytest.param(_A, _owned(("s", 2)), [], id="owner_replaces_itself"),
+        pytest.param(_B, _owned(("s", 0)), [], id="late_message_replaces"),
+        pytest.param(_B, _owned(("t", 1)), [], id="other_shard_replaces"),
+    ],
+)
+def test_replaced_owners(
+    sender: _Connection, message: object, former: list[object]
+) -> None:
+    owners = _owners.Owners()
+    _owners.take_owned(owners, _A, _owned(("s", 1)))
+    assert _owners.take_owned(owners, sender, message) == former
+
+
 def test_draining_scheduler_is_known() -> None:
     owners = _owners.Owners()
     _owners.take_owned(owners, _A, _owned(draining=True))
--- a/chestnuttide/mesh/__init__.py
+++ b/chestnuttide/mesh/__init__.py
@@ -33,6 +33,7 @@
 StatusRead = _messages.StatusRead
 TargetsLeaving = _messages.TargetsLeaving
 Traffic = _connection.Traffic
+abort = _connection.abort
 close = _network.close
 close_call = _calls.close_call
 decode = _codec.decode
@@ -75,6 +76,7 @@
     "StatusRead",
     "TargetsLeaving",
     "Traffic",
+    "abort",
     "close",
     "close_call",
     "decode",
--- a/chestnuttide/mesh/_connection.py
+++ b/chestnuttide/mesh/_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import time
 
 import attrs
 import websockets
@@ -78,6 +79,8 @@
         Their payload bytes.
     wake : asyncio.Event
         Set while messages wait.
+    received_at : float
+        Monotonic time in seconds of the last frame from the peer.
     """
 
     peer: _messages.Hello
@@ -88,6 +91,7 @@
     queue: list[object] = attrs.field(factory=list)
     queue_bytes: int = 0
     wake: asyncio.Event = attrs.field(factory=asyncio.Event)
+    received_at: float = attrs.field(factory=time.monotonic)
 
 
 # A handler is called for each received message.
@@ -117,6 +121,11 @@
     connection.wake.set()
 
 
+def abort(connection: Connection) -> None:
+    """End a connection whose peer does not answer, without a handshake."""
+    connection.socket.transport.abort()
+
+
 async def handshake(
     *,
     socket: ws_connection.Connection,
@@ -192,6 +201,7 @@
 
 async def _receive_loop(connection: Connection, handler: Handler) -> None:
     async for frame in connection.socket:
+        connection.received_at = time.monotonic()
         connection.traffic.bytes_received += len(frame)
         try:
             messages = _codec.decode(connection.codec, frame)
