--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,6 +7,7 @@
 import time
 
 from bench import _control_cost
+from bench import _decisions
 from bench import _figures
 from bench import _policies
 from bench import _request_path
@@ -18,6 +19,7 @@
     "control_cost": _control_cost.measure,
     "takeovers": _takeovers.measure,
     "policies": _policies.measure,
+    "decisions": _decisions.measure,
 }
 
 
--- a/bench/_control_cost.py
+++ b/bench/_control_cost.py
@@ -1,10 +1,10 @@
 """What the daemons of an idle cell use, at three sizes.
 
 The cell has workers, a service with runners and a config, and no work. CPU
-and memory are those of the daemon that uses most, bytes those of the kind of
-daemon that uses more: the payload that the mesh counters show (sent and received) plus its share of the HTTP
-bytes to and from store and instance list, counted in a relay before them.
-Calls to workers and runners are counted with the calls, not the bytes.
+and memory are those of the daemon that uses most. Bytes are those of the kind
+of daemon that uses more: the payload that the mesh counters show, sent and
+received, plus its share of the HTTP bytes to and from store and instance list,
+counted in a relay before them. Calls to workers and runners are left out.
 """
 
 import pathlib
--- a/bench/_policies.py
+++ b/bench/_policies.py
@@ -121,9 +121,9 @@
     ValueError
         A dimension that is needed is not offered.
     """
-    totals = [sum(column) for column in zip(*needs, strict=True)]
     counts = [0]
-    for total, offered in zip(totals, capacity, strict=True):
+    for dimension, offered in enumerate(capacity):
+        total = sum(need[dimension] for need in needs)
         if total and not offered:
             raise ValueError("a needed dimension is not offered")
         if total:
