Dispatch at once when nothing waits, and drop timers of ended calls

Cause: a profile showed the queue as the largest part of the router's time, also when there was nothing to put in order; timers of answered calls were kept until the callers' deadlines, up to an hour. Change: a call that finds an empty queue and a free slot is dispatched without the queue; heaps of timers are rebuilt when most of their entries have ended. A request whose id the ledger does not allow to be sent is refused.

--- a/chestnuttide/routing/_admission.py
+++ b/chestnuttide/routing/_admission.py
@@ -6,6 +6,7 @@
 from chestnuttide import errors
 from chestnuttide import queueing
 from chestnuttide.routing import _answering
+from chestnuttide.routing import _dispatching
 from chestnuttide.routing import _messages
 from chestnuttide.routing import _refusals
 from chestnuttide.routing import _state
@@ -66,13 +67,19 @@
 def enqueue(
     state: _state.RouterState, call: _state.Call, now: float
 ) -> list[object]:
-    """Queue a call for its first dispatch, or refuse it."""
+    """Dispatch a call at once if nothing waits, else queue or refuse it."""
+    queueing.record_request(state.budget)
+    if not state.queue.items and not state.handing_over:
+        outputs = _dispatching.dispatch_first(state, call, now)
+        if outputs:
+            return outputs
     team = state.teams[call.request.team]
     call.state = _state.CallState.QUEUED
-    queueing.record_request(state.budget)
     try:
         queueing.push(
-            state.queue, make_item(call), team_limit=team.request_limit
+            state.queue,
+            _state.make_item(call),
+            team_limit=team.request_limit,
         )
     except errors.RefusedError as error:
         answer = _refusals.make_answer(call.request.request_id, error)
@@ -80,17 +87,6 @@
     return []
 
 
-def make_item(call: _state.Call) -> queueing.QueueItem:
-    """Return the queue item of a call."""
-    return queueing.QueueItem(
-        key=str(call.call),
-        team=call.request.team,
-        urgent=call.request.urgent,
-        entered_at=call.entered_at,
-        deadline=call.request.deadline,
-    )
-
-
 def cancel(
     state: _state.RouterState, message: _messages.CancelCall, now: float
 ) -> list[object]:
@@ -141,7 +137,7 @@
         state.calls[call.call] = call
         heapq.heappush(state.deadlines, (call.request.deadline, call.call))
         if was_queued:
-            queueing.push(state.queue, make_item(call), forced=True)
+            queueing.push(state.queue, _state.make_item(call), forced=True)
         return []
     answer = state.answers.get(request_id)
     if answer is not None:
--- a/chestnuttide/routing/_dispatching.py
+++ b/chestnuttide/routing/_dispatching.py
@@ -6,7 +6,6 @@
 from chestnuttide import errors
 from chestnuttide import model
 from chestnuttide import queueing
-from chestnuttide.routing import _admission
 from chestnuttide.routing import _answering
 from chestnuttide.routing import _messages
 from chestnuttide.routing import _state
@@ -30,16 +29,58 @@
         if target is None:
             break
         queueing.pop(state.queue, item.key)
-        if call.attempts == 0:
-            outputs.append(
-                _messages.Waited(
-                    seconds=now - call.entered_at, urgent=item.urgent
-                )
-            )
-        outputs.append(_dispatch(state, call, target, now))
+        outputs += _dispatch_queued(state, call, target, now)
     return outputs
 
 
+def dispatch_first(
+    state: _state.RouterState, call: _state.Call, now: float
+) -> list[object]:
+    """Dispatch a call that finds an empty queue.
+
+    This saves the work of the queue when there is nothing to put in order.
+
+    Returns
+    -------
+    list of object
+        The dispatch; empty if no slot is free.
+    """
+    if state.pool.free_slots <= 0:
+        return []
+    target = _targets.take_slot(state.pool)
+    if target is None:
+        return []
+    return _dispatch_queued(state, call, target, now)
+
+
+def _dispatch_queued(
+    state: _state.RouterState,
+    call: _state.Call,
+    target: _targets.Target,
+    now: float,
+) -> list[object]:
+    request = call.request
+    if not request.idempotent and not coordination.mark_sent(
+        state.ledger, request.request_id, now
+    ):
+        # The ledger has the last word on whether an id may be sent.
+        _targets.release_slot(state.pool, target.target_id)
+        return _answering.refuse_call(
+            state,
+            call,
+            errors.Reason.INTERNAL,
+            "The ledger does not allow the request to be sent.",
+            now,
+        )
+    dispatch = _dispatch(state, call, target, now)
+    if call.attempts > 1:
+        return [dispatch]
+    waited = _messages.Waited(
+        seconds=now - call.entered_at, urgent=call.request.urgent
+    )
+    return [waited, dispatch]
+
+
 def dispatch_ended(
     state: _state.RouterState,
     message: _messages.DispatchEnded,
@@ -101,9 +142,8 @@
     state.dispatches[dispatch_id] = _state.DispatchRecord(
         call=call, target_id=target.target_id
     )
-    if not request.idempotent:
-        coordination.mark_sent(state.ledger, request.request_id, now)
-    elif state.policy.hedge_after_s and call.attempts == 1:
+    hedged = request.idempotent and state.policy.hedge_after_s
+    if hedged and call.attempts == 1:
         heapq.heappush(
             state.hedges, (now + state.policy.hedge_after_s, call.call)
         )
@@ -266,5 +306,5 @@
             now,
         )
     call.state = _state.CallState.QUEUED
-    queueing.push(state.queue, _admission.make_item(call), forced=True)
+    queueing.push(state.queue, _state.make_item(call), forced=True)
     return [_messages.Retried(reason=reason)]
--- a/chestnuttide/routing/_state.py
+++ b/chestnuttide/routing/_state.py
@@ -194,3 +194,14 @@
     ):
         _, oldest = state.answers.popitem(last=False)
         state.answer_bytes -= len(oldest.body)
+
+
+def make_item(call: Call) -> queueing.QueueItem:
+    """Return the queue item of a call."""
+    return queueing.QueueItem(
+        key=str(call.call),
+        team=call.request.team,
+        urgent=call.request.urgent,
+        entered_at=call.entered_at,
+        deadline=call.request.deadline,
+    )
--- a/chestnuttide/routing/_upkeep.py
+++ b/chestnuttide/routing/_upkeep.py
@@ -11,6 +11,8 @@
 
 # Seconds between two questions to a target about slots of unknown use.
 BUSY_QUERY_S = 0.2
+# Timers of ended calls that are kept before a heap is rebuilt.
+MIN_ENDED_TIMERS = 1024
 
 
 def tick(state: _state.RouterState, now: float) -> list[object]:
@@ -35,6 +37,8 @@
                 "The intent to run the request could not be recorded.",
                 now,
             )
+    for timers in (state.deadlines, state.recordings, state.hedges):
+        _drop_ended(state, timers)
     _targets.expire(state.pool, now)
     return outputs + _query_busy(state, now)
 
@@ -113,6 +117,18 @@
     return outputs
 
 
+def _drop_ended(
+    state: _state.RouterState, timers: list[tuple[float, int]]
+) -> None:
+    """Drop timers of calls that have ended, once they are the most.
+
+    Callers may allow an hour; their timers would be kept as long.
+    """
+    if len(timers) > 2 * len(state.calls) + MIN_ENDED_TIMERS:
+        timers[:] = [each for each in timers if each[1] in state.calls]
+        heapq.heapify(timers)
+
+
 def _expire_call(
     state: _state.RouterState, call: _state.Call, now: float
 ) -> list[object]:
--- a/chestnuttide/routing/tests/test_router.py
+++ b/chestnuttide/routing/tests/test_router.py
@@ -453,3 +453,16 @@
         bench.submit(call)
     assert bench.reason(5) is errors.Reason.QUEUE_FULL
     assert bench.run_state(5) is errors.RunState.NOT_RUN
+
+
+def test_timers_of_ended_calls_are_dropped() -> None:
+    """Guards against memory that grows with the callers' patience."""
+    bench = _Bench(targets=1, slots=1, policy=config.ServiceConfig())
+    for call in range(3000):
+        bench.submit(call, timeout_s=3600.0)
+        bench.end(call, _OK)
+    bench.tick()
+    assert len(bench.state.deadlines) <= 1024
+    bench.submit(5000, timeout_s=1.0)
+    bench.tick(1.0)
+    assert bench.reason(5000) is errors.Reason.DEADLINE_EXCEEDED
