--- a/docs_tools/__init__.py
+++ b/docs_tools/__init__.py
@@ -17,6 +17,7 @@
 first_column = _pages.first_column
 forbidden_imports = _imports.forbidden_imports
 generated_part = _pages.generated_part
+label_values = _catalogue.label_values
 log_prefixes = _catalogue.log_prefixes
 metric_names = _catalogue.metric_names
 read_page = _pages.read_page
@@ -35,6 +36,7 @@
     "first_column",
     "forbidden_imports",
     "generated_part",
+    "label_values",
     "log_prefixes",
     "metric_names",
     "read_page",
--- a/docs_tools/_catalogue.py
+++ b/docs_tools/_catalogue.py
@@ -27,6 +27,20 @@
     ]
 
 
+def label_values(field: str) -> list[str]:
+    """Return the label values that a counter has from the start.
+
+    Parameters
+    ----------
+    field : str
+        Field of `telemetry.Metrics`.
+    """
+    counter = getattr(telemetry.make_metrics(), field)
+    return [
+        value for labels, _ in counter.get_all() for value in labels.values()
+    ]
+
+
 def log_prefixes() -> list[str]:
     """Return the prefixes of the log messages, without the colon."""
     return sorted(
