--- a/chestnuttide/jobs/_holding.py
+++ b/chestnuttide/jobs/_holding.py
@@ -53,14 +53,14 @@
         index=index,
         number=next_number(state, record, index),
     )
-    expected = _backlog.expectation(state, job)
     held = _state.AttemptRecord(
         attempt=attempt,
         worker_id=worker_id,
         phase=_state.Phase.CLAIMED if claimed else _state.Phase.STARTING,
         need=job.resources,
-        long=record.lane in _backlog.LONG_LANES,
-        cost=_backlog.cost(state, job.resources, expected.median_s),
+        team=job.team,
+        long=record.long,
+        cost=record.cost,
         started_at=now,
         reclaimed=reclaimed,
     )
@@ -135,9 +135,7 @@
         checkpoint=policy.checkpoint,
         throttle=policy.throttle,
         urgent=record.job.urgent,
-        expected_end=(
-            held.started_at + _backlog.expectation(state, record.job).p90_s
-        ),
+        expected_end=held.started_at + record.run_s,
         reclaimed=held.reclaimed,
         started=held.started_at,
     )
@@ -166,14 +164,14 @@
 ) -> _state.AttemptRecord:
     """Take over an attempt that a worker reports as running."""
     policy = _state.class_config(state, record.job)
-    expected = _backlog.expectation(state, record.job)
-    lane = _backlog.lane(state, record, expected.median_s)
+    _backlog.estimate(state, record)
     held = _state.AttemptRecord(
         attempt=report.attempt,
         worker_id=worker_id,
         phase=_state.Phase.RUNNING,
         need=report.resources,
-        long=lane in _backlog.LONG_LANES,
+        team=record.job.team,
+        long=record.long,
         started_at=now - report.run_s,
         confirmed_at=now,
     )
@@ -187,9 +185,10 @@
         checkpoint=policy.checkpoint,
         throttle=policy.throttle,
         urgent=record.job.urgent,
-        expected_end=held.started_at + expected.p90_s,
+        expected_end=held.started_at + record.run_s,
         started=held.started_at,
     )
+    drop_assumed(state, record, 1)
     _register(state, record, held)
     state.workers[worker_id].attempts[report.attempt] = None
     record.numbers[report.attempt.index] = report.attempt.number
@@ -197,6 +196,77 @@
     return held
 
 
+def hold_stray(
+    state: _state.PoolState,
+    worker_id: str,
+    report: model.AttemptReport,
+    now: float,
+    out: list[object],
+) -> None:
+    """Stop an attempt that should not run; it holds capacity until its end."""
+    attempt = report.attempt
+    if attempt in state.attempts:
+        out.append(
+            _messages.StopTask(
+                worker_id=worker_id, attempt=attempt, checkpoint=False
+            )
+        )
+        return
+    record = state.jobs.get(attempt.job_id)
+    held = _state.AttemptRecord(
+        attempt=attempt,
+        worker_id=worker_id,
+        phase=_state.Phase.ENDING,
+        need=report.resources,
+        team="" if record is None else record.job.team,
+        stray=True,
+        started_at=now - report.run_s,
+        confirmed_at=now,
+    )
+    if record is not None:
+        drop_assumed(state, record, 1)
+    placement.adopt(
+        state.cell,
+        worker_id=worker_id,
+        attempt=attempt,
+        need=held.need,
+        priority=0,
+        preemptible=False,
+        checkpoint=False,
+        throttle=False,
+        urgent=False,
+        expected_end=now,
+        started=held.started_at,
+    )
+    queueing.acquire(state.quota, held.team, held.need)
+    state.attempts[attempt] = held
+    state.workers[worker_id].attempts[attempt] = None
+    state.ending.add(attempt)
+    send_stop(state, held, now, out)
+
+
+def assume(
+    state: _state.PoolState, record: _state.JobRecord, count: int
+) -> None:
+    """Count tasks that may run unreported against their team's quota."""
+    record.assumed = count
+    queueing.acquire(
+        state.quota, record.job.team, _times(record.job.resources, count)
+    )
+
+
+def drop_assumed(
+    state: _state.PoolState, record: _state.JobRecord, count: int
+) -> None:
+    """Count tasks no more that may run unreported."""
+    count = min(count, record.assumed)
+    if count:
+        record.assumed -= count
+        _release_quota(
+            state, record.job.team, _times(record.job.resources, count)
+        )
+
+
 def send_start(
     state: _state.PoolState, held: _state.AttemptRecord, out: list[object]
 ) -> None:
@@ -259,25 +329,26 @@
 def release(state: _state.PoolState, held: _state.AttemptRecord) -> None:
     """Give back what an attempt held, once it certainly runs no more."""
     attempt = held.attempt
-    record = state.jobs[attempt.job_id]
     placement.release(state.cell, attempt)
-    queueing.release(state.quota, record.job.team, held.need)
-    queueing.unblock_team(state.queue, record.job.team)
+    _release_quota(state, held.team, held.need)
     if held.long:
         state.long_held = model.subtract(state.long_held, held.need)
     del state.attempts[attempt]
     state.ending.discard(attempt)
     state.claims.pop(attempt, None)
-    del record.live[attempt.index]
+    state.freed[held.worker_id] = None
     worker = state.workers.get(held.worker_id)
     if worker is not None:
         worker.attempts.pop(attempt, None)
         worker.claims.pop(attempt, None)
+    if held.stray:
+        return
+    record = state.jobs[attempt.job_id]
+    del record.live[attempt.index]
+    if worker is not None:
         _count_spread(record, worker.instance, -1)
-    state.freed[held.worker_id] = None
     if _state.is_open(record):
         state.waiting_tasks += 1
-    _state.capacity_changed(state)
 
 
 def expires_at(
@@ -307,6 +378,25 @@
         state.long_held = model.add(state.long_held, held.need)
 
 
+def _release_quota(
+    state: _state.PoolState, team: str, amount: model.Resources
+) -> None:
+    """Take an amount off what a team holds; it may have had no more room."""
+    queueing.release(state.quota, team, amount)
+    if queueing.unblock_team(state.queue, team):
+        state.stuck.clear()
+        state.dirty = True
+
+
+def _times(need: model.Resources, count: int) -> model.Resources:
+    """Return a need taken several times."""
+    return model.Resources(
+        cpu_millis=need.cpu_millis * count,
+        memory_mb=need.memory_mb * count,
+        accelerators=need.accelerators * count,
+    )
+
+
 def _count_spread(
     record: _state.JobRecord, instance: model.Instance, change: int
 ) -> None:
--- a/chestnuttide/placement/_ranking.py
+++ b/chestnuttide/placement/_ranking.py
@@ -76,9 +76,33 @@
         ranking.tops[at] = max([item[1] for item in block])
 
 
-def is_empty(ranking: Ranking) -> bool:
-    """Return whether the ranking holds no entry."""
-    return not ranking.blocks
+def replace(ranking: Ranking, old: Entry, new: Entry) -> None:
+    """Replace an entry that the ranking holds by another."""
+    lasts = ranking.lasts
+    tops = ranking.tops
+    blocks = ranking.blocks
+    at = bisect.bisect_left(lasts, old)
+    to = bisect.bisect_left(lasts, new)
+    block = blocks[at]
+    if (
+        len(block) < 2
+        or to == len(blocks)
+        or len(blocks[to]) >= 2 * BLOCK_LENGTH - 1
+    ):
+        remove(ranking, old)
+        insert(ranking, new)
+        return
+    position = bisect.bisect_left(block, old)
+    if block[position] != old:
+        raise KeyError(old)
+    del block[position]
+    target = blocks[to]
+    bisect.insort(target, new)
+    lasts[at] = block[-1]
+    if old[1] == tops[at]:
+        tops[at] = max([item[1] for item in block])
+    if new[1] > tops[to]:
+        tops[to] = new[1]
 
 
 def first_fit(
