Document that the numbers of shards and pools are fixed

A patch that changes them is refused since the config filter checks it, but the docstrings, from which docs/config.md is rendered, did not say so.

--- a/chestnuttide/config/_document.py
+++ b/chestnuttide/config/_document.py
@@ -10,7 +10,8 @@
     Attributes
     ----------
     shards : int
-        Number of shards that share its targets; 1 to 64.
+        Number of shards that share its targets; 1 to 64. Fixed once the
+        service exists.
     request_limit_s : float
         Longest time in seconds that a target may take for one request.
     queue_limit : int
@@ -125,7 +126,8 @@
     Attributes
     ----------
     pools : int
-        Number of worker shards in the cell; 1 to 64.
+        Number of worker shards in the cell; 1 to 64. Fixed once the config
+        has a version.
     long_run_s : float
         Expected run time in seconds above which work counts as long.
     long_share : float
