--- a/standins/worker_agent/_state.py
+++ b/standins/worker_agent/_state.py
@@ -176,7 +176,7 @@
     return [
         platform.StartOutcome(
             attempt=task.attempt,
-            outcome=_start_one(state, task, call.lease_s, now),
+            outcome=_start_one(state, task, call, now),
         )
         for task in call.starts
     ]
@@ -191,8 +191,11 @@
         state.ended.pop(attempt, None)
 
 
-def reports(state: State, now: float) -> platform.SyncResult:
-    """Return the live attempts and the ended ones not acknowledged."""
+def reports(state: State, now: float, known: str = "") -> platform.SyncResult:
+    """Return the live attempts and the ended ones not acknowledged.
+
+    They are left out if their digest is `known`.
+    """
     advance(state, now)
     live = tuple(
         model.AttemptReport(
@@ -204,8 +207,12 @@
         )
         for attempt, run in state.running.items()
     )
+    found = (*live, *state.ended.values())
+    digest = _worker_agent_wire.digest_reports(found)
     return platform.SyncResult(
-        sequence=state.sequence, reports=(*live, *state.ended.values())
+        sequence=state.sequence,
+        reports=None if digest == known else found,
+        digest=digest,
     )
 
 
@@ -272,13 +279,18 @@
 
 
 def _start_one(
-    state: State, task: platform.TaskStart, lease_s: float, now: float
+    state: State,
+    task: platform.TaskStart,
+    call: _worker_agent_wire.StartCall,
+    now: float,
 ) -> str:
     attempt = task.attempt
     if attempt in state.running:
         return "running"
     if attempt in state.known:
         return "ended"
+    if now + state.wall_offset_s > call.expires_at:
+        return "expired"
     twins = [
         other.number
         for other in state.running
@@ -313,7 +325,7 @@
     state.running[attempt] = Running(
         start=task,
         started=now,
-        lease_until=now + lease_s,
+        lease_until=now + call.lease_s,
         work_s=work_s,
         fails=fails,
         usage_share=usage_share,
