--- a/chestnuttide/jobs/_acceptance.py
+++ b/chestnuttide/jobs/_acceptance.py
@@ -50,6 +50,11 @@
 ) -> None:
     """Answer a submission whose event is durable, and queue its tasks."""
     out.append(_messages.JobAccepted(token=token, job_id=job_id))
+    open_job(state, job_id)
+
+
+def open_job(state: _state.PoolState, job_id: str) -> None:
+    """Queue the tasks of a job whose event is durable."""
     record = state.jobs.get(job_id)
     if record is None:
         return
@@ -58,6 +63,34 @@
     _backlog.enqueue(state, record)
 
 
+def on_stalled(
+    state: _state.PoolState, stalled: bool, out: list[object]
+) -> None:
+    """Answer the submissions that wait while the journal cannot commit.
+
+    Their events may be in the store although its answer is missing, so they
+    are not refused as not run: such a job runs once its event is durable.
+    """
+    state.stalled = stalled
+    if not stalled:
+        return
+    for token, effect in state.effects.items():
+        if effect[0] != "accept":
+            continue
+        _, call, job_id = effect
+        state.effects[token] = ("unanswered", job_id)
+        _refuse(
+            call,
+            errors.RefusedError(
+                reason=errors.Reason.STORE_UNAVAILABLE,
+                message=f"Job {job_id} is not durable yet.",
+                remedy="Read the job's state later, before another try.",
+                run_state=errors.RunState.UNKNOWN,
+            ),
+            out,
+        )
+
+
 def watch_wait(state: _state.PoolState, record: _state.JobRecord) -> None:
     """Schedule the end of a job's wait, if it has a limit."""
     if record.job.wait_limit_s > 0:
@@ -229,7 +262,7 @@
     # Before the instance list is known, nothing can be said.
     if (
         placement.worker_count(state.cell)
-        and placement.gang_capacity(state.cell, need, enough=count) < count
+        and placement.gang_capacity(state.cell, need) < count
     ):
         raise errors.RefusedError(
             reason=errors.Reason.FITS_NOWHERE,
--- a/chestnuttide/jobs/_pool.py
+++ b/chestnuttide/jobs/_pool.py
@@ -92,7 +92,7 @@
         case _messages.ConfigChanged():
             _adopt_config(state, message.document)
         case _messages.JournalStalled():
-            state.stalled = message.stalled
+            _acceptance.on_stalled(state, message.stalled, out)
         case _messages.Recovered():
             _recovery.on_recovered(state, message, now, out)
         case _messages.Stopping():
@@ -123,6 +123,8 @@
     match state.effects.pop(token, None):
         case ("accept", call, job_id):
             _acceptance.on_accepted(state, call, job_id, now, out)
+        case ("unanswered", job_id):
+            _acceptance.open_job(state, job_id)
         case ("cancel", call, job_id):
             out.append(
                 _messages.JobCancelled(
--- a/features/outage_store.feature
+++ b/features/outage_store.feature
@@ -10,7 +10,7 @@
     When the store is <fault> for long
     Then idempotent requests are answered at the rate before the outage
     And non-idempotent requests were refused as not run within 2 s
-    And new jobs were refused as not run
+    And new jobs were refused within 2 s
     And the tasks of the accepted job were all run in the outage
     And the config in force stayed
     When the outage ends
