Add scenarios of failures of tasks

Cause: cancellations, failing workers, lost racks and replaced instances had no proof against real processes.

--- /dev/null
+++ b/chestnuttide/jobs/tests/test_stalled_journal.py
@@ -0,0 +1,104 @@
+"""Submissions that meet a journal that does not commit."""
+
+import random
+
+import pytest
+
+from chestnuttide import config
+from chestnuttide import errors
+from chestnuttide import jobs
+from chestnuttide import model
+
+NOT_RUN = errors.RunState.NOT_RUN
+UNKNOWN = errors.RunState.UNKNOWN
+STALL = jobs.JournalStalled(stalled=True)
+RESUME = jobs.JournalStalled(stalled=False)
+
+
+def submit(job_id: str) -> jobs.SubmitJob:
+    return jobs.SubmitJob(
+        token=job_id,
+        job=model.Job(
+            job_id=job_id,
+            kind=model.JobKind.BATCH,
+            team="makers",
+            workload_class="tools",
+            tasks=1,
+            resources=model.Resources(cpu_millis=100, memory_mb=10),
+            payload=b"",
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    ("messages", "refused", "accepted", "known"),
+    [
+        pytest.param(
+            [submit("a"), STALL],
+            {"a": UNKNOWN},
+            [],
+            [],
+            id="a caller waits in vain for an event that cannot commit",
+        ),
+        pytest.param(
+            [submit("a"), STALL, "durable"],
+            {"a": UNKNOWN},
+            [],
+            ["a"],
+            id="a durable job never runs, or its call is answered twice",
+        ),
+        pytest.param(
+            [STALL, submit("a")],
+            {"a": NOT_RUN},
+            [],
+            [],
+            id="a job is taken that cannot be made durable",
+        ),
+        pytest.param(
+            [submit("a"), STALL, "durable", RESUME, submit("b"), "durable"],
+            {"a": UNKNOWN},
+            ["b"],
+            ["a", "b"],
+            id="jobs are refused after the outage",
+        ),
+        pytest.param(
+            [submit("a"), RESUME, "durable"],
+            {},
+            ["a"],
+            ["a"],
+            id="a submission is answered although the journal commits",
+        ),
+    ],
+)
+def test_stalled_journal_answers_submissions(
+    messages: list[object],
+    refused: dict[str, errors.RunState],
+    accepted: list[str],
+    known: list[str],
+) -> None:
+    state = jobs.PoolState(
+        document=config.CellConfig(teams={"makers": config.TeamConfig()}),
+        rng=random.Random(0),
+    )
+    run = jobs.make_pool_filter(state=state)
+    pending: list[int] = []
+    outputs: list[object] = []
+    for message in messages:
+        if message == "durable":
+            message = jobs.JournalDurable(tokens=tuple(pending))
+            pending = []
+        found = run(message, 1.0)
+        pending += [
+            each.token for each in found if isinstance(each, jobs.AppendEvent)
+        ]
+        outputs += found
+    refusals = [one for one in outputs if isinstance(one, jobs.JobRefused)]
+    assert {one.token: one.error.run_state for one in refusals} == refused
+    assert len(refusals) == len(refused)
+    assert {one.error.reason for one in refusals} <= {
+        errors.Reason.STORE_UNAVAILABLE
+    }
+    assert [
+        one.job_id for one in outputs if isinstance(one, jobs.JobAccepted)
+    ] == accepted
+    assert [one.job.job_id for one in jobs.list_jobs(state, 2.0)] == known
--- a/features/_cell_steps.py
+++ b/features/_cell_steps.py
@@ -197,7 +197,12 @@
 
 def evidence(world: World) -> list[dict[str, typing.Any]]:
     """Return the evidence of all workers, also of killed ones."""
-    return cell_module.worker_evidence(world.cell) + world.lost
+    found = [
+        harness_module.evidence(process, name=name)
+        for name, process in world.cell.workers.items()
+        if process.popen.poll() is None
+    ]
+    return found + world.lost
 
 
 def runs_of(world: World, job_id: str) -> list[dict[str, typing.Any]]:
@@ -318,12 +323,36 @@
     cell_module.kill_instance(world.cell, instance_id)
 
 
+def kill_rack(world: World, worker_id: str) -> None:
+    """Crash the process of a rack's workers and keep their evidence."""
+    process = world.cell.workers[worker_id]
+    seen = [
+        harness_module.evidence(process, name=name) for name in process.ports
+    ]
+    killed_at = time.time()
+    harness_module.kill(process)
+    for each in seen:
+        for record in each["history"]:
+            if record["end"] is None:
+                record["end"] = killed_at
+    world.lost += seen
+
+
+def replace(world: World, instance_id: str) -> list[int]:
+    """Stop an instance as planned and start it again; returns statuses."""
+    world.down.add(instance_id)
+    processes = cell_module.daemons(world.cell, instance_id)
+    statuses = [harness_module.terminate(each) for each in processes]
+    cell_module.restart_instance(world.cell, instance_id)
+    cell_module.wait_until_ready(world.cell, [instance_id])
+    world.down.discard(instance_id)
+    return statuses
+
+
 def restore(world: World) -> None:
     """Start or continue what a scenario stopped, and wait for it."""
     cell = world.cell
-    for control in [cell.store, *cell.workers.values()]:
-        for name in control.ports:
-            harness_module.control(control, {"reset": True}, name=name)
+    harness_module.control(cell.store, {"reset": True})
     restarted = False
     for instance_id in list(world.down):
         for process in cell_module.daemons(cell, instance_id):
@@ -333,9 +362,14 @@
                 harness_module.restart(cell.harness, process.name)
                 restarted = True
     world.down.clear()
-    for process in list(cell.workers.values()):
-        if process.popen.poll() is not None:
+    for name, process in cell.workers.items():
+        if process.popen.poll() is None:
+            continue
+        if cell.harness.processes[process.name] is process:
             harness_module.restart(cell.harness, process.name)
+        cell.workers[name] = cell.harness.processes[process.name]
+    for name, process in cell.workers.items():
+        harness_module.control(process, {"reset": True}, name=name)
     cell_module.wait_until_ready(cell, list(cell.http_ports))
     if restarted:
         wait_for_voters(world)
--- a/features/test_tasks.py
+++ b/features/test_tasks.py
@@ -1,5 +1,7 @@
 """Scenarios of tasks on workers, counted at the workers."""
 
+import concurrent.futures
+import threading
 import time
 import typing
 
@@ -14,7 +16,14 @@
 # The lease of a scheduler in the store is 2 s.
 ABOUT_A_LEASE_S = (1.9, 2.3)
 
-pytest_bdd.scenarios("tasks_single_run.feature")
+# Starts that were sent before a cancellation may arrive this long after it.
+IN_FLIGHT_S = 1.0
+# The config ejects a worker after 3 failures, which are reported with the
+# renewal of the leases every 1 s, for 5 s.
+EJECTED_AFTER_S = 2.0
+EJECT_S = 5.0
+
+pytest_bdd.scenarios("tasks_single_run.feature", "tasks_failures.feature")
 
 
 @pytest.fixture(scope="module")
@@ -42,6 +51,8 @@
 def a_service(world: steps.World, tasks: int) -> None:
     job_id = steps.submit(world, tasks=tasks, kind="service", cpu_millis=2000)
     steps.wait_until_running(world, job_id)
+    world.marks["service_runs"] = steps.runs_of(world, job_id)
+    world.marks["service"] = job_id
 
 
 @pytest_bdd.given(
@@ -175,14 +186,15 @@
 
 @pytest_bdd.then("all tasks of the service run")
 def check_service(world: steps.World) -> None:
-    steps.wait_until_running(world, world.jobs[-1])
+    steps.wait_until_running(world, world.marks["service"])
 
 
 @pytest_bdd.then("all tasks of the job succeed")
 @pytest_bdd.then("all tasks of the jobs succeed")
 def check_done(world: steps.World) -> None:
     for job_id in world.jobs:
-        steps.wait_until_done(world, job_id)
+        if job_id != world.marks.get("service"):
+            steps.wait_until_done(world, job_id)
 
 
 @pytest_bdd.then("each worker has lost answers")
@@ -217,3 +229,199 @@
 @pytest_bdd.then("no task ran in two places and no worker was overrun")
 def check_faults(world: steps.World) -> None:
     assert steps.find_faults(world) == []
+
+
+@pytest_bdd.given(
+    "1 job of 5000 tasks and 100 jobs of 50 tasks are queued",
+    target_fixture="cancelled",
+)
+def queue_jobs(world: steps.World) -> dict[str, float]:
+    with concurrent.futures.ThreadPoolExecutor(20) as pool:
+        runs = [pool.submit(steps.submit, world, tasks=5000, run_s=30.0)]
+        runs += [
+            pool.submit(steps.submit, world, tasks=50, run_s=30.0)
+            for _ in range(100)
+        ]
+    return {run.result(): 0.0 for run in runs}
+
+
+@pytest_bdd.when("these jobs are cancelled at once")
+def cancel_jobs(world: steps.World, cancelled: dict[str, float]) -> None:
+    stop = threading.Event()
+    watcher = threading.Thread(target=_ask_health, args=(world, stop))
+    world.marks["health"] = []
+    watcher.start()
+    with concurrent.futures.ThreadPoolExecutor(30) as pool:
+        list(pool.map(lambda each: _cancel(world, each, cancelled), cancelled))
+    steps.wait_for(
+        world,
+        lambda: (
+            not any(
+                record["end"] is None and record["job_id"] in cancelled
+                for each in steps.evidence(world)
+                for record in each["history"]
+            )
+        ),
+        "no task of a cancelled job runs",
+    )
+    stop.set()
+    watcher.join()
+
+
+def _cancel(
+    world: steps.World, job_id: str, cancelled: dict[str, float]
+) -> None:
+    status, answer = steps.call(world, "DELETE", f"/v1/jobs/{job_id}")
+    assert status == 200, answer
+    cancelled[job_id] = time.time()
+
+
+def _ask_health(world: steps.World, stop: threading.Event) -> None:
+    cell = world.cell
+    ports = [*cell.http_ports.values(), *cell.metrics_ports.values()]
+    while not stop.is_set():
+        for port in ports:
+            started = time.monotonic()
+            status, _ = harness_module.call(port, "GET", "/healthz")
+            took_s = time.monotonic() - started
+            world.marks["health"].append((status, took_s))
+
+
+@pytest_bdd.then("health requests during it were answered within 1 s")
+def check_health(world: steps.World) -> None:
+    assert world.marks["health"]
+    assert {status for status, _ in world.marks["health"]} == {200}
+    assert max(took for _, took in world.marks["health"]) <= steps.HEALTH_S
+
+
+@pytest_bdd.then(
+    "the tasks of the cancelled jobs end and are not started again"
+)
+def check_cancelled(world: steps.World, cancelled: dict[str, float]) -> None:
+    def all_runs() -> list[dict[str, typing.Any]]:
+        return [
+            record
+            for each in steps.evidence(world)
+            for record in each["history"]
+            if record["job_id"] in cancelled
+        ]
+
+    steps.wait_for(
+        world,
+        lambda: all(record["end"] is not None for record in all_runs()),
+        "no task of a cancelled job runs",
+    )
+    # A start that was to come again would come within a lease.
+    time.sleep(steps.TASK_LEASE_S * steps.LEASE_MARGIN)
+    runs = all_runs()
+    assert runs
+    for record in runs:
+        assert record["end"] is not None
+        assert record["start"] <= cancelled[record["job_id"]] + IN_FLIGHT_S
+    tasks = [(record["job_id"], record["index"]) for record in runs]
+    assert len(tasks) == len(set(tasks))
+
+
+@pytest_bdd.given("a worker fails everything that it starts")
+def fail_worker(world: steps.World) -> None:
+    name = world.marks["worker"] = next(iter(world.cell.workers))
+    harness_module.control(
+        world.cell.workers[name], {"fail_all": True}, name=name
+    )
+
+
+@pytest_bdd.then(
+    "the failing worker gets no work but probes after its ejection"
+)
+def check_ejected(world: steps.World) -> None:
+    def starts() -> list[float]:
+        return sorted(
+            run["start"]
+            for run in steps.runs_of(world, world.jobs[-1])
+            if run["worker_id"] == world.marks["worker"]
+        )
+
+    steps.wait_for(world, lambda: len(starts()) >= 3, "three failures")
+    ejected_at = starts()[2] + EJECTED_AFTER_S
+    steps.wait_until_done(world, world.jobs[-1])
+    elapsed_s = time.time() - ejected_at
+    later = [each for each in starts() if each > ejected_at]
+    assert elapsed_s > 0
+    assert len(later) <= 1 + elapsed_s / EJECT_S
+
+
+@pytest_bdd.when("a job is submitted that is larger than every worker")
+def submit_too_large(world: steps.World) -> None:
+    body = {
+        "id": "too-large",
+        "kind": "batch",
+        "team": "makers",
+        "workload_class": "tools",
+        "tasks": 1,
+        "resources": {"cpu_millis": 16_001, "memory_mb": 1000},
+        "payload": {"run_s": 0.1},
+    }
+    world.marks["answer"] = steps.call(world, "POST", "/v1/jobs", body)
+
+
+@pytest_bdd.then("it is refused as fits_nowhere and not run")
+def check_fits_nowhere(world: steps.World) -> None:
+    status, answer = world.marks["answer"]
+    assert 400 <= status < 500
+    assert answer["error"]["code"] == "fits_nowhere"
+    assert answer["error"]["run_state"] == "not_run"
+    assert steps.runs_of(world, "too-large") == []
+
+
+@pytest_bdd.when("a rack of workers is killed")
+def kill_rack(world: steps.World) -> None:
+    steps.kill_rack(world, list(world.cell.workers)[-1])
+
+
+@pytest_bdd.then("all tasks of the service run on the other rack")
+def check_other_rack(world: steps.World) -> None:
+    steps.wait_until_running(
+        world, world.marks["service"], 3 * steps.TASK_LEASE_S
+    )
+
+
+@pytest_bdd.when("all instances are replaced one after another under load")
+def replace_all(world: steps.World) -> None:
+    world.marks["statuses"] = []
+    with steps.loaded(world, 60.0) as load:
+        for instance_id in list(world.cell.http_ports):
+            world.marks["statuses"] += steps.replace(world, instance_id)
+    assert load.answered
+
+
+@pytest_bdd.then("all instances stopped with status 0")
+def check_statuses(world: steps.World) -> None:
+    assert set(world.marks["statuses"]) == {0}
+
+
+@pytest_bdd.then("no task of the service was stopped or restarted")
+def check_service_runs(world: steps.World) -> None:
+    runs = steps.runs_of(world, world.marks["service"])
+    assert runs == world.marks["service_runs"]
+
+
+@pytest_bdd.given("starts take 0.3 s and half of their answers are lost")
+def slow_starts(world: steps.World) -> None:
+    for name, process in world.cell.workers.items():
+        harness_module.control(
+            process, {"delay_s": 0.3, "drop_answers": 0.5}, name=name
+        )
+
+
+@pytest_bdd.when(
+    "12 jobs of 10 tasks are cancelled while their tasks start",
+    target_fixture="cancelled",
+)
+def race_cancellations(world: steps.World) -> dict[str, float]:
+    cancelled: dict[str, float] = {}
+    for number in range(12):
+        job_id = steps.submit(world, tasks=10, run_s=30.0, cpu_millis=1000)
+        # Cancellations fall before, within and after the 0.3 s of a start.
+        time.sleep(number * 0.05)
+        _cancel(world, job_id, cancelled)
+    return cancelled
