--- a/features/tasks_failures.feature
+++ b/features/tasks_failures.feature
@@ -25,7 +25,7 @@
     Then it is refused as fits_nowhere and not run
 
   Scenario: A rack of workers is killed
-    Given a service of 18 tasks runs
+    Given a service of 12 tasks runs
     When a rack of workers is killed
     Then all tasks of the service run on the other rack
     And no task ran in two places and no worker was overrun
