Skip the walk over an empty queue, and merges of one sequence

A request shard looks at its queue after each arrival and each end of a dispatch, and mostly finds nothing.

--- a/chestnuttide/queueing/_fair_queue.py
+++ b/chestnuttide/queueing/_fair_queue.py
@@ -310,7 +310,8 @@
             for (band_urgent, lane), band in queue.bands.items()
             if band_urgent == urgent and lane not in skipped_lanes
         ]
-        _walk_bands(queue, bands, limit, found)
+        if bands:
+            _walk_bands(queue, bands, limit, found)
         if len(found) >= limit:
             break
     return found
@@ -318,6 +319,8 @@
 
 def peek(queue: FairQueue) -> QueueItem | None:
     """Return the head of the queue, or None when nothing may proceed."""
+    if not queue.items:
+        return None
     heads = candidates(queue, 1)
     return heads[0] if heads else None
 
@@ -468,6 +471,8 @@
 ) -> collections.abc.Iterator[tuple[float, int, QueueItem]]:
     """Yield a team's live items over some bands, in order."""
     lines = [band.lines[name] for band in bands if name in band.lines]
+    if len(lines) == 1:
+        return _walk_line(queue, lines[0], visits)
     return heapq.merge(*(_walk_line(queue, line, visits) for line in lines))
 
 
@@ -476,7 +481,11 @@
 ) -> None:
     """Append the next items of some bands, as if each were served in turn."""
     visits = limit * VISITS_PER_ITEM
-    teams = heapq.merge(*(band.order for band in bands))
+    teams = (
+        iter(bands[0].order)
+        if len(bands) == 1
+        else heapq.merge(*(band.order for band in bands))
+    )
     following = next(teams, None)
     seen = set()
     # Teams whose next item is known: virtual time, name, items.
