Let a planned stop finish bodies and answers that are under way

Cause: the entry counted a call only once its whole body had arrived, and until the answer was handed to tornado, not until it was written. After SIGTERM it closed connections whose body was still being sent (the caller got no byte) and dropped the unwritten rest of a large answer (the caller got a part of a 12 MB answer).

Change: entry handlers stream bodies, count a call from its headers until its answer is written or its caller is gone, and check the size of the body themselves. tornado answered a body above its limit with a bare 400; it is now refused as too_large.

--- a/chestnuttide/entry/_daemon.py
+++ b/chestnuttide/entry/_daemon.py
@@ -21,6 +21,9 @@
 # the balancer sees the readiness change first.
 READINESS_NOTICE_S = 1.0
 POLL_S = 0.05
+# Bodies up to this size are read, and refused with a code if they are larger
+# than the settings allow; of larger ones only the headers are read.
+MAX_READ_BYTES = 64 * 1024 * 1024
 
 LOG = telemetry.make_logger("entry")
 
@@ -90,7 +93,7 @@
     state = make_state(settings)
     server = tornado.httpserver.HTTPServer(
         make_application(state),
-        max_body_size=settings.entry.max_body_bytes,
+        max_body_size=MAX_READ_BYTES,
         max_buffer_size=2 * settings.entry.max_body_bytes,
     )
     server.listen(settings.entry.http_port, address=settings.advertise_ip)
--- a/chestnuttide/entry/_handlers.py
+++ b/chestnuttide/entry/_handlers.py
@@ -24,8 +24,15 @@
 PATCH_TIMEOUT_S = 10.0
 
 
+@tornado.web.stream_request_body
 class BaseHandler(tornado.web.RequestHandler):
-    """Answers refusals and keeps count of calls in flight."""
+    """Answers refusals and keeps count of calls in flight.
+
+    A call is in flight from its headers until its answer is written, so that
+    a planned stop cuts off neither a body nor an answer that is under way.
+    Bodies are streamed for the same reason, and because tornado would answer
+    too large ones without a code.
+    """
 
     state: _state.EntryState
 
@@ -33,17 +40,59 @@
         """Take the daemon's state; called by tornado."""
         self.state = state
         self._task: asyncio.Task | None = None
+        self._in_flight = False
+        self._chunks: list[bytes] = []
+        self._body_bytes = 0
 
     def prepare(self) -> None:
-        """Count the call; called by tornado before the method."""
+        """Count the call; called by tornado after the headers."""
+        self._in_flight = True
         self.state.in_flight += 1
         self._started = time.monotonic()
         if self.state.stopping:
             self.set_header("Connection", "close")
 
-    def on_finish(self) -> None:
-        """Count the end of the call; called by tornado."""
-        self.state.in_flight -= 1
+    def data_received(self, chunk: bytes) -> None:
+        """Keep a part of the body, if it is not too large."""
+        self._body_bytes += len(chunk)
+        if self._body_bytes <= self.state.settings.entry.max_body_bytes:
+            self._chunks.append(chunk)
+        else:
+            self._chunks.clear()
+
+    def read_body(self) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        errors.RefusedError
+            With `TOO_LARGE`.
+        """
+        if self._body_bytes > self.state.settings.entry.max_body_bytes:
+            raise errors.RefusedError(
+                reason=errors.Reason.TOO_LARGE,
+                message="The body is too large.",
+                remedy="Send less, or raise entry.max_body_bytes.",
+            )
+        return b"".join(self._chunks)
+
+    def finish(
+        self, chunk: str | bytes | dict | None = None
+    ) -> asyncio.Future[None]:
+        """Send the answer; called by handlers and by tornado."""
+        written = super().finish(chunk)
+        written.add_done_callback(lambda _: self._end())
+        return written
+
+    def on_connection_close(self) -> None:
+        """Count the end of a call whose caller is gone."""
+        super().on_connection_close()
+        self._end()
+
+    def _end(self) -> None:
+        if self._in_flight:
+            self._in_flight = False
+            self.state.in_flight -= 1
 
     def write_error(self, status_code: int, **kwargs: typing.Any) -> None:
         """Answer an exception as a refusal; called by tornado."""
@@ -98,7 +147,7 @@
         """Answer with the target's whole answer, or a refusal."""
         request = _parsing.parse_request(
             service,
-            self.request.body,
+            self.read_body(),
             wall_now=time.time(),
             now=time.monotonic(),
         )
@@ -122,6 +171,7 @@
 
     def on_connection_close(self) -> None:
         """Give up the call when its caller is gone; called by tornado."""
+        super().on_connection_close()
         if self._task is not None:
             self._task.cancel()
 
@@ -170,7 +220,7 @@
 
     async def post(self) -> None:
         """Submit a job to the owner of its pool."""
-        job = _parsing.parse_job(self.request.body)
+        job = _parsing.parse_job(self.read_body())
         shard = _pool_shard(self.state, job.job_id)
         need = job.resources
         resent = False
@@ -295,7 +345,7 @@
 
     async def post(self) -> None:
         """Answer with the new version, or a refusal."""
-        body = _parsing.parse_patch(self.request.body)
+        body = _parsing.parse_patch(self.read_body())
         write_id = uuid.uuid4().hex
         self.answer_reply(
             await _call_any(
@@ -393,15 +443,16 @@
 class UnknownPathHandler(BaseHandler):
     """Refuses all other paths."""
 
-    def prepare(self) -> None:
-        """Refuse; called by tornado."""
-        super().prepare()
+    def get(self) -> None:
+        """Refuse, whatever the method."""
         raise errors.RefusedError(
             reason=errors.Reason.MALFORMED,
             message=f"There is no path {self.request.path[:256]}.",
             remedy="See the interfaces in docs/design.md.",
         )
 
+    post = put = patch = delete = get
+
 
 def no_scheduler() -> errors.RefusedError:
     """Return the refusal of a call that no scheduler answered."""
@@ -462,13 +513,6 @@
 def _as_refusal(
     status_code: int, error: BaseException | None
 ) -> errors.RefusedError:
-    if status_code == 413:
-        reason = errors.Reason.TOO_LARGE
-        return errors.RefusedError(
-            reason=reason,
-            message="The body is too large.",
-            remedy="Send less, or raise entry.max_body_bytes.",
-        )
     if status_code < 500:
         return errors.RefusedError(
             reason=errors.Reason.MALFORMED,
--- a/features/_requests_steps.py
+++ b/features/_requests_steps.py
@@ -67,6 +67,7 @@
     outcomes: list[_callers.Outcome] = attrs.Factory(list)
     earlier: list[_callers.Outcome] = attrs.Factory(list)
     owner: str = ""
+    shard: str = ""
     paused: list[harness_module.Process] = attrs.Factory(list)
 
 
@@ -76,13 +77,14 @@
     settings: dict[str, typing.Any] | None = None,
     instances: typing.Sequence[str] = INSTANCES,
     services: dict[str, dict[str, object]] | None = None,
+    targets: int = 4,
 ) -> cell_module.Cell:
     """Start a cell of instances and of runners of two services."""
     group = cell_module.Group
     cell = cell_module.make_cell(
         harness,
         groups=[
-            group(name="bench", count=4, service="layout"),
+            group(name="bench", count=targets, service="layout"),
             group(name="gpu", count=2, service="render"),
         ],
     )
@@ -125,6 +127,9 @@
         for process in cell_module.daemons(cell, instance_id):
             if process.popen.poll() is not None:
                 harness_module.restart(cell.harness, process.name)
+        scheduler, _ = cell_module.daemons(cell, instance_id)
+        port = cell.metrics_ports[instance_id]
+        harness_module.wait_for_http(scheduler, port, "/healthz")
     cell_module.wait_until_ready(cell, list(cell.http_ports))
     # A first voter that dies alone can only be replaced once the list says
     # that it is gone.
@@ -165,8 +170,9 @@
 
 def pause(world: World, process: harness_module.Process) -> None:
     """Pause a process until the scenario ends or resumes it."""
-    harness_module.pause(process)
-    world.paused.append(process)
+    if process not in world.paused:
+        harness_module.pause(process)
+        world.paused.append(process)
 
 
 def resume_all(world: World) -> None:
