--- a/features/requests_answers.feature
+++ b/features/requests_answers.feature
@@ -13,7 +13,7 @@
     And the runners work on 16 requests
     And the whole instance of the owner of requests/layout/0 is killed
     Then every caller has its whole own answer
-    And its shard has another owner
+    And its shard has changed hands
 
   Scenario Outline: An entry is killed while its callers wait
     When callers send 60 <kind> requests of 400 ms to layout
--- a/features/requests_at_most_once.feature
+++ b/features/requests_at_most_once.feature
@@ -33,7 +33,7 @@
     And each caller sends its id again through another entry
     Then no non-idempotent request ran twice
     And every caller has its whole own answer or a truthful refusal
-    And its shard has another owner
+    And its shard has changed hands
 
     Examples:
       | process        |
@@ -49,7 +49,7 @@
     And each caller sends its id again through another entry
     Then no non-idempotent request ran twice
     And every caller has its whole own answer or a truthful refusal
-    And its shard has another owner
+    And its shard has changed hands
 
     Examples:
       | process        |
@@ -65,7 +65,7 @@
     Then no non-idempotent request ran twice
     And every caller has its whole own answer or a truthful refusal
     And at least 16 callers got outcome_unknown
-    And its shard has another owner
+    And its shard has changed hands
 
   Scenario: Answers of the store are lost after the writes took effect
     Given the store loses 30% of its answers to journal writes
