Strengthen scenarios of takeovers and cancellations

Cause: a fault put in on purpose did not break the scenario of an owner killed twice, because its tasks were over too soon. Change: long tasks, a worker that answers late, and a bound of one lease with margin on the end of cancelled tasks.

--- a/features/tasks_single_run.feature
+++ b/features/tasks_single_run.feature
@@ -29,12 +29,14 @@
     And no task ran in two places and no worker was overrun
 
   Scenario: The owner of the workers is killed twice in a row
-    Given a job of 60 tasks of 0.8 s is submitted
+    Given a worker answers 0.5 s late
+    And a job of 18 tasks of 6 s is submitted
+    And a job of 30 tasks of 0.5 s is submitted
     When the owner of the workers is killed
     Then another owner with a higher epoch serves the workers within 3 s
     When the owner of the workers is killed
     Then another owner with a higher epoch serves the workers within 3 s
-    And all tasks of the job succeed
+    And all tasks of the jobs succeed
     And no task ran in two places and no worker was overrun
 
   Scenario: Tasks use more or less than they declare
--- a/features/test_tasks.py
+++ b/features/test_tasks.py
@@ -91,6 +91,14 @@
         harness_module.control(process, {"drop_answers": 2}, name=name)
 
 
+@pytest_bdd.given("a worker answers 0.5 s late")
+def slow_worker(world: steps.World) -> None:
+    name = next(iter(world.cell.workers))
+    harness_module.control(
+        world.cell.workers[name], {"delay_s": 0.5}, name=name
+    )
+
+
 @pytest_bdd.when("the owner of the workers is paused")
 def pause_owner(world: steps.World) -> None:
     world.marks |= {
@@ -239,9 +247,9 @@
 )
 def queue_jobs(world: steps.World) -> dict[str, float]:
     with concurrent.futures.ThreadPoolExecutor(20) as pool:
-        runs = [pool.submit(steps.submit, world, tasks=5000, run_s=30.0)]
+        runs = [pool.submit(steps.submit, world, tasks=5000, run_s=60.0)]
         runs += [
-            pool.submit(steps.submit, world, tasks=50, run_s=30.0)
+            pool.submit(steps.submit, world, tasks=50, run_s=60.0)
             for _ in range(100)
         ]
     return {run.result(): 0.0 for run in runs}
@@ -265,6 +273,7 @@
             )
         ),
         "no task of a cancelled job runs",
+        steps.TASK_LEASE_S * steps.LEASE_MARGIN,
     )
     stop.set()
     watcher.join()
@@ -313,6 +322,7 @@
         world,
         lambda: all(record["end"] is not None for record in all_runs()),
         "no task of a cancelled job runs",
+        steps.TASK_LEASE_S * steps.LEASE_MARGIN,
     )
     # A start whose answer was lost comes again within 2 s at most.
     time.sleep(START_RETRY_S)
@@ -423,7 +433,7 @@
 def race_cancellations(world: steps.World) -> dict[str, float]:
     cancelled: dict[str, float] = {}
     for number in range(12):
-        job_id = steps.submit(world, tasks=10, run_s=30.0, cpu_millis=1000)
+        job_id = steps.submit(world, tasks=10, run_s=60.0, cpu_millis=1000)
         # Cancellations fall before, within and after the 0.3 s of a start.
         time.sleep(number * 0.05)
         _cancel(world, job_id, cancelled)
