--- a/chestnuttide/entry/_daemon.py
+++ b/chestnuttide/entry/_daemon.py
@@ -167,6 +167,9 @@
         for connection in mesh.schedulers(state.network):
             mesh.send_if_possible(connection, heartbeat)
         daemon.count_traffic(state.metrics, state.network.traffic, counted)
+        state.metrics.mesh_dropped.set(
+            {"reason": "unmatched"}, state.calls.unmatched
+        )
 
 
 def _connected(state: _state.EntryState, connection: mesh.Connection) -> None:
--- a/chestnuttide/entry/_forwarding.py
+++ b/chestnuttide/entry/_forwarding.py
@@ -129,6 +129,8 @@
         owner = _owners.owner_of(state.owners, shard)
         reply = None
         if owner is not None:
+            if mesh.is_full(owner):
+                raise _mesh_queue_full(owner)
             reply = await try_call(state, owner, make_message, left_s)
         if reply is not None and reply.reason not in _ELSEWHERE:
             return reply
@@ -159,6 +161,14 @@
         mesh.close_call(state.calls, call_id)
 
 
+def _mesh_queue_full(connection: mesh.Connection) -> errors.RefusedError:
+    return errors.RefusedError(
+        reason=errors.Reason.MESH_QUEUE_FULL,
+        message=f"The mesh queue to {connection.peer.sender} is full.",
+        remedy="Try again later, or raise mesh.mesh_queue_messages.",
+    )
+
+
 class _QueueFullError(Exception):
     """The send queue to the owner is full; nothing was sent."""
 
@@ -204,9 +214,10 @@
     message: str,
     maybe_sent: bool,
 ) -> mesh.RequestReply:
-    run_state = (
-        errors.RunState.UNKNOWN if maybe_sent else errors.RunState.NOT_RUN
-    )
+    # The caller may have sent a non-idempotent id before, through an entry
+    # that has died; only the ledger of an owner knows.
+    open_ = maybe_sent or not request.idempotent
+    run_state = errors.RunState.UNKNOWN if open_ else errors.RunState.NOT_RUN
     error = routing.make_error(reason, message, run_state=run_state)
     return mesh.RequestReply(
         call_id=0,
--- a/chestnuttide/entry/_handlers.py
+++ b/chestnuttide/entry/_handlers.py
@@ -269,6 +269,9 @@
         )
         jobs: list[object] = []
         for reply in replies:
+            if reply.reason:
+                self.answer_reply(reply)
+                return
             jobs += json.loads(reply.body)["jobs"]
         self.answer_json({"jobs": jobs})
 
--- a/chestnuttide/entry/_owners.py
+++ b/chestnuttide/entry/_owners.py
@@ -65,7 +65,8 @@
     for shard, (_, owner) in list(owners.by_shard.items()):
         if owner is connection:
             del owners.by_shard[shard]
-    owners.draining.discard(connection.peer.sender)
+    # A drained scheduler stays marked until it is started again, so that the
+    # entry beside it does not become ready once more.
     _notify(owners)
 
 
--- a/chestnuttide/mesh/__init__.py
+++ b/chestnuttide/mesh/__init__.py
@@ -39,6 +39,7 @@
 decode = _codec.decode
 encode = _codec.encode
 fail_connection = _calls.fail_connection
+is_full = _connection.is_full
 listen = _network.listen
 make_codec = _codec.make_codec
 open_call = _calls.open_call
@@ -82,6 +83,7 @@
     "decode",
     "encode",
     "fail_connection",
+    "is_full",
     "listen",
     "make_codec",
     "open_call",
--- a/chestnuttide/mesh/_connection.py
+++ b/chestnuttide/mesh/_connection.py
@@ -126,6 +126,14 @@
     connection.socket.transport.abort()
 
 
+def is_full(connection: Connection) -> bool:
+    """Return whether a message without payload would be refused."""
+    return (
+        len(connection.queue) >= connection.limits.queue_messages
+        or connection.queue_bytes > connection.limits.queue_bytes
+    )
+
+
 async def handshake(
     *,
     socket: ws_connection.Connection,
--- a/chestnuttide/routing/_admission.py
+++ b/chestnuttide/routing/_admission.py
@@ -17,6 +17,13 @@
 ) -> list[object]:
     """Admit a request, or refuse it as not run."""
     request = message.request
+    if not request.idempotent and not message.resend:
+        # Before all other checks: they would call an id "not run" that ran.
+        used = coordination.request_state(
+            state.ledger, request.request_id, now
+        )
+        if used is not None:
+            return [_refuse_known(message, used.state)]
     error = _check(state, message, now)
     if error is not None:
         answer = _refusals.make_answer(request.request_id, error)
--- a/chestnuttide/routing/tests/test_router.py
+++ b/chestnuttide/routing/tests/test_router.py
@@ -466,3 +466,20 @@
     bench.submit(5000, timeout_s=1.0)
     bench.tick(1.0)
     assert bench.reason(5000) is errors.Reason.DEADLINE_EXCEEDED
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        pytest.param({"timeout_s": -1.0}, id="past_deadline_first"),
+        pytest.param({"team": "nobody"}, id="unknown_team_first"),
+    ],
+)
+def test_id_that_ran_is_never_called_not_run(changes: dict) -> None:
+    bench = _Bench()
+    bench.submit(1, idempotent=False, request_id="bill")
+    bench.record()
+    bench.end(0, _OK)
+    bench.submit(2, idempotent=False, request_id="bill", **changes)
+    assert bench.reason(2) is errors.Reason.DUPLICATE_ID
+    assert bench.run_state(2) is errors.RunState.RAN
--- a/chestnuttide/scheduler/_daemon.py
+++ b/chestnuttide/scheduler/_daemon.py
@@ -33,6 +33,9 @@
 # Journal writes that may be made at once after a quiet time.
 JOURNAL_BURST_S = 1.0
 AGENT_TIMEOUT_S = 2.0
+# Seconds after which a patch is answered although the store left it open;
+# the entry waits longer, so that the caller gets this answer.
+PATCH_WAIT_S = 5.0
 # Each worker of the pools served here holds one; above the 400 workers of
 # four pools at the target size. Each costs some 8 KB.
 MAX_SYNCS = 1024
@@ -79,7 +82,9 @@
         ownership=ownership,
         run_ownership=coordination.make_ownership_filter(state=ownership),
         config=config_state,
-        run_config=config_module.make_config_filter(config_state),
+        run_config=config_module.make_config_filter(
+            config_state, patch_wait_s=PATCH_WAIT_S
+        ),
         bucket=coordination.make_token_bucket(
             times.journal_writes_per_s,
             max(1.0, times.journal_writes_per_s * JOURNAL_BURST_S),
--- a/chestnuttide/scheduler/_membership.py
+++ b/chestnuttide/scheduler/_membership.py
@@ -181,6 +181,7 @@
     try:
         await state.lease_store.renew_lease(state.lease_id)
     except errors.StoreUnavailableError:
+        _note_reachable(state, False)
         feed(state, coordination.StoreReachable(reachable=False))
         return
     except errors.LeaseExpiredError:
@@ -190,6 +191,7 @@
         state.lease_id = 0
         feed(state, coordination.LeaseLost())
         return
+    _note_reachable(state, True)
     feed(
         state,
         coordination.LeaseRenewed(
@@ -200,6 +202,13 @@
     )
 
 
+def _note_reachable(state: _state.SchedulerState, reachable: bool) -> None:
+    if state.ownership.store_reachable and not reachable:
+        LOG.warning("the store does not answer; promises are asked for")
+    if not state.ownership.store_reachable and reachable:
+        LOG.info("the store answers again")
+
+
 async def _read_cell(state: _state.SchedulerState) -> None:
     """Read records, then members, as the claims' proof requires."""
     sent_at = time.monotonic()
--- a/chestnuttide/scheduler/_takeover.py
+++ b/chestnuttide/scheduler/_takeover.py
@@ -63,6 +63,7 @@
     if activation is not None:
         activation.cancel()
     shard = state.shards.pop(message.shard, None)
+    state.metrics.queue_length.set({"queue": message.shard}, 0)
     if shard is not None:
         shard.stop()
         _journals.close(shard.journal)
