Split the driver of a pool by job

Change: its state, the callers' calls and the conversations with workers are modules of their own; no logic is changed.

--- /dev/null
+++ b/chestnuttide/scheduler/_worker_links.py
@@ -0,0 +1,210 @@
+"""Conversations of a pool's owner with the agents of its workers."""
+
+import asyncio
+import collections.abc
+import random
+import time
+
+from chestnuttide import errors
+from chestnuttide import jobs
+from chestnuttide import model
+from chestnuttide import platform
+from chestnuttide import queueing
+from chestnuttide.scheduler import _pool_state
+from chestnuttide.scheduler import _state
+from chestnuttide import telemetry
+
+# Pauses before a worker that did not answer is asked again.
+SYNC_RETRY_S = 0.2
+SYNC_RETRY_LIMIT_S = 2.0
+# Pause while this instance may not act, before it looks again.
+NOT_OWNER_PAUSE_S = 0.05
+# Of so many syncs one asks for all reports although nothing has changed, for
+# the sake of the usage in them. 24 tasks are some 4 KB of reports.
+FULL_SYNC_EVERY = 5
+
+LOG = telemetry.make_logger("pool")
+
+
+async def start_tasks(
+    shard: _pool_state.PoolShard,
+    link: _pool_state.WorkerLink,
+    starts: list[jobs.StartTask],
+) -> None:
+    """Send the starts of one loop iteration to a worker."""
+    shard.starting += 1
+    sent_at = time.monotonic()
+    outcomes: dict[model.Attempt, jobs.StartOutcome] = {}
+    default = jobs.StartOutcome.UNSENT
+    try:
+        if _state.may_act(shard.daemon, shard.name):
+            answers = await shard.daemon.agents.start(
+                link.address,
+                shard.epoch,
+                starts[0].lease_s,
+                [_to_start(each) for each in starts],
+            )
+            default = jobs.StartOutcome.UNANSWERED
+            outcomes = {
+                each.attempt: jobs.StartOutcome(each.outcome)
+                for each in answers
+            }
+    except errors.DeposedError:
+        default = jobs.StartOutcome.STALE_EPOCH
+    except errors.PlatformError as error:
+        default = (
+            jobs.StartOutcome.UNANSWERED
+            if error.sent
+            else jobs.StartOutcome.UNSENT
+        )
+    finally:
+        shard.starting -= 1
+    for each in starts:
+        shard.feed(
+            jobs.StartResult(
+                worker_id=link.worker_id,
+                attempt=each.attempt,
+                outcome=outcomes.get(each.attempt, default),
+                sent_at=sent_at,
+            ),
+        )
+
+
+def _to_start(start: jobs.StartTask) -> platform.TaskStart:
+    return platform.TaskStart(
+        attempt=start.attempt,
+        resources=start.resources,
+        payload=start.payload,
+    )
+
+
+async def stop_tasks(
+    shard: _pool_state.PoolShard,
+    link: _pool_state.WorkerLink,
+    attempts: list[model.Attempt],
+    checkpoint: bool,
+) -> None:
+    """Ask a worker to stop attempts."""
+    await _command(
+        shard,
+        lambda: shard.daemon.agents.stop(
+            link.address, shard.epoch, attempts, checkpoint
+        ),
+    )
+
+
+async def throttle(
+    shard: _pool_state.PoolShard, output: jobs.ThrottleTask
+) -> None:
+    """Ask a worker to throttle an attempt."""
+    link = shard.links.get(output.worker_id)
+    if link is None:
+        return
+    await _command(
+        shard,
+        lambda: shard.daemon.agents.throttle(
+            link.address, shard.epoch, [output.attempt], output.share
+        ),
+    )
+
+
+async def _command(
+    shard: _pool_state.PoolShard,
+    call: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+) -> None:
+    """Send a command whose loss the next sync report repairs."""
+    if not _state.may_act(shard.daemon, shard.name):
+        return
+    try:
+        await call()
+    except (errors.PlatformError, errors.DeposedError) as error:
+        LOG.info("a worker did not take a command: %s", error)
+
+
+async def _sync_loop(
+    shard: _pool_state.PoolShard, link: _pool_state.WorkerLink
+) -> None:
+    """Renew the worker's leases and take its reports, until stopped."""
+    after = 0
+    failures = 0
+    turn = 0
+    rng = random.Random()
+    sync_s = shard.daemon.settings.coordination.worker_sync_s
+    # The first answer is wanted at once: it tells what runs on the worker.
+    wait_s = 0.0
+    while not shard.released:
+        if not (
+            _state.may_act(shard.daemon, shard.name)
+            and jobs.may_sync(shard.pool, link.worker_id)
+        ):
+            await asyncio.sleep(NOT_OWNER_PAUSE_S)
+            continue
+        lease_s = shard.daemon.config.cell_config.pool.task_lease_s
+        sent_at = time.monotonic()
+        shard.feed(jobs.SyncSent(worker_id=link.worker_id, lease_s=lease_s))
+        acknowledged, link.acknowledged = link.acknowledged, []
+        try:
+            result = await shard.daemon.agents.sync(
+                link.address,
+                shard.epoch,
+                lease_s,
+                acknowledged,
+                wait_s,
+                after,
+                "" if turn % FULL_SYNC_EVERY == 0 else link.digest,
+            )
+        except (errors.PlatformError, errors.DeposedError) as error:
+            link.acknowledged = acknowledged + link.acknowledged
+            failures += 1
+            wait_s = 0.0
+            turn = 0
+            received = getattr(error, "sent", False)
+            shard.feed(
+                jobs.SyncFailed(
+                    worker_id=link.worker_id,
+                    sent_at=sent_at,
+                    received=received,
+                ),
+            )
+            await asyncio.sleep(
+                queueing.delay_s(
+                    failures,
+                    rng,
+                    base_s=SYNC_RETRY_S,
+                    limit_s=SYNC_RETRY_LIMIT_S,
+                )
+            )
+            continue
+        failures = 0
+        turn += 1
+        if result.reports is not None:
+            link.reports = result.reports
+        link.digest = result.digest
+        wait_s = sync_s
+        after = result.sequence
+        shard.feed(
+            jobs.SyncReport(
+                worker_id=link.worker_id,
+                reports=link.reports,
+                sent_at=sent_at,
+            ),
+        )
+
+
+def update_link(
+    shard: _pool_state.PoolShard, instance: model.Instance
+) -> None:
+    """Begin, keep or end the conversation with a worker."""
+    link = shard.links.get(instance.instance_id)
+    if instance.state is model.InstanceState.GONE:
+        if link is not None and link.task is not None:
+            link.task.cancel()
+            del shard.links[instance.instance_id]
+        return
+    if link is None:
+        link = _pool_state.WorkerLink(
+            worker_id=instance.instance_id, address=instance.address
+        )
+        shard.links[link.worker_id] = link
+        link.task = _state.start_task(shard.daemon, _sync_loop(shard, link))
+    link.address = instance.address
