Say how many targets a shard of a service needs

Change: the config reference names ten targets per shard. Conclusion: idempotent requests could go to any shard of a service; not built.

--- a/chestnuttide/config/_document.py
+++ b/chestnuttide/config/_document.py
@@ -10,8 +10,9 @@
     Attributes
     ----------
     shards : int
-        Number of shards that share its targets; 1 to 64. Fixed once the
-        service exists.
+        Number of shards that share its targets; 1 to 64. It cannot be
+        changed later. Targets and ids are spread by a hash, so a shard
+        should have ten targets or more.
     request_limit_s : float
         Longest time in seconds that a target may take for one request.
     queue_limit : int
