Count how long requests and tasks waited

Cause: the parts told how long work had waited, and nothing kept it. Change: a histogram by kind of work and urgency.

--- a/chestnuttide/scheduler/_pools.py
+++ b/chestnuttide/scheduler/_pools.py
@@ -145,6 +145,10 @@
         case jobs.JobCancelled():
             document = {"id": output.job_id, "state": output.state.value}
             _pool_calls.reply(output.token, _pool_calls.HTTP_OK, document)
+        case jobs.Placed():
+            telemetry.observe_wait(
+                metrics, "task", output.wait_s, urgent=output.urgent
+            )
         case jobs.Retried():
             telemetry.count_retry(metrics, output.reason)
         case jobs.Refused():
--- a/chestnuttide/scheduler/_requests.py
+++ b/chestnuttide/scheduler/_requests.py
@@ -300,7 +300,12 @@
         case routing.Ejected():
             LOG.warning("target %s is ejected", output.target_id)
         case routing.Waited():
-            pass
+            telemetry.observe_wait(
+                daemon.metrics,
+                "request",
+                output.seconds,
+                urgent=output.urgent,
+            )
 
 
 def _answer(shard: RequestShard, output: routing.AnswerCall) -> None:
--- a/chestnuttide/telemetry/__init__.py
+++ b/chestnuttide/telemetry/__init__.py
@@ -10,6 +10,7 @@
 count_store_call = _metrics.count_store_call
 make_logger = _logs.make_logger
 make_metrics = _metrics.make_metrics
+observe_wait = _metrics.observe_wait
 render = _metrics.render
 
 __all__ = [
@@ -20,5 +21,6 @@
     "count_store_call",
     "make_logger",
     "make_metrics",
+    "observe_wait",
     "render",
 ]
--- a/chestnuttide/telemetry/_metrics.py
+++ b/chestnuttide/telemetry/_metrics.py
@@ -73,6 +73,9 @@
         ``chestnuttide_config_version``.
     placement_seconds : Histogram
         ``chestnuttide_placement_seconds``, time of one decision.
+    wait_seconds : Histogram
+        ``chestnuttide_wait_seconds{work,urgent}``, from arrival to the first
+        dispatch or start, with work ``request`` or ``task``.
     request_seconds : Histogram
         ``chestnuttide_request_seconds``, from a request's arrival to its
         answer.
@@ -93,6 +96,7 @@
     shards_owned: aioprometheus.Gauge
     config_version: aioprometheus.Gauge
     placement_seconds: aioprometheus.Histogram
+    wait_seconds: aioprometheus.Histogram
     request_seconds: aioprometheus.Histogram
     mesh_bytes: aioprometheus.Counter
     mesh_dropped: aioprometheus.Counter
@@ -153,6 +157,11 @@
             "Seconds that one placement decision takes.",
             PLACEMENT_BUCKETS_S,
         ),
+        wait_seconds=histogram(
+            "wait_seconds",
+            "Seconds from arrival to the first dispatch or start.",
+            REQUEST_BUCKETS_S,
+        ),
         request_seconds=histogram(
             "request_seconds",
             "Seconds from a request's arrival to its answer.",
@@ -192,6 +201,14 @@
     metrics.retries.inc({"reason": reason.value})
 
 
+def observe_wait(
+    metrics: Metrics, work: str, seconds: float, *, urgent: bool
+) -> None:
+    """Note how long a ``request`` or a ``task`` waited."""
+    labels = {"work": work, "urgent": "true" if urgent else "false"}
+    metrics.wait_seconds.observe(labels, seconds)
+
+
 def count_store_call(metrics: Metrics, kind: str) -> None:
     """Count one call to the store; `kind` is one of `STORE_CALL_KINDS`."""
     metrics.store_calls.inc({"kind": kind})
