Offer freed room to the waiting lanes only until it is taken

The end of one task opened all lanes whose need fits into the room on its worker. After the first of them had taken the room, each other one was still tried against the whole cell. Lanes that fit none of the freed workers any more are left at once now.

--- a/chestnuttide/jobs/_backlog.py
+++ b/chestnuttide/jobs/_backlog.py
@@ -137,19 +137,59 @@
 
 def unstick(
     state: _state.PoolState, worker_ids: collections.abc.Iterable[str]
+) -> dict[str, model.Resources]:
+    """Try the lanes again that may fit a worker on which room was freed.
+
+    Returns
+    -------
+    dict of str to Resources
+        Least need of each of these lanes.
+    """
+    frees = _frees(state, worker_ids)
+    if not frees:
+        return {}
+    loose = {
+        lane: need
+        for lane, need in state.stuck.items()
+        if any(model.fits(need, free) for free in frees)
+    }
+    for lane in loose:
+        del state.stuck[lane]
+        state.dirty = True
+    return loose
+
+
+def stick_again(
+    state: _state.PoolState,
+    loose: dict[str, model.Resources],
+    worker_ids: collections.abc.Iterable[str],
 ) -> None:
-    """Try the lanes again that may fit a worker on which room was freed."""
-    for worker_id in worker_ids:
-        if worker_id in state.shut or worker_id not in state.workers:
-            continue
-        free = placement.free_of(state.cell, worker_id)
-        for lane in [
-            lane
-            for lane, need in state.stuck.items()
-            if model.fits(need, free)
-        ]:
-            del state.stuck[lane]
-            state.dirty = True
+    """Leave lanes again whose room another task has taken meanwhile.
+
+    Parameters
+    ----------
+    state : PoolState
+        The pool.
+    loose : dict of str to Resources
+        What `unstick` returned; lanes that are left again are removed.
+    worker_ids : iterable of str
+        The workers on which room was freed.
+    """
+    frees = _frees(state, worker_ids)
+    for lane, need in list(loose.items()):
+        if not any(model.fits(need, free) for free in frees):
+            del loose[lane]
+            state.stuck[lane] = need
+
+
+def _frees(
+    state: _state.PoolState, worker_ids: collections.abc.Iterable[str]
+) -> list[model.Resources]:
+    return [
+        placement.free_of(state.cell, worker_id)
+        for worker_id in worker_ids
+        if worker_id not in state.shut and worker_id in state.workers
+    ]
 
 
 def wait_again(
--- a/chestnuttide/jobs/_placing.py
+++ b/chestnuttide/jobs/_placing.py
@@ -34,7 +34,7 @@
         if state.queue.items:
             _state.capacity_changed(state)
     freed = _preemption.serve_claims(state, now, out)
-    _backlog.unstick(state, freed)
+    loose = _backlog.unstick(state, freed)
     if not state.dirty:
         return
     budget = state.decisions_per_call
@@ -49,6 +49,8 @@
         budget -= max(1, decided)
         if not decided:
             _backlog.stick(state, state.jobs[heads[0].key])
+        elif loose:
+            _backlog.stick_again(state, loose, freed)
 
 
 def _long_to_skip(state: _state.PoolState) -> set[str]:
--- a/chestnuttide/jobs/tests/test_placing.py
+++ b/chestnuttide/jobs/tests/test_placing.py
@@ -6,6 +6,7 @@
 from chestnuttide.jobs.tests import _pool
 from chestnuttide.jobs.tests import _world
 from chestnuttide import model
+from chestnuttide import placement
 
 
 def _half() -> model.Resources:
@@ -199,6 +200,32 @@
     assert not jobs.is_busy(pool.state, pool.now)
 
 
+def test_room_that_is_taken_again_is_not_offered_to_every_lane(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # One end of a task made the pool search for each kind of waiting need,
+    # which took several ms with some hundred kinds.
+    pool = _pool.make_pool(workers=1)
+    _pool.submit(pool, "full", tasks=2, resources=_half())
+    starts = _pool.start_all(pool)
+    for number in range(12):
+        need = model.Resources(cpu_millis=1800, memory_mb=100 << number // 2)
+        _pool.submit(
+            pool, f"job{number}", resources=need, urgent=number % 2 > 0
+        )
+    searches = []
+    choose = placement.choose_worker
+
+    def count(*args: object, **keywords: object) -> str | None:
+        searches.append(keywords["need"])
+        return choose(*args, **keywords)
+
+    monkeypatch.setattr(placement, "choose_worker", count)
+    _end(pool, starts[0])
+    assert len(_pool.take_starts(pool)) == 1
+    assert len(searches) <= 2
+
+
 def test_leaving_worker_gets_nothing_and_loses_its_services() -> None:
     pool = _pool.make_pool(workers=2)
     _pool.submit(pool, "s", kind=model.JobKind.SERVICE)
