--- a/bench/_policies.py
+++ b/bench/_policies.py
@@ -65,7 +65,8 @@
             "ratio",
             target=1.5,
             note="stragglers are 60% of the work of their classes, so the"
-            " ratio also has the wait for the capacity that they hold",
+            " ratio also has the wait for the capacity that they hold; they"
+            " cannot be told from short work before they run",
         ),
         _worst(
             "packing_ratio",
--- a/bench/_request_path.py
+++ b/bench/_request_path.py
@@ -133,8 +133,9 @@
             target=0.7,
             higher_is_better=True,
             command=COMMAND,
-            note="CPU of entry and scheduler over that of the forwarder;"
-            " runners not counted",
+            note="CPU of entry and scheduler over that of the forwarder,"
+            " runners not counted; a profile shows tornado's server in the"
+            " entry and curl in the scheduler as the largest parts",
         ),
         _figures.from_tries(
             "request_path_ratio_with_runners",
