--- a/chestnuttide/entry/_daemon.py
+++ b/chestnuttide/entry/_daemon.py
@@ -21,6 +21,11 @@
 # the balancer sees the readiness change first.
 READINESS_NOTICE_S = 1.0
 POLL_S = 0.05
+# A peer that has sent nothing for this many heartbeats is taken for paused.
+SILENT_HEARTBEATS = 1.5
+# Bodies up to this size are read, and refused with a code if they are larger
+# than the settings allow; of larger ones only the headers are read.
+MAX_READ_BYTES = 64 * 1024 * 1024
 
 LOG = telemetry.make_logger("entry")
 
@@ -90,7 +95,7 @@
     state = make_state(settings)
     server = tornado.httpserver.HTTPServer(
         make_application(state),
-        max_body_size=settings.entry.max_body_bytes,
+        max_body_size=MAX_READ_BYTES,
         max_buffer_size=2 * settings.entry.max_body_bytes,
     )
     server.listen(settings.entry.http_port, address=settings.advertise_ip)
@@ -162,6 +167,9 @@
         for connection in mesh.schedulers(state.network):
             mesh.send_if_possible(connection, heartbeat)
         daemon.count_traffic(state.metrics, state.network.traffic, counted)
+        state.metrics.mesh_dropped.set(
+            {"reason": "unmatched"}, state.calls.unmatched
+        )
 
 
 def _connected(state: _state.EntryState, connection: mesh.Connection) -> None:
@@ -187,13 +195,31 @@
         case mesh.RequestReply() | mesh.Reply():
             mesh.resolve(state.calls, connection, message)
         case mesh.OwnedShards():
-            _owners.take_owned(state.owners, connection, message)
+            for former in _owners.take_owned(
+                state.owners, connection, message
+            ):
+                _abort_if_silent(state, former)
         case _:
             config_message = daemon.to_config_message(message)
             if config_message is not None:
                 _run_config(state, config_message, connection)
 
 
+def _abort_if_silent(
+    state: _state.EntryState, former: mesh.Connection
+) -> None:
+    """End the connection to a former owner that is paused or unreachable.
+
+    Its calls then go to the new owner instead of waiting for their deadlines.
+    A former owner that hands over still sends heartbeats, and answers what it
+    has in flight.
+    """
+    silent_s = time.monotonic() - former.received_at
+    if silent_s > SILENT_HEARTBEATS * state.settings.mesh.heartbeat_s:
+        LOG.warning("scheduler %s is silent", former.peer.sender)
+        mesh.abort(former)
+
+
 def _run_config(
     state: _state.EntryState,
     message: object,
--- a/chestnuttide/mesh/__init__.py
+++ b/chestnuttide/mesh/__init__.py
@@ -33,11 +33,13 @@
 StatusRead = _messages.StatusRead
 TargetsLeaving = _messages.TargetsLeaving
 Traffic = _connection.Traffic
+abort = _connection.abort
 close = _network.close
 close_call = _calls.close_call
 decode = _codec.decode
 encode = _codec.encode
 fail_connection = _calls.fail_connection
+is_full = _connection.is_full
 listen = _network.listen
 make_codec = _codec.make_codec
 open_call = _calls.open_call
@@ -75,11 +77,13 @@
     "StatusRead",
     "TargetsLeaving",
     "Traffic",
+    "abort",
     "close",
     "close_call",
     "decode",
     "encode",
     "fail_connection",
+    "is_full",
     "listen",
     "make_codec",
     "open_call",
--- a/chestnuttide/platform/_worker_agent_wire.py
+++ b/chestnuttide/platform/_worker_agent_wire.py
@@ -5,6 +5,7 @@
 import typing
 
 import attrs
+import xxhash
 
 from chestnuttide import errors
 from chestnuttide import model
@@ -31,12 +32,16 @@
         Epoch of the shard that owns the worker.
     lease_s : float
         Lease of each started task in seconds.
+    expires_at : float
+        Wall clock time, in seconds since the epoch, after which the worker
+        starts nothing of it.
     starts : tuple of TaskStart
         The attempts to start.
     """
 
     epoch: int
     lease_s: float
+    expires_at: float
     starts: tuple[_ports.TaskStart, ...]
 
 
@@ -56,6 +61,9 @@
         Seconds to wait for an event.
     after : int
         Sequence of the last event that the caller knows.
+    known : str
+        Digest of the reports that the caller has; empty if it wants them in
+        any case.
     """
 
     epoch: int
@@ -63,6 +71,7 @@
     acknowledged: list[model.Attempt]
     wait_s: float
     after: int
+    known: str = ""
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -106,9 +115,10 @@
 def encode_start(
     epoch: int,
     lease_s: float,
+    expires_at: float,
     starts: collections.abc.Sequence[_ports.TaskStart],
 ) -> bytes:
-    """Return the body of a start.
+    """Return the body of a start; see `StartCall`.
 
     Raises
     ------
@@ -126,7 +136,12 @@
         for start in starts
     ]
     return _json_wire.dump(
-        {"epoch": epoch, "lease_s": lease_s, "tasks": tasks}
+        {
+            "epoch": epoch,
+            "lease_s": lease_s,
+            "expires_unix_ms": round(expires_at * 1000),
+            "tasks": tasks,
+        }
     )
 
 
@@ -143,6 +158,7 @@
         return StartCall(
             epoch=int(fields["epoch"]),
             lease_s=float(fields["lease_s"]),
+            expires_at=float(fields["expires_unix_ms"]) / 1000,
             starts=tuple(
                 _ports.TaskStart(
                     attempt=_json_wire.from_plain(task, model.Attempt),
@@ -214,6 +230,21 @@
     return _json_wire.from_plain(_json_wire.load(body), ThrottleCall)
 
 
+def digest_reports(
+    reports: collections.abc.Iterable[model.AttemptReport],
+) -> str:
+    """Return a digest of which attempts are reported in which state.
+
+    Run times and usage are left out; they change all the time.
+    """
+    lines = sorted(
+        f"{each.attempt.job_id}/{each.attempt.index}/{each.attempt.number}"
+        f"/{each.state.value}"
+        for each in reports
+    )
+    return xxhash.xxh64_hexdigest("\n".join(lines).encode())
+
+
 def encode_sync_result(result: _ports.SyncResult) -> bytes:
     """Return the body of the answer to a sync."""
     return _json_wire.dump(result)
--- a/chestnuttide/routing/tests/test_router.py
+++ b/chestnuttide/routing/tests/test_router.py
@@ -453,3 +453,33 @@
         bench.submit(call)
     assert bench.reason(5) is errors.Reason.QUEUE_FULL
     assert bench.run_state(5) is errors.RunState.NOT_RUN
+
+
+def test_timers_of_ended_calls_are_dropped() -> None:
+    """Guards against memory that grows with the callers' patience."""
+    bench = _Bench(targets=1, slots=1, policy=config.ServiceConfig())
+    for call in range(3000):
+        bench.submit(call, timeout_s=3600.0)
+        bench.end(call, _OK)
+    bench.tick()
+    assert len(bench.state.deadlines) <= 1024
+    bench.submit(5000, timeout_s=1.0)
+    bench.tick(1.0)
+    assert bench.reason(5000) is errors.Reason.DEADLINE_EXCEEDED
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        pytest.param({"timeout_s": -1.0}, id="past_deadline_first"),
+        pytest.param({"team": "nobody"}, id="unknown_team_first"),
+    ],
+)
+def test_id_that_ran_is_never_called_not_run(changes: dict) -> None:
+    bench = _Bench()
+    bench.submit(1, idempotent=False, request_id="bill")
+    bench.record()
+    bench.end(0, _OK)
+    bench.submit(2, idempotent=False, request_id="bill", **changes)
+    assert bench.reason(2) is errors.Reason.DUPLICATE_ID
+    assert bench.run_state(2) is errors.RunState.RAN
