Tick ownership, config and journals less often

Cause: an idle scheduler spends most of its time in ticks of 50 ms. Change: ownership is ticked every 0.1 s, the config and the journals every 0.2 s; shards as before, because their deadlines need it.

--- a/chestnuttide/scheduler/_daemon.py
+++ b/chestnuttide/scheduler/_daemon.py
@@ -27,6 +27,11 @@
 # Seconds between two ticks of the pure parts; bounds how late a deadline is
 # noticed.
 TICK_S = 0.05
+# Ticks of the shards for one of ownership, the config and the journals, whose
+# times are tenths of seconds and more.
+OWNERSHIP_TICKS = 2
+CONFIG_TICKS = 4
+JOURNAL_TICKS = 4
 # A lease renewal must fail soon enough for promises to be asked for while
 # the lease still holds.
 LEASE_TIMEOUT_SHARE = 0.2
@@ -174,12 +179,15 @@
 
 
 async def _tick(state: _state.SchedulerState) -> None:
-    while True:
+    for turn in itertools.count():
         await asyncio.sleep(TICK_S)
-        _membership.feed(state, coordination.Tick())
-        _configuration.feed(state, config_module.Tick())
+        if turn % OWNERSHIP_TICKS == 0:
+            _membership.feed(state, coordination.Tick())
+        if turn % CONFIG_TICKS == 0:
+            _configuration.feed(state, config_module.Tick())
         for shard in list(state.shards.values()):
-            _journals.tick(shard.journal)
+            if turn % JOURNAL_TICKS == 0:
+                _journals.tick(shard.journal)
             shard.tick()
 
 
