Keep a call that a second caller was told is in progress

Cause: a caller whose entry was killed asked another entry before the owner noticed the lost connection; it was refused as duplicate_id, and then the first call was dropped as its caller seemed gone. Change: a first call is marked when a second one is refused because of it, and is not dropped any more.

--- a/chestnuttide/routing/_admission.py
+++ b/chestnuttide/routing/_admission.py
@@ -23,6 +23,9 @@
             state.ledger, request.request_id, now
         )
         if used is not None:
+            first = state.calls_by_id.get(request.request_id)
+            if first is not None:
+                first.kept = True
             return [_refuse_known(message, used.state)]
     error = _check(state, message, now)
     if error is not None:
@@ -99,7 +102,7 @@
 ) -> list[object]:
     """Drop a call whose caller is gone, unless it was dispatched."""
     call = state.calls.get(message.call)
-    if call is None or call.live:
+    if call is None or call.live or call.kept:
         return []
     return _answering.refuse_call(
         state,
--- a/chestnuttide/routing/_state.py
+++ b/chestnuttide/routing/_state.py
@@ -48,6 +48,9 @@
         Dispatches that have not ended.
     maybe_ran : bool
         Whether a byte of it may have reached a target.
+    kept : bool
+        Whether another call for its id was told that it is in progress, so
+        that it goes on although its own caller is gone.
     """
 
     call: int
@@ -58,6 +61,7 @@
     tried: frozenset[str] = frozenset()
     live: int = 0
     maybe_ran: bool = False
+    kept: bool = False
 
 
 @attrs.frozen(kw_only=True, slots=True)
--- a/chestnuttide/routing/tests/test_router.py
+++ b/chestnuttide/routing/tests/test_router.py
@@ -483,3 +483,19 @@
     bench.submit(2, idempotent=False, request_id="bill", **changes)
     assert bench.reason(2) is errors.Reason.DUPLICATE_ID
     assert bench.run_state(2) is errors.RunState.RAN
+
+
+def test_call_that_a_second_caller_waits_for_is_not_dropped() -> None:
+    """Guards against an id that is first in progress and then unknown.
+
+    A caller whose entry was killed asks another one, before the owner has
+    noticed that the first connection is gone.
+    """
+    bench = _Bench()
+    bench.submit(1, idempotent=False, request_id="bill")
+    bench.submit(2, idempotent=False, request_id="bill")
+    assert bench.reason(2) is errors.Reason.DUPLICATE_ID
+    bench.feed(routing.CancelCall(call=1))
+    bench.record()
+    bench.end(0, _OK)
+    assert bench.state.answers["bill"].body == b"done"
