--- a/chestnuttide/coordination/__init__.py
+++ b/chestnuttide/coordination/__init__.py
@@ -72,6 +72,7 @@
 [Durable(tokens=(1,))]
 """
 
+from chestnuttide.coordination import _cas_writes
 from chestnuttide.coordination import _journal
 from chestnuttide.coordination import _lease
 from chestnuttide.coordination import _ledger
@@ -123,8 +124,8 @@
 RELEASED = _messages.RELEASED
 REMEMBER_S = _ledger.REMEMBER_S
 RING_SIZE = _journal.RING_SIZE
-ReadBack = _journal.ReadBack
-ReadKey = _journal.ReadKey
+ReadBack = _cas_writes.ReadBack
+ReadKey = _cas_writes.ReadKey
 ReadRecord = _messages.ReadRecord
 Recovery = _recovery.Recovery
 ReleaseRequested = _messages.ReleaseRequested
@@ -151,12 +152,12 @@
 VotersAck = _messages.VotersAck
 VotersProposal = _messages.VotersProposal
 VotersRead = _messages.VotersRead
-WriteBatch = _journal.WriteBatch
+WriteBatch = _cas_writes.WriteBatch
 WriteBudget = _journal.WriteBudget
-WriteConflict = _journal.WriteConflict
+WriteConflict = _cas_writes.WriteConflict
 WriteShardRecord = _messages.WriteShardRecord
-WriteSucceeded = _journal.WriteSucceeded
-WriteUnanswered = _journal.WriteUnanswered
+WriteSucceeded = _cas_writes.WriteSucceeded
+WriteUnanswered = _cas_writes.WriteUnanswered
 WriteVoters = _messages.WriteVoters
 begin_request = _ledger.begin
 chunk_key = _snapshots.chunk_key
--- a/chestnuttide/coordination/_journal.py
+++ b/chestnuttide/coordination/_journal.py
@@ -7,10 +7,7 @@
 epoch: whichever of the two writes comes second fails. Hence no event of an
 older epoch follows the seal.
 
-A write whose answer is lost, or that meets a conflict, is resolved by reading
-the key back: its write id tells whether the write took effect. If it did not,
-it may still do so later; the same write is sent again, and the CAS lets only
-one of the two take effect.
+`_cas_writes` resolves a write whose answer is lost.
 """
 
 import collections
@@ -21,6 +18,7 @@
 import attrs
 import cbor2
 
+from chestnuttide.coordination import _cas_writes
 from chestnuttide import errors
 from chestnuttide import pipes
 
@@ -35,7 +33,6 @@
 # Share of the ring that is kept free for seals: each successor that fails
 # before its first snapshot uses one slot.
 SEAL_SHARE: typing.Final = 0.125
-READ_RETRY_S: typing.Final = 0.2
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -59,70 +56,6 @@
     token: int
 
 
-@attrs.frozen(kw_only=True, slots=True)
-class WriteSucceeded:
-    """A write took effect.
-
-    Attributes
-    ----------
-    write_id : str
-        Id of the write.
-    revision : int
-        The new revision of the key.
-    """
-
-    write_id: str
-    revision: int
-
-
-@attrs.frozen(kw_only=True, slots=True)
-class WriteConflict:
-    """A write met another revision than it expected.
-
-    Attributes
-    ----------
-    write_id : str
-        Id of the write.
-    """
-
-    write_id: str
-
-
-@attrs.frozen(kw_only=True, slots=True)
-class WriteUnanswered:
-    """A write, or the read that resolves it, was not answered.
-
-    Attributes
-    ----------
-    write_id : str
-        Id of the write.
-    """
-
-    write_id: str
-
-
-@attrs.frozen(kw_only=True, slots=True)
-class ReadBack:
-    """The key of a write was read back.
-
-    Attributes
-    ----------
-    write_id : str
-        Id of the write that is being resolved.
-    revision : int
-        Revision of the key; 0 when there is no key.
-    entry_write_id : str
-        Id of the last write of the key.
-    value : bytes or None
-        Value of the key; None when there is no key.
-    """
-
-    write_id: str
-    revision: int = 0
-    entry_write_id: str = ""
-    value: bytes | None = None
-
-
 @attrs.frozen(kw_only=True, slots=True)
 class WriteBudget:
     """Writes are granted, in answer to `BudgetWanted`.
@@ -162,44 +95,6 @@
     base_seq: int
 
 
-@attrs.frozen(kw_only=True, slots=True)
-class WriteBatch:
-    """Write a key by CAS.
-
-    Attributes
-    ----------
-    key : str
-        The key.
-    expected_revision : int
-        Revision that the key must have; 0 when it must be absent.
-    value : bytes
-        The value.
-    write_id : str
-        Id of the write; the same when the write is sent again.
-    """
-
-    key: str
-    expected_revision: int
-    value: bytes
-    write_id: str
-
-
-@attrs.frozen(kw_only=True, slots=True)
-class ReadKey:
-    """Read a key and report `ReadBack`.
-
-    Attributes
-    ----------
-    key : str
-        The key.
-    write_id : str
-        Id of the write that is being resolved.
-    """
-
-    key: str
-    write_id: str
-
-
 @attrs.frozen(kw_only=True, slots=True)
 class BudgetWanted:
     """A write waits for a token of the instance's bucket."""
@@ -277,27 +172,21 @@
 
 @attrs.define(kw_only=True)
 class InFlight:
-    """The write in flight.
+    """The batch in flight.
 
     Attributes
     ----------
-    write : WriteBatch
+    pending : PendingWrite
         The write.
     slot : int
         Slot of the ring.
     tokens : tuple of int
         Tokens of the batch's events.
-    resolving : bool
-        Whether it is being resolved by reading the key back.
-    read_at : float
-        When the key is read again if no answer comes.
     """
 
-    write: WriteBatch
+    pending: _cas_writes.PendingWrite
     slot: int
     tokens: tuple[int, ...]
-    resolving: bool = False
-    read_at: float = float("inf")
 
 
 @attrs.define(kw_only=True)
@@ -434,10 +323,7 @@
 def _on_tick(
     state: JournalState, message: JournalTick, now: float
 ) -> list[object]:
-    current = state.in_flight
-    if current is None or not current.resolving or now < current.read_at:
-        return []
-    return _read(current, now)
+    return _cas_writes.retry_read(_pending(state), now)
 
 
 def _on_append(
@@ -456,47 +342,47 @@
 
 
 def _on_succeeded(
-    state: JournalState, message: WriteSucceeded, now: float
+    state: JournalState, message: _cas_writes.WriteSucceeded, now: float
 ) -> list[object]:
-    current = _current(state, message.write_id)
-    if current is None:
+    current = state.in_flight
+    if not _cas_writes.is_pending(_pending(state), message.write_id):
         return []
     return _finish(state, current, message.revision)
 
 
 def _on_conflict(
-    state: JournalState, message: WriteConflict, now: float
+    state: JournalState, message: _cas_writes.WriteConflict, now: float
 ) -> list[object]:
-    current = _current(state, message.write_id)
-    if current is None:
+    pending = _pending(state)
+    if not _cas_writes.is_pending(pending, message.write_id):
         return []
     # The write itself may have caused the conflict when it was sent twice.
-    return _read(current, now)
+    return _cas_writes.read_back(pending, now)
 
 
 def _on_unanswered(
-    state: JournalState, message: WriteUnanswered, now: float
+    state: JournalState, message: _cas_writes.WriteUnanswered, now: float
 ) -> list[object]:
-    current = _current(state, message.write_id)
-    if current is None:
+    pending = _pending(state)
+    if not _cas_writes.is_pending(pending, message.write_id):
         return []
-    if current.resolving:
-        current.read_at = now + READ_RETRY_S
-        return []
-    return _read(current, now)
+    return _cas_writes.unanswered(pending, now)
 
 
 def _on_read_back(
-    state: JournalState, message: ReadBack, now: float
+    state: JournalState, message: _cas_writes.ReadBack, now: float
 ) -> list[object]:
-    current = _current(state, message.write_id)
-    if current is None or not current.resolving:
+    pending = _pending(state)
+    if (
+        not _cas_writes.is_pending(pending, message.write_id)
+        or not pending.resolving
+    ):
         return []
-    if message.entry_write_id == current.write.write_id:
-        return _finish(state, current, message.revision)
-    if message.revision == current.write.expected_revision:
-        current.resolving = False
-        return [current.write]
+    match _cas_writes.judge(pending, message):
+        case _cas_writes.Outcome.TOOK_EFFECT:
+            return _finish(state, state.in_flight, message.revision)
+        case _cas_writes.Outcome.SEND_AGAIN:
+            return [pending.write]
     state.deposed = True
     state.in_flight = None
     if not state.sealed and _epoch_of(message.value) <= state.epoch:
@@ -524,27 +410,18 @@
 ] = {
     Append: _on_append,
     JournalTick: _on_tick,
-    ReadBack: _on_read_back,
+    _cas_writes.ReadBack: _on_read_back,
     SnapshotTaken: _on_snapshot_taken,
     SnapshotWritten: _on_snapshot_written,
     WriteBudget: _on_budget,
-    WriteConflict: _on_conflict,
-    WriteSucceeded: _on_succeeded,
-    WriteUnanswered: _on_unanswered,
+    _cas_writes.WriteConflict: _on_conflict,
+    _cas_writes.WriteSucceeded: _on_succeeded,
+    _cas_writes.WriteUnanswered: _on_unanswered,
 }
 
 
-def _current(state: JournalState, write_id: str) -> InFlight | None:
-    current = state.in_flight
-    if current is None or current.write.write_id != write_id:
-        return None
-    return current
-
-
-def _read(current: InFlight, now: float) -> list[object]:
-    current.resolving = True
-    current.read_at = now + READ_RETRY_S
-    return [ReadKey(key=current.write.key, write_id=current.write.write_id)]
+def _pending(state: JournalState) -> _cas_writes.PendingWrite | None:
+    return None if state.in_flight is None else state.in_flight.pending
 
 
 def _finish(
@@ -596,7 +473,7 @@
     return outputs
 
 
-def _form(state: JournalState) -> WriteBatch:
+def _form(state: JournalState) -> _cas_writes.WriteBatch:
     events: list[bytes] = []
     tokens: list[int] = []
     size = 0
@@ -611,13 +488,17 @@
         events.append(first.event)
         tokens.append(first.token)
     slot = state.next_seq % state.ring_size
-    write = WriteBatch(
+    write = _cas_writes.WriteBatch(
         key=ring_key(state.shard, slot),
         expected_revision=state.revisions.get(slot, 0),
         value=encode_batch(state.next_seq, state.epoch, events),
         write_id=state.make_write_id(),
     )
-    state.in_flight = InFlight(write=write, slot=slot, tokens=tuple(tokens))
+    state.in_flight = InFlight(
+        pending=_cas_writes.PendingWrite(write=write),
+        slot=slot,
+        tokens=tuple(tokens),
+    )
     return write
 
 
--- a/chestnuttide/coordination/_snapshots.py
+++ b/chestnuttide/coordination/_snapshots.py
@@ -19,6 +19,7 @@
 import cbor2
 import xxhash
 
+from chestnuttide.coordination import _cas_writes
 from chestnuttide.coordination import _journal
 from chestnuttide import errors
 from chestnuttide import pipes
@@ -91,12 +92,8 @@
         The manifest that is being written.
     waiting : SnapshotReady or None
         A snapshot that is written after the manifest in flight.
-    current : WriteBatch or None
+    pending : PendingWrite or None
         The write in flight.
-    resolving : bool
-        Whether it is being resolved by reading the key back.
-    read_at : float
-        When the key is read again if no answer comes.
     """
 
     shard: str
@@ -112,9 +109,7 @@
     )
     following: Manifest | None = None
     waiting: _journal.SnapshotReady | None = None
-    current: _journal.WriteBatch | None = None
-    resolving: bool = False
-    read_at: float = float("inf")
+    pending: _cas_writes.PendingWrite | None = None
 
 
 def snapshot_prefix(shard: str) -> str:
@@ -233,9 +228,7 @@
 ) -> list[object]:
     if not state.fenced and state.following is None:
         _queue_manifest(state, attrs.evolve(state.manifest, epoch=state.epoch))
-    if state.current is None or not state.resolving or now < state.read_at:
-        return []
-    return _read(state, state.current, now)
+    return _cas_writes.retry_read(state.pending, now)
 
 
 def _on_ready(
@@ -271,55 +264,53 @@
 
 
 def _on_succeeded(
-    state: SnapshotState, message: _journal.WriteSucceeded, now: float
+    state: SnapshotState, message: _cas_writes.WriteSucceeded, now: float
 ) -> list[object]:
-    current = _current(state, message.write_id)
-    if current is None:
+    pending = state.pending
+    if not _cas_writes.is_pending(pending, message.write_id):
         return []
-    return _finish(state, current, message.revision)
+    return _finish(state, pending.write, message.revision)
 
 
 def _on_conflict(
-    state: SnapshotState, message: _journal.WriteConflict, now: float
+    state: SnapshotState, message: _cas_writes.WriteConflict, now: float
 ) -> list[object]:
-    current = _current(state, message.write_id)
-    if current is None:
+    if not _cas_writes.is_pending(state.pending, message.write_id):
         return []
-    return _read(state, current, now)
+    return _cas_writes.read_back(state.pending, now)
 
 
 def _on_unanswered(
-    state: SnapshotState, message: _journal.WriteUnanswered, now: float
+    state: SnapshotState, message: _cas_writes.WriteUnanswered, now: float
 ) -> list[object]:
-    current = _current(state, message.write_id)
-    if current is None:
-        return []
-    if state.resolving:
-        state.read_at = now + _journal.READ_RETRY_S
+    if not _cas_writes.is_pending(state.pending, message.write_id):
         return []
-    return _read(state, current, now)
+    return _cas_writes.unanswered(state.pending, now)
 
 
 def _on_read_back(
-    state: SnapshotState, message: _journal.ReadBack, now: float
+    state: SnapshotState, message: _cas_writes.ReadBack, now: float
 ) -> list[object]:
-    current = _current(state, message.write_id)
-    if current is None or not state.resolving:
+    pending = state.pending
+    if (
+        not _cas_writes.is_pending(pending, message.write_id)
+        or not pending.resolving
+    ):
         return []
-    if message.entry_write_id == current.write_id:
-        return _finish(state, current, message.revision)
-    state.resolving = False
-    if message.revision == current.expected_revision:
-        return [current]
-    is_chunk = current.key != manifest_key(state.shard)
+    match _cas_writes.judge(pending, message):
+        case _cas_writes.Outcome.TOOK_EFFECT:
+            return _finish(state, pending.write, message.revision)
+        case _cas_writes.Outcome.SEND_AGAIN:
+            return [pending.write]
+    state.pending = None
+    key = pending.write.key
+    is_chunk = key != manifest_key(state.shard)
     if is_chunk and _chunk_epoch(message.value) <= state.epoch:
         # A delayed chunk of a former owner; it is replaced.
-        state.revisions[current.key] = message.revision
-        state.queue.appendleft((current.key, current.value))
-        state.current = None
+        state.revisions[key] = message.revision
+        state.queue.appendleft((key, pending.write.value))
         return []
     state.deposed = True
-    state.current = None
     state.queue.clear()
     epoch = state.epoch
     if message.value is not None and not is_chunk:
@@ -333,11 +324,11 @@
     type, collections.abc.Callable[..., collections.abc.Sequence[object]]
 ] = {
     _journal.JournalTick: _on_tick,
-    _journal.ReadBack: _on_read_back,
+    _cas_writes.ReadBack: _on_read_back,
     _journal.SnapshotReady: _on_ready,
-    _journal.WriteConflict: _on_conflict,
-    _journal.WriteSucceeded: _on_succeeded,
-    _journal.WriteUnanswered: _on_unanswered,
+    _cas_writes.WriteConflict: _on_conflict,
+    _cas_writes.WriteSucceeded: _on_succeeded,
+    _cas_writes.WriteUnanswered: _on_unanswered,
 }
 
 
@@ -351,28 +342,11 @@
     state.queue.append((key, encode_manifest(manifest)))
 
 
-def _current(
-    state: SnapshotState, write_id: str
-) -> _journal.WriteBatch | None:
-    if state.current is None or state.current.write_id != write_id:
-        return None
-    return state.current
-
-
-def _read(
-    state: SnapshotState, current: _journal.WriteBatch, now: float
-) -> list[object]:
-    state.resolving = True
-    state.read_at = now + _journal.READ_RETRY_S
-    return [_journal.ReadKey(key=current.key, write_id=current.write_id)]
-
-
 def _finish(
-    state: SnapshotState, current: _journal.WriteBatch, revision: int
+    state: SnapshotState, write: _cas_writes.WriteBatch, revision: int
 ) -> list[object]:
-    state.revisions[current.key] = revision
-    state.current = None
-    state.resolving = False
+    state.revisions[write.key] = revision
+    state.pending = None
     if state.queue or state.following is None:
         return []
     state.manifest = state.following
@@ -391,16 +365,17 @@
 
 
 def _advance(state: SnapshotState) -> list[object]:
-    if state.deposed or state.current is not None or not state.queue:
+    if state.deposed or state.pending is not None or not state.queue:
         return []
     key, value = state.queue.popleft()
-    state.current = _journal.WriteBatch(
+    write = _cas_writes.WriteBatch(
         key=key,
         expected_revision=state.revisions.get(key, 0),
         value=value,
         write_id=state.make_write_id(),
     )
-    return [state.current]
+    state.pending = _cas_writes.PendingWrite(write=write)
+    return [write]
 
 
 def _malformed() -> errors.ProtocolError:
