--- a/chestnuttide/coordination/_journal.py
+++ b/chestnuttide/coordination/_journal.py
@@ -158,7 +158,7 @@
 
 
 @attrs.define(kw_only=True)
-class Cut:
+class SnapshotMark:
     """Place of a snapshot among the pending events.
 
     Attributes
@@ -221,7 +221,7 @@
         Whether `BudgetWanted` is not answered yet.
     snapshot_asked : bool
         Whether a snapshot is being taken or written.
-    pending : deque of Append or Cut
+    pending : deque of Append or SnapshotMark
         Events that are not in a batch yet.
     in_flight : InFlight or None
         The write in flight.
@@ -240,7 +240,7 @@
     budget: int = 0
     budget_asked: bool = False
     snapshot_asked: bool = False
-    pending: collections.deque[Append | Cut] = attrs.field(
+    pending: collections.deque[Append | SnapshotMark] = attrs.field(
         factory=collections.deque
     )
     in_flight: InFlight | None = None
@@ -393,7 +393,7 @@
 def _on_snapshot_taken(
     state: JournalState, message: SnapshotTaken, now: float
 ) -> list[object]:
-    state.pending.append(Cut(data=message.data))
+    state.pending.append(SnapshotMark(data=message.data))
     return []
 
 
@@ -449,7 +449,7 @@
     full = used >= state.ring_size
     while (state.sealed or full) and state.pending:
         first = state.pending[0]
-        if not isinstance(first, Cut):
+        if not isinstance(first, SnapshotMark):
             break
         state.pending.popleft()
         outputs.append(SnapshotReady(data=first.data, base_seq=state.next_seq))
@@ -479,7 +479,7 @@
     size = 0
     while state.pending:
         first = state.pending[0]
-        if isinstance(first, Cut):
+        if isinstance(first, SnapshotMark):
             break
         size += len(first.event) + EVENT_OVERHEAD_BYTES
         if events and size > state.max_batch_bytes:
--- a/chestnuttide/errors/_kinds.py
+++ b/chestnuttide/errors/_kinds.py
@@ -29,7 +29,6 @@
     NOT_OWNER = "not_owner"
     NO_OWNER = "no_owner"
     LEASE_LOST = "lease_lost"
-    STOPPING = "stopping"
     STORE_UNAVAILABLE = "store_unavailable"
     CONFIG_CONFLICT = "config_conflict"
     CONFIG_INVALID = "config_invalid"
@@ -87,7 +86,6 @@
     Reason.NOT_OWNER: 503,
     Reason.NO_OWNER: 503,
     Reason.LEASE_LOST: 503,
-    Reason.STOPPING: 503,
     Reason.STORE_UNAVAILABLE: 503,
     Reason.CONFIG_CONFLICT: 409,
     Reason.CONFIG_INVALID: 422,
--- a/chestnuttide/jobs/_attempts.py
+++ b/chestnuttide/jobs/_attempts.py
@@ -23,7 +23,7 @@
 START_RETRY_LIMIT_S = 2.0
 
 # Seconds for which a worker that refused or missed a start gets no new work.
-SHUN_S = 1.0
+AVOID_S = 1.0
 
 # Syncs in a row that a silent worker may have received, after which it is
 # sent none until its attempts have lapsed. Each of them renews the leases if
@@ -92,7 +92,7 @@
     if outcome in _CONFIRMING:
         _confirm(held, now)
         return
-    _shun(state, held, now)
+    _avoid(state, held, now)
     if outcome is _messages.StartOutcome.UNANSWERED:
         held.in_doubt = True
         _retry_start(
@@ -103,7 +103,7 @@
         _retry_start(state, held, errors.RetryReason.CONNECT_FAILED, now, out)
     else:
         if outcome is _messages.StartOutcome.NO_CAPACITY and held.reclaimed:
-            state.workers[held.worker_id].lends = False
+            state.workers[held.worker_id].allows_overcommit = False
         _not_started(state, held, now, out)
 
 
@@ -319,15 +319,15 @@
         held.phase = _state.Phase.RUNNING
 
 
-def _shun(
+def _avoid(
     state: _state.PoolState, held: _state.AttemptRecord, now: float
 ) -> None:
     """Keep new work off a worker for a while."""
     worker = state.workers.get(held.worker_id)
     if worker is not None:
-        worker.shunned_until = now + SHUN_S
+        worker.avoided_until = now + AVOID_S
         _state.update_shut(state, worker, now)
-        _timers.schedule(state, now + SHUN_S, "shun", held.worker_id)
+        _timers.schedule(state, now + AVOID_S, "avoid", held.worker_id)
 
 
 def _retry_start(
--- a/chestnuttide/jobs/_placing.py
+++ b/chestnuttide/jobs/_placing.py
@@ -132,7 +132,7 @@
         expected_run_s=record.run_s,
     )
     reclaimed = False
-    if worker_id is None and state.lend and not job.urgent:
+    if worker_id is None and state.overcommit and not job.urgent:
         worker_id = placement.choose_reclaimed_worker(
             state.cell,
             need=need,
@@ -142,7 +142,7 @@
             now=now,
         )
         reclaimed = worker_id is not None
-        if reclaimed and not state.workers[worker_id].lends:
+        if reclaimed and not state.workers[worker_id].allows_overcommit:
             worker_id = None
     if worker_id is not None:
         index = _backlog.take_task(record)
--- a/chestnuttide/jobs/_pool.py
+++ b/chestnuttide/jobs/_pool.py
@@ -170,7 +170,7 @@
             _preemption.on_claim_timer(state, *arguments, now)
         case "unthrottle":
             _preemption.on_unthrottle_timer(state, *arguments, out)
-        case "shun":
+        case "avoid":
             worker = state.workers.get(arguments[0])
             if worker is not None:
                 _state.update_shut(state, worker, now)
--- a/chestnuttide/jobs/_recovery.py
+++ b/chestnuttide/jobs/_recovery.py
@@ -86,7 +86,7 @@
             if not state.settled:
                 state.unreported.add(worker_id)
         worker.instance = instance
-        worker.lends = True
+        worker.allows_overcommit = True
         placement.upsert_worker(state.cell, instance, now)
         if instance.state is model.InstanceState.LEAVING:
             state.leaving[worker_id] = None
--- a/chestnuttide/jobs/_state.py
+++ b/chestnuttide/jobs/_state.py
@@ -221,9 +221,9 @@
         Syncs in a row without an answer.
     doubts : int
         Those of them that it may have received.
-    shunned_until : float
+    avoided_until : float
         Time until which it gets no new work.
-    lends : bool
+    allows_overcommit : bool
         Whether it takes work on reclaimed capacity.
     lapse_timer : bool
         Whether a check of its leases is scheduled.
@@ -239,8 +239,8 @@
     sync_lease_s: float = 0.0
     failures: int = 0
     doubts: int = 0
-    shunned_until: float = -math.inf
-    lends: bool = True
+    avoided_until: float = -math.inf
+    allows_overcommit: bool = True
     lapse_timer: bool = False
     claims: dict[model.Attempt, None] = attrs.field(factory=dict)
 
@@ -258,7 +258,7 @@
         The configuration in force.
     rng : random.Random
         Source of jitter.
-    lend : bool
+    overcommit : bool
         Whether work that can be throttled or checkpointed may run on
         capacity that others reserved and do not use.
     decisions_per_call : int
@@ -337,7 +337,7 @@
 
     document: config.CellConfig
     rng: random.Random
-    lend: bool = False
+    overcommit: bool = False
     decisions_per_call: int = 32
     cell: placement.Cell = attrs.field(factory=placement.make_cell)
     queue: queueing.FairQueue = attrs.field(
@@ -454,7 +454,7 @@
     if (
         worker.reported
         and worker.failures < MAX_FAILURES
-        and now >= worker.shunned_until
+        and now >= worker.avoided_until
     ):
         if worker_id in state.shut:
             state.shut.discard(worker_id)
--- a/chestnuttide/placement/_cells.py
+++ b/chestnuttide/placement/_cells.py
@@ -61,7 +61,7 @@
     _health.forget(cell, worker)
     _refresh(cell, worker)
     del cell.workers[worker_id]
-    cell.strained.pop(worker_id, None)
+    cell.overcommitted.pop(worker_id, None)
     _health.enforce_share(cell)
     return attempts
 
--- a/chestnuttide/placement/_reclaim.py
+++ b/chestnuttide/placement/_reclaim.py
@@ -136,9 +136,9 @@
         worker.used_cpu > capacity.cpu_millis
         or worker.used_memory > capacity.memory_mb
     ):
-        cell.strained[worker_id] = None
-    elif cell.strained:
-        cell.strained.pop(worker_id, None)
+        cell.overcommitted[worker_id] = None
+    elif cell.overcommitted:
+        cell.overcommitted.pop(worker_id, None)
     if (
         worker.reclaim_entry is None
         and worker.charged_cpu >= capacity.cpu_millis
@@ -279,7 +279,7 @@
     that was throttled and whose worker is still over capacity is evicted.
     """
     reliefs: list[Relief] = []
-    for worker_id in cell.strained:
+    for worker_id in cell.overcommitted:
         _relieve(cell.workers[worker_id], reliefs)
     return reliefs
 
--- a/chestnuttide/placement/_state.py
+++ b/chestnuttide/placement/_state.py
@@ -378,7 +378,7 @@
         Earliest time at which an ejected worker becomes open to a probe.
     outcomes : dict of str to JobOutcomes
         Recent outcomes by job, least recent first.
-    strained : dict of str to None
+    overcommitted : dict of str to None
         Workers whose reported usage exceeds their capacity.
     now : float
         Latest time that was given.
@@ -412,5 +412,5 @@
     ejected: dict[str, None] = attrs.field(factory=dict)
     next_probe: float = math.inf
     outcomes: dict[str, JobOutcomes] = attrs.field(factory=dict)
-    strained: dict[str, None] = attrs.field(factory=dict)
+    overcommitted: dict[str, None] = attrs.field(factory=dict)
     now: float = 0.0
--- a/chestnuttide/placement/tests/_checks.py
+++ b/chestnuttide/placement/tests/_checks.py
@@ -300,7 +300,7 @@
         worker.used_cpu > worker.capacity.cpu_millis
         or worker.used_memory > worker.capacity.memory_mb
     )
-    assert (worker.worker_id in cell.strained) is over
+    assert (worker.worker_id in cell.overcommitted) is over
     ranked = [
         entry
         for block in cell.reclaimable.blocks
--- a/chestnuttide/placement/tests/test_properties.py
+++ b/chestnuttide/placement/tests/test_properties.py
@@ -282,7 +282,7 @@
         for relief in placement.overcommitted(cell):
             reservation = placement.reservation_of(cell, relief.attempt)
             assert reservation.worker_id == relief.worker_id
-            assert relief.worker_id in cell.strained
+            assert relief.worker_id in cell.overcommitted
             if relief.action is placement.ReliefAction.EVICT:
                 assert _may_yield(reservation)
                 placement.release(cell, relief.attempt)
@@ -292,7 +292,7 @@
             usage = builders.amounts(0, reservation.used_memory)
             for _sample in range(2):
                 placement.record_usage(cell, relief.attempt, usage, world.now)
-    for worker_id in cell.strained:
+    for worker_id in cell.overcommitted:
         worker = cell.workers[worker_id]
         over_cpu = worker.used_cpu > worker.capacity.cpu_millis
         over_memory = worker.used_memory > worker.capacity.memory_mb
--- a/chestnuttide/platform/tests/test_instance_list_client.py
+++ b/chestnuttide/platform/tests/test_instance_list_client.py
@@ -26,14 +26,14 @@
 
 @contextlib.asynccontextmanager
 async def _opened() -> collections.abc.AsyncIterator[
-    tuple[instance_list.Desk, platform.InstanceList]
+    tuple[instance_list.Endpoint, platform.InstanceList]
 ]:
-    desk = instance_list.Desk()
-    served = instance_list.listen(port=0, desk=desk)
+    endpoint = instance_list.Endpoint()
+    served = instance_list.listen(port=0, endpoint=endpoint)
     client = _http.make_client(max_clients=4)
     try:
         yield (
-            desk,
+            endpoint,
             platform.make_instance_list(
                 address=f"127.0.0.1:{served.port}",
                 timeout_s=0.3,
@@ -83,9 +83,9 @@
     revision: int,
 ) -> None:
     async def scenario() -> None:
-        async with _opened() as (desk, port):
+        async with _opened() as (endpoint, port):
             for instances in changes:
-                instance_list.control(desk, {"set": instances})
+                instance_list.control(endpoint, {"set": instances})
             result = await port.changes(*call)
             found = [instance.instance_id for instance in result.instances]
             assert (found, result.revision) == (names, revision)
@@ -110,8 +110,8 @@
     )
 
     async def scenario() -> None:
-        async with _opened() as (desk, port):
-            instance_list.put(desk.state, [instance], 0.0)
+        async with _opened() as (endpoint, port):
+            instance_list.put(endpoint.state, [instance], 0.0)
             assert (await port.changes(0, "")).instances == (instance,)
 
     asyncio.run(scenario())
@@ -119,10 +119,12 @@
 
 def test_change_shows_after_lag() -> None:
     async def scenario() -> None:
-        async with _opened() as (desk, port):
-            instance_list.control(desk, {"lag_s": 0.15, "set": [_plain("a")]})
+        async with _opened() as (endpoint, port):
+            instance_list.control(
+                endpoint, {"lag_s": 0.15, "set": [_plain("a")]}
+            )
             assert (await port.changes(0, "")).revision == 0
-            assert instance_list.evidence(desk)["pending"] == 1
+            assert instance_list.evidence(endpoint)["pending"] == 1
             await asyncio.sleep(0.2)
             assert (await port.changes(0, "")).revision == 1
 
@@ -140,11 +142,11 @@
 )
 def test_faults(switches: dict[str, typing.Any]) -> None:
     async def scenario() -> None:
-        async with _opened() as (desk, port):
-            instance_list.control(desk, switches)
+        async with _opened() as (endpoint, port):
+            instance_list.control(endpoint, switches)
             with pytest.raises(errors.PlatformError):
                 await port.changes(0, "")
-            instance_list.control(desk, {"reset": True})
+            instance_list.control(endpoint, {"reset": True})
             assert (await port.changes(0, "")).revision == 0
 
     asyncio.run(scenario())
--- a/chestnuttide/platform/tests/test_store.py
+++ b/chestnuttide/platform/tests/test_store.py
@@ -28,7 +28,7 @@
     """A store under test with its clock."""
 
     now: float = 1000.0
-    desk: store.Desk | None = None
+    endpoint: store.Endpoint | None = None
     counts: dict[str, int] = attrs.Factory(dict)
     connect: collections.abc.Callable[[str], platform.Store] | None = None
 
@@ -39,18 +39,20 @@
     clock: collections.abc.Callable[[], float] | None = None,
 ) -> collections.abc.AsyncIterator[_Bench]:
     bench = _Bench()
-    bench.desk = store.make_desk(store.State(), clock or (lambda: bench.now))
+    bench.endpoint = store.make_endpoint(
+        store.State(), clock or (lambda: bench.now)
+    )
     if form == "memory":
         bench.connect = lambda client_id: store.make_in_memory_store(
-            bench.desk.state,
-            bench.desk.clock,
+            bench.endpoint.state,
+            bench.endpoint.clock,
             client_id=client_id,
             timeout_s=_TIMEOUT_S,
-            desk=bench.desk,
+            endpoint=bench.endpoint,
         )
         yield bench
         return
-    served = store.listen(port=0, desk=bench.desk)
+    served = store.listen(port=0, endpoint=bench.endpoint)
     client = _http.make_client(max_clients=32)
     bench.connect = lambda client_id: platform.make_store(
         address=f"127.0.0.1:{served.port}",
@@ -294,16 +296,16 @@
     async def scenario() -> None:
         async with _opened(form) as bench:
             port = bench.connect("i1")
-            store.control(bench.desk, switches)
+            store.control(bench.endpoint, switches)
             if error is None:
                 await port.write("k", b"1", 0, "w", 0)
             else:
                 with pytest.raises(error):
                     await port.write("k", b"1", 0, "w", 0)
-            store.control(bench.desk, {"reset": True})
+            store.control(bench.endpoint, {"reset": True})
             found = await port.get("k")
             assert (found is not None) == effect
-            evidence = store.evidence(bench.desk)
+            evidence = store.evidence(bench.endpoint)
             assert evidence["counts"] == {"write": 1, "get": 1}
             assert evidence["by_client"] == {"i1": {"write": 1, "get": 1}}
 
@@ -330,16 +332,18 @@
             if action != "lapse":
                 await port.revoke_lease(lease_id)
             start = time.monotonic()
-            revision = bench.desk.state.revision
+            revision = bench.endpoint.state.revision
             watch = asyncio.create_task(port.watch("m/", revision, 0.5))
             await asyncio.sleep(0.05)
-            assert store.evidence(bench.desk)["waiting_watches"] == 1
+            assert store.evidence(bench.endpoint)["waiting_watches"] == 1
             if action == "write":
                 await port.write("m/1", b"1", 0, "w", 0)
             elif action == "other":
                 await port.write("n", b"1", 0, "w", 0)
             elif action in ("down", "silent"):
-                store.control(bench.desk, {action: True, "for_client": "i1"})
+                store.control(
+                    bench.endpoint, {action: True, "for_client": "i1"}
+                )
             if isinstance(changed, type):
                 with pytest.raises(_Unavailable):
                     await watch
@@ -349,9 +353,9 @@
                 assert seen == ([changed] if changed else [])
             waited_s = time.monotonic() - start
             assert (waited_s >= 0.5) == (changed in (None, TimeoutError))
-            store.control(bench.desk, {"reset": True})
+            store.control(bench.endpoint, {"reset": True})
             await asyncio.sleep(0.05)
-            assert store.evidence(bench.desk)["waiting_watches"] == 0
+            assert store.evidence(bench.endpoint)["waiting_watches"] == 0
 
     asyncio.run(scenario())
 
@@ -364,11 +368,11 @@
             port = bench.connect("i1")
             await port.list_range("")
             await port.watch("", 0, 0.0)
-            store.control(bench.desk, {"down": True})
+            store.control(bench.endpoint, {"down": True})
             for _ in range(2):
                 with pytest.raises(_Unavailable):
                     await port.renew_lease(1)
-            counts = store.evidence(bench.desk)["counts"]
+            counts = store.evidence(bench.endpoint)["counts"]
             assert bench.counts == counts
             assert counts == {"range": 1, "watch": 1, "lease_renew": 2}
             seen: list[str] = []
@@ -391,12 +395,12 @@
     async def scenario() -> None:
         async with _opened(form) as bench:
             port = bench.connect("i1")
-            store.control(bench.desk, {"silent": True})
+            store.control(bench.endpoint, {"silent": True})
             start = time.monotonic()
             with pytest.raises(_Unavailable):
                 await port.get("k")
             assert _TIMEOUT_S <= time.monotonic() - start < 3 * _TIMEOUT_S
-            store.control(bench.desk, {"reset": True})
+            store.control(bench.endpoint, {"reset": True})
             assert await port.get("k") is None
 
     asyncio.run(scenario())
@@ -408,10 +412,10 @@
     async def scenario() -> None:
         async with _opened("http") as bench:
             port = bench.connect("i1")
-            store.control(bench.desk, {"slow_s": _TIMEOUT_S + 0.1})
+            store.control(bench.endpoint, {"slow_s": _TIMEOUT_S + 0.1})
             with pytest.raises(_Unavailable):
                 await port.write("k", b"1", 0, "w", 0)
-            store.control(bench.desk, {"reset": True})
+            store.control(bench.endpoint, {"reset": True})
             assert await port.get("k") is None
             await asyncio.sleep(0.2)
             assert await port.get("k") == _entry("k", b"1", 1)
--- a/chestnuttide/platform/tests/test_target_client.py
+++ b/chestnuttide/platform/tests/test_target_client.py
@@ -302,12 +302,12 @@
 
 @contextlib.asynccontextmanager
 async def _runner() -> collections.abc.AsyncIterator[
-    tuple[runner.Desk, str, platform.Targets]
+    tuple[runner.Endpoint, str, platform.Targets]
 ]:
-    desk = runner.make_desk("runner-1")
-    served = runner.listen(port=0, desk=desk)
+    endpoint = runner.make_endpoint("runner-1")
+    served = runner.listen(port=0, endpoint=endpoint)
     async with _connected() as targets:
-        yield desk, f"127.0.0.1:{served.port}", targets
+        yield endpoint, f"127.0.0.1:{served.port}", targets
     await _serving.close(served)
 
 
@@ -321,7 +321,7 @@
 )
 def test_whole_answer(payload: bytes, status: int, size: int) -> None:
     async def scenario() -> None:
-        async with _runner() as (_desk, address, targets):
+        async with _runner() as (_endpoint, address, targets):
             answer = await targets.work(
                 address, "a\n1", 1, 7, payload, 5.0, lambda: True
             )
@@ -338,7 +338,7 @@
 
     async def scenario() -> None:
         payload = b'{"size":5,"text":"' + b"x" * 3_000_000 + b'"}'
-        async with _runner() as (_desk, address, targets):
+        async with _runner() as (_endpoint, address, targets):
             body = await _work(targets, address, "a", payload=payload)
             assert runner.check_answer(body, "a", 5) == ""
 
@@ -347,13 +347,13 @@
 
 def test_leaving_target() -> None:
     async def scenario() -> None:
-        async with _runner() as (desk, address, targets):
-            runner.control(desk, {"leaving": True})
+        async with _runner() as (endpoint, address, targets):
+            runner.control(endpoint, {"leaving": True})
             answer = await targets.work(
                 address, "a", 1, 7, b"{}", 1.0, lambda: True
             )
             assert answer.leaving
-            assert desk.state.runs == 0
+            assert endpoint.state.runs == 0
 
     asyncio.run(scenario())
 
@@ -362,7 +362,7 @@
     """A burst above the slots would use up the target's connections."""
 
     async def scenario() -> None:
-        async with _runner() as (desk, address, targets):
+        async with _runner() as (endpoint, address, targets):
             payload = b'{"run_ms":20}'
             bodies = await asyncio.gather(
                 *(
@@ -374,9 +374,9 @@
                 assert runner.check_answer(body, f"r{number}", 0) == ""
             assert await targets.busy_slots(address, runner.STATUS_PATH) == 0
             limit = _target_client.MAX_TARGET_CONNECTIONS
-            assert desk.state.peak_busy == limit
-            assert desk.state.peak_connections <= limit + 1
-            assert desk.state.slot_overruns == 0
+            assert endpoint.state.peak_busy == limit
+            assert endpoint.state.peak_connections <= limit + 1
+            assert endpoint.state.slot_overruns == 0
 
     asyncio.run(scenario())
 
@@ -386,7 +386,7 @@
     """A request that was taken back while it waited would still run."""
 
     async def scenario() -> None:
-        async with _runner() as (desk, address, targets):
+        async with _runner() as (endpoint, address, targets):
             allowed = [True]
             limit = _target_client.MAX_TARGET_CONNECTIONS
             first = [
@@ -407,8 +407,8 @@
                 waiting.cancel()
             await asyncio.gather(*first)
             await asyncio.sleep(0.05)
-            assert "late" not in desk.state.seen
-            assert desk.state.runs == limit
+            assert "late" not in endpoint.state.seen
+            assert endpoint.state.runs == limit
 
     asyncio.run(scenario())
 
@@ -422,7 +422,7 @@
 )
 def test_busy_slots(path: str, result: int | None) -> None:
     async def scenario() -> None:
-        async with _runner() as (_desk, address, targets):
+        async with _runner() as (_endpoint, address, targets):
             running = [
                 asyncio.create_task(
                     _work(targets, address, f"r{n}", payload=b'{"run_ms":80}')
@@ -472,8 +472,10 @@
     results: dict[str, bytes | bool] = {}
 
     async def scenario() -> None:
-        async with _runner() as (desk, address, targets):
-            runner.control(desk, {"close_idle": True, "close_after_read": 0.2})
+        async with _runner() as (endpoint, address, targets):
+            runner.control(
+                endpoint, {"close_idle": True, "close_after_read": 0.2}
+            )
             waiting = iter(range(requests))
 
             async def call() -> None:
@@ -489,7 +491,7 @@
                     await asyncio.sleep(rng.random() * 0.02)
 
             await asyncio.gather(*(call() for _ in range(callers)))
-            seen = desk.state.seen
+            seen = endpoint.state.seen
         kinds = {"answered": 0, "unknown": 0, "unsent": 0}
         for name, result in results.items():
             if isinstance(result, bytes):
--- a/chestnuttide/platform/tests/test_worker_agent_client.py
+++ b/chestnuttide/platform/tests/test_worker_agent_client.py
@@ -21,16 +21,16 @@
 
 @contextlib.asynccontextmanager
 async def _opened() -> collections.abc.AsyncIterator[
-    tuple[worker_agent.Desk, str, platform.WorkerAgent]
+    tuple[worker_agent.Endpoint, str, platform.WorkerAgent]
 ]:
-    desk = worker_agent.make_desk("worker-1", _CAPACITY)
-    served = worker_agent.listen(port=0, desk=desk)
+    endpoint = worker_agent.make_endpoint("worker-1", _CAPACITY)
+    served = worker_agent.listen(port=0, endpoint=endpoint)
     client = _http.make_client(max_clients=16)
     agent = platform.make_worker_agent(
         timeout_s=_TIMEOUT_S, sync_client=client, command_client=client
     )
     try:
-        yield desk, f"127.0.0.1:{served.port}", agent
+        yield endpoint, f"127.0.0.1:{served.port}", agent
     finally:
         _http.close(client)
         await _serving.close(served)
@@ -61,7 +61,7 @@
     """The client and the agent would disagree on the wire format."""
 
     async def scenario() -> None:
-        async with _opened() as (desk, address, agent):
+        async with _opened() as (endpoint, address, agent):
             tasks = [_task(), _task(), _task(2), _task(3)]
             assert await _outcomes(agent, address, *tasks) == [
                 "started",
@@ -70,7 +70,7 @@
                 "no_capacity",
             ]
             await agent.throttle(address, 1, [_task(2).attempt], 0.5)
-            assert desk.state.running[_task(2).attempt].share == 0.5
+            assert endpoint.state.running[_task(2).attempt].share == 0.5
             await agent.stop(address, 1, [_task().attempt], True)
             result = await agent.sync(address, 1, 10.0, [], 0.0, 0)
             assert result.sequence == 1
@@ -126,19 +126,19 @@
     started: bool,
 ) -> None:
     async def scenario() -> None:
-        async with _opened() as (desk, address, agent):
-            worker_agent.control(desk, switches)
+        async with _opened() as (endpoint, address, agent):
+            worker_agent.control(endpoint, switches)
             if error is None:
                 assert await _outcomes(agent, address, _task()) == ["started"]
             else:
                 with pytest.raises(error) as caught:
                     await _outcomes(agent, address, _task())
                 assert caught.value.sent
-            worker_agent.control(desk, {"reset": True})
+            worker_agent.control(endpoint, {"reset": True})
             assert await _outcomes(agent, address, _task()) == [
                 "running" if started else "started"
             ]
-            assert len(worker_agent.evidence(desk)["history"]) == 1
+            assert len(worker_agent.evidence(endpoint)["history"]) == 1
 
     asyncio.run(scenario())
 
@@ -147,13 +147,13 @@
     """A scheduler must be ready for a start that lands after it gave up."""
 
     async def scenario() -> None:
-        async with _opened() as (desk, address, agent):
-            worker_agent.control(desk, {"delay_s": _TIMEOUT_S + 0.1})
+        async with _opened() as (endpoint, address, agent):
+            worker_agent.control(endpoint, {"delay_s": _TIMEOUT_S + 0.1})
             with pytest.raises(errors.PlatformError):
                 await _outcomes(agent, address, _task())
-            assert not desk.state.running
+            assert not endpoint.state.running
             await asyncio.sleep(0.2)
-            assert list(desk.state.running) == [_task().attempt]
+            assert list(endpoint.state.running) == [_task().attempt]
 
     asyncio.run(scenario())
 
@@ -162,14 +162,14 @@
     """A worker that fails everything would not be ejected."""
 
     async def scenario() -> None:
-        async with _opened() as (desk, address, agent):
-            worker_agent.control(desk, {"fail_all": True})
+        async with _opened() as (endpoint, address, agent):
+            worker_agent.control(endpoint, {"fail_all": True})
             await _outcomes(agent, address, _task())
             result = await agent.sync(address, 1, 10.0, [], 1.0, 0)
             assert result.reports[0].state == model.TaskState.FAILED
-            worker_agent.control(desk, {"reset": True})
+            worker_agent.control(endpoint, {"reset": True})
             await _outcomes(agent, address, _task(2))
-            worker_agent.control(desk, {"kill_all": True})
+            worker_agent.control(endpoint, {"kill_all": True})
             result = await agent.sync(address, 1, 10.0, [], 1.0, 1)
             assert [report.state for report in result.reports] == [
                 model.TaskState.FAILED,
@@ -184,7 +184,7 @@
     """A deposed owner would act on the worker."""
 
     async def scenario() -> None:
-        async with _opened() as (desk, address, agent):
+        async with _opened() as (endpoint, address, agent):
             attempt = _task().attempt
             assert await _outcomes(agent, address, _task(), epoch=5)
             arguments = {
@@ -193,13 +193,13 @@
                 "stop": (4, [attempt], False),
                 "throttle": (4, [attempt], 0.1),
             }[call]
-            lease_until = desk.state.running[attempt].lease_until
+            lease_until = endpoint.state.running[attempt].lease_until
             with pytest.raises(errors.DeposedError):
                 await getattr(agent, call)(address, *arguments)
-            run = desk.state.running[attempt]
-            assert list(desk.state.running) == [attempt]
+            run = endpoint.state.running[attempt]
+            assert list(endpoint.state.running) == [attempt]
             assert (run.share, run.lease_until) == (1.0, lease_until)
-            assert desk.state.stale_calls == 1
+            assert endpoint.state.stale_calls == 1
 
     asyncio.run(scenario())
 
@@ -214,7 +214,7 @@
 )
 def test_waiting_sync(action: str, limits: tuple[float, float]) -> None:
     async def scenario() -> None:
-        async with _opened() as (_desk, address, agent):
+        async with _opened() as (_endpoint, address, agent):
             payload = b'{"run_s":0.1}' if action == "end" else b"{}"
             await _outcomes(agent, address, _task(payload=payload))
             begun = time.monotonic()
@@ -238,11 +238,11 @@
     """A task of an unreachable worker would run for ever."""
 
     async def scenario() -> None:
-        async with _opened() as (desk, address, agent):
+        async with _opened() as (endpoint, address, agent):
             await agent.start(address, 1, 0.1, [_task()])
             await asyncio.sleep(0.2)
-            assert not desk.state.running
-            (record,) = desk.state.history
+            assert not endpoint.state.running
+            (record,) = endpoint.state.history
             assert record["state"] == model.TaskState.LAPSED
             # Wall times of this size have steps of 0.24 us.
             lease_s = record["end"] - record["start"]
@@ -256,18 +256,18 @@
     """A partition would look like a crash, which ends calls at once."""
 
     async def scenario() -> None:
-        async with _opened() as (desk, address, agent):
+        async with _opened() as (endpoint, address, agent):
             await _outcomes(agent, address, _task(payload=b'{"run_s":0.1}'))
             waiting = asyncio.create_task(
                 agent.sync(address, 1, 10.0, [], 0.2, 0)
             )
             await asyncio.sleep(0.05)
-            worker_agent.control(desk, {"partition": True})
+            worker_agent.control(endpoint, {"partition": True})
             begun = time.monotonic()
             with pytest.raises(errors.PlatformError):
                 await waiting
             assert time.monotonic() - begun >= _TIMEOUT_S
-            worker_agent.control(desk, {"reset": True})
+            worker_agent.control(endpoint, {"reset": True})
             result = await agent.sync(address, 1, 10.0, [], 0.0, 0)
             assert result.reports[0].state == model.TaskState.SUCCEEDED
 
@@ -278,9 +278,9 @@
     """A sync after a sequence from before a restart would wait in vain."""
 
     async def scenario() -> None:
-        async with _opened() as (desk, address, agent):
+        async with _opened() as (endpoint, address, agent):
             await _outcomes(agent, address, _task())
-            worker_agent.control(desk, {"restart": True})
+            worker_agent.control(endpoint, {"restart": True})
             result = await agent.sync(address, 1, 10.0, [], 5.0, 7)
             assert (result.sequence, result.reports) == (0, ())
 
@@ -320,7 +320,7 @@
     """A worker that refused it would keep back the rest of its start."""
 
     async def scenario() -> None:
-        async with _opened() as (desk, address, agent):
+        async with _opened() as (endpoint, address, agent):
             tasks = [_task(payload=payload), _task(2)]
             assert await _outcomes(agent, address, *tasks) == [
                 "started",
@@ -331,7 +331,7 @@
                 report.attempt.number: report.state
                 for report in result.reports
             } == {1: model.TaskState.FAILED, 2: model.TaskState.RUNNING}
-            assert desk.state.used == _HALF
+            assert endpoint.state.used == _HALF
 
     asyncio.run(scenario())
 
@@ -340,9 +340,9 @@
     """The caller would wait for a start that no worker can decode."""
 
     async def scenario() -> None:
-        async with _opened() as (desk, address, agent):
+        async with _opened() as (endpoint, address, agent):
             with pytest.raises(ValueError):
                 await _outcomes(agent, address, _task(payload=b"{"))
-            assert not desk.counts
+            assert not endpoint.counts
 
     asyncio.run(scenario())
--- a/chestnuttide/routing/_refusals.py
+++ b/chestnuttide/routing/_refusals.py
@@ -13,7 +13,6 @@
     errors.Reason.DUPLICATE_ID: "Use a new id for a new request.",
     errors.Reason.NOT_OWNER: "Send the request to the shard's owner.",
     errors.Reason.LEASE_LOST: "Send the request to the shard's next owner.",
-    errors.Reason.STOPPING: "Send the request again to another instance.",
     errors.Reason.STORE_UNAVAILABLE: (
         "Send the request again when the store answers."
     ),
--- a/chestnuttide/routing/_targets.py
+++ b/chestnuttide/routing/_targets.py
@@ -143,7 +143,7 @@
 
 
 def mark_leaving(pool: TargetPool, target_id: str) -> bool:
-    """Give a target no new work; returns whether that is news."""
+    """Give a target no new work; returns whether that was unknown."""
     target = pool.targets.get(target_id)
     if target is None or target.leaving:
         return False
--- a/chestnuttide/scheduler/_state.py
+++ b/chestnuttide/scheduler/_state.py
@@ -43,7 +43,7 @@
     put_instances : function
         ``put_instances(instances)`` takes changes of the instance list.
     put_leaving : function
-        ``put_leaving(target_id)`` takes word of a leaving target.
+        ``put_leaving(target_id)`` marks a target as leaving.
     drop_connection : function
         ``drop_connection(connection)`` forgets calls of a lost connection.
     stop : function
--- a/chestnuttide/scheduler/tests/test_journals.py
+++ b/chestnuttide/scheduler/tests/test_journals.py
@@ -22,7 +22,7 @@
 class _Bench:
     """A store with its faults, and owners one after another."""
 
-    desk: store_standin.Desk
+    endpoint: store_standin.Endpoint
     numbers: collections.abc.Iterator[int]
 
     async def open(
@@ -33,7 +33,10 @@
             shard=_SHARD,
             epoch=epoch,
             store=store_standin.make_in_memory_store(
-                self.desk.state, time.monotonic, desk=self.desk, timeout_s=0.2
+                self.endpoint.state,
+                time.monotonic,
+                endpoint=self.endpoint,
+                timeout_s=0.2,
             ),
             bucket=coordination.make_token_bucket(1000.0, 100.0, now),
             metrics=telemetry.make_metrics(),
@@ -42,8 +45,10 @@
 
 
 def _make_bench() -> _Bench:
-    desk = store_standin.make_desk(store_standin.State(), time.monotonic)
-    return _Bench(desk=desk, numbers=itertools.count())
+    endpoint = store_standin.make_endpoint(
+        store_standin.State(), time.monotonic
+    )
+    return _Bench(endpoint=endpoint, numbers=itertools.count())
 
 
 async def _append_all(
@@ -74,14 +79,14 @@
     async def scenario() -> None:
         bench = _make_bench()
         _, journal = await bench.open(1)
-        store_standin.control(bench.desk, fault)
+        store_standin.control(bench.endpoint, fault)
         events = [f"event-{each}".encode() for each in range(50)]
         durable = []
         for start in range(0, 50, 10):
             batch = events[start : start + 10]
             durable += await _append_all(journal, batch)
         assert durable == events
-        store_standin.control(bench.desk, {"reset": True})
+        store_standin.control(bench.endpoint, {"reset": True})
         recovery, _ = await bench.open(2)
         assert list(recovery.events) == events
 
@@ -92,11 +97,11 @@
     async def scenario() -> None:
         bench = _make_bench()
         _, journal = await bench.open(1)
-        store_standin.control(bench.desk, {"down": True})
+        store_standin.control(bench.endpoint, {"down": True})
         waiting = asyncio.ensure_future(_append_all(journal, [b"a", b"b"]))
         await asyncio.sleep(0.5)
         assert not waiting.done()
-        store_standin.control(bench.desk, {"reset": True})
+        store_standin.control(bench.endpoint, {"reset": True})
         assert await waiting == [b"a", b"b"]
 
     asyncio.run(scenario())
--- a/standins/instance_list/__init__.py
+++ b/standins/instance_list/__init__.py
@@ -3,7 +3,7 @@
 from standins.instance_list import _server
 from standins.instance_list import _state
 
-Desk = _server.Desk
+Endpoint = _server.Endpoint
 State = _state.State
 changes = _state.changes
 control = _server.control
@@ -13,7 +13,7 @@
 put = _state.put
 
 __all__ = [
-    "Desk",
+    "Endpoint",
     "State",
     "changes",
     "control",
--- a/standins/instance_list/_server.py
+++ b/standins/instance_list/_server.py
@@ -15,7 +15,7 @@
 
 
 @attrs.define(kw_only=True)
-class Desk:
+class Endpoint:
     """The list with its faults and counts.
 
     Attributes
@@ -42,24 +42,24 @@
 class ListHandler(_serving.Handler):
     """The call for changes."""
 
-    def initialize(self, desk: Desk) -> None:
+    def initialize(self, endpoint: Endpoint) -> None:
         """Keep the list."""
-        self._desk = desk
+        self._endpoint = endpoint
 
     async def get(self) -> None:
         """Return the changes."""
-        desk = self._desk
+        endpoint = self._endpoint
         kind = self.get_query_argument("kind", "")
         try:
             after = int(self.get_query_argument("after", "0"))
         except ValueError:
             self.reply(400, b'{"error":"after is no revision"}')
             return
-        desk.counts[kind or "all"] += 1
-        verdict = _faults.judge(desk.faults, "list", "", desk.rng)
+        endpoint.counts[kind or "all"] += 1
+        verdict = _faults.judge(endpoint.faults, "list", "", endpoint.rng)
         while verdict.hold:
             await asyncio.sleep(_HOLD_STEP_S)
-            if not desk.faults.silent:
+            if not endpoint.faults.silent:
                 self.hang_up()
                 return
         if verdict.delay_s:
@@ -71,9 +71,9 @@
             self.hang_up()
             return
         body = _instance_list_wire.encode_changes(
-            _state.changes(desk.state, after, kind, time.monotonic())
+            _state.changes(endpoint.state, after, kind, time.monotonic())
         )
-        desk.bytes_out += len(body)
+        endpoint.bytes_out += len(body)
         self.reply(200, body)
 
 
@@ -81,12 +81,12 @@
 _HOLD_STEP_S: typing.Final[float] = 0.05
 
 
-def control(desk: Desk, fields: dict[str, typing.Any]) -> None:
+def control(endpoint: Endpoint, fields: dict[str, typing.Any]) -> None:
     """Set instances and faults.
 
     Parameters
     ----------
-    desk : Desk
+    endpoint : Endpoint
         The list.
     fields : dict
         ``set`` (instances to change or add), ``lag_s``, ``reset`` (lifts all
@@ -94,34 +94,34 @@
     """
     changes = dict(fields)
     if changes.pop("reset", False):
-        desk.faults = _faults.Faults()
-    desk.state.lag_s = float(changes.pop("lag_s", desk.state.lag_s))
+        endpoint.faults = _faults.Faults()
+    endpoint.state.lag_s = float(changes.pop("lag_s", endpoint.state.lag_s))
     plain = changes.pop("set", [])
-    _faults.update(desk.faults, changes)
+    _faults.update(endpoint.faults, changes)
     _state.put(
-        desk.state,
+        endpoint.state,
         _instance_list_wire.decode_instances(plain),
         time.monotonic(),
     )
 
 
-def evidence(desk: Desk) -> dict[str, typing.Any]:
+def evidence(endpoint: Endpoint) -> dict[str, typing.Any]:
     """Return the list, its counts and the faults in force."""
     return {
-        **_state.evidence(desk.state, time.monotonic()),
-        "counts": dict(desk.counts),
-        "bytes_out": desk.bytes_out,
-        "faults": desk.faults,
+        **_state.evidence(endpoint.state, time.monotonic()),
+        "counts": dict(endpoint.counts),
+        "bytes_out": endpoint.bytes_out,
+        "faults": endpoint.faults,
     }
 
 
-def listen(*, port: int, desk: Desk | None = None) -> _serving.Served:
+def listen(*, port: int, endpoint: Endpoint | None = None) -> _serving.Served:
     """Serve an instance list on a loopback port; 0 picks a free one."""
-    used = desk or Desk()
+    used = endpoint or Endpoint()
     return _serving.listen(
         name="instance_list",
         port=port,
-        routes=[(_instance_list_wire.PATH, ListHandler, {"desk": used})],
+        routes=[(_instance_list_wire.PATH, ListHandler, {"endpoint": used})],
         control=lambda fields: control(used, fields),
         evidence=lambda _query: evidence(used),
     )
--- a/standins/runner/__init__.py
+++ b/standins/runner/__init__.py
@@ -3,7 +3,7 @@
 from standins.runner import _server
 from standins.runner import _state
 
-Desk = _server.Desk
+Endpoint = _server.Endpoint
 STATUS_PATH = _server.STATUS_PATH
 State = _state.State
 check_answer = _state.check_answer
@@ -12,10 +12,10 @@
 find_doubled_requests = _state.find_doubled_requests
 listen = _server.listen
 main = _server.main
-make_desk = _server.make_desk
+make_endpoint = _server.make_endpoint
 
 __all__ = [
-    "Desk",
+    "Endpoint",
     "STATUS_PATH",
     "State",
     "check_answer",
@@ -24,5 +24,5 @@
     "find_doubled_requests",
     "listen",
     "main",
-    "make_desk",
+    "make_endpoint",
 ]
--- a/standins/runner/_server.py
+++ b/standins/runner/_server.py
@@ -57,7 +57,7 @@
 
 
 @attrs.define(kw_only=True)
-class Desk:
+class Endpoint:
     """A runner with its faults.
 
     Attributes
@@ -89,9 +89,9 @@
 class WorkHandler(_serving.Handler):
     """Requests."""
 
-    def initialize(self, desk: Desk) -> None:
+    def initialize(self, endpoint: Endpoint) -> None:
         """Keep the runner."""
-        self._desk = desk
+        self._endpoint = endpoint
         self._gone = asyncio.Event()
 
     def on_connection_close(self) -> None:
@@ -100,10 +100,10 @@
 
     async def post(self) -> None:
         """Run a request."""
-        desk, headers = self._desk, self.request.headers
-        state, switches = desk.state, desk.switches
+        endpoint, headers = self._endpoint, self.request.headers
+        state, switches = endpoint.state, endpoint.switches
         stream = self.request.connection.stream
-        desk.last_requests[stream] = self._gone
+        endpoint.last_requests[stream] = self._gone
         if switches.leaving and switches.say_leaving:
             state.refused_leaving += 1
             self.set_header(_target_wire.LEAVING_HEADER, "1")
@@ -126,7 +126,7 @@
             finished = await self._run(payload)
         finally:
             _state.end(state, finished)
-        if not finished or _draw(switches, desk.rng):
+        if not finished or _draw(switches, endpoint.rng):
             self.hang_up()
             return
         if switches.delay_s:
@@ -141,12 +141,12 @@
         )
         if switches.close_idle:
             await asyncio.sleep(_CLOSE_DELAY_S)
-            if desk.last_requests.get(stream) is self._gone:
+            if endpoint.last_requests.get(stream) is self._gone:
                 stream.close()
 
     async def _run(self, payload: dict[str, typing.Any]) -> bool:
         run_s = float(payload.get("run_ms", 0.0)) / 1000.0
-        if self._desk.switches.keep_working:
+        if self._endpoint.switches.keep_working:
             if run_s > 0:
                 await asyncio.sleep(run_s)
             return True
@@ -166,22 +166,22 @@
 class StatusHandler(_serving.Handler):
     """Slots in use."""
 
-    def initialize(self, desk: Desk) -> None:
+    def initialize(self, endpoint: Endpoint) -> None:
         """Keep the runner."""
-        self._desk = desk
+        self._endpoint = endpoint
 
     def get(self) -> None:
         """Return the slots in use."""
-        state = self._desk.state
+        state = self._endpoint.state
         self.reply(200, _target_wire.encode_status(state.slots, state.busy))
 
 
-def control(desk: Desk, fields: dict[str, typing.Any]) -> None:
+def control(endpoint: Endpoint, fields: dict[str, typing.Any]) -> None:
     """Set faults.
 
     Parameters
     ----------
-    desk : Desk
+    endpoint : Endpoint
         The runner.
     fields : dict
         Fields of `Switches`, and the commands ``close_connections`` (all
@@ -189,7 +189,7 @@
     """
     changes = dict(fields)
     if changes.pop("reset", False):
-        desk.switches = Switches()
+        endpoint.switches = Switches()
     close_connections = changes.pop("close_connections", False)
     known = {field.name for field in attrs.fields(Switches)}
     unknown = sorted(set(changes) - known)
@@ -199,49 +199,51 @@
             remedy=f"Use some of: {', '.join(sorted(known))}.",
         )
     for name, value in changes.items():
-        setattr(desk.switches, name, value)
-    if not desk.switches.leaving:
-        desk.state.leaving_since = 0.0
-    elif not desk.state.leaving_since:
-        desk.state.leaving_since = time.time()
-    _set_listening(desk, not desk.switches.refuse_connects)
+        setattr(endpoint.switches, name, value)
+    if not endpoint.switches.leaving:
+        endpoint.state.leaving_since = 0.0
+    elif not endpoint.state.leaving_since:
+        endpoint.state.leaving_since = time.time()
+    _set_listening(endpoint, not endpoint.switches.refuse_connects)
     if close_connections:
-        for stream in list(desk.served.server.open_streams):
+        for stream in list(endpoint.served.server.open_streams):
             stream.close()
 
 
-def evidence(desk: Desk, query: dict[str, str]) -> dict[str, typing.Any]:
+def evidence(
+    endpoint: Endpoint, query: dict[str, str]
+) -> dict[str, typing.Any]:
     """Return the runner's evidence; ``ids`` in the query adds all ids."""
     return {
         **_state.evidence(
-            desk.state,
-            len(desk.served.server.open_streams),
+            endpoint.state,
+            len(endpoint.served.server.open_streams),
             with_ids="ids" in query,
         ),
-        "switches": desk.switches,
+        "switches": endpoint.switches,
     }
 
 
-def make_desk(runner_id: str) -> Desk:
+def make_endpoint(runner_id: str) -> Endpoint:
     """Return a runner."""
-    return Desk(state=_state.State(runner_id=runner_id))
+    return Endpoint(state=_state.State(runner_id=runner_id))
 
 
-def listen(*, port: int, desk: Desk) -> _serving.Served:
+def listen(*, port: int, endpoint: Endpoint) -> _serving.Served:
     """Serve a runner on a loopback port; 0 picks a free one."""
     served = _serving.listen(
-        name=desk.state.runner_id,
+        name=endpoint.state.runner_id,
         port=port,
         routes=[
-            (_target_wire.WORK_PATH, WorkHandler, {"desk": desk}),
-            (STATUS_PATH, StatusHandler, {"desk": desk}),
+            (_target_wire.WORK_PATH, WorkHandler, {"endpoint": endpoint}),
+            (STATUS_PATH, StatusHandler, {"endpoint": endpoint}),
         ],
-        control=lambda fields: control(desk, fields),
-        evidence=lambda query: evidence(desk, query),
+        control=lambda fields: control(endpoint, fields),
+        evidence=lambda query: evidence(endpoint, query),
     )
-    desk.served = served
+    endpoint.served = served
     served.server.on_open = lambda: _state.connected(
-        desk.state, len(served.server.open_streams)
+        endpoint.state, len(served.server.open_streams)
     )
     return served
 
@@ -259,7 +261,7 @@
         return [
             listen(
                 port=arguments.port and arguments.port + offset,
-                desk=make_desk(runner_id),
+                endpoint=make_endpoint(runner_id),
             )
             for offset, runner_id in enumerate(
                 _serving.make_ids(arguments.first_id, arguments.count)
@@ -279,14 +281,14 @@
     )
 
 
-def _set_listening(desk: Desk, listening: bool) -> None:
-    if listening == desk.listening:
+def _set_listening(endpoint: Endpoint, listening: bool) -> None:
+    if listening == endpoint.listening:
         return
-    desk.listening = listening
-    server = desk.served.server
+    endpoint.listening = listening
+    server = endpoint.served.server
     if listening:
         server.add_sockets(
-            netutil.bind_sockets(desk.served.port, _serving.HOST)
+            netutil.bind_sockets(endpoint.served.port, _serving.HOST)
         )
     else:
         server.stop()
--- a/standins/store/_calls.py
+++ b/standins/store/_calls.py
@@ -18,7 +18,7 @@
 
 
 @attrs.define(kw_only=True)
-class Desk:
+class Endpoint:
     """A store's state with its faults and counts.
 
     Attributes
@@ -75,12 +75,12 @@
     """The call gets no answer."""
 
 
-def control(desk: Desk, fields: dict[str, typing.Any]) -> None:
+def control(endpoint: Endpoint, fields: dict[str, typing.Any]) -> None:
     """Set faults.
 
     Parameters
     ----------
-    desk : Desk
+    endpoint : Endpoint
         The store.
     fields : dict
         Fields of `Faults`. ``for_client`` (an id or a list of them) limits
@@ -88,55 +88,55 @@
     """
     changes = dict(fields)
     if changes.pop("reset", False):
-        desk.faults = _faults.Faults(drop_kinds=list(_DROPPED_KINDS))
-        desk.client_faults = {}
+        endpoint.faults = _faults.Faults(drop_kinds=list(_DROPPED_KINDS))
+        endpoint.client_faults = {}
     clients = changes.pop("for_client", None)
     if clients is None:
-        _faults.update(desk.faults, changes)
+        _faults.update(endpoint.faults, changes)
     else:
         for client in [clients] if isinstance(clients, str) else clients:
             _faults.update(
-                desk.client_faults.setdefault(
+                endpoint.client_faults.setdefault(
                     client, _faults.Faults(drop_kinds=list(_DROPPED_KINDS))
                 ),
                 changes,
             )
-    desk.lifted.set()
-    desk.lifted = asyncio.Event()
-    for listener in list(desk.state.listeners):
+    endpoint.lifted.set()
+    endpoint.lifted = asyncio.Event()
+    for listener in list(endpoint.state.listeners):
         listener()
 
 
-def evidence(desk: Desk) -> dict[str, typing.Any]:
+def evidence(endpoint: Endpoint) -> dict[str, typing.Any]:
     """Return counts of calls and bytes, and the faults in force."""
-    _state.expire(desk.state, desk.clock())
+    _state.expire(endpoint.state, endpoint.clock())
     return {
-        "counts": dict(desk.counts),
-        "calls": sum(desk.counts.values()),
+        "counts": dict(endpoint.counts),
+        "calls": sum(endpoint.counts.values()),
         "by_client": {
             client: dict(counts)
-            for client, counts in desk.client_counts.items()
+            for client, counts in endpoint.client_counts.items()
         },
-        "failures": dict(desk.failures),
-        "waiting_watches": desk.waiting,
-        "bytes_in": desk.bytes_in,
-        "bytes_out": desk.bytes_out,
-        "revision": desk.state.revision,
-        "keys": len(desk.state.entries),
-        "leases": len(desk.state.leases),
-        "faults": desk.faults,
-        "client_faults": desk.client_faults,
+        "failures": dict(endpoint.failures),
+        "waiting_watches": endpoint.waiting,
+        "bytes_in": endpoint.bytes_in,
+        "bytes_out": endpoint.bytes_out,
+        "revision": endpoint.state.revision,
+        "keys": len(endpoint.state.entries),
+        "leases": len(endpoint.state.leases),
+        "faults": endpoint.faults,
+        "client_faults": endpoint.client_faults,
     }
 
 
 async def call(
-    desk: Desk, client: str, kind: str, fields: dict[str, typing.Any]
+    endpoint: Endpoint, client: str, kind: str, fields: dict[str, typing.Any]
 ) -> dict[str, typing.Any]:
     """Carry out a call under the faults in force.
 
     Parameters
     ----------
-    desk : Desk
+    endpoint : Endpoint
         The store.
     client : str
         Id of the client.
@@ -159,70 +159,74 @@
     SchedulerError
         See `_state.call`.
     """
-    desk.counts[kind] += 1
-    desk.client_counts.setdefault(client, collections.Counter())[kind] += 1
+    endpoint.counts[kind] += 1
+    endpoint.client_counts.setdefault(client, collections.Counter())[kind] += 1
     key = str(fields.get("key", fields.get("prefix", "")))
-    verdict = _judge(desk, client, kind, key)
+    verdict = _judge(endpoint, client, kind, key)
     if verdict.hold:
-        await _hold(desk, client, key)
+        await _hold(endpoint, client, key)
     if verdict.delay_s:
         await asyncio.sleep(verdict.delay_s)
     if verdict.refuse:
-        desk.failures["refused"] += 1
+        endpoint.failures["refused"] += 1
         raise Refused
     if kind == "watch":
-        return await _watch(desk, client, fields)
+        return await _watch(endpoint, client, fields)
     try:
-        return _state.call(desk.state, kind, fields, desk.clock())
+        return _state.call(endpoint.state, kind, fields, endpoint.clock())
     finally:
         if verdict.drop:
-            desk.failures["dropped"] += 1
+            endpoint.failures["dropped"] += 1
             raise Lost
 
 
-def _judge(desk: Desk, client: str, kind: str, key: str) -> _faults.Verdict:
-    every = [desk.faults]
-    if client in desk.client_faults:
-        every.append(desk.client_faults[client])
+def _judge(
+    endpoint: Endpoint, client: str, kind: str, key: str
+) -> _faults.Verdict:
+    every = [endpoint.faults]
+    if client in endpoint.client_faults:
+        every.append(endpoint.client_faults[client])
     return _faults.join(
-        _faults.judge(faults, kind, key, desk.rng) for faults in every
+        _faults.judge(faults, kind, key, endpoint.rng) for faults in every
     )
 
 
-async def _hold(desk: Desk, client: str, key: str) -> typing.NoReturn:
-    desk.failures["held"] += 1
-    while _judge(desk, client, "", key).hold:
-        await desk.lifted.wait()
+async def _hold(endpoint: Endpoint, client: str, key: str) -> typing.NoReturn:
+    endpoint.failures["held"] += 1
+    while _judge(endpoint, client, "", key).hold:
+        await endpoint.lifted.wait()
     raise Lost
 
 
 async def _watch(
-    desk: Desk, client: str, fields: dict[str, typing.Any]
+    endpoint: Endpoint, client: str, fields: dict[str, typing.Any]
 ) -> dict[str, typing.Any]:
-    deadline = desk.clock() + fields["wait_s"]
+    deadline = endpoint.clock() + fields["wait_s"]
     changed = asyncio.Event()
-    desk.state.listeners.append(changed.set)
-    desk.waiting += 1
+    endpoint.state.listeners.append(changed.set)
+    endpoint.waiting += 1
     try:
         while True:
             changed.clear()
-            answer = _state.call(desk.state, "watch", fields, desk.clock())
-            now = desk.clock()
+            answer = _state.call(
+                endpoint.state, "watch", fields, endpoint.clock()
+            )
+            now = endpoint.clock()
             if answer["entries"] or now >= deadline:
                 return answer
-            verdict = _judge(desk, client, "", fields["prefix"])
+            verdict = _judge(endpoint, client, "", fields["prefix"])
             if verdict.hold:
-                await _hold(desk, client, fields["prefix"])
+                await _hold(endpoint, client, fields["prefix"])
             if verdict.refuse:
-                desk.failures["refused"] += 1
+                endpoint.failures["refused"] += 1
                 raise Refused
-            expiry = _state.next_expiry(desk.state) or deadline
-            step_s = min(deadline - now, expiry - now, desk.watch_step_s)
+            expiry = _state.next_expiry(endpoint.state) or deadline
+            step_s = min(deadline - now, expiry - now, endpoint.watch_step_s)
             try:
                 async with asyncio.timeout(step_s):
                     await changed.wait()
             except TimeoutError:
                 continue
     finally:
-        desk.waiting -= 1
-        desk.state.listeners.remove(changed.set)
+        endpoint.waiting -= 1
+        endpoint.state.listeners.remove(changed.set)
--- a/standins/store/_memory.py
+++ b/standins/store/_memory.py
@@ -10,9 +10,9 @@
 from standins.store import _state
 
 
-def make_desk(state: _state.State, clock: _calls.Clock) -> _calls.Desk:
+def make_endpoint(state: _state.State, clock: _calls.Clock) -> _calls.Endpoint:
     """Return a store's state with faults and counts of its own."""
-    return _calls.Desk(state=state, clock=clock, rng=random.Random(0))
+    return _calls.Endpoint(state=state, clock=clock, rng=random.Random(0))
 
 
 def make_in_memory_store(
@@ -21,7 +21,7 @@
     *,
     client_id: str = "",
     timeout_s: float | None = None,
-    desk: _calls.Desk | None = None,
+    endpoint: _calls.Endpoint | None = None,
 ) -> platform.Store:
     """Return the port of a store in this process.
 
@@ -36,16 +36,16 @@
     timeout_s : float, optional
         Limit of a call that the faults hold, in seconds of the event loop; a
         watch has its wait in addition. None for no limit.
-    desk : Desk, optional
-        Faults and counts to share, from `make_desk`; it replaces `state` and
-        `clock`.
+    endpoint : Endpoint, optional
+        Faults and counts to share, from `make_endpoint`; it replaces `state`
+        and `clock`.
 
     Returns
     -------
     Store
         The functions of the port.
     """
-    used = desk or make_desk(state, clock)
+    used = endpoint or make_endpoint(state, clock)
 
     async def call(kind: str, **fields: typing.Any) -> dict[str, typing.Any]:
         limit_s = timeout_s
--- a/standins/store/_server.py
+++ b/standins/store/_server.py
@@ -16,21 +16,21 @@
 class CallHandler(_serving.Handler):
     """One kind of call."""
 
-    def initialize(self, desk: _calls.Desk, kind: str) -> None:
+    def initialize(self, endpoint: _calls.Endpoint, kind: str) -> None:
         """Keep the store and the kind of call."""
-        self._desk = desk
+        self._endpoint = endpoint
         self._kind = kind
 
     async def post(self) -> None:
         """Carry the call out."""
-        desk = self._desk
+        endpoint = self._endpoint
         client = self.request.headers.get(_store_wire.CLIENT_HEADER, "")
-        desk.bytes_in += len(self.request.body) + _header_bytes(
+        endpoint.bytes_in += len(self.request.body) + _header_bytes(
             self.request.headers.get_all()
         )
         try:
             answer = await _calls.call(
-                desk,
+                endpoint,
                 client,
                 self._kind,
                 _store_wire.decode(self.request.body),
@@ -49,19 +49,23 @@
         else:
             status, body = 200, _store_wire.encode(answer)
         self.reply(status, body, _store_wire.CONTENT_TYPE)
-        desk.bytes_out += len(body) + _header_bytes(self._headers.get_all())
+        endpoint.bytes_out += len(body) + _header_bytes(
+            self._headers.get_all()
+        )
 
 
-def listen(*, port: int, desk: _calls.Desk | None = None) -> _serving.Served:
+def listen(
+    *, port: int, endpoint: _calls.Endpoint | None = None
+) -> _serving.Served:
     """Serve a store on a loopback port; 0 picks a free one."""
-    used = desk or _calls.Desk(
+    used = endpoint or _calls.Endpoint(
         clock=time.monotonic, watch_step_s=_WATCH_STEP_S
     )
     return _serving.listen(
         name="store",
         port=port,
         routes=[
-            (path, CallHandler, {"desk": used, "kind": kind})
+            (path, CallHandler, {"endpoint": used, "kind": kind})
             for kind, path in _store_wire.PATHS.items()
         ],
         control=lambda fields: _calls.control(used, fields),
--- a/standins/tests/test_runner.py
+++ b/standins/tests/test_runner.py
@@ -16,10 +16,10 @@
 
 @contextlib.asynccontextmanager
 async def _opened() -> collections.abc.AsyncIterator[
-    tuple[runner.Desk, collections.abc.Callable[..., typing.Any]]
+    tuple[runner.Endpoint, collections.abc.Callable[..., typing.Any]]
 ]:
-    desk = runner.make_desk("runner-1")
-    served = runner.listen(port=0, desk=desk)
+    endpoint = runner.make_endpoint("runner-1")
+    served = runner.listen(port=0, endpoint=endpoint)
     # Without a limit per target, so that a test can overload the runner.
     client = _http.make_client(max_clients=128)
     targets = platform.make_targets(http_client=client, status_client=client)
@@ -38,7 +38,7 @@
         )
 
     try:
-        yield desk, work
+        yield endpoint, work
     finally:
         _http.close(client)
         await _serving.close(served)
@@ -56,11 +56,11 @@
     requests: int, slot_overruns: int, connection_overruns: int
 ) -> None:
     async def scenario() -> None:
-        async with _opened() as (desk, work):
+        async with _opened() as (endpoint, work):
             await asyncio.gather(
                 *(work(f"r{n}", run_ms=150) for n in range(requests))
             )
-            evidence = runner.evidence(desk, {})
+            evidence = runner.evidence(endpoint, {})
             assert evidence["slot_overruns"] == slot_overruns
             assert evidence["connection_overruns"] == connection_overruns
             assert evidence["peak_busy"] == requests
@@ -80,12 +80,14 @@
 )
 def test_leaving(say_leaving: bool, runs: int) -> None:
     async def scenario() -> None:
-        async with _opened() as (desk, work):
+        async with _opened() as (endpoint, work):
             await work("before")
-            runner.control(desk, {"leaving": True, "say_leaving": say_leaving})
+            runner.control(
+                endpoint, {"leaving": True, "say_leaving": say_leaving}
+            )
             answer = await work("after")
             assert answer.leaving == say_leaving
-            evidence = runner.evidence(desk, {})
+            evidence = runner.evidence(endpoint, {})
             assert evidence["runs_after_leaving"] == runs
             assert evidence["refused_leaving"] == 1 - runs
             late = evidence["last_new_request"] > evidence["leaving_since"]
@@ -103,12 +105,12 @@
 )
 def test_caller_disconnects(keep_working: bool, finished: int) -> None:
     async def scenario() -> None:
-        async with _opened() as (desk, work):
-            runner.control(desk, {"keep_working": keep_working})
+        async with _opened() as (endpoint, work):
+            runner.control(endpoint, {"keep_working": keep_working})
             with pytest.raises(errors.PlatformError):
                 await work("a", 0.05, run_ms=150)
             await asyncio.sleep(0.2)
-            evidence = runner.evidence(desk, {})
+            evidence = runner.evidence(endpoint, {})
             assert (evidence["finished"], evidence["busy"]) == (finished, 0)
 
     asyncio.run(scenario())
@@ -126,15 +128,15 @@
 )
 def test_faults(switches: dict[str, typing.Any], fails: bool) -> None:
     async def scenario() -> None:
-        async with _opened() as (desk, work):
-            runner.control(desk, switches)
+        async with _opened() as (endpoint, work):
+            runner.control(endpoint, switches)
             if fails:
                 with pytest.raises(errors.PlatformError):
                     await work("a", 0.2)
             else:
                 answer = await work("a", 0.2)
                 assert answer.status == (500 if "fail" in switches else 200)
-            runner.control(desk, {"reset": True})
+            runner.control(endpoint, {"reset": True})
             await asyncio.sleep(0.05)
             answer = await work("b")
             assert runner.check_answer(answer.body, "b", 0) == ""
@@ -146,16 +148,16 @@
     """A runner that fails would go on answering on old connections."""
 
     async def scenario() -> None:
-        async with _opened() as (desk, work):
+        async with _opened() as (endpoint, work):
             await work("a")
             runner.control(
-                desk, {"refuse_connects": True, "close_connections": True}
+                endpoint, {"refuse_connects": True, "close_connections": True}
             )
             await asyncio.sleep(0.05)
             with pytest.raises(errors.PlatformError) as caught:
                 await work("b")
             assert not caught.value.sent
-            assert runner.evidence(desk, {})["open_connections"] == 0
+            assert runner.evidence(endpoint, {})["open_connections"] == 0
 
     asyncio.run(scenario())
 
@@ -166,12 +168,12 @@
     async def scenario() -> None:
         evidences = []
         for _ in range(2):
-            async with _opened() as (desk, work):
+            async with _opened() as (endpoint, work):
                 await work("once", idempotent=False)
                 await work("again")
                 await work("again")
                 await work(f"other{len(evidences)}", idempotent=False)
-                evidence = runner.evidence(desk, {"ids": "1"})
+                evidence = runner.evidence(endpoint, {"ids": "1"})
                 assert evidence["repeated"] == {"again": 2}
                 assert evidence["doubled"] == {}
                 evidences.append(evidence)
--- a/standins/worker_agent/__init__.py
+++ b/standins/worker_agent/__init__.py
@@ -4,22 +4,22 @@
 from standins.worker_agent import _server
 from standins.worker_agent import _state
 
-Desk = _server.Desk
+Endpoint = _server.Endpoint
 State = _state.State
 control = _server.control
 evidence = _server.evidence
 find_double_runs = _checks.find_double_runs
 listen = _server.listen
 main = _server.main
-make_desk = _server.make_desk
+make_endpoint = _server.make_endpoint
 
 __all__ = [
-    "Desk",
+    "Endpoint",
     "State",
     "control",
     "evidence",
     "find_double_runs",
     "listen",
     "main",
-    "make_desk",
+    "make_endpoint",
 ]
--- a/standins/worker_agent/_server.py
+++ b/standins/worker_agent/_server.py
@@ -21,7 +21,7 @@
 
 
 @attrs.define(kw_only=True)
-class Desk:
+class Endpoint:
     """A worker with its faults, counts and timer.
 
     Attributes
@@ -56,29 +56,29 @@
 class CallHandler(_serving.Handler):
     """One kind of call."""
 
-    def initialize(self, desk: Desk, kind: str) -> None:
+    def initialize(self, endpoint: Endpoint, kind: str) -> None:
         """Keep the worker and the kind of call."""
-        self._desk = desk
+        self._endpoint = endpoint
         self._kind = kind
 
     async def post(self) -> None:
         """Carry the call out under the faults in force."""
-        desk, kind = self._desk, self._kind
-        desk.counts[kind] += 1
-        verdict = _faults.judge(desk.faults, kind, "", desk.rng)
+        endpoint, kind = self._endpoint, self._kind
+        endpoint.counts[kind] += 1
+        verdict = _faults.judge(endpoint.faults, kind, "", endpoint.rng)
         if verdict.hold:
             await self._hold()
             return
         if verdict.delay_s:
             await asyncio.sleep(verdict.delay_s)
-        if verdict.refuse or (desk.refuse and kind == "start"):
+        if verdict.refuse or (endpoint.refuse and kind == "start"):
             self.reply(503, b'{"error":{"code":"refused"}}')
             return
         try:
-            status, body = await _CALLS[kind](desk, self.request.body)
+            status, body = await _CALLS[kind](endpoint, self.request.body)
         except errors.ProtocolError as error:
             status, body = 400, error.message.encode()
-        if desk.faults.silent:
+        if endpoint.faults.silent:
             # The partition began while a sync was waiting.
             await self._hold()
         elif verdict.drop:
@@ -87,17 +87,17 @@
             self.reply(status, body)
 
     async def _hold(self) -> None:
-        while self._desk.faults.silent:
-            await self._desk.changed.wait()
+        while self._endpoint.faults.silent:
+            await self._endpoint.changed.wait()
         self.hang_up()
 
 
-def control(desk: Desk, fields: dict[str, typing.Any]) -> None:
+def control(endpoint: Endpoint, fields: dict[str, typing.Any]) -> None:
     """Set faults.
 
     Parameters
     ----------
-    desk : Desk
+    endpoint : Endpoint
         The worker.
     fields : dict
         ``fail_all``, ``refuse``, ``partition`` (calls get no answer and have
@@ -109,40 +109,40 @@
     changes = dict(fields)
     now = time.monotonic()
     if changes.pop("reset", False):
-        desk.faults = _faults.Faults(drop_kinds=list(_DROPPED_KINDS))
-        desk.refuse = desk.state.fail_all = False
+        endpoint.faults = _faults.Faults(drop_kinds=list(_DROPPED_KINDS))
+        endpoint.refuse = endpoint.state.fail_all = False
     if changes.pop("kill_all", False):
-        _state.kill_all(desk.state, now)
+        _state.kill_all(endpoint.state, now)
     if changes.pop("restart", False):
-        _state.restart(desk.state, now)
-    desk.state.fail_all = changes.pop("fail_all", desk.state.fail_all)
-    desk.refuse = changes.pop("refuse", desk.refuse)
+        _state.restart(endpoint.state, now)
+    endpoint.state.fail_all = changes.pop("fail_all", endpoint.state.fail_all)
+    endpoint.refuse = changes.pop("refuse", endpoint.refuse)
     for name, used in (("partition", "silent"), ("delay_s", "slow_s")):
         if name in changes:
             changes[used] = changes.pop(name)
-    _faults.update(desk.faults, changes)
-    _notify(desk)
+    _faults.update(endpoint.faults, changes)
+    _notify(endpoint)
 
 
-def evidence(desk: Desk) -> dict[str, typing.Any]:
+def evidence(endpoint: Endpoint) -> dict[str, typing.Any]:
     """Return the worker's evidence, counts and faults in force."""
     return {
-        **_state.evidence(desk.state, time.monotonic()),
-        "counts": dict(desk.counts),
-        "switches": desk.faults,
-        "refuse": desk.refuse,
-        "fail_all": desk.state.fail_all,
+        **_state.evidence(endpoint.state, time.monotonic()),
+        "counts": dict(endpoint.counts),
+        "switches": endpoint.faults,
+        "refuse": endpoint.refuse,
+        "fail_all": endpoint.state.fail_all,
     }
 
 
-def listen(*, port: int, desk: Desk) -> _serving.Served:
+def listen(*, port: int, endpoint: Endpoint) -> _serving.Served:
     """Serve a worker agent on a loopback port; 0 picks a free one."""
-    desk.state.wall_offset_s = time.time() - time.monotonic()
+    endpoint.state.wall_offset_s = time.time() - time.monotonic()
     served = _serving.listen(
-        name=desk.state.worker_id,
+        name=endpoint.state.worker_id,
         port=port,
         routes=[
-            (path, CallHandler, {"desk": desk, "kind": kind})
+            (path, CallHandler, {"endpoint": endpoint, "kind": kind})
             for kind, path in (
                 ("start", _worker_agent_wire.START_PATH),
                 ("sync", _worker_agent_wire.SYNC_PATH),
@@ -150,25 +150,25 @@
                 ("throttle", _worker_agent_wire.THROTTLE_PATH),
             )
         ],
-        control=lambda fields: control(desk, fields),
-        evidence=lambda _query: evidence(desk),
+        control=lambda fields: control(endpoint, fields),
+        evidence=lambda _query: evidence(endpoint),
     )
 
     def close() -> None:
-        if desk.timer is not None:
-            desk.timer.cancel()
+        if endpoint.timer is not None:
+            endpoint.timer.cancel()
 
     served.close = close
     return served
 
 
-def make_desk(
+def make_endpoint(
     worker_id: str,
     capacity: model.Resources,
     checkpoints: dict[_state.TaskKey, float] | None = None,
-) -> Desk:
+) -> Endpoint:
     """Return a worker; pass one dict of checkpoints to those that share."""
-    return Desk(
+    return Endpoint(
         state=_state.State(
             worker_id=worker_id,
             capacity=capacity,
@@ -202,7 +202,7 @@
         return [
             listen(
                 port=arguments.port and arguments.port + offset,
-                desk=make_desk(worker_id, capacity, checkpoints),
+                endpoint=make_endpoint(worker_id, capacity, checkpoints),
             )
             for offset, worker_id in enumerate(
                 _serving.make_ids(arguments.first_id, arguments.count)
@@ -212,52 +212,52 @@
     _serving.run(arguments.control_port, start)
 
 
-async def _start(desk: Desk, body: bytes) -> tuple[int, bytes]:
+async def _start(endpoint: Endpoint, body: bytes) -> tuple[int, bytes]:
     call = _worker_agent_wire.decode_start(body)
-    if not _accepts(desk, call.epoch):
-        return _stale(desk)
-    outcomes = _state.start(desk.state, call, time.monotonic())
-    _notify(desk)
+    if not _accepts(endpoint, call.epoch):
+        return _stale(endpoint)
+    outcomes = _state.start(endpoint.state, call, time.monotonic())
+    _notify(endpoint)
     return 200, _worker_agent_wire.encode_outcomes(outcomes)
 
 
-async def _sync(desk: Desk, body: bytes) -> tuple[int, bytes]:
+async def _sync(endpoint: Endpoint, body: bytes) -> tuple[int, bytes]:
     call = _worker_agent_wire.decode_sync(body)
-    if not _accepts(desk, call.epoch):
-        return _stale(desk)
+    if not _accepts(endpoint, call.epoch):
+        return _stale(endpoint)
     now = time.monotonic()
     deadline = now + call.wait_s
-    _state.sync(desk.state, call, now)
-    _set_timer(desk)
+    _state.sync(endpoint.state, call, now)
+    _set_timer(endpoint)
     # A sequence above the worker's own is one from before its restart.
-    while desk.state.sequence == call.after and now < deadline:
+    while endpoint.state.sequence == call.after and now < deadline:
         try:
             async with asyncio.timeout(deadline - now):
-                await desk.changed.wait()
+                await endpoint.changed.wait()
         except TimeoutError:
             break
-        if call.epoch < desk.state.epoch:
-            return _stale(desk)
+        if call.epoch < endpoint.state.epoch:
+            return _stale(endpoint)
         now = time.monotonic()
-    result = _state.reports(desk.state, time.monotonic(), call.known)
+    result = _state.reports(endpoint.state, time.monotonic(), call.known)
     return 200, _worker_agent_wire.encode_sync_result(result)
 
 
-async def _stop(desk: Desk, body: bytes) -> tuple[int, bytes]:
+async def _stop(endpoint: Endpoint, body: bytes) -> tuple[int, bytes]:
     call = _worker_agent_wire.decode_stop(body)
-    if not _accepts(desk, call.epoch):
-        return _stale(desk)
-    _state.stop(desk.state, call, time.monotonic())
-    _notify(desk)
+    if not _accepts(endpoint, call.epoch):
+        return _stale(endpoint)
+    _state.stop(endpoint.state, call, time.monotonic())
+    _notify(endpoint)
     return 200, b"{}"
 
 
-async def _throttle(desk: Desk, body: bytes) -> tuple[int, bytes]:
+async def _throttle(endpoint: Endpoint, body: bytes) -> tuple[int, bytes]:
     call = _worker_agent_wire.decode_throttle(body)
-    if not _accepts(desk, call.epoch):
-        return _stale(desk)
-    _state.throttle(desk.state, call, time.monotonic())
-    _notify(desk)
+    if not _accepts(endpoint, call.epoch):
+        return _stale(endpoint)
+    _state.throttle(endpoint.state, call, time.monotonic())
+    _notify(endpoint)
     return 200, b"{}"
 
 
@@ -265,41 +265,41 @@
     dict[
         str,
         collections.abc.Callable[
-            [Desk, bytes], collections.abc.Awaitable[tuple[int, bytes]]
+            [Endpoint, bytes], collections.abc.Awaitable[tuple[int, bytes]]
         ],
     ]
 ] = {"start": _start, "sync": _sync, "stop": _stop, "throttle": _throttle}
 
 
-def _accepts(desk: Desk, epoch: int) -> bool:
-    before = desk.state.epoch
-    accepted = _state.accepts(desk.state, epoch)
-    if desk.state.epoch != before:
-        _notify(desk)
+def _accepts(endpoint: Endpoint, epoch: int) -> bool:
+    before = endpoint.state.epoch
+    accepted = _state.accepts(endpoint.state, epoch)
+    if endpoint.state.epoch != before:
+        _notify(endpoint)
     return accepted
 
 
-def _stale(desk: Desk) -> tuple[int, bytes]:
-    return 409, _worker_agent_wire.encode_stale_epoch(desk.state.epoch)
+def _stale(endpoint: Endpoint) -> tuple[int, bytes]:
+    return 409, _worker_agent_wire.encode_stale_epoch(endpoint.state.epoch)
 
 
-def _notify(desk: Desk) -> None:
-    desk.changed.set()
-    desk.changed = asyncio.Event()
-    _set_timer(desk)
+def _notify(endpoint: Endpoint) -> None:
+    endpoint.changed.set()
+    endpoint.changed = asyncio.Event()
+    _set_timer(endpoint)
 
 
-def _set_timer(desk: Desk) -> None:
-    if desk.timer is not None:
-        desk.timer.cancel()
-        desk.timer = None
-    due = _state.next_event(desk.state)
+def _set_timer(endpoint: Endpoint) -> None:
+    if endpoint.timer is not None:
+        endpoint.timer.cancel()
+        endpoint.timer = None
+    due = _state.next_event(endpoint.state)
     if due is not None:
-        desk.timer = asyncio.get_running_loop().call_later(
-            max(0.0, due - time.monotonic()), _fire, desk
+        endpoint.timer = asyncio.get_running_loop().call_later(
+            max(0.0, due - time.monotonic()), _fire, endpoint
         )
 
 
-def _fire(desk: Desk) -> None:
-    _state.advance(desk.state, time.monotonic())
-    _notify(desk)
+def _fire(endpoint: Endpoint) -> None:
+    _state.advance(endpoint.state, time.monotonic())
+    _notify(endpoint)
