Find answers at the former owner of a shard

Change: a scheduler keeps a shard that it gave up for 60 s and answers reads for it; the entry asks the others when the owner knows only the state. Five table cases are new.

--- a/chestnuttide/entry/_forwarding.py
+++ b/chestnuttide/entry/_forwarding.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from chestnuttide import coordination
 from chestnuttide.entry import _owners
 from chestnuttide.entry import _state
 from chestnuttide import errors
@@ -28,6 +29,17 @@
 # Calls about jobs and config end after this time.
 CALL_TIMEOUT_S = 10.0
 
+# Former owners are asked for an answer for this long.
+FORMER_TIMEOUT_S = 1.0
+
+# States of a request in the ledger that tell of no dispatch under way.
+_ENDED = frozenset(
+    (
+        coordination.RequestState.ANSWERED.value,
+        coordination.RequestState.OUTCOME_UNKNOWN.value,
+    )
+)
+
 _ELSEWHERE = frozenset(
     (errors.Reason.NOT_OWNER.value, errors.Reason.LEASE_LOST.value)
 )
@@ -143,6 +155,60 @@
         await _owners.wait_for_change(state.owners, min(left_s, OWNER_PAUSE_S))
 
 
+async def read_answer(
+    state: _state.EntryState, shard: str, request_id: str
+) -> mesh.Reply | mesh.RequestReply:
+    """Return the kept answer of a request, or what is known about it.
+
+    The owner is asked first. If it only knows that the request may have run,
+    the answer may be at a former owner, which finishes what it had sent.
+
+    Parameters
+    ----------
+    state : EntryState
+        The daemon's state.
+    shard : str
+        Shard that decides about the request.
+    request_id : str
+        The caller's id.
+
+    Raises
+    ------
+    errors.RefusedError
+        See `call_shard`.
+    """
+
+    def make_message(call_id: int) -> mesh.RequestRead:
+        return mesh.RequestRead(
+            call_id=call_id,
+            shard=shard,
+            request_id=request_id,
+            want_answer=True,
+        )
+
+    reply = await call_shard(state, shard, make_message)
+    if isinstance(reply, mesh.RequestReply) or reply.reason:
+        return reply
+    if json.loads(reply.body)["state"] not in _ENDED:
+        return reply
+    others = await asyncio.gather(
+        *(
+            try_call(state, each, make_message, FORMER_TIMEOUT_S)
+            for each in mesh.schedulers(state.network)
+            if each is not _owners.owner_of(state.owners, shard)
+        )
+    )
+    for other in others:
+        if isinstance(other, mesh.RequestReply):
+            return other
+    for other in others:
+        if other is None or other.reason:
+            continue
+        if json.loads(other.body)["state"] not in _ENDED:
+            return other
+    return reply
+
+
 async def try_call(
     state: _state.EntryState,
     connection: mesh.Connection,
--- a/chestnuttide/entry/_handlers.py
+++ b/chestnuttide/entry/_handlers.py
@@ -197,17 +197,11 @@
     """Gives the answer of a non-idempotent request once more."""
 
     async def get(self, service: str, request_id: str) -> None:
-        """Answer with the target's answer if the owner still has it."""
-        shard = _request_shard(self.state, service, request_id)
-        reply = await _forwarding.call_shard(
+        """Answer with the target's answer if an owner still has it."""
+        reply = await _forwarding.read_answer(
             self.state,
-            shard,
-            lambda call_id: mesh.RequestRead(
-                call_id=call_id,
-                shard=shard,
-                request_id=request_id,
-                want_answer=True,
-            ),
+            _request_shard(self.state, service, request_id),
+            request_id,
         )
         if isinstance(reply, mesh.RequestReply):
             self.answer_request(reply)
--- a/chestnuttide/entry/tests/test_forwarding.py
+++ b/chestnuttide/entry/tests/test_forwarding.py
@@ -188,3 +188,76 @@
     reply = asyncio.run(scenario())
     assert reply.reason == errors.Reason.DEADLINE_EXCEEDED.value
     assert reply.run_state == run_state
+
+
+def _state_reply(state: str) -> mesh.Reply:
+    body = json.dumps({"id": "r", "state": state, "status": 0}).encode()
+    return mesh.Reply(call_id=1, status=200, reason="", body=body)
+
+
+_NOT_OWNER = mesh.Reply(call_id=1, status=503, reason="not_owner", body=b"{}")
+_ANSWER = mesh.RequestReply(
+    call_id=1,
+    request_id="r",
+    status=200,
+    content_type="x",
+    body=b"done",
+    reason="",
+    run_state="ran",
+    target="t",
+)
+
+
+@pytest.mark.parametrize(
+    ("owner", "others", "expected"),
+    [
+        pytest.param(_ANSWER, [], _ANSWER, id="owners_answer_is_lost"),
+        pytest.param(
+            _state_reply("outcome_unknown"),
+            [_NOT_OWNER, _ANSWER],
+            _ANSWER,
+            id="former_owners_answer_is_lost",
+        ),
+        pytest.param(
+            _state_reply("outcome_unknown"),
+            [None, _state_reply("sent")],
+            _state_reply("sent"),
+            id="unknown_though_it_is_still_running",
+        ),
+        pytest.param(
+            _state_reply("answered"),
+            [_NOT_OWNER, None],
+            _state_reply("answered"),
+            id="state_lost_without_former_owner",
+        ),
+        pytest.param(
+            _state_reply("sent"),
+            [_ANSWER],
+            _state_reply("sent"),
+            id="former_owner_asked_while_the_owner_waits",
+        ),
+    ],
+)
+def test_answer_is_read_from_a_former_owner(
+    monkeypatch: pytest.MonkeyPatch,
+    owner: object,
+    others: list[object],
+    expected: object,
+) -> None:
+    """Guards a caller whose entry and whose shard's owner both changed."""
+
+    async def call_shard(*arguments: object) -> object:
+        return owner
+
+    async def try_call(state: object, peer: object, *rest: object) -> object:
+        return peer
+
+    monkeypatch.setattr(_forwarding, "call_shard", call_shard)
+    monkeypatch.setattr(_forwarding, "try_call", try_call)
+    monkeypatch.setattr(mesh, "schedulers", lambda network: others)
+
+    async def scenario() -> object:
+        state = _daemon.make_state(_SETTINGS)
+        return await _forwarding.read_answer(state, "s", "r")
+
+    assert asyncio.run(scenario()) == expected
--- a/chestnuttide/scheduler/_daemon.py
+++ b/chestnuttide/scheduler/_daemon.py
@@ -198,6 +198,7 @@
         _broadcast_all(state, heartbeat)
         _update_gauges(state)
         _forget_gone(state)
+        _takeover.forget_former(state)
         daemon.count_traffic(state.metrics, state.network.traffic, counted)
         await asyncio.sleep(state.settings.mesh.heartbeat_s)
 
@@ -343,6 +344,10 @@
     if shard is not None:
         shard.take(connection, message)
         return
+    former = state.former.get(message.shard)
+    if former is not None and isinstance(message, mesh.RequestRead):
+        former[1].take(connection, message)
+        return
     error = routing.make_error(
         errors.Reason.NOT_OWNER,
         f"Shard {message.shard} is not served here.",
--- a/chestnuttide/scheduler/_state.py
+++ b/chestnuttide/scheduler/_state.py
@@ -116,6 +116,9 @@
         Targets that are leaving according to themselves or to a peer.
     shards : dict of str to Shard
         Shards that this instance serves.
+    former : dict of str to (float, Shard)
+        Shards that were given up, with the time: their dispatches in flight
+        still end here, and their answers are kept here.
     activations : dict of str to asyncio.Task
         Takeovers under way.
     releases : dict of str to asyncio.Task
@@ -161,6 +164,7 @@
     gone_at: dict[str, float] = attrs.field(factory=dict)
     leaving: set[str] = attrs.field(factory=set)
     shards: dict[str, Shard] = attrs.field(factory=dict)
+    former: dict[str, tuple[float, Shard]] = attrs.field(factory=dict)
     activations: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     releases: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     early_frees: dict[tuple[str, str], int] = attrs.field(factory=dict)
--- a/chestnuttide/scheduler/_takeover.py
+++ b/chestnuttide/scheduler/_takeover.py
@@ -24,6 +24,9 @@
 # Seconds that a handover waits for the journal.
 FLUSH_WAIT_S = 2.0
 POLL_S = 0.01
+# Seconds for which the answers of a shard that was given up are kept, for
+# callers whose entry was lost at the same time.
+FORMER_KEPT_S = 60.0
 # Bounds of the pause before a takeover that failed is tried again.
 TAKEOVER_RETRY_S = 0.2
 TAKEOVER_RETRY_LIMIT_S = 5.0
@@ -65,6 +68,7 @@
     shard = state.shards.pop(message.shard, None)
     state.metrics.queue_length.set({"queue": message.shard}, 0)
     if shard is not None:
+        state.former[shard.name] = (time.monotonic(), shard)
         shard.stop()
         _journals.close(shard.journal)
         announce_shards(state)
@@ -99,6 +103,14 @@
     )
 
 
+def forget_former(state: _state.SchedulerState) -> None:
+    """Forget shards that were given up a while ago."""
+    oldest = time.monotonic() - FORMER_KEPT_S
+    for name, (given_up_at, _) in list(state.former.items()):
+        if given_up_at < oldest:
+            del state.former[name]
+
+
 async def _activate(
     state: _state.SchedulerState, message: coordination.ShardAcquired
 ) -> None:
@@ -128,6 +140,7 @@
                 )
             )
     state.shards[message.shard] = shard
+    state.former.pop(message.shard, None)
     state.activations.pop(message.shard, None)
     LOG.info(
         "shard %s is served",
@@ -171,6 +184,7 @@
     residual: dict[str, tuple[float, ...]] = {}
     if shard is not None:
         LOG.info("shard %s is handed over", shard.name, to=message.to)
+        state.former[shard.name] = (time.monotonic(), shard)
         shard.stop()
         announce_shards(state)
         await _wait_until(lambda: not shard.in_flight(), HANDOVER_WAIT_S)
