Prove the lease check of a paused owner

Cause: the scenario of a paused owner passed with the lease check switched off. Traces show why: the owner heard from the store within 15 ms, its entries had ended their connections, and its queue was empty. Change: runners count requests with a lower epoch than one before them; a new scenario cuts the owner off the store, with a full queue, before it goes on. Conclusion: the older scenario stays for slots and answers.

--- a/features/_requests_steps.py
+++ b/features/_requests_steps.py
@@ -475,6 +475,13 @@
         assert each["connection_overruns"] == 0, each
 
 
+@then("no former owner sent a request after its successor's first")
+def no_stale_runs(world: World) -> None:
+    wait_for_callers(world)
+    for each in cell_module.runner_evidence(world.cell):
+        assert each["stale_runs"] == 0, (each["runner_id"], each["epochs"])
+
+
 def sleep_until(moment: float) -> None:
     """Sleep until a time of the monotonic clock."""
     time.sleep(max(0.0, moment - time.monotonic()))
--- a/features/requests_limits.feature
+++ b/features/requests_limits.feature
@@ -20,10 +20,20 @@
     And the runners of render work on 8 requests
     And the scheduler of the owner of requests/render/0 is paused for 3 s
     Then no runner had more work than its slots and connections
+    And no former owner sent a request after its successor's first
     And no non-idempotent request ran twice
     And every caller has its whole own answer or a truthful refusal
     And its shard has changed hands
 
+  Scenario: The owner goes on after its lease and reaches no store
+    When callers with deadlines of 8 s send 160 idempotent requests of 400 ms to layout
+    And the runners of layout work on 12 requests
+    And the scheduler of the owner of requests/layout/1 is cut off the store and paused for 3 s
+    Then no former owner sent a request after its successor's first
+    And no runner had more work than its slots and connections
+    And every caller has its whole own answer or a truthful refusal
+    And its shard has changed hands
+
   Scenario: A mesh queue is full
     Given the scheduler of the owner of requests/render/0 is paused
     When callers with deadlines of 3 s send 200 requests with bodies of 200 KB to render
--- a/features/test_requests_limits.py
+++ b/features/test_requests_limits.py
@@ -72,6 +72,23 @@
     threading.Timer(seconds, harness_module.resume, [process]).start()
 
 
+@when(
+    parsers.parse(
+        "the scheduler of the owner of {shard} is cut off the store and paused"
+        " for {seconds:g} s"
+    )
+)
+def cut_off_and_pause(
+    world: _requests_steps.World, shard: str, seconds: float
+) -> None:
+    owner = _requests_steps.note_owner(world, shard)
+    pause_for(world, shard, seconds)
+    # When it goes on, only its own clock tells it that its lease is over.
+    harness_module.control(
+        world.cell.store, {"silent": True, "for_client": owner}
+    )
+
+
 @when(parsers.parse("the runners of {service} work on {count:d} requests"))
 def wait_runners(
     world: _requests_steps.World, service: str, count: int
--- a/standins/runner/_state.py
+++ b/standins/runner/_state.py
@@ -48,6 +48,9 @@
         Time at which the last request began to run, in time.time().
     epochs : set of int
         Epochs that the requests carried.
+    stale_runs : int
+        Requests that began to run with a lower epoch than one before them; a
+        target belongs to one shard, so a former owner has sent them.
     """
 
     runner_id: str
@@ -67,6 +70,7 @@
     refused_leaving: int = 0
     last_new_request: float = 0.0
     epochs: set[int] = attrs.Factory(set)
+    stale_runs: int = 0
 
 
 def begin(
@@ -85,6 +89,8 @@
     state.seen[request_id] += 1
     if payload.get("idempotent") is False:
         state.once.add(request_id)
+    if state.epochs and epoch < max(state.epochs):
+        state.stale_runs += 1
     state.epochs.add(epoch)
     state.last_new_request = wall
     if state.leaving_since:
@@ -178,6 +184,7 @@
         "refused_leaving": state.refused_leaving,
         "last_new_request": state.last_new_request,
         "epochs": sorted(state.epochs),
+        "stale_runs": state.stale_runs,
         **_ids(state, with_ids),
     }
 
