--- /dev/null
+++ b/chestnuttide/node/_daemon.py
@@ -0,0 +1,364 @@
+"""The daemon of an instance: wiring, start, reload and planned stop."""
+
+import asyncio
+import collections.abc
+import functools
+import gc
+import secrets
+import signal
+
+import attrs
+from tornado import httpserver
+from tornado import httputil
+
+from chestnuttide import errors
+from chestnuttide.node import _advice_calls
+from chestnuttide.node import _clock
+from chestnuttide.node import _front
+from chestnuttide.node import _messages
+from chestnuttide.node import _metrics
+from chestnuttide.node import _owner
+from chestnuttide.node import _ownership
+from chestnuttide.node import _peers
+from chestnuttide.node import _session
+from chestnuttide.node import _settings
+from chestnuttide import platform
+from chestnuttide import telemetry
+from chestnuttide import workloads
+
+LOG = telemetry.make_logger("daemon")
+
+# The store answers in milliseconds, and sixty times as slowly at times.
+STORE_TIMEOUT_S = 1.0
+
+# Transfers at once: a look and some orders for each worker.
+WORKER_CLIENTS = 1000
+STORE_CLIENTS = 100
+
+# Connections to one worker: its look, and orders beside it.
+CONNECTIONS_PER_WORKER = 4
+
+CLAIM_PERIOD_S = 0.1
+RESTART_PAUSE_S = 0.2
+
+# The balancer takes an instance out of rotation after two missed checks, one
+# a second; until then new connections still arrive.
+ROTATION_S = 2.6
+
+# Time kept free between the last answer and SIGKILL.
+STOP_MARGIN_S = 0.5
+
+
+@attrs.define(kw_only=True, slots=True, eq=False)
+class Daemon:
+    """The parts of a running daemon.
+
+    Attributes
+    ----------
+    session : Session
+        The instance's view of the cell.
+    front : Front
+        The callers' handlers.
+    owned : dict of str to Ownership
+        Services that this instance owns.
+    workers_http : HttpClient
+        Client of the workers.
+    metrics : NodeMetrics
+        Counters.
+    tasks : set of Task
+        Background loops.
+    """
+
+    session: _session.Session
+    front: _front.Front
+    owned: dict[str, _ownership.Ownership]
+    workers_http: platform.HttpClient
+    metrics: _metrics.NodeMetrics
+    tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+
+
+async def run(settings: _settings.NodeSettings) -> None:
+    """Serve until SIGTERM."""
+    metrics = _metrics.make_metrics()
+    daemon = await _make_daemon(settings, metrics)
+    # The modules and wiring live until the end; without them the collector
+    # looks only at what requests have made.
+    gc.freeze()
+    servers = _listen(daemon, settings)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, settings)
+    session = daemon.session
+    for make_loop in (
+        _session.keep_lease,
+        _session.follow_cell,
+        _session.follow_config,
+        _session.ask_peers_for_config,
+    ):
+        _supervise(
+            daemon, make_loop.__name__, functools.partial(make_loop, session)
+        )
+    _supervise(daemon, "claim", functools.partial(_claim_loop, daemon))
+    LOG.info(
+        "Started.",
+        address=session.address,
+        incarnation=session.incarnation,
+        data_centre=settings.data_centre,
+    )
+    await stop.wait()
+    await _stop(daemon, servers, settings)
+
+
+async def _make_daemon(
+    settings: _settings.NodeSettings, metrics: _metrics.NodeMetrics
+) -> Daemon:
+    peers = _peers.make_peers(
+        instance=settings.instance, data_centre=settings.data_centre
+    )
+    store = platform.KvStore(
+        http=platform.make_client(max_clients=STORE_CLIENTS),
+        address=settings.store.address,
+        timeout_s=STORE_TIMEOUT_S,
+        count=_metrics.store_counter(metrics),
+    )
+    session = _session.Session(
+        settings=settings,
+        store=store,
+        peers=peers,
+        incarnation=secrets.token_hex(8),
+    )
+    owned: dict[str, _ownership.Ownership] = {}
+    front = _front.Front(session=session, owned=owned, metrics=metrics)
+    workers_http = platform.make_client(
+        max_clients=WORKER_CLIENTS,
+        max_host_connections=CONNECTIONS_PER_WORKER,
+    )
+    daemon = Daemon(
+        session=session,
+        front=front,
+        owned=owned,
+        workers_http=workers_http,
+        metrics=metrics,
+    )
+    peers.answers.update(_make_answers(daemon, settings))
+    port = await _peers.listen(
+        peers, ip=settings.ip, ports=settings.mesh_ports
+    )
+    session.address = f"{settings.ip}:{port}"
+    return daemon
+
+
+def _make_answers(
+    daemon: Daemon, settings: _settings.NodeSettings
+) -> dict[type, _peers.Answer]:
+    advice_http = platform.make_client(max_clients=STORE_CLIENTS)
+
+    async def state(message: _messages.StateRead) -> object:
+        return _front.answer_state(daemon.front, message)
+
+    async def pending(message: _messages.PendingRead) -> object:
+        return _front.answer_pending(daemon.front, message)
+
+    async def advice(message: _messages.AdviceAsk) -> object:
+        return await _advice_calls.answer_ask(
+            advice_http, settings.advisor or "", message
+        )
+
+    async def config(message: _messages.ConfigRead) -> object:
+        return _session.answer_config(daemon.session, message)
+
+    async def write(message: _messages.JobWrite) -> object:
+        outcome = await _front.write_job(daemon.front, message)
+        return _messages.JobWriteReply(
+            call_id=message.call_id, outcome=outcome
+        )
+
+    return {
+        _messages.StateRead: state,
+        _messages.PendingRead: pending,
+        _messages.AdviceAsk: advice,
+        _messages.ConfigRead: config,
+        _messages.JobWrite: write,
+    }
+
+
+def _listen(
+    daemon: Daemon, settings: _settings.NodeSettings
+) -> list[httpserver.HTTPServer]:
+    callers = httpserver.HTTPServer(_front.make_callback(daemon.front))
+    ip, port = _settings.split_address(settings.listen.callers)
+    callers.listen(port, address=ip)
+
+    def is_ready(request: httputil.HTTPServerRequest) -> None:
+        ready = (
+            daemon.session.config is not None and not daemon.session.stopping
+        )
+        _write(request, 200 if ready else 503, b"{}", "application/json")
+
+    def show_metrics(request: httputil.HTTPServerRequest) -> None:
+        body, content_type = telemetry.render(daemon.metrics.registry)
+        _write(request, 200, body, content_type)
+
+    readiness = httpserver.HTTPServer(is_ready)
+    ip, port = _settings.split_address(settings.listen.readiness)
+    readiness.listen(port, address=ip)
+    metrics = httpserver.HTTPServer(show_metrics)
+    metrics.listen(settings.metrics_port, address=settings.ip)
+    return [callers, readiness, metrics]
+
+
+def _write(
+    request: httputil.HTTPServerRequest,
+    status: int,
+    body: bytes,
+    content_type: str,
+) -> None:
+    request.connection.write_headers(
+        httputil.ResponseStartLine("HTTP/1.1", status, ""),
+        httputil.HTTPHeaders(
+            {
+                "Content-Type": content_type,
+                "Content-Length": str(len(body)),
+            }
+        ),
+        body,
+    )
+    request.connection.finish()
+
+
+def _supervise(
+    daemon: Daemon,
+    name: str,
+    make_loop: collections.abc.Callable[
+        [], collections.abc.Coroutine[None, None, None]
+    ],
+) -> None:
+    """Run a loop, and again if it fails."""
+
+    async def keep_running() -> None:
+        while not daemon.session.stopping:
+            try:
+                await make_loop()
+            except Exception:
+                LOG.exception("Loop has failed.", loop=name)
+            await asyncio.sleep(RESTART_PAUSE_S)
+
+    daemon.tasks.add(asyncio.ensure_future(keep_running()))
+
+
+async def _claim_loop(daemon: Daemon) -> None:
+    """Claim services without an owner, and own those that were gained."""
+    session = daemon.session
+    running: dict[str, asyncio.Task[None]] = {}
+    while True:
+        session.changed.clear()
+        for service in _services(session):
+            if _session.should_claim(session, service, _clock.now()):
+                await _session.claim(session, service)
+            _follow_ownership(daemon, running, service)
+        try:
+            async with asyncio.timeout(CLAIM_PERIOD_S):
+                await session.changed.wait()
+        except TimeoutError:
+            continue
+
+
+def _services(session: _session.Session) -> tuple[str, ...]:
+    if session.config is None:
+        return ()
+    return session.config.services
+
+
+def _follow_ownership(
+    daemon: Daemon, running: dict[str, asyncio.Task[None]], service: str
+) -> None:
+    session = daemon.session
+    owned = daemon.owned.get(service)
+    gained = _session.is_own(session, service) and not session.stopping
+    fence = session.owners[service].fence if gained else 0
+    if owned is not None and owned.fence != fence:
+        if not session.stopping and session.cell_known:
+            owned.deposed.set()
+    task = running.get(service)
+    if task is not None and not task.done():
+        return
+    daemon.owned.pop(service, None)
+    if not gained:
+        return
+    if owned is not None and owned.fence == fence:
+        # The ownership has failed; its key goes, so that it is taken anew.
+        LOG.warning("Ownership is given up.", service=service, fence=fence)
+        running[service] = asyncio.ensure_future(_owner.hand_over(owned))
+        session.owners.pop(service, None)
+        return
+    owner = _ownership.Ownership(
+        service=service,
+        fence=fence,
+        session=session,
+        store=session.store,
+        workers_http=daemon.workers_http,
+        pool=_make_pool(session.settings, service),
+        metrics=daemon.metrics,
+    )
+    daemon.owned[service] = owner
+    running[service] = asyncio.ensure_future(_owner.own(owner))
+
+
+def _make_pool(
+    settings: _settings.NodeSettings, service: str
+) -> workloads.Pool:
+    bounds = settings.bounds
+    return workloads.Pool(
+        service=service,
+        bounds=workloads.Bounds(
+            lease_s=min(
+                _ownership.RUN_LEASE_S, bounds.worker_lease_max_ms / 1000
+            ),
+            # Half of the allowed time: the clocks of instances differ.
+            early_s=0.0,
+            stop_s=bounds.stop_ms / 1000,
+            notice_s=bounds.notice_ms / 1000,
+            harm_s=bounds.harm_ms / 1000,
+        ),
+    )
+
+
+def _reload(settings: _settings.NodeSettings) -> None:
+    """Check a changed settings file; it takes effect at the next start."""
+    try:
+        changed = _settings.load_settings() != settings
+    except errors.SettingsError as error:
+        LOG.error("Settings are not reloaded.", error=str(error))
+        return
+    LOG.info("Settings were read again.", changed=changed)
+
+
+async def _stop(
+    daemon: Daemon,
+    servers: list[httpserver.HTTPServer],
+    settings: _settings.NodeSettings,
+) -> None:
+    """Hand the services over, answer what is under way, and end."""
+    began = _clock.now()
+    session = daemon.session
+    session.stopping = True
+    daemon.front.stopping = True
+    LOG.info("Stopping.", owned=sorted(daemon.owned))
+    await asyncio.gather(
+        *(_owner.hand_over(owner) for owner in daemon.owned.values())
+    )
+    await asyncio.sleep(max(0.0, ROTATION_S - (_clock.now() - began)))
+    servers[0].stop()
+    limit = began + settings.bounds.grace_s - STOP_MARGIN_S
+    while daemon.front.in_flight and _clock.now() < limit:
+        await asyncio.sleep(CLAIM_PERIOD_S / 2)
+    for task in daemon.tasks:
+        task.cancel()
+    await _session.leave(session)
+    LOG.info(
+        "Stopped.",
+        unanswered=daemon.front.in_flight,
+        seconds=round(_clock.now() - began, 2),
+    )
--- /dev/null
+++ b/chestnuttide/node/_metrics.py
@@ -0,0 +1,112 @@
+"""Counters and histograms of an instance's daemon."""
+
+import collections.abc
+import typing
+
+import aioprometheus
+from aioprometheus import collectors
+import attrs
+
+WAIT_BUCKETS_S: typing.Final = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+)
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class NodeMetrics:
+    """Metrics by name, in one registry.
+
+    Attributes
+    ----------
+    registry : Registry
+        All of them, for the metrics page.
+    answers : Counter
+        ``chestnuttide_answers_total{call,status}``.
+    refusals : Counter
+        ``chestnuttide_refusals_total{reason}``.
+    retries : Counter
+        ``chestnuttide_retries_total{reason}``.
+    store_calls : Counter
+        ``chestnuttide_store_calls_total{kind,outcome}``.
+    run_ends : Counter
+        ``chestnuttide_run_ends_total{how}``.
+    orders : Counter
+        ``chestnuttide_orders_total{kind,outcome}``.
+    start_wait_seconds : Histogram
+        ``chestnuttide_start_wait_seconds{queue}``, from a job's arrival at
+        its owner to its first confirmed start.
+    job_seconds : Histogram
+        ``chestnuttide_job_seconds{queue,state}``, until the stored end.
+    dropped_log_lines : Counter
+        ``chestnuttide_dropped_log_lines_total``.
+    """
+
+    registry: collectors.Registry
+    answers: aioprometheus.Counter
+    refusals: aioprometheus.Counter
+    retries: aioprometheus.Counter
+    store_calls: aioprometheus.Counter
+    run_ends: aioprometheus.Counter
+    orders: aioprometheus.Counter
+    start_wait_seconds: aioprometheus.Histogram
+    job_seconds: aioprometheus.Histogram
+    dropped_log_lines: aioprometheus.Counter
+
+
+def make_metrics() -> NodeMetrics:
+    """Return the metrics of a daemon in a registry of their own."""
+    registry = collectors.Registry()
+
+    def counter(name: str, doc: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(
+            f"chestnuttide_{name}_total", doc, registry=registry
+        )
+
+    def histogram(name: str, doc: str) -> aioprometheus.Histogram:
+        return aioprometheus.Histogram(
+            f"chestnuttide_{name}",
+            doc,
+            registry=registry,
+            buckets=WAIT_BUCKETS_S,
+        )
+
+    return NodeMetrics(
+        registry=registry,
+        answers=counter("answers", "Answers to callers."),
+        refusals=counter("refusals", "Refused calls, by reason."),
+        retries=counter("retries", "Attempts made again, by reason."),
+        store_calls=counter("store_calls", "Calls to the store."),
+        run_ends=counter("run_ends", "Ends of runs, by how."),
+        orders=counter("orders", "Orders to workers, by outcome."),
+        start_wait_seconds=histogram(
+            "start_wait_seconds", "Seconds until a job's first start."
+        ),
+        job_seconds=histogram(
+            "job_seconds", "Seconds until a job's end is stored."
+        ),
+        dropped_log_lines=counter(
+            "dropped_log_lines", "Log lines over the limit."
+        ),
+    )
+
+
+def store_counter(
+    metrics: NodeMetrics,
+) -> collections.abc.Callable[[str, str], None]:
+    """Return a function that counts calls to the store."""
+
+    def count(kind: str, outcome: str) -> None:
+        metrics.store_calls.inc({"kind": kind, "outcome": outcome})
+
+    return count
--- /dev/null
+++ b/chestnuttide/node/_owner.py
@@ -0,0 +1,425 @@
+"""Ownership of a service: takeover, and the loops that carry it."""
+
+import asyncio
+import contextlib
+
+from chestnuttide import errors
+from chestnuttide.node import _advice_calls
+from chestnuttide.node import _clock
+from chestnuttide.node import _commits
+from chestnuttide.node import _keys
+from chestnuttide.node import _ownership
+from chestnuttide.node import _session
+from chestnuttide.node import _worker_calls
+from chestnuttide import platform
+from chestnuttide import telemetry
+from chestnuttide import workloads
+
+LOG = telemetry.make_logger("owner")
+
+# Supervision looks at all runs at this rate.
+TICK_S = 0.1
+
+# An owner that stores nothing asks the store at this rate whether it still
+# is the owner.
+CONFIRM_S = 1.0
+
+TAKEOVER_RETRY_S = 0.1
+
+# Ended jobs are kept for this long beyond the time that callers may ask.
+STATUS_MARGIN_S = 30.0
+
+# The worker's clock may be 2% slow.
+_CLOCK_DRIFT = 0.98
+
+
+async def own(owner: _ownership.Ownership) -> None:
+    """Own a service until deposed; never raises."""
+    loops: list[asyncio.Task[None]] = []
+    began = _clock.now()
+    LOG.info("Takeover begins.", service=owner.service, fence=owner.fence)
+    try:
+        if not await _take_over(owner):
+            return
+        LOG.info(
+            "Takeover is complete.",
+            service=owner.service,
+            fence=owner.fence,
+            jobs=len(owner.pool.active),
+            workers=len(owner.pool.workers),
+            seconds=round(_clock.now() - began, 3),
+        )
+        loops = [
+            asyncio.ensure_future(each)
+            for each in (
+                _commits.run(owner),
+                _plan_loop(owner),
+                _tick_loop(owner),
+                _follow_work(owner),
+                _follow_workers(owner),
+                _confirm_loop(owner),
+            )
+        ]
+        deposed = asyncio.ensure_future(owner.deposed.wait())
+        loops.append(deposed)
+        done, _ = await asyncio.wait(
+            loops, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            if task.exception() is not None:
+                LOG.error(
+                    "Owner's loop has failed.",
+                    service=owner.service,
+                    exc_info=task.exception(),
+                )
+    except Exception:
+        LOG.exception("Ownership has failed.", service=owner.service)
+    finally:
+        owner.deposed.set()
+        every = [*loops, *owner.hold_loops.values(), *owner.orders]
+        for task in every:
+            task.cancel()
+        await asyncio.gather(*every, return_exceptions=True)
+        LOG.info(
+            "Ownership has ended.", service=owner.service, fence=owner.fence
+        )
+
+
+async def _take_over(owner: _ownership.Ownership) -> bool:
+    """Rebuild the pool from the store; return False if deposed."""
+    while not owner.deposed.is_set():
+        sent_at = _clock.now()
+        try:
+            items = {}
+            for prefix in (
+                _keys.WORKERS,
+                _keys.work(owner.service),
+                _keys.progress(owner.service),
+            ):
+                listed = await platform.read_all(owner.store, prefix)
+                items[prefix] = listed.items
+        except errors.SchedulerError as error:
+            LOG.warning(
+                "Takeover cannot read; trying again.",
+                service=owner.service,
+                error=str(error),
+            )
+            await asyncio.sleep(TAKEOVER_RETRY_S)
+            continue
+        owner.confirmed_at = sent_at
+        for item in items[_keys.WORKERS]:
+            _apply_worker(owner, item)
+        for item in items[_keys.work(owner.service)]:
+            _apply_job(owner, item)
+        for item in items[_keys.progress(owner.service)]:
+            _apply_progress(owner, item)
+        for item in items[_keys.work(owner.service)]:
+            _apply_cancel(owner, item)
+        for worker in list(owner.pool.workers.values()):
+            _worker_calls.ensure_hold_loop(owner, worker)
+        owner.plan_wanted.set()
+        return True
+    return False
+
+
+def _former_lease_until(owner: _ownership.Ownership) -> float:
+    """Return when all runs of a former owner have ended in silence.
+
+    A former owner may extend leases for its authority's time.
+    """
+    return (
+        _clock.now()
+        + _ownership.AUTHORITY_S
+        + owner.pool.bounds.lease_s / _CLOCK_DRIFT
+    )
+
+
+def _apply_worker(owner: _ownership.Ownership, item: platform.Item) -> None:
+    worker_id = item.key.removeprefix(_keys.WORKERS)
+    current = [
+        worker
+        for worker in owner.pool.workers.values()
+        if worker.report.id == worker_id
+    ]
+    if item.removed:
+        for worker in current:
+            worker.listed = False
+        return
+    try:
+        report = platform.decode_worker(worker_id, item.value)
+    except errors.ProtocolError as error:
+        LOG.warning("Worker entry is ignored.", error=str(error))
+        for worker in current:
+            worker.listed = False
+        return
+    if report.service != owner.service:
+        for worker in current:
+            worker.listed = False
+        return
+    key = workloads.worker_key(report)
+    known = owner.pool.workers.get(key)
+    draining = known is not None and known.report.draining
+    worker = workloads.update_worker(
+        owner.pool,
+        report,
+        now=_clock.now(),
+        lease_until=_former_lease_until(owner),
+    )
+    for other in current:
+        if other.key != key:
+            other.listed = False
+    if known is None or draining != report.draining:
+        LOG.info(
+            "Worker has reported.",
+            worker=key,
+            address=report.address,
+            draining=report.draining,
+            remaining_s=report.remaining_s,
+        )
+    owner.plan_wanted.set()
+
+
+def _apply_job(owner: _ownership.Ownership, item: platform.Item) -> None:
+    prefix = _keys.job(owner.service, "")
+    if not item.key.startswith(prefix) or item.removed:
+        return
+    job_id = item.key.removeprefix(prefix)
+    if job_id in owner.pool.jobs:
+        return
+    record = workloads.decode_job(item.value)
+    if isinstance(record, workloads.EndedJob):
+        job = _make_ended(job_id, owner.service, record)
+        owner.pool.jobs[job_id] = job
+        return
+    job = workloads.add_job(
+        owner.pool,
+        record,
+        now=_clock.now(),
+        now_unix_s=_clock.unix_time() + owner.pool.bounds.early_s,
+    )
+    job.shown_state = workloads.JobState.QUEUED
+    LOG.info(
+        "Job is queued.",
+        job=job_id,
+        queue=record.queue.name,
+        priority=record.queue.priority,
+        steps=len(record.steps),
+        tasks=sum(step.count for step in record.steps),
+        revision=item.revision,
+    )
+    owner.plan_wanted.set()
+
+
+def _make_ended(
+    job_id: str, service: str, record: workloads.EndedJob
+) -> workloads.Job:
+    queue = workloads.Queue(
+        name=record.queue, host="", prefix="", service=service
+    )
+    spec = workloads.JobSpec(id=job_id, queue=queue, payload="", steps=())
+    state = workloads.JobState(record.state)
+    return workloads.Job(
+        spec=spec,
+        state=state,
+        shown_state=state,
+        ended_unix_s=record.ended_unix_s,
+    )
+
+
+def _apply_progress(owner: _ownership.Ownership, item: platform.Item) -> None:
+    job_id = item.key.removeprefix(_keys.progress(owner.service))
+    job = owner.pool.active.get(job_id)
+    if job is None:
+        LOG.warning("Progress without a job is ignored.", job=job_id)
+        return
+    job.progress_revision = item.revision
+    workloads.apply_progress(
+        owner.pool,
+        job,
+        item.value,
+        lease_until=_former_lease_until(owner),
+        now=_clock.now(),
+        now_unix_s=_clock.unix_time(),
+    )
+
+
+def _apply_cancel(owner: _ownership.Ownership, item: platform.Item) -> None:
+    prefix = _keys.cancel(owner.service, "")
+    if not item.key.startswith(prefix) or item.removed:
+        return
+    job = owner.pool.active.get(item.key.removeprefix(prefix))
+    if job is None:
+        return
+    LOG.info(
+        "Job is cancelled.",
+        job=job.spec.id,
+        revision=item.revision,
+        runs=sum(len(unit.runs) for unit in job.units.values()),
+    )
+    workloads.cancel_job(owner.pool, job, _clock.unix_time())
+    for worker in owner.pool.workers.values():
+        _worker_calls.send_stops(owner, worker)
+    _ownership.want_commit(owner, urgent=True)
+
+
+async def _follow_work(owner: _ownership.Ownership) -> None:
+    def on_item(item: platform.Item) -> None:
+        _apply_job(owner, item)
+        _apply_cancel(owner, item)
+
+    def on_list(items: tuple[platform.Item, ...]) -> None:
+        for item in items:
+            on_item(item)
+
+    await _session.follow(
+        owner.session,
+        _keys.work(owner.service),
+        on_list=on_list,
+        on_item=on_item,
+        on_working=lambda working: None,
+    )
+
+
+async def _follow_workers(owner: _ownership.Ownership) -> None:
+    def on_item(item: platform.Item) -> None:
+        _apply_worker(owner, item)
+        for worker in list(owner.pool.workers.values()):
+            _worker_calls.ensure_hold_loop(owner, worker)
+
+    def on_list(items: tuple[platform.Item, ...]) -> None:
+        names = {item.key.removeprefix(_keys.WORKERS) for item in items}
+        for worker in owner.pool.workers.values():
+            if worker.report.id not in names:
+                worker.listed = False
+        for item in items:
+            on_item(item)
+
+    await _session.follow(
+        owner.session,
+        _keys.WORKERS,
+        on_list=on_list,
+        on_item=on_item,
+        on_working=lambda working: None,
+    )
+
+
+async def _plan_loop(owner: _ownership.Ownership) -> None:
+    while True:
+        await owner.plan_wanted.wait()
+        owner.plan_wanted.clear()
+        if owner.stopping or not _ownership.may_order(owner):
+            await asyncio.sleep(TICK_S)
+            continue
+        plan = workloads.make_plan(owner.pool, now=_clock.now())
+        if plan.runs:
+            _ownership.want_commit(owner, urgent=True)
+        _advice_calls.ask(owner, plan.questions)
+        # Lets the events of one loop iteration share a plan.
+        await asyncio.sleep(0)
+
+
+async def _tick_loop(owner: _ownership.Ownership) -> None:
+    while True:
+        await asyncio.sleep(TICK_S)
+        _supervise(owner)
+
+
+def _supervise(owner: _ownership.Ownership) -> None:
+    now = _clock.now()
+    unix_time = _clock.unix_time()
+    bounds = owner.pool.bounds
+    for job in list(owner.pool.active.values()):
+        workloads.release_due_occurrences(
+            owner.pool, job, unix_time + bounds.early_s
+        )
+    for run in workloads.find_stalled(owner.pool, now=now):
+        LOG.warning(
+            "Run stands still; stopping it.",
+            job=run.job.spec.id,
+            task=run.task,
+            run=run.number,
+            worker=run.worker_key,
+            percent=run.percent,
+            silent_s=round(now - run.progress_at, 2),
+        )
+        workloads.stop_stalled(owner.pool, run, now=now)
+    moved = workloads.evacuate(owner.pool, now=now, stop_s=bounds.stop_s)
+    for run in moved:
+        LOG.info(
+            "Run leaves a draining worker.",
+            job=run.job.spec.id,
+            task=run.task,
+            worker=run.worker_key,
+        )
+    for worker in owner.pool.workers.values():
+        _worker_calls.send_stops(owner, worker)
+    _forget_ended(owner, unix_time)
+    owner.plan_wanted.set()
+
+
+def _forget_ended(owner: _ownership.Ownership, unix_time: float) -> None:
+    keep_s = owner.session.settings.bounds.status_s + STATUS_MARGIN_S
+    old = [
+        job_id
+        for job_id, job in owner.pool.jobs.items()
+        if job.shown_state in workloads.TERMINAL_STATES
+        and not job.dirty
+        and unix_time - job.ended_unix_s > keep_s
+    ]
+    for job_id in old:
+        del owner.pool.jobs[job_id]
+        owner.removals.append(_keys.job(owner.service, job_id))
+        owner.removals.append(_keys.cancel(owner.service, job_id))
+    if old:
+        _ownership.want_commit(owner, urgent=False)
+
+
+async def _confirm_loop(owner: _ownership.Ownership) -> None:
+    """Ask the store for the ownership when no commit has shown it."""
+    while True:
+        await asyncio.sleep(CONFIRM_S / 4)
+        sent_at = _clock.now()
+        if sent_at - owner.confirmed_at < CONFIRM_S:
+            continue
+        try:
+            item = await platform.read_key(
+                owner.store, _keys.owner(owner.service)
+            )
+        except errors.SchedulerError as error:
+            LOG.info(
+                "Ownership is not confirmed.",
+                service=owner.service,
+                age_s=round(sent_at - owner.confirmed_at, 2),
+                error=str(error),
+            )
+            continue
+        if item is None or item.revision != owner.fence:
+            LOG.warning(
+                "Deposed: the owner's key has changed.",
+                service=owner.service,
+                fence=owner.fence,
+            )
+            owner.deposed.set()
+            return
+        owner.confirmed_at = max(owner.confirmed_at, sent_at)
+
+
+async def hand_over(owner: _ownership.Ownership) -> None:
+    """Store what is decided and give the ownership up."""
+    owner.stopping = True
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CONFIRM_S):
+            await _commits.commit_all(owner)
+    owner.deposed.set()
+    key = _keys.owner(owner.service)
+    try:
+        await platform.commit(
+            owner.store,
+            platform.Transaction(expect={key: owner.fence}, remove=(key,)),
+        )
+    except errors.SchedulerError as error:
+        LOG.warning(
+            "Ownership was not handed over; its lease ends it.",
+            service=owner.service,
+            error=str(error),
+        )
--- /dev/null
+++ b/chestnuttide/node/_session.py
@@ -0,0 +1,414 @@
+"""An instance's presence in the store: lease, members, owners, config."""
+
+import asyncio
+import collections.abc
+
+import attrs
+import cbor2
+import xxhash
+
+from chestnuttide import errors
+from chestnuttide.node import _clock
+from chestnuttide.node import _keys
+from chestnuttide.node import _messages
+from chestnuttide.node import _peers
+from chestnuttide.node import _settings
+from chestnuttide import platform
+from chestnuttide import telemetry
+
+LOG = telemetry.make_logger("session")
+
+# An owner that dies is replaced after this time. It is several times the
+# answer time of a slow store, so that a slow store costs no owner.
+LEASE_TTL_S = 2.0
+RENEWALS_PER_TTL = 4
+
+# A watch that has nothing to report returns after this time; the store
+# allows 30 s.
+WATCH_WAIT_S = 20.0
+
+# Pauses after a failed call to the store.
+RETRY_MINIMUM_S = 0.1
+RETRY_MAXIMUM_S = 0.5
+
+# A config is asked of a peer when the store has been silent for this long.
+# The configuration has to be in force within 2 s of its acknowledgement.
+CONFIG_PEER_PERIOD_S = 0.5
+
+# Each instance that ranks after another waits this much longer before it
+# claims a service, so that usually one write is made.
+CLAIM_STAGGER_S = 0.25
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class Owner:
+    """The owner of a service.
+
+    Attributes
+    ----------
+    instance, incarnation : str
+        The instance, and the start of its daemon.
+    fence : int
+        Fencing token: the revision at which it became the owner.
+    """
+
+    instance: str
+    incarnation: str
+    fence: int
+
+
+@attrs.define(kw_only=True, slots=True, eq=False)
+class Session:
+    """What an instance knows of the cell.
+
+    Attributes
+    ----------
+    settings : NodeSettings
+        The instance's settings.
+    store : KvStore
+        The store.
+    peers : Peers
+        The other instances.
+    address : str
+        ``ip:port`` for the other instances.
+    incarnation : str
+        This start of the daemon.
+    lease : int
+        The instance's lease; 0 if it has none.
+    members : dict of str to str
+        Address of each live instance.
+    owners : dict of str to Owner
+        Owner of each service that has one.
+    ownerless_since : dict of str to float
+        When a service was first seen without an owner.
+    cell_known : bool
+        Whether members and owners were read and are being watched.
+    config : ClusterConfig or None
+        Newest configuration.
+    config_document : bytes
+        As the operator wrote it.
+    config_at : float
+        Time of its adoption.
+    config_watched : bool
+        Whether the store's watch is working.
+    changed : asyncio.Event
+        Set when members, owners or config have changed.
+    stopping : bool
+        Whether the instance leaves.
+    """
+
+    settings: _settings.NodeSettings
+    store: platform.KvStore
+    peers: _peers.Peers
+    address: str = ""
+    incarnation: str = ""
+    lease: int = 0
+    members: dict[str, str] = attrs.field(factory=dict)
+    owners: dict[str, Owner] = attrs.field(factory=dict)
+    ownerless_since: dict[str, float] = attrs.field(factory=dict)
+    cell_known: bool = False
+    config: platform.ClusterConfig | None = None
+    config_document: bytes = b""
+    config_at: float = 0.0
+    config_watched: bool = False
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    stopping: bool = False
+
+
+async def keep_lease(session: Session) -> None:
+    """Hold a lease and the membership, for ever."""
+    ttl_s = max(LEASE_TTL_S, session.settings.store.min_lease_ms / 1000)
+    failed = False
+    while not session.stopping:
+        try:
+            if session.lease:
+                await platform.renew_lease(session.store, session.lease)
+            else:
+                await _join(session, ttl_s)
+            if failed:
+                LOG.info("Lease is renewed again.", lease=session.lease)
+            failed = False
+        except errors.LeaseExpiredError:
+            LOG.warning("Lease has ended.", lease=session.lease)
+            session.lease = 0
+            continue
+        except errors.SchedulerError as error:
+            if not failed:
+                LOG.warning("Lease is not renewed.", error=str(error))
+            failed = True
+        await asyncio.sleep(ttl_s / RENEWALS_PER_TTL)
+
+
+async def _join(session: Session, ttl_s: float) -> None:
+    lease, _ = await platform.grant_lease(session.store, ttl_s=ttl_s)
+    key = _keys.member(session.settings.instance)
+    value = cbor2.dumps([session.address, session.incarnation])
+    await platform.commit(
+        session.store,
+        platform.Transaction(put_leased={key: value}, lease=lease),
+    )
+    session.lease = lease
+    LOG.info("Joined the cell.", lease=lease, address=session.address)
+    session.changed.set()
+
+
+async def follow(
+    session: Session,
+    prefix: str,
+    *,
+    on_list: collections.abc.Callable[[tuple[platform.Item, ...]], None],
+    on_item: collections.abc.Callable[[platform.Item], None],
+    on_working: collections.abc.Callable[[bool], None],
+) -> None:
+    """Report the items of a prefix and all their changes, for ever.
+
+    Parameters
+    ----------
+    session : Session
+        The session.
+    prefix : str
+        Prefix of the keys.
+    on_list : function
+        Called with all items after each listing.
+    on_item : function
+        Called with each change.
+    on_working : function
+        Called with whether the last call succeeded, after each call.
+    """
+    revision = -1
+    pause_s = RETRY_MINIMUM_S
+    while True:
+        try:
+            if revision < 0:
+                listed = await platform.read_all(session.store, prefix)
+                on_list(listed.items)
+                revision = listed.store_revision
+            else:
+                changes = await platform.watch_keys(
+                    session.store,
+                    prefix,
+                    after_revision=revision,
+                    wait_s=WATCH_WAIT_S,
+                )
+                for item in changes.items:
+                    on_item(item)
+                revision = max(revision, changes.store_revision)
+            pause_s = RETRY_MINIMUM_S
+            on_working(True)
+        except platform.HistoryLostError:
+            LOG.info("History is gone; listing again.", prefix=prefix)
+            revision = -1
+        except errors.SchedulerError as error:
+            on_working(False)
+            LOG.debug("Watch failed.", prefix=prefix, error=str(error))
+            # Listing again also shows what a cut watch has missed.
+            revision = -1
+            await asyncio.sleep(pause_s)
+            pause_s = min(RETRY_MAXIMUM_S, pause_s * 2)
+
+
+async def follow_cell(session: Session) -> None:
+    """Keep members and owners up to date, for ever."""
+
+    def on_list(items: tuple[platform.Item, ...]) -> None:
+        session.members.clear()
+        session.owners.clear()
+        for item in items:
+            _apply_cell(session, item)
+        _note_cell(session)
+
+    def on_item(item: platform.Item) -> None:
+        _apply_cell(session, item)
+        _note_cell(session)
+
+    def on_working(working: bool) -> None:
+        if session.cell_known != working:
+            LOG.info("Cell watch changed.", working=working)
+        session.cell_known = working
+
+    await follow(
+        session,
+        _keys.CELL,
+        on_list=on_list,
+        on_item=on_item,
+        on_working=on_working,
+    )
+
+
+def _apply_cell(session: Session, item: platform.Item) -> None:
+    if item.key.startswith(_keys.MEMBERS):
+        name = item.key.removeprefix(_keys.MEMBERS)
+        if item.removed:
+            session.members.pop(name, None)
+        else:
+            session.members[name] = cbor2.loads(item.value)[0]
+        return
+    service = item.key.removeprefix(_keys.OWNERS)
+    former = session.owners.get(service)
+    if item.removed:
+        if former is not None and former.fence < item.revision:
+            del session.owners[service]
+            LOG.info("Service lost its owner.", service=service)
+        return
+    instance, incarnation = cbor2.loads(item.value)
+    if former is None or former.fence < item.revision:
+        session.owners[service] = Owner(
+            instance=instance, incarnation=incarnation, fence=item.revision
+        )
+        LOG.info(
+            "Service has an owner.",
+            service=service,
+            owner=instance,
+            fence=item.revision,
+        )
+
+
+def _note_cell(session: Session) -> None:
+    session.changed.set()
+    _peers.update_members(session.peers, session.members)
+
+
+async def follow_config(session: Session) -> None:
+    """Adopt each configuration that the operator writes, for ever."""
+
+    def on_item(item: platform.Item) -> None:
+        if item.key == _keys.CONFIG and not item.removed:
+            adopt_config(session, item.value, source="store")
+
+    def on_list(items: tuple[platform.Item, ...]) -> None:
+        for item in items:
+            on_item(item)
+
+    def on_working(working: bool) -> None:
+        if session.config_watched != working:
+            LOG.info("Config watch changed.", working=working)
+        session.config_watched = working
+
+    await follow(
+        session,
+        _keys.OPERATOR,
+        on_list=on_list,
+        on_item=on_item,
+        on_working=on_working,
+    )
+
+
+def adopt_config(session: Session, document: bytes, *, source: str) -> None:
+    """Put a configuration in force if it is newer than the current one."""
+    try:
+        config = platform.decode_config(document)
+    except errors.ProtocolError as error:
+        LOG.error("Config is ignored.", source=source, error=str(error))
+        return
+    if session.config is not None and config.version <= session.config.version:
+        return
+    session.config = config
+    session.config_document = document
+    session.config_at = _clock.now()
+    LOG.info(
+        "Config is in force.",
+        version=config.version,
+        queues=len(config.queues),
+        source=source,
+    )
+    session.changed.set()
+
+
+async def ask_peers_for_config(session: Session) -> None:
+    """Ask the peers for newer configurations while the store is away."""
+    turn = 0
+    while True:
+        await asyncio.sleep(CONFIG_PEER_PERIOD_S)
+        names = _peers.connected_names(session.peers)
+        if session.config_watched or not names:
+            continue
+        turn += 1
+        name = names[turn % len(names)]
+        version = session.config.version if session.config else 0
+        try:
+            reply = await _peers.call(
+                session.peers,
+                name,
+                lambda call_id, version=version: _messages.ConfigRead(
+                    call_id=call_id, known_version=version
+                ),
+            )
+        except errors.MeshError as error:
+            LOG.info("Peer has no config.", peer=name, error=str(error))
+            continue
+        if reply.document:
+            adopt_config(session, reply.document, source=name)
+
+
+def answer_config(
+    session: Session, message: _messages.ConfigRead
+) -> _messages.ConfigReply:
+    """Return the configuration if it is newer than the asker's."""
+    newer = (
+        session.config is not None
+        and session.config.version > message.known_version
+    )
+    return _messages.ConfigReply(
+        call_id=message.call_id,
+        document=session.config_document if newer else b"",
+    )
+
+
+def is_own(session: Session, service: str) -> bool:
+    """Return whether this start of the daemon owns a service."""
+    owner = session.owners.get(service)
+    return owner is not None and owner.incarnation == session.incarnation
+
+
+def should_claim(session: Session, service: str, now: float) -> bool:
+    """Return whether it is this instance's turn to claim a service."""
+    if session.stopping or not session.lease or not session.cell_known:
+        return False
+    if service in session.owners:
+        session.ownerless_since.pop(service, None)
+        return False
+    since = session.ownerless_since.setdefault(service, now)
+    ranked = sorted(
+        session.members,
+        key=lambda name: xxhash.xxh64_intdigest(f"{service}/{name}".encode()),
+    )
+    if session.settings.instance not in ranked:
+        return False
+    rank = ranked.index(session.settings.instance)
+    return now - since >= rank * CLAIM_STAGGER_S
+
+
+async def claim(session: Session, service: str) -> None:
+    """Try to become the owner of a service; the watch shows the outcome."""
+    key = _keys.owner(service)
+    value = cbor2.dumps([session.settings.instance, session.incarnation])
+    try:
+        revision = await platform.commit(
+            session.store,
+            platform.Transaction(
+                expect={key: 0}, put_leased={key: value}, lease=session.lease
+            ),
+        )
+    except errors.LeaseExpiredError:
+        LOG.warning("Claim failed: the lease has ended.", service=service)
+        session.lease = 0
+    except errors.SchedulerError as error:
+        # A claim whose answer was lost is seen by the watch.
+        LOG.info("Claim failed.", service=service, error=str(error))
+    else:
+        _apply_cell(
+            session,
+            platform.Item(key=key, value=value, revision=revision),
+        )
+        session.changed.set()
+
+
+async def leave(session: Session) -> None:
+    """End the lease, so that others take over at once."""
+    if not session.lease:
+        return
+    try:
+        await platform.end_lease(session.store, session.lease)
+    except errors.SchedulerError as error:
+        LOG.warning("Lease was not ended.", error=str(error))
+    LOG.info("Left the cell.")
--- /dev/null
+++ b/chestnuttide/node/_settings.py
@@ -0,0 +1,204 @@
+"""Settings of an instance, read from JSON with comments."""
+
+import difflib
+import os
+import pathlib
+import typing
+
+import attrs
+import cattrs
+import jsonc
+
+from chestnuttide import errors
+
+SETTINGS_VARIABLE: typing.Final = "CHESTNUTTIDE_CONFIG"
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class Listen:
+    """Addresses that an instance listens on, each ``ip:port``.
+
+    Attributes
+    ----------
+    callers : str
+        Requests of callers.
+    readiness : str
+        The balancer's readiness check.
+    """
+
+    callers: str
+    readiness: str
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class StoreSettings:
+    """The platform's metadata store.
+
+    Attributes
+    ----------
+    address : str
+        ``ip:port``.
+    writes_per_s, reads_per_s : float
+        Calls a second that all instances together may make.
+    min_lease_ms : int
+        Shortest lease that the store grants, in milliseconds.
+    """
+
+    address: str
+    writes_per_s: float = 400.0
+    reads_per_s: float = 2000.0
+    min_lease_ms: int = 1000
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class BoundSettings:
+    """Bounds of the deployment.
+
+    Attributes
+    ----------
+    worker_lease_max_ms : float
+        Longest lease of a worker's runs, in milliseconds.
+    stop_ms : float
+        Longest time that a stop of a run takes, in milliseconds.
+    early_ms : float
+        Time by which an occurrence may start before it is due.
+    notice_ms : float
+        Time for which an absent lasting task counts as away.
+    harm_ms : float
+        Time for which a serving task may miss its target.
+    status_s : float
+        Time for which an ended job's state can be read, in seconds.
+    grace_s : float
+        Time from SIGTERM to SIGKILL, in seconds.
+    """
+
+    worker_lease_max_ms: float = 6000.0
+    stop_ms: float = 900.0
+    early_ms: float = 250.0
+    notice_ms: float = 4500.0
+    harm_ms: float = 4000.0
+    status_s: float = 120.0
+    grace_s: float = 6.0
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class NodeSettings:
+    """All settings of an instance.
+
+    Attributes
+    ----------
+    instance : str
+        Name of the instance.
+    data_centre : str
+        Its data centre.
+    ip : str
+        Its address.
+    listen : Listen
+        What it listens on.
+    mesh_ports : tuple of (int, int)
+        First and last port for connections between instances.
+    store : StoreSettings
+        The metadata store.
+    advisor : str or None
+        Address of the policy advisor.
+    machines : str or None
+        Address of the machine inventory.
+    bounds : BoundSettings
+        Bounds of the deployment.
+    metrics_port : int
+        Port of the metrics.
+    log_level : str
+        Least severity that is logged.
+    log_lines_per_s : int
+        Most lines a second; further ones are counted and dropped.
+    """
+
+    instance: str
+    data_centre: str
+    ip: str
+    listen: Listen
+    mesh_ports: tuple[int, int]
+    store: StoreSettings
+    advisor: str | None = None
+    machines: str | None = None
+    bounds: BoundSettings = BoundSettings()
+    metrics_port: int = 9464
+    log_level: str = "info"
+    log_lines_per_s: int = 400
+
+
+def load_settings(path: str | None = None) -> NodeSettings:
+    """Return the settings in a file, by default the variable's.
+
+    Raises
+    ------
+    errors.SettingsError
+        If the file cannot be read, names an unknown field or has a value out
+        of range; the message names file, field and remedy.
+    """
+    path = path or os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+        document = jsonc.loads(text)
+    except (OSError, ValueError) as error:
+        raise errors.SettingsError(
+            message=f"The settings file {path!r} cannot be read: {error}.",
+            remedy=f"Set {SETTINGS_VARIABLE} to a file of JSON with comments.",
+        ) from error
+    _check_names(path, "", document, NodeSettings)
+    try:
+        settings = cattrs.Converter(forbid_extra_keys=True).structure(
+            document, NodeSettings
+        )
+    except Exception as error:
+        details = "; ".join(cattrs.transform_error(error))
+        raise errors.SettingsError(
+            message=f"{path}: {details}.",
+            remedy="Correct the named field; see docs/platform.md.",
+        ) from error
+    _check_ranges(path, settings)
+    return settings
+
+
+def _check_names(path: str, prefix: str, document: object, kind: type) -> None:
+    if not isinstance(document, dict):
+        return
+    known = {field.name: field.type for field in attrs.fields(kind)}
+    for name, value in document.items():
+        if name not in known:
+            near = difflib.get_close_matches(name, known, 1)
+            hint = f" Did you mean {near[0]!r}?" if near else ""
+            raise errors.SettingsError(
+                message=f"{path}: unknown field {prefix}{name}.{hint}",
+                remedy="Remove or correct the field.",
+            )
+        if attrs.has(known[name]):
+            _check_names(path, f"{prefix}{name}.", value, known[name])
+
+
+def _check_ranges(path: str, settings: NodeSettings) -> None:
+    checks = {
+        "mesh_ports": 0
+        < settings.mesh_ports[0]
+        <= settings.mesh_ports[1]
+        < 65536,
+        "bounds.worker_lease_max_ms": settings.bounds.worker_lease_max_ms
+        >= 1000,
+        "bounds.grace_s": settings.bounds.grace_s > 0,
+        "store.min_lease_ms": settings.store.min_lease_ms > 0,
+        "log_lines_per_s": settings.log_lines_per_s > 0,
+        "log_level": settings.log_level
+        in ("debug", "info", "warning", "error"),
+    }
+    for name, valid in checks.items():
+        if not valid:
+            raise errors.SettingsError(
+                message=f"{path}: {name} is out of range.",
+                remedy="Compare the value with docs/platform.md.",
+            )
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP and the port of ``ip:port``."""
+    ip, _, port = address.rpartition(":")
+    return ip, int(port)
--- a/chestnuttide/platform/__init__.py
+++ b/chestnuttide/platform/__init__.py
@@ -1,41 +1,63 @@
 """Ports to the platform and their clients."""
 
+from chestnuttide.platform import _advisor
+from chestnuttide.platform import _formats
+from chestnuttide.platform import _http
 from chestnuttide.platform import _instance_list_client
+from chestnuttide.platform import _kv_store
 from chestnuttide.platform import _ports
+from chestnuttide.platform import _run_orders
 from chestnuttide.platform import _store_client
 from chestnuttide.platform import _target_client
 from chestnuttide.platform import _worker_agent_client
 
+ClusterConfig = _formats.ClusterConfig
+ConditionError = _kv_store.ConditionError
+EndRow = _run_orders.EndRow
 Entry = _ports.Entry
+HistoryLostError = _kv_store.HistoryLostError
+HttpClient = _http.HttpClient
 InstanceChanges = _ports.InstanceChanges
 InstanceList = _ports.InstanceList
+Item = _kv_store.Item
+KvStore = _kv_store.KvStore
+Look = _run_orders.Look
+MAX_TRANSACTION_ENTRIES = _kv_store.MAX_TRANSACTION_ENTRIES
+MAX_WORKERS_PER_CALL = _advisor.MAX_WORKERS_PER_CALL
+OrderReply = _run_orders.OrderReply
+RunRow = _run_orders.RunRow
 StartOutcome = _ports.StartOutcome
 Store = _ports.Store
+StoreRefusedError = _kv_store.StoreRefusedError
 SyncResult = _ports.SyncResult
 TargetAnswer = _ports.TargetAnswer
 Targets = _ports.Targets
+Tickets = _advisor.Tickets
 TaskStart = _ports.TaskStart
+Transaction = _kv_store.Transaction
 WatchResult = _ports.WatchResult
+WorkerAddress = _run_orders.WorkerAddress
 WorkerAgent = _ports.WorkerAgent
+ask_advisor = _advisor.ask
+commit = _kv_store.commit
+decode_config = _formats.decode_config
+decode_job = _formats.decode_job
+decode_worker = _formats.decode_worker
+end_lease = _kv_store.end_lease
+grant_lease = _kv_store.grant_lease
+hold_runs = _run_orders.hold
+is_job_id = _formats.is_job_id
+make_client = _http.make_client
+pace_run = _run_orders.pace
+read_all = _kv_store.read_all
+read_key = _kv_store.read
+renew_lease = _kv_store.renew_lease
+start_run = _run_orders.start
+stop_run = _run_orders.stop
+watch_keys = _kv_store.watch
 make_instance_list = _instance_list_client.make_instance_list
 make_store = _store_client.make_store
 make_targets = _target_client.make_targets
 make_worker_agent = _worker_agent_client.make_worker_agent
 
-__all__ = [
-    "Entry",
-    "InstanceChanges",
-    "InstanceList",
-    "StartOutcome",
-    "Store",
-    "SyncResult",
-    "TargetAnswer",
-    "Targets",
-    "TaskStart",
-    "WatchResult",
-    "WorkerAgent",
-    "make_instance_list",
-    "make_store",
-    "make_targets",
-    "make_worker_agent",
-]
+__all__ = sorted(name for name in globals() if not name.startswith("_"))
--- /dev/null
+++ b/chestnuttide/platform/_formats.py
@@ -0,0 +1,234 @@
+"""Documents of callers, operators and workers, decoded into own types."""
+
+import json
+import re
+
+import attrs
+
+from chestnuttide import errors
+from chestnuttide import model
+from chestnuttide import workloads
+
+# A worker's rack stands among its labels, for example "r1-2".
+_RACK = re.compile(r"r\d+-\d+")
+
+_JOB_ID = re.compile(r"[0-9a-f]{16}")
+_MAX_PAYLOAD_BYTES = 4000
+_MAX_STEPS = 256
+_MAX_TASKS = 20_000
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class ClusterConfig:
+    """A version of the operator's configuration.
+
+    Attributes
+    ----------
+    version : int
+        Number; later versions have higher ones.
+    queues : tuple of Queue
+        Longest prefixes first.
+    services : tuple of str
+        Services whose workers may be used.
+    standby_services : frozenset of str
+        Services whose machines are off.
+    max_body_bytes, max_header_bytes : int
+        Limits of callers' requests.
+    """
+
+    version: int
+    queues: tuple[workloads.Queue, ...]
+    services: tuple[str, ...]
+    standby_services: frozenset[str]
+    max_body_bytes: int = 262_144
+    max_header_bytes: int = 16_384
+
+
+def decode_config(value: bytes) -> ClusterConfig:
+    """Return the configuration of the key ``op/config``.
+
+    Raises
+    ------
+    errors.ProtocolError
+        If the document cannot be used.
+    """
+    try:
+        document = json.loads(value)
+        limits = document.get("limits", {})
+        queues = [_queue(each) for each in document.get("routes", [])]
+        services = document.get("services", [])
+        return ClusterConfig(
+            version=int(document["version"]),
+            queues=tuple(sorted(queues, key=lambda each: -len(each.prefix))),
+            services=tuple(each["name"] for each in services),
+            standby_services=frozenset(
+                each["name"] for each in services if each.get("standby")
+            ),
+            max_body_bytes=int(limits.get("maxBodyBytes", 262_144)),
+            max_header_bytes=int(limits.get("maxHeaderBytes", 16_384)),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise errors.ProtocolError(
+            message=f"The configuration cannot be read: {error!r}.",
+            remedy="Compare op/config with the operator's page.",
+        ) from error
+
+
+def _queue(document: dict[str, object]) -> workloads.Queue:
+    advice = document.get("advice")
+    return workloads.Queue(
+        name=document["name"],
+        host=document["host"],
+        prefix=document["prefix"],
+        service=document["service"],
+        priority=int(document.get("priority", 0)),
+        attempt_limit=int(document.get("maxAttempts", 1)),
+        stretch=float(document.get("stretch", 1.0)),
+        # On the wire a target latency; here it is what the objective of a
+        # job allows beside its work.
+        latency_objective_s=float(document.get("targetLatencyMs", 0)) / 1000,
+        advice=None
+        if not advice
+        else workloads.Advice(
+            decide_s=float(advice["decideMs"]) / 1000,
+            per_worker_s=float(advice["eachMs"]) / 1000,
+            validity_s=float(advice["validityMs"]) / 1000,
+        ),
+    )
+
+
+def is_job_id(text: str) -> bool:
+    """Return whether a text has the form of a job's id."""
+    return _JOB_ID.fullmatch(text) is not None
+
+
+def decode_job(
+    body: bytes, *, job_id: str, queue: workloads.Queue, now_unix_s: float
+) -> workloads.JobSpec:
+    """Return the job in a caller's request body.
+
+    Raises
+    ------
+    errors.RefusedError
+        If the body is no valid job; its message names the field.
+    """
+    try:
+        document = json.loads(body)
+        steps = tuple(
+            _step(each, number)
+            for number, each in enumerate(document["steps"])
+        )
+        payload = document.get("spec", "")
+        if not isinstance(payload, str):
+            raise TypeError("spec is no string")
+        if len(payload.encode()) > _MAX_PAYLOAD_BYTES:
+            raise ValueError(f"spec exceeds {_MAX_PAYLOAD_BYTES} bytes")
+        if not 1 <= len(steps) <= _MAX_STEPS:
+            raise ValueError(f"steps must be 1 to {_MAX_STEPS}")
+        if sum(each.count for each in steps) > _MAX_TASKS:
+            raise ValueError(f"more than {_MAX_TASKS} tasks")
+        return workloads.JobSpec(
+            id=job_id,
+            queue=queue,
+            payload=payload,
+            steps=steps,
+            accepted_unix_s=now_unix_s,
+            occurrences=int(document.get("times", 0)),
+            first_due_unix_s=float(document.get("firstMs", 0)) / 1000,
+            interval_s=float(document.get("intervalMs", 0)) / 1000,
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise errors.RefusedError(
+            reason=errors.Reason.MALFORMED,
+            message=f"The job cannot be read: {error}.",
+            remedy="Correct the named field and submit again.",
+        ) from error
+
+
+def _step(document: dict[str, object], number: int) -> workloads.StepSpec:
+    count = int(document["count"])
+    after = tuple(int(each) for each in document.get("after", ()))
+    if count < 1:
+        raise ValueError(f"count of step {number} is below 1")
+    if any(not 0 <= each < number for each in after):
+        raise ValueError(f"after of step {number} names no earlier step")
+    need = model.Resources(
+        cpu_millis=int(document.get("cpu", 0)),
+        memory_mb=int(document.get("memMb", 0)),
+        accelerators=int(document.get("gpu", 0)),
+    )
+    if min(need.cpu_millis, need.memory_mb, need.accelerators) < 0:
+        raise ValueError(f"step {number} asks for a negative amount")
+    return workloads.StepSpec(
+        count=count,
+        need=need,
+        estimate_s=float(document.get("estRuntimeMs", 0)) / 1000,
+        after=after,
+        checkpointable=bool(document.get("checkpointable")),
+        gang=bool(document.get("gang")),
+        speculative=bool(document.get("speculative")),
+        lasting=bool(document.get("longRunning")),
+        filler=bool(document.get("fills")),
+        same_rack=bool(document.get("sameRack")),
+        label=str(document.get("constraints") or ""),
+        data_rack=str(document.get("affinity") or ""),
+        spread_limit=int(document.get("maxPerServer", 0)),
+        image=str(document.get("image") or ""),
+        latency_target_ms=float(document.get("targetMs", 0)),
+        # Only steps that name it have a limit; 0 allows no absence.
+        unavailable_limit=int(document.get("mayMiss", -1)),
+    )
+
+
+def decode_worker(worker_id: str, value: bytes) -> workloads.WorkerReport:
+    """Return a worker's entry in the store.
+
+    Raises
+    ------
+    errors.ProtocolError
+        If the entry was not written by a worker or cannot be read; it names
+        no worker to use.
+    """
+    try:
+        document = json.loads(value)
+        state = document["state"]
+        if state not in ("ready", "draining"):
+            raise ValueError(f"unknown state {state!r}")
+        for name in ("service", "addr", "zone"):
+            if not isinstance(document[name], str) or not document[name]:
+                raise TypeError(f"{name} is no text")
+        host, _, port = document["addr"].rpartition(":")
+        if not host or not 0 < int(port) < 65536:
+            raise ValueError("addr is no address")
+        capacity = document["capacity"]
+        labels = document.get("labels", [])
+        if not all(isinstance(each, str) for each in labels):
+            raise TypeError("labels are no texts")
+        return workloads.WorkerReport(
+            id=worker_id,
+            born_ms=int(document.get("born", 0)),
+            service=document["service"],
+            address=document["addr"],
+            data_centre=document["zone"],
+            capacity=model.Resources(
+                cpu_millis=_amount(capacity, "cpu"),
+                memory_mb=_amount(capacity, "memMb"),
+                accelerators=_amount(capacity, "gpu"),
+            ),
+            labels=frozenset(labels),
+            rack=next((e for e in labels if _RACK.fullmatch(e)), ""),
+            draining=state == "draining",
+            remaining_s=float(document.get("remainingMs", 0)) / 1000,
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise errors.ProtocolError(
+            message=f"The entry of worker {worker_id} is unusable: {error}.",
+            remedy="Ignore the entry; the worker writes it again.",
+        ) from error
+
+
+def _amount(capacity: dict[str, object], name: str) -> int:
+    amount = capacity.get(name, 0)
+    if isinstance(amount, bool) or not isinstance(amount, int) or amount < 0:
+        raise TypeError(f"capacity {name} is no amount")
+    return amount
--- a/chestnuttide/platform/_http.py
+++ b/chestnuttide/platform/_http.py
@@ -74,6 +74,7 @@
     """The arguments of `fetch` that hold for every connection it tries."""
 
     url: str
+    method: str
     body: bytes | None
     headers: dict[str, str] | None
     may_send: collections.abc.Callable[[], bool] | None
@@ -156,13 +157,14 @@
     *,
     url: str,
     timeout_s: float,
+    method: str = "",
     body: bytes | None = None,
     headers: dict[str, str] | None = None,
     may_send: collections.abc.Callable[[], bool] | None = None,
     resend: bool = False,
     keep: bool = True,
 ) -> Reply:
-    """Make one transfer: a POST when there is a body, else a GET.
+    """Make one transfer: by default a POST with a body, else a GET.
 
     Parameters
     ----------
@@ -172,6 +174,8 @@
         The whole URL.
     timeout_s : float
         Limit of the whole transfer in seconds.
+    method : str, optional
+        Method, if it is not the default.
     body : bytes, optional
         Body to post.
     headers : dict of str to str, optional
@@ -200,6 +204,7 @@
         raise _failure(url, "the deadline has passed", sent=False)
     call = _Call(
         url=url,
+        method=method or ("GET" if body is None else "POST"),
         body=body,
         headers=headers,
         may_send=may_send,
@@ -277,7 +282,7 @@
 
     request = httpclient.HTTPRequest(
         call.url,
-        method="GET" if call.body is None else "POST",
+        method=call.method,
         body=call.body,
         headers=call.headers,
         connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
--- /dev/null
+++ b/chestnuttide/workloads/__init__.py
@@ -0,0 +1,59 @@
+"""Decisions of a service's owner about its jobs, runs and workers."""
+
+from chestnuttide.workloads import _lifecycle
+from chestnuttide.workloads import _looks
+from chestnuttide.workloads import _planning
+from chestnuttide.workloads import _records
+from chestnuttide.workloads import _specs
+from chestnuttide.workloads import _state
+from chestnuttide.workloads import _supervision
+
+Advice = _specs.Advice
+Bounds = _state.Bounds
+EndedJob = _records.EndedJob
+Job = _state.Job
+JobSpec = _specs.JobSpec
+JobState = _state.JobState
+Observation = _looks.Observation
+Phase = _state.Phase
+Plan = _planning.Plan
+Pool = _state.Pool
+Question = _planning.Question
+Queue = _specs.Queue
+Run = _state.Run
+StepAdvice = _state.StepAdvice
+StepSpec = _specs.StepSpec
+TERMINAL_STATES = _state.TERMINAL_STATES
+Unit = _state.Unit
+UnitState = _state.UnitState
+Worker = _state.Worker
+WorkerReport = _specs.WorkerReport
+add_job = _lifecycle.add_job
+apply_look = _looks.apply_look
+apply_progress = _records.apply_progress
+cancel_job = _lifecycle.cancel_job
+confirm_start = _looks.confirm_start
+decode_job = _records.decode_job
+encode_end = _records.encode_end
+encode_job = _records.encode_job
+encode_progress = _records.encode_progress
+end_run = _lifecycle.end_run
+evacuate = _supervision.evacuate
+find_stalled = _supervision.find_stalled
+is_usable = _planning.is_usable
+lapse_silent_worker = _looks.lapse_silent_worker
+lease_deadline_ms = _looks.lease_deadline_ms
+make_plan = _planning.make_plan
+note_advice = _planning.note_advice
+note_clock = _looks.note_clock
+note_grant = _looks.note_grant
+note_question = _planning.note_question
+pace_fillers = _supervision.pace_fillers
+release_due_occurrences = _lifecycle.release_due_occurrences
+step_of = _lifecycle.step_of
+stop_runs = _lifecycle.stop_runs
+stop_stalled = _supervision.stop_stalled
+update_worker = _looks.update_worker
+worker_key = _state.worker_key
+
+__all__ = sorted(name for name in globals() if not name.startswith("_"))
