Separate short advice from long, hand over through peers, refuse truthfully in silence

Change: the first three eighths of the instances answer short questions only; a peer removes the key of an owner that the store refuses; nothing is written while the store is silent, and the caller is told to come back; jobs of a listing are applied before cancellations; lease 1.5 s, run lease 3.5 s.

--- a/chestnuttide/node/_advice_calls.py
+++ b/chestnuttide/node/_advice_calls.py
@@ -6,6 +6,8 @@
 
 import typing
 
+import xxhash
+
 from chestnuttide import errors
 from chestnuttide.node import _clock
 from chestnuttide.node import _messages
@@ -22,9 +24,11 @@
 TIMEOUT_MARGIN_S = 1.5
 RETRY_S = 0.2
 
-# Questions that take longer than this leave some instances to the others.
+# An instance's calls are answered in turn, so a short question behind a long
+# one waits for it. All owners therefore ask long questions only from the
+# instances that are not kept for short ones.
 LONG_QUESTION_S = 0.15
-KEPT_FOR_SHORT: typing.Final = 2
+KEPT_FOR_SHORT: typing.Final = 0.375
 
 
 def ask(
@@ -45,19 +49,27 @@
     owner: _ownership.Ownership, question: workloads.Question
 ) -> str | None:
     own = owner.session.settings.instance
-    names = [own, *_peers.connected_names(owner.session.peers)]
-    names = [name for name in names if name in owner.session.members]
-    names = names or [own]
-    if question.cost_s > LONG_QUESTION_S:
-        # Two owners share the instances; each begins at another end.
-        names.sort(reverse=owner.fence % 2 == 1)
-        names = names[: max(1, len(names) - KEPT_FOR_SHORT)]
-    name = min(names, key=lambda each: owner.advisors_busy.get(each, 0))
+    names = {own, *_peers.connected_names(owner.session.peers)}
+    ordered = sorted(names & owner.session.members.keys()) or [own]
+    kept = max(1, int(KEPT_FOR_SHORT * len(ordered)))
+    if question.cost_s <= LONG_QUESTION_S or len(ordered) == 1:
+        ordered = ordered[:kept]
+    else:
+        ordered = ordered[kept:]
+    if hash_of(owner.service) % 2:
+        # Two owners that begin at different ends seldom meet.
+        ordered.reverse()
+    name = min(ordered, key=lambda each: owner.advisors_busy.get(each, 0))
     if owner.advisors_busy.get(name, 0):
         return None
     return name
 
 
+def hash_of(text: str) -> int:
+    """Return a number that all instances compute alike."""
+    return xxhash.xxh64_intdigest(text.encode())
+
+
 async def _ask(
     owner: _ownership.Ownership, question: workloads.Question, name: str
 ) -> None:
--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -29,7 +29,7 @@
 LOG = telemetry.make_logger("daemon")
 
 # The store answers in milliseconds, and sixty times as slowly at times.
-STORE_TIMEOUT_S = 1.0
+STORE_TIMEOUT_S = 0.7
 
 # Transfers at once: a look and some orders for each worker.
 WORKER_CLIENTS = 1000
@@ -175,7 +175,11 @@
             call_id=message.call_id, outcome=outcome
         )
 
+    async def release(message: _messages.Release) -> object:
+        return await _owner.release(daemon.session, message)
+
     return {
+        _messages.Release: release,
         _messages.StateRead: state,
         _messages.PendingRead: pending,
         _messages.AdviceAsk: advice,
--- a/chestnuttide/node/_front.py
+++ b/chestnuttide/node/_front.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import json
+import random
 
 import attrs
 from tornado import httputil
@@ -26,10 +27,9 @@
 STORE_SHARE = 0.7
 DEFAULT_DEADLINE_S = 3.0
 
-# A refused write is tried again for this long before the caller is told to
-# come back: longer than a takeover of the store's connection, shorter than
-# the wait that makes a refusal late.
-REFUSED_PATIENCE_S = 0.4
+# Peers that are asked to write for an instance that the store refuses. The
+# store refuses at most some instances, or all.
+PEERS_TRIED = 3
 WRITE_PAUSE_S = 0.05
 RETRY_AFTER_S = 1
 
@@ -330,31 +330,32 @@
     """
     began = _clock.now()
     unknown = False
-    attempt = 0
     while True:
-        outcome = await write_job(front, write)
-        if outcome in ("stored", "exists"):
-            return outcome
-        unknown = unknown or outcome == "unknown"
+        outcomes = [await write_job(front, write)]
         names = _peers.connected_names(front.session.peers)
-        if names:
-            name = names[attempt % len(names)]
-            attempt += 1
-            outcome = await _write_through(front, name, write)
-            if outcome in ("stored", "exists"):
-                return outcome
-            unknown = unknown or outcome == "unknown"
-        spent_s = _clock.now() - began
-        patience_s = STORE_SHARE * deadline_s
+        for name in random.sample(names, min(PEERS_TRIED, len(names))):
+            if outcomes[-1] in ("stored", "exists"):
+                break
+            outcomes.append(await _write_through(front, name, write))
+        if outcomes[-1] in ("stored", "exists"):
+            return outcomes[-1]
+        # A job whose write may still take effect is not refused.
+        unknown = unknown or "unknown" in outcomes
         if not unknown:
-            patience_s = min(patience_s, REFUSED_PATIENCE_S)
-        if spent_s > patience_s:
-            return "unknown" if unknown else "refused"
+            return "refused"
+        if _clock.now() - began > STORE_SHARE * deadline_s:
+            return "unknown"
         await asyncio.sleep(WRITE_PAUSE_S)
 
 
 async def write_job(front: Front, write: _messages.JobWrite) -> str:
-    """Store a job from this instance; see `_store_job`."""
+    """Store a job from this instance; see `_store_job`.
+
+    While the store is silent nothing is sent, because a write without an
+    answer could not be refused truthfully.
+    """
+    if front.session.store.silent:
+        return "refused"
     try:
         await platform.commit(
             front.session.store,
--- a/chestnuttide/node/_messages.py
+++ b/chestnuttide/node/_messages.py
@@ -200,6 +200,41 @@
     outcome: str
 
 
+@attrs.frozen(kw_only=True, slots=True)
+class Release:
+    """Asks for the removal of the sender's own ownership from the store.
+
+    Attributes
+    ----------
+    call_id : int
+        Number of the call.
+    service : str
+        Service that is given up.
+    fence : int
+        Fencing token of the ownership.
+    """
+
+    call_id: int
+    service: str
+    fence: int
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class ReleaseReply:
+    """What became of a `Release`.
+
+    Attributes
+    ----------
+    call_id : int
+        Number of the call.
+    released : bool
+        Whether the ownership is gone.
+    """
+
+    call_id: int
+    released: bool
+
+
 MESSAGE_CLASSES: typing.Final[tuple[type, ...]] = (
     mesh.Hello,
     StateRead,
@@ -212,4 +247,6 @@
     ConfigReply,
     JobWrite,
     JobWriteReply,
+    Release,
+    ReleaseReply,
 )
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -1,6 +1,7 @@
 """Ownership of a service: takeover, and the loops that carry it."""
 
 import asyncio
+import collections.abc
 import contextlib
 
 from chestnuttide import errors
@@ -8,7 +9,9 @@
 from chestnuttide.node import _clock
 from chestnuttide.node import _commits
 from chestnuttide.node import _keys
+from chestnuttide.node import _messages
 from chestnuttide.node import _ownership
+from chestnuttide.node import _peers
 from chestnuttide.node import _session
 from chestnuttide.node import _worker_calls
 from chestnuttide import platform
@@ -26,6 +29,10 @@
 
 TAKEOVER_RETRY_S = 0.1
 
+# An owner that the store refuses for this long has a peer end its ownership,
+# so that an instance that reaches the store takes over at once.
+RELEASE_AFTER_S = 0.3
+
 # Ended jobs are kept for this long beyond the time that callers may ask.
 STATUS_MARGIN_S = 30.0
 
@@ -109,12 +116,12 @@
         owner.confirmed_at = sent_at
         for item in items[_keys.WORKERS]:
             _apply_worker(owner, item)
-        for item in items[_keys.work(owner.service)]:
+        work = items[_keys.work(owner.service)]
+        for item in work:
             _apply_job(owner, item)
         for item in items[_keys.progress(owner.service)]:
             _apply_progress(owner, item)
-        for item in items[_keys.work(owner.service)]:
-            _apply_cancel(owner, item)
+        apply_work(owner, work)
         for worker in list(owner.pool.workers.values()):
             _worker_calls.ensure_hold_loop(owner, worker)
         owner.plan_wanted.set()
@@ -262,20 +269,24 @@
     _ownership.want_commit(owner, urgent=True)
 
 
-async def _follow_work(owner: _ownership.Ownership) -> None:
-    def on_item(item: platform.Item) -> None:
+def apply_work(
+    owner: _ownership.Ownership,
+    items: collections.abc.Iterable[platform.Item],
+) -> None:
+    """Take over jobs, and then cancellations, which a list has first."""
+    items = tuple(items)
+    for item in items:
         _apply_job(owner, item)
+    for item in items:
         _apply_cancel(owner, item)
 
-    def on_list(items: tuple[platform.Item, ...]) -> None:
-        for item in items:
-            on_item(item)
 
+async def _follow_work(owner: _ownership.Ownership) -> None:
     await _session.follow(
         owner.session,
         _keys.work(owner.service),
-        on_list=on_list,
-        on_item=on_item,
+        on_list=lambda items: apply_work(owner, items),
+        on_item=lambda item: apply_work(owner, (item,)),
         on_working=lambda working: None,
     )
 
@@ -377,9 +388,10 @@
 async def _confirm_loop(owner: _ownership.Ownership) -> None:
     """Ask the store for the ownership when no commit has shown it."""
     while True:
-        await asyncio.sleep(CONFIRM_S / 4)
+        await asyncio.sleep(CONFIRM_S / 10)
         sent_at = _clock.now()
-        if sent_at - owner.confirmed_at < CONFIRM_S:
+        limit_s = RELEASE_AFTER_S if owner.store.failing_since else CONFIRM_S
+        if sent_at - owner.confirmed_at < limit_s:
             continue
         try:
             item = await platform.read_key(
@@ -392,6 +404,7 @@
                 age_s=round(sent_at - owner.confirmed_at, 2),
                 error=str(error),
             )
+            await _release_through_peer(owner)
             continue
         if item is None or item.revision != owner.fence:
             LOG.warning(
@@ -404,6 +417,55 @@
         owner.confirmed_at = max(owner.confirmed_at, sent_at)
 
 
+async def _release_through_peer(owner: _ownership.Ownership) -> None:
+    """Have a peer that reaches the store end this ownership."""
+    for name in _peers.connected_names(owner.session.peers):
+        try:
+            reply = await _peers.call(
+                owner.session.peers,
+                name,
+                lambda call_id: _messages.Release(
+                    call_id=call_id,
+                    service=owner.service,
+                    fence=owner.fence,
+                ),
+            )
+        except errors.MeshError as error:
+            LOG.info("Peer did not release.", peer=name, error=str(error))
+            continue
+        if reply.released:
+            LOG.warning(
+                "Ownership was ended through a peer.",
+                service=owner.service,
+                fence=owner.fence,
+                peer=name,
+            )
+            owner.deposed.set()
+            return
+
+
+async def release(
+    session: _session.Session, message: _messages.Release
+) -> _messages.ReleaseReply:
+    """End a peer's ownership for it, if it still stands."""
+    key = _keys.owner(message.service)
+    released = False
+    if not session.store.failing_since:
+        try:
+            await platform.commit(
+                session.store,
+                platform.Transaction(
+                    expect={key: message.fence}, remove=(key,)
+                ),
+            )
+            released = True
+        except platform.ConditionError:
+            released = True
+        except errors.SchedulerError as error:
+            LOG.info("Ownership was not released.", error=str(error))
+    return _messages.ReleaseReply(call_id=message.call_id, released=released)
+
+
 async def hand_over(owner: _ownership.Ownership) -> None:
     """Store what is decided and give the ownership up."""
     owner.stopping = True
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -14,12 +14,12 @@
 # An owner that has not heard from the store for this long sends no more
 # orders. Until then it keeps the workers' leases alive, so that work goes on
 # through a short outage of the store.
-AUTHORITY_S = 8.0
+AUTHORITY_S = 5.0
 
 # Lease of runs at their workers. It outlasts a takeover: the owner's lease,
 # the reads, and the first hold. A shorter one would return the work of a
 # dead worker sooner.
-RUN_LEASE_S = 5.0
+RUN_LEASE_S = 3.5
 
 
 @attrs.define(kw_only=True, slots=True, eq=False)
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -20,7 +20,7 @@
 
 # An owner that dies is replaced after this time. It is several times the
 # answer time of a slow store, so that a slow store costs no owner.
-LEASE_TTL_S = 2.0
+LEASE_TTL_S = 1.5
 RENEWALS_PER_TTL = 4
 
 # A watch that has nothing to report returns after this time; the store
--- a/chestnuttide/platform/_kv_store.py
+++ b/chestnuttide/platform/_kv_store.py
@@ -3,6 +3,7 @@
 import base64
 import collections.abc
 import json
+import time
 import urllib.parse
 
 import attrs
@@ -139,12 +140,19 @@
         Limit of a call in seconds; a watch has its wait in addition.
     count : function
         Called with the kind and the outcome of each call.
+    failing_since : float
+        Monotonic time of the first failure since the last good answer; 0
+        while the store answers.
+    silent : bool
+        Whether the last failure was a call without an answer.
     """
 
     http: _http.HttpClient
     address: str
     timeout_s: float
     count: collections.abc.Callable[[str, str], None]
+    failing_since: float = 0.0
+    silent: bool = False
 
 
 async def read(store: KvStore, key: str) -> Item | None:
@@ -323,6 +331,7 @@
         )
     except errors.PlatformError as error:
         store.count(kind, "unanswered" if error.sent else "unsent")
+        _note_failure(store, silent=True)
         kind_of_error = (
             errors.StoreUnavailableError if error.sent else StoreRefusedError
         )
@@ -332,13 +341,21 @@
         ) from error
     store.count(kind, str(reply.status))
     if reply.status in (429, 503):
+        _note_failure(store, silent=False)
         raise StoreRefusedError(
             message=f"The store refused a call with {reply.status}.",
             remedy="Try again later.",
         )
+    store.failing_since = 0.0
+    store.silent = False
     return reply
 
 
+def _note_failure(store: KvStore, *, silent: bool) -> None:
+    store.failing_since = store.failing_since or time.monotonic()
+    store.silent = silent
+
+
 def _load(reply: _http.Reply) -> dict[str, object]:
     try:
         return json.loads(reply.body)
