Overlap commits, mark orderly releases, and keep room for urgent work

Change: rounds of commits overlap, each job in one at a time; a release leaves a record with the fencing token, after which the successor waits for the run lease alone; 15% of a worker's processors are kept for priority 0; the watch of jobs gathers changes, since instances tell the owner.

--- a/chestnuttide/node/_commits.py
+++ b/chestnuttide/node/_commits.py
@@ -22,6 +22,9 @@
 
 RETRY_PAUSE_S = 0.05
 
+# Rounds under way at once. A round takes one answer of the store.
+MAX_ROUNDS = 32
+
 # A live job takes its expectation and its put, an ended one a put, a removal
 # and an expectation; one entry is the owner's own expectation.
 _ENTRIES_PER_JOB = 4
@@ -47,28 +50,69 @@
 
 
 async def run(owner: _ownership.Ownership) -> None:
-    """Store changed records until the ownership ends."""
+    """Store changed records until the ownership ends.
+
+    Rounds overlap, so that a slow store delays each change by one answer and
+    not by those of the changes before it.
+    """
+    former: asyncio.Task[bool] | None = None
     while not owner.deposed.is_set():
         await owner.commit_wanted.wait()
         await asyncio.sleep(URGENT_DELAY_S if owner.commit_urgent else DELAY_S)
         owner.commit_wanted.clear()
         owner.commit_urgent = False
-        await commit_all(owner)
+        while len(owner.rounds) >= MAX_ROUNDS:
+            await asyncio.wait(
+                owner.rounds, return_when=asyncio.FIRST_COMPLETED
+            )
+        former = asyncio.ensure_future(_commit_round(owner, former))
+        owner.rounds.add(former)
+        former.add_done_callback(owner.rounds.discard)
 
 
 async def commit_all(owner: _ownership.Ownership) -> None:
-    """Store all changed records, then let their consequences happen."""
+    """Store all changed records and wait for the rounds under way."""
+    if owner.rounds:
+        await asyncio.wait(owner.rounds)
+    await _commit_round(owner, None)
+
+
+async def _commit_round(
+    owner: _ownership.Ownership, former: asyncio.Task[bool] | None
+) -> bool:
+    """Store the records that are dirty now, and acknowledge ends.
+
+    An end may be acknowledged when its job's record and those of all rounds
+    before are stored.
+    """
     highest_ends = {
         worker.key: worker.highest_end
         for worker in owner.pool.workers.values()
     }
     dirty = [job for job in owner.pool.jobs.values() if job.dirty]
+    busy = [job for job in dirty if job.spec.id in owner.storing]
+    free = [job for job in dirty if job.spec.id not in owner.storing]
+    for job in free:
+        owner.storing.add(job.spec.id)
     limit = platform.MAX_TRANSACTION_ENTRIES - 1
     chunk = limit // _ENTRIES_PER_JOB
-    for begin in range(0, max(1, len(dirty)), chunk):
-        jobs = dirty[begin : begin + chunk]
-        if jobs and not await _commit_jobs(owner, jobs):
-            return
+    stored = all(
+        await asyncio.gather(
+            *(
+                _commit_jobs(owner, free[begin : begin + chunk])
+                for begin in range(0, len(free), chunk)
+            )
+        )
+    )
+    if former is not None:
+        await asyncio.wait([former])
+        stored = stored and former.result()
+    if not stored:
+        return False
+    if busy:
+        # Their former change is stored by now; the new one takes a round.
+        owner.commit_wanted.set()
+        return True
     for key, number in highest_ends.items():
         worker = owner.pool.workers.get(key)
         if worker is not None:
@@ -77,12 +121,25 @@
     owner.committed = asyncio.Event()
     if owner.removals:
         await _remove_old(owner)
+    return True
 
 
 async def _commit_jobs(
     owner: _ownership.Ownership, jobs: list[workloads.Job]
 ) -> bool:
     """Store some jobs; return False if the ownership has ended."""
+    try:
+        return await _commit_until_stored(owner, jobs)
+    finally:
+        for job in jobs:
+            owner.storing.discard(job.spec.id)
+            if job.dirty:
+                owner.commit_wanted.set()
+
+
+async def _commit_until_stored(
+    owner: _ownership.Ownership, jobs: list[workloads.Job]
+) -> bool:
     unanswered = False
     while not owner.deposed.is_set():
         batch = _make_batch(owner, jobs)
--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -309,6 +309,7 @@
         workers_http=daemon.workers_http,
         pool=_make_pool(session.settings, service),
         metrics=daemon.metrics,
+        former_stopped=_session.has_former_stopped(session, service),
     )
     daemon.owned[service] = owner
     running[service] = asyncio.ensure_future(_owner.own(owner))
--- a/chestnuttide/node/_front.py
+++ b/chestnuttide/node/_front.py
@@ -288,10 +288,10 @@
         key=_keys.job(queue.service, job_id),
         value=workloads.encode_job(spec),
     )
-    _notify_owner(front, queue.service, write.value, stored=False)
+    _notify_owner(front, queue.service, job_id, write.value, stored=False)
     outcome = await _store_job(front, write, _deadline_s(request))
     if outcome == "stored":
-        _notify_owner(front, queue.service, write.value, stored=True)
+        _notify_owner(front, queue.service, job_id, write.value, stored=True)
     inputs = {
         "queue": queue.name,
         "outcome": outcome,
@@ -322,12 +322,14 @@
 
 
 def _notify_owner(
-    front: Front, service: str, value: bytes, *, stored: bool
+    front: Front, service: str, job_id: str, value: bytes, *, stored: bool
 ) -> None:
     owner = front.session.owners.get(service)
     if owner is None:
         return
-    message = _messages.JobNotice(service=service, value=value, stored=stored)
+    message = _messages.JobNotice(
+        service=service, job_id=job_id, value=value, stored=stored
+    )
     if owner.incarnation == front.session.incarnation:
         _owner.take_notice(front.owned.get(service), message)
     else:
--- a/chestnuttide/node/_keys.py
+++ b/chestnuttide/node/_keys.py
@@ -3,6 +3,7 @@
 CELL = "cell/"
 MEMBERS = "cell/members/"
 OWNERS = "cell/owners/"
+RELEASED = "cell/released/"
 
 # Written by the platform, never by an instance.
 OPERATOR = "op/"
@@ -20,6 +21,11 @@
     return f"{OWNERS}{service}"
 
 
+def released(service: str) -> str:
+    """Return the key that names the last owner that stopped in order."""
+    return f"{RELEASED}{service}"
+
+
 def work(service: str) -> str:
     """Return the prefix of a service's jobs and cancellations."""
     return f"work/{service}/"
--- a/chestnuttide/node/_messages.py
+++ b/chestnuttide/node/_messages.py
@@ -170,13 +170,16 @@
     ----------
     service : str
         Service of the job.
+    job_id : str
+        Id of the job.
     value : bytes
-        The job's record.
+        The job's record; empty if its cancellation was stored.
     stored : bool
         Whether its write was acknowledged; before, it is under way.
     """
 
     service: str
+    job_id: str
     value: bytes
     stored: bool
 
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -40,6 +40,10 @@
 # caller got no answer, or a refusal.
 ANNOUNCED_S = 5.0
 
+# Jobs and cancellations are told by their instances; the watch makes good
+# what was lost, and may gather changes for this long.
+GATHER_S = 0.3
+
 # Steps of a job that its log line describes.
 LOGGED_STEPS = 4
 
@@ -90,7 +94,12 @@
         LOG.exception("Ownership has failed.", service=owner.service)
     finally:
         owner.deposed.set()
-        every = [*loops, *owner.hold_loops.values(), *owner.orders]
+        every = [
+            *loops,
+            *owner.hold_loops.values(),
+            *owner.orders,
+            *owner.rounds,
+        ]
         for task in every:
             task.cancel()
         await asyncio.gather(*every, return_exceptions=True)
@@ -139,13 +148,12 @@
 def _former_lease_until(owner: _ownership.Ownership) -> float:
     """Return when all runs of a former owner have ended in silence.
 
-    A former owner may extend leases for its authority's time.
+    A former owner that did not stop may extend leases while it has authority.
     """
-    return (
-        _clock.now()
-        + _ownership.AUTHORITY_S
-        + owner.pool.bounds.lease_s / _CLOCK_DRIFT
-    )
+    until = _clock.now() + owner.pool.bounds.lease_s / _CLOCK_DRIFT
+    if not owner.former_stopped:
+        until += _ownership.AUTHORITY_S
+    return until
 
 
 def _apply_worker(owner: _ownership.Ownership, item: platform.Item) -> None:
@@ -232,6 +240,9 @@
     """
     if owner is None or not owner.ready or owner.deposed.is_set():
         return
+    if not message.value:
+        _cancel(owner, message.job_id)
+        return
     record = workloads.decode_job(message.value)
     job = owner.pool.jobs.get(record.id) or _add_job(owner, record)
     if message.stored and not job.accepted:
@@ -299,13 +310,17 @@
     prefix = _keys.cancel(owner.service, "")
     if not item.key.startswith(prefix) or item.removed:
         return
-    job = owner.pool.active.get(item.key.removeprefix(prefix))
+    _cancel(owner, item.key.removeprefix(prefix))
+
+
+def _cancel(owner: _ownership.Ownership, job_id: str) -> None:
+    job = owner.pool.active.get(job_id)
     if job is None:
         return
+    job.accepted = True
     LOG.info(
         "Job is cancelled.",
         job=job.spec.id,
-        revision=item.revision,
         runs=sum(len(unit.runs) for unit in job.units.values()),
     )
     workloads.cancel_job(owner.pool, job, _clock.unix_time())
@@ -333,6 +348,7 @@
         on_list=lambda items: apply_work(owner, items),
         on_item=lambda item: apply_work(owner, (item,)),
         on_working=lambda working: None,
+        pause_s=GATHER_S,
     )
 
 
@@ -473,6 +489,7 @@
 
 async def _release_through_peer(owner: _ownership.Ownership) -> None:
     """Have a peer that reaches the store end this ownership."""
+    owner.releasing = True
     for name in _peers.connected_names(owner.session.peers):
         try:
             reply = await _peers.call(
@@ -485,8 +502,10 @@
                 ),
             )
         except errors.MeshError as error:
+            # The peer may still do it, so ordering cannot go on.
             LOG.info("Peer did not release.", peer=name, error=str(error))
-            continue
+            owner.deposed.set()
+            return
         if reply.released:
             LOG.warning(
                 "Ownership was ended through a peer.",
@@ -496,26 +515,34 @@
             )
             owner.deposed.set()
             return
+    owner.releasing = False
+
+
+def _release_transaction(service: str, fence: int) -> platform.Transaction:
+    """Return the change that ends an ownership that orders no more."""
+    key = _keys.owner(service)
+    return platform.Transaction(
+        expect={key: fence},
+        put={_keys.released(service): str(fence).encode()},
+        remove=(key,),
+    )
 
 
 async def release(
     session: _session.Session, message: _messages.Release
 ) -> _messages.ReleaseReply:
     """End a peer's ownership for it, if it still stands."""
-    key = _keys.owner(message.service)
     released = False
     if not session.store.failing_since:
         try:
             await platform.commit(
                 session.store,
-                platform.Transaction(
-                    expect={key: message.fence}, remove=(key,)
-                ),
+                _release_transaction(message.service, message.fence),
             )
             released = True
         except platform.ConditionError:
             released = True
-        except errors.SchedulerError as error:
+        except platform.StoreRefusedError as error:
             LOG.info("Ownership was not released.", error=str(error))
     return _messages.ReleaseReply(call_id=message.call_id, released=released)
 
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -50,6 +50,10 @@
         Set when a record has to be stored.
     commit_urgent : bool
         Whether a start or an answer waits for the next commit.
+    rounds : set of Task
+        Rounds of commits under way.
+    storing : set of str
+        Jobs whose record is being stored.
     committed : asyncio.Event
         Set after each commit, and replaced.
     plan_wanted : asyncio.Event
@@ -64,6 +68,10 @@
         Keys of jobs whose state need not be kept any longer.
     ready : bool
         Whether the takeover is complete.
+    releasing : bool
+        Whether a peer is asked to end the ownership; nothing is ordered.
+    former_stopped : bool
+        Whether the former owner had stopped ordering before this one began.
     stopping : bool
         Whether no new run is planned because the instance leaves.
     """
@@ -79,6 +87,8 @@
     deposed: asyncio.Event = attrs.field(factory=asyncio.Event)
     commit_wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
     commit_urgent: bool = False
+    rounds: set[asyncio.Task[bool]] = attrs.field(factory=set)
+    storing: set[str] = attrs.field(factory=set)
     committed: asyncio.Event = attrs.field(factory=asyncio.Event)
     plan_wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
     hold_loops: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
@@ -86,6 +96,8 @@
     advisors_busy: dict[str, int] = attrs.field(factory=dict)
     removals: list[str] = attrs.field(factory=list)
     ready: bool = False
+    releasing: bool = False
+    former_stopped: bool = False
     stopping: bool = False
 
 
@@ -97,6 +109,7 @@
     """
     return (
         not owner.deposed.is_set()
+        and not owner.releasing
         and _clock.now() - owner.confirmed_at < AUTHORITY_S
     )
 
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -79,8 +79,11 @@
         Address of each live instance.
     owners : dict of str to Owner
         Owner of each service that has one.
-    former_owners : dict of str to str
-        Instance that owned a service before its owner's key was removed.
+    former_owners : dict of str to Owner
+        Owner of a service before the owner's key was removed.
+    released : dict of str to int
+        Fencing token of the last owner of a service that stopped ordering
+        before its key was removed.
     ownerless_since : dict of str to float
         When a service was first seen without an owner.
     cell_known : bool
@@ -107,7 +110,8 @@
     lease: int = 0
     members: dict[str, str] = attrs.field(factory=dict)
     owners: dict[str, Owner] = attrs.field(factory=dict)
-    former_owners: dict[str, str] = attrs.field(factory=dict)
+    former_owners: dict[str, Owner] = attrs.field(factory=dict)
+    released: dict[str, int] = attrs.field(factory=dict)
     ownerless_since: dict[str, float] = attrs.field(factory=dict)
     cell_known: bool = False
     config: platform.ClusterConfig | None = None
@@ -162,6 +166,7 @@
     on_list: collections.abc.Callable[[tuple[platform.Item, ...]], None],
     on_item: collections.abc.Callable[[platform.Item], None],
     on_working: collections.abc.Callable[[bool], None],
+    pause_s: float = 0.0,
 ) -> None:
     """Report the items of a prefix and all their changes, for ever.
 
@@ -177,9 +182,11 @@
         Called with each change.
     on_working : function
         Called with whether the last call succeeded, after each call.
+    pause_s : float
+        Time to gather changes before they are asked for.
     """
     revision = -1
-    pause_s = RETRY_MINIMUM_S
+    retry_s = RETRY_MINIMUM_S
     while True:
         try:
             if revision < 0:
@@ -196,7 +203,8 @@
                 for item in changes.items:
                     on_item(item)
                 revision = max(revision, changes.store_revision)
-            pause_s = RETRY_MINIMUM_S
+                await asyncio.sleep(pause_s)
+            retry_s = RETRY_MINIMUM_S
             on_working(True)
         except platform.HistoryLostError:
             LOG.info("History is gone; listing again.", prefix=prefix)
@@ -206,8 +214,8 @@
             LOG.debug("Watch failed.", prefix=prefix, error=str(error))
             # Listing again also shows what a cut watch has missed.
             revision = -1
-            await asyncio.sleep(pause_s)
-            pause_s = min(RETRY_MAXIMUM_S, pause_s * 2)
+            await asyncio.sleep(retry_s)
+            retry_s = min(RETRY_MAXIMUM_S, retry_s * 2)
 
 
 async def follow_cell(session: Session) -> None:
@@ -246,12 +254,17 @@
         else:
             session.members[name] = cbor2.loads(item.value)[0]
         return
+    if item.key.startswith(_keys.RELEASED):
+        if not item.removed:
+            service = item.key.removeprefix(_keys.RELEASED)
+            session.released[service] = int(item.value)
+        return
     service = item.key.removeprefix(_keys.OWNERS)
     former = session.owners.get(service)
     if item.removed:
         if former is not None and former.fence < item.revision:
             del session.owners[service]
-            session.former_owners[service] = former.instance
+            session.former_owners[service] = former
             LOG.info("Service lost its owner.", service=service)
         return
     instance, incarnation = cbor2.loads(item.value)
@@ -373,7 +386,8 @@
         return False
     since = session.ownerless_since.setdefault(service, now)
     # The former owner is stopping, dead or cut off, so it comes last.
-    former = session.former_owners.get(service)
+    former_owner = session.former_owners.get(service)
+    former = former_owner.instance if former_owner else ""
     ranked = sorted(
         session.members,
         key=lambda name: (
@@ -387,6 +401,12 @@
     return now - since >= rank * CLAIM_STAGGER_S
 
 
+def has_former_stopped(session: Session, service: str) -> bool:
+    """Return whether a service's last owner has stopped in order."""
+    former = session.former_owners.get(service)
+    return former is not None and session.released.get(service) == former.fence
+
+
 async def claim(session: Session, service: str) -> None:
     """Try to become the owner of a service; the watch shows the outcome."""
     key = _keys.owner(service)
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -21,6 +21,10 @@
 RECENT_FAILURE = 0.5
 OVERCOMMITTED = 3.0
 
+# Share of each worker's processors that only the most urgent work may take,
+# so that it starts at once at the crest.
+URGENT_RESERVE = 0.15
+
 # The advisor lets about one worker in three run a step, so it is asked for
 # this many times the workers that can hold the step, and a few more.
 ASKED_PER_NEEDED = 3
@@ -171,8 +175,7 @@
 ) -> bool:
     """Return whether one more task of a step fits a worker now."""
     step = job.spec.steps[step_key[1]]
-    free = model.subtract(worker.report.capacity, worker.used)
-    if not model.fits(_state.reserved_need(step), free):
+    if not model.fits(_state.reserved_need(step), _free(worker, job)):
         return False
     return (
         not step.spread_limit
@@ -180,6 +183,15 @@
     )
 
 
+def _free(worker: _state.Worker, job: _state.Job) -> model.Resources:
+    """Return what a job may take of a worker now."""
+    free = model.subtract(worker.report.capacity, worker.used)
+    if job.spec.queue.priority == 0 or not worker.runs:
+        return free
+    kept = int(URGENT_RESERVE * worker.report.capacity.cpu_millis)
+    return attrs.evolve(free, cpu_millis=max(0, free.cpu_millis - kept))
+
+
 def _count_of_step(
     worker: _state.Worker, job: _state.Job, step_key: tuple[int, int]
 ) -> int:
@@ -353,7 +365,7 @@
     step_key: tuple[int, int],
 ) -> int:
     need = _state.reserved_need(step)
-    free = model.subtract(worker.report.capacity, worker.used)
+    free = _free(worker, job)
     room = min(
         free.cpu_millis // need.cpu_millis if need.cpu_millis else math.inf,
         free.memory_mb // need.memory_mb if need.memory_mb else math.inf,
