--- a/chestnuttide/node/_commits.py
+++ b/chestnuttide/node/_commits.py
@@ -259,15 +259,26 @@
             )
         job.shown_state = state
     for run in batch.planned:
-        if (
-            run.phase == workloads.Phase.PLANNED
-            and run in run.unit.runs
-            and not run.stopping
-        ):
-            run.phase = workloads.Phase.ORDERED
-            _ownership.start_order(
-                owner, _worker_calls.order_start(owner, run)
-            )
+        run.recorded = True
+    for job, _ in batch.jobs:
+        order_recorded(owner, job)
+
+
+def order_recorded(owner: _ownership.Ownership, job: workloads.Job) -> None:
+    """Order the runs of a job that is stored, if their record is, too."""
+    if not job.accepted:
+        return
+    for unit in job.units.values():
+        for run in unit.runs:
+            if (
+                run.phase == workloads.Phase.PLANNED
+                and run.recorded
+                and not run.stopping
+            ):
+                run.phase = workloads.Phase.ORDERED
+                _ownership.start_order(
+                    owner, _worker_calls.order_start(owner, run)
+                )
 
 
 async def _remove_old(owner: _ownership.Ownership) -> None:
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -94,15 +94,10 @@
         LOG.exception("Ownership has failed.", service=owner.service)
     finally:
         owner.deposed.set()
-        every = [
-            *loops,
-            *owner.hold_loops.values(),
-            *owner.orders,
-            *owner.rounds,
-        ]
-        for task in every:
+        # Orders and looks under way end by themselves; none follows them.
+        for task in loops:
             task.cancel()
-        await asyncio.gather(*every, return_exceptions=True)
+        await asyncio.gather(*loops, return_exceptions=True)
         LOG.info(
             "Ownership has ended.", service=owner.service, fence=owner.fence
         )
@@ -235,8 +230,8 @@
 ) -> None:
     """Take over a job that an instance is storing or has stored.
 
-    The advisor is asked while the job's write is under way. Nothing starts
-    before the write is acknowledged.
+    The advisor is asked and the runs are recorded while the job's write is
+    under way. Nothing starts before both writes are acknowledged.
     """
     if owner is None or not owner.ready or owner.deposed.is_set():
         return
@@ -269,6 +264,7 @@
             for step in job.spec.steps[:LOGGED_STEPS]
         ],
     )
+    _commits.order_recorded(owner, job)
     owner.plan_wanted.set()
 
 
@@ -398,6 +394,15 @@
 
 def _supervise(owner: _ownership.Ownership) -> None:
     now = _clock.now()
+    config = owner.session.config
+    owner.pool.top_priority = min(
+        (
+            queue.priority
+            for queue in config.queues
+            if queue.service == owner.service
+        ),
+        default=0,
+    )
     unix_time = _clock.unix_time()
     bounds = owner.pool.bounds
     for job in list(owner.pool.active.values()):
@@ -433,6 +438,11 @@
 def _forget_announced(owner: _ownership.Ownership, now: float) -> None:
     for job in list(owner.pool.active.values()):
         if not job.accepted and now - job.accepted_at > ANNOUNCED_S:
+            for unit in job.units.values():
+                workloads.stop_runs(owner.pool, unit)
+            if job.progress_revision:
+                key = _keys.progress(owner.service, job.spec.id)
+                owner.removals.append(key)
             del owner.pool.active[job.spec.id]
             del owner.pool.jobs[job.spec.id]
             LOG.info("Announced job was not stored.", job=job.spec.id)
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -1,34 +1,26 @@
-"""Choice of the workers for waiting units, and of questions to the advisor."""
+"""Choice of the workers for waiting units, and of questions to the advisor.
+
+Steps are planned in order of urgency. A step that finds no room keeps the
+workers that it waits for from less urgent steps, so that large tasks are not
+overtaken for ever by small ones.
+"""
 
 import collections.abc
 import math
 
 import attrs
 
-from chestnuttide import model
 from chestnuttide.workloads import _lifecycle
+from chestnuttide.workloads import _rooms
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
 
 # A start takes a store write and a call, so a ticket must be valid for longer.
 TICKET_MARGIN_S = 0.15
 
-# Weights of a candidate's score; its unit is a worker's whole capacity.
-FILLER_BESIDE_SERVING = 4.0
-SERVING_BESIDE_FILLER = 2.0
-CROWDED_STEP = 0.3
-FAR_FROM_DATA = 1.0
-RECENT_FAILURE = 0.5
-OVERCOMMITTED = 3.0
-
-# Share of each worker's processors that only the most urgent work may take,
-# so that it starts at once at the crest.
-URGENT_RESERVE = 0.15
-
-# The advisor lets about one worker in three run a step, so it is asked for
-# this many times the workers that can hold the step, and a few more.
-ASKED_PER_NEEDED = 3
-ASKED_IN_ADDITION = 4
+# The first question about a step names as many workers as add this share to
+# the time of a call; the answer does not change for the step.
+NAMED_SHARE = 0.5
 
 
 @attrs.frozen(kw_only=True, slots=True, eq=False)
@@ -53,8 +45,7 @@
     @property
     def cost_s(self) -> float:
         """Seconds that the advisor takes."""
-        advice = self.job.spec.queue.advice
-        return advice.decide_s + advice.per_worker_s * len(self.workers)
+        return _cost_s(self.job.spec.queue.advice, len(self.workers))
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -73,27 +64,55 @@
     questions: tuple[Question, ...]
 
 
+@attrs.frozen(kw_only=True, slots=True, eq=False)
+class _Step:
+    """A step with units that wait.
+
+    Attributes
+    ----------
+    job : Job
+        The job.
+    key : (int, int)
+        Occurrence and step.
+    spec : StepSpec
+        The step.
+    waiting : list of Unit
+        Units that could start.
+    eligible : list of Worker
+        Workers that could ever run its tasks.
+    """
+
+    job: _state.Job
+    key: tuple[int, int]
+    spec: _specs.StepSpec
+    waiting: list[_state.Unit]
+    eligible: list[_state.Worker]
+
+
+def _cost_s(advice: _specs.Advice, workers: int) -> float:
+    return advice.decide_s + advice.per_worker_s * workers
+
+
 def make_plan(pool: _state.Pool, *, now: float) -> Plan:
     """Place what can be placed, and say what the advisor is asked."""
     runs: list[_state.Run] = []
     questions: list[Question] = []
-    usable = [
-        worker for worker in pool.workers.values() if is_usable(worker, now)
-    ]
-    if not usable:
+    rooms = _rooms.Rooms(
+        now=now,
+        top_priority=pool.top_priority,
+        workers=[
+            worker
+            for worker in pool.workers.values()
+            if is_usable(worker, now)
+        ],
+    )
+    if not rooms.workers:
         return Plan(runs=(), questions=())
-    for job in sorted(pool.active.values(), key=_urgency):
-        for occurrence in range(job.occurrences_due):
-            for number, step in enumerate(job.spec.steps):
-                waiting = _waiting_units(job, occurrence, number, now)
-                if not waiting:
-                    continue
-                planned, question = _plan_step(
-                    usable, job, occurrence, number, step, waiting, now
-                )
-                runs.extend(planned)
-                if question is not None:
-                    questions.append(question)
+    for step in _waiting_steps(pool, rooms):
+        planned, question = _plan_step(rooms, step)
+        runs.extend(planned)
+        if question is not None:
+            questions.append(question)
     return Plan(runs=tuple(runs), questions=tuple(questions))
 
 
@@ -113,6 +132,27 @@
     return (queue.priority, job.accepted_at + queue.latency_objective_s)
 
 
+def _waiting_steps(
+    pool: _state.Pool, rooms: _rooms.Rooms
+) -> collections.abc.Iterator[_Step]:
+    for job in sorted(pool.active.values(), key=_urgency):
+        for occurrence in range(job.occurrences_due):
+            for number, spec in enumerate(job.spec.steps):
+                waiting = _waiting_units(job, occurrence, number, rooms.now)
+                if waiting:
+                    yield _Step(
+                        job=job,
+                        key=(occurrence, number),
+                        spec=spec,
+                        waiting=waiting,
+                        eligible=[
+                            worker
+                            for worker in rooms.workers
+                            if _rooms.may_ever_run(worker, spec)
+                        ],
+                    )
+
+
 def _waiting_units(
     job: _state.Job, occurrence: int, number: int, now: float
 ) -> list[_state.Unit]:
@@ -127,281 +167,214 @@
 
 
 def _plan_step(
-    usable: list[_state.Worker],
-    job: _state.Job,
-    occurrence: int,
-    number: int,
-    step: _specs.StepSpec,
-    waiting: list[_state.Unit],
-    now: float,
+    rooms: _rooms.Rooms, step: _Step
 ) -> tuple[list[_state.Run], Question | None]:
-    eligible = [worker for worker in usable if _may_ever_run(worker, step)]
-    if job.spec.queue.advice is None:
-        advice, candidates = None, eligible
-    else:
-        advice = job.advice.setdefault(
-            (occurrence, number), _state.StepAdvice()
-        )
+    advice = None
+    candidates = step.eligible
+    if step.job.spec.queue.advice is not None:
+        advice = step.job.advice.setdefault(step.key, _state.StepAdvice())
         candidates = [
             worker
-            for worker in eligible
-            if advice.good.get(worker.key, ("", 0.0))[1]
-            > now + TICKET_MARGIN_S
+            for worker in step.eligible
+            if _has_ticket(advice, worker, rooms.now)
         ]
     runs: list[_state.Run] = []
-    left = list(waiting)
-    for unit in waiting if job.accepted else ():
-        placed = _place_unit(candidates, job, step, unit, advice, now)
-        if placed:
-            runs.extend(placed)
-            left.remove(unit)
-    question = None
-    known = any(advice.allowed.values()) if advice is not None else False
-    if left and advice is not None and (job.accepted or not known):
-        question = _make_question(
-            eligible, job, occurrence, number, left, advice, now
-        )
-    return runs, question
+    left = 0
+    for unit in step.waiting:
+        placed = _place_unit(rooms, candidates, step, unit, advice)
+        runs.extend(placed)
+        left += 0 if placed else len(unit.indexes)
+    if not left:
+        return runs, None
+    if advice is None:
+        _wait_for_workers(rooms, step, step.eligible, left)
+        return runs, None
+    return runs, _wait_for_tickets(rooms, step, advice, left)
+
+
+def _has_ticket(
+    advice: _state.StepAdvice, worker: _state.Worker, now: float
+) -> bool:
+    _, until = advice.good.get(worker.key, ("", 0.0))
+    return until > now + TICKET_MARGIN_S
 
 
-def _may_ever_run(worker: _state.Worker, step: _specs.StepSpec) -> bool:
-    return (
-        not step.label or step.label in worker.report.labels
-    ) and model.fits(_state.reserved_need(step), worker.report.capacity)
-
+def _wait_for_workers(
+    rooms: _rooms.Rooms,
+    step: _Step,
+    workers: collections.abc.Sequence[_state.Worker],
+    wanted: int,
+) -> list[tuple[_state.Worker, float]]:
+    """Keep room for the tasks that wait, on the workers with the first room.
 
-def has_room(
-    worker: _state.Worker, job: _state.Job, step_key: tuple[int, int]
-) -> bool:
-    """Return whether one more task of a step fits a worker now."""
-    step = job.spec.steps[step_key[1]]
-    if not model.fits(_state.reserved_need(step), _free(worker, job)):
-        return False
-    return (
-        not step.spread_limit
-        or _count_of_step(worker, job, step_key) < step.spread_limit
+    Returns
+    -------
+    list of (Worker, float)
+        The workers, and the seconds until each is expected to have room.
+    """
+    need = _state.reserved_need(step.spec)
+    chosen: list[tuple[_state.Worker, float]] = []
+    open_workers = [
+        (worker, _rooms.room_for(rooms, worker, step.job, step.key))
+        for worker in workers
+    ]
+    open_workers = [pair for pair in open_workers if pair[1] > 0]
+    open_workers.sort(
+        key=lambda pair: _rooms.score(rooms, pair[0], step.job, step.key)
     )
+    for worker, room in open_workers:
+        if wanted <= 0:
+            return chosen
+        for _ in range(min(room, wanted)):
+            _rooms.hold(rooms, worker, need)
+        wanted -= room
+        chosen.append((worker, 0.0))
+    taken = {worker.key for worker, _ in chosen} | rooms.held.keys()
+    full = [
+        (worker, _rooms.wait_for_room(rooms, worker, step.spec))
+        for worker in workers
+        if worker.key not in taken
+    ]
+    full.sort(key=lambda pair: pair[1])
+    for worker, wait_s in full[: max(0, wanted)]:
+        if math.isinf(wait_s):
+            break
+        _rooms.block(rooms, worker)
+        chosen.append((worker, wait_s))
+    return chosen
 
 
-def _free(worker: _state.Worker, job: _state.Job) -> model.Resources:
-    """Return what a job may take of a worker now."""
-    free = model.subtract(worker.report.capacity, worker.used)
-    if job.spec.queue.priority == 0 or not worker.runs:
-        return free
-    kept = int(URGENT_RESERVE * worker.report.capacity.cpu_millis)
-    return attrs.evolve(free, cpu_millis=max(0, free.cpu_millis - kept))
+def _wait_for_tickets(
+    rooms: _rooms.Rooms,
+    step: _Step,
+    advice: _state.StepAdvice,
+    wanted: int,
+) -> Question | None:
+    policy = step.job.spec.queue.advice
+    good = [
+        worker
+        for worker in step.eligible
+        if advice.allowed.get(worker.key, False)
+    ]
+    unknown = [
+        worker for worker in step.eligible if worker.key not in advice.allowed
+    ]
+    chosen = _wait_for_workers(rooms, step, good, wanted)
+    if advice.asking or rooms.now < advice.retry_at:
+        return None
+    limit = max(1, int(NAMED_SHARE * policy.decide_s / policy.per_worker_s))
+    if not chosen:
+        named = _by_score(rooms, step, unknown)[:limit]
+    else:
+        # The ticket is asked for when the room is expected to be there by
+        # the time of the answer.
+        cost_s = _cost_s(policy, len(chosen))
+        named = [
+            worker
+            for worker, wait_s in chosen
+            if wait_s <= cost_s
+            and not _has_ticket(advice, worker, rooms.now + cost_s)
+        ][:limit]
+    if not named:
+        return None
+    return Question(
+        job=step.job,
+        occurrence=step.key[0],
+        step=step.key[1],
+        workers=tuple(named),
+    )
 
 
-def _count_of_step(
-    worker: _state.Worker, job: _state.Job, step_key: tuple[int, int]
-) -> int:
-    return sum(
-        1
-        for run in worker.runs.values()
-        if run.job is job and run.unit.key[:2] == step_key
+def _by_score(
+    rooms: _rooms.Rooms,
+    step: _Step,
+    workers: collections.abc.Iterable[_state.Worker],
+) -> list[_state.Worker]:
+    return sorted(
+        workers,
+        key=lambda worker: (
+            _rooms.room_for(rooms, worker, step.job, step.key) == 0,
+            _rooms.score(rooms, worker, step.job, step.key),
+        ),
     )
 
 
 def _place_unit(
+    rooms: _rooms.Rooms,
     candidates: list[_state.Worker],
-    job: _state.Job,
-    step: _specs.StepSpec,
+    step: _Step,
     unit: _state.Unit,
     advice: _state.StepAdvice | None,
-    now: float,
 ) -> list[_state.Run]:
-    groups = [candidates]
-    if step.same_rack or (step.gang and len(unit.indexes) > 1):
-        racks = sorted({each.report.rack for each in candidates})
-        groups = [
-            [each for each in candidates if each.report.rack == rack]
-            for rack in racks
-        ] + groups
-        if not step.same_rack:
-            groups = [candidates]
-    for group in groups:
-        placed = _place_members(group, job, step, unit, advice, now)
-        if placed:
-            return placed
-    return []
+    if step.spec.same_rack:
+        # All members in one rack run faster, if one has the room.
+        for rack in sorted({each.report.rack for each in candidates}):
+            group = [each for each in candidates if each.report.rack == rack]
+            placed = _place_members(rooms, group, step, unit, advice)
+            if placed:
+                return placed
+    return _place_members(rooms, candidates, step, unit, advice)
 
 
 def _place_members(
+    rooms: _rooms.Rooms,
     candidates: list[_state.Worker],
-    job: _state.Job,
-    step: _specs.StepSpec,
+    step: _Step,
     unit: _state.Unit,
     advice: _state.StepAdvice | None,
-    now: float,
 ) -> list[_state.Run]:
     """Reserve room for all members of a unit, or for none."""
-    step_key = unit.key[:2]
+    job = step.job
     number = unit.last_run + 1
-    placed: list[_state.Run] = []
+    placed: list[tuple[_state.Worker, _state.Run]] = []
     for index in unit.indexes:
-        open_workers = [
-            worker for worker in candidates if has_room(worker, job, step_key)
-        ]
-        preferred = [
-            worker for worker in open_workers if worker.key not in unit.avoided
-        ]
-        # A worker on which the unit has failed is used again only when
-        # nothing else is left.
-        open_workers = preferred or open_workers
-        if not open_workers:
-            for run in placed:
-                _release_planned(candidates, run)
+        best = _choose_worker(rooms, candidates, step, unit)
+        if best is None:
+            for worker, run in placed:
+                _state.release(worker, run)
             return []
-        best = min(
-            open_workers,
-            key=lambda worker: _score(worker, job, step, step_key),
-        )
         run = _state.Run(
             job=job,
             unit=unit,
             index=index,
             number=number,
             worker_key=best.key,
-            need=_state.reserved_need(step),
+            need=_state.reserved_need(step.spec),
             ticket=advice.good[best.key][0] if advice is not None else "",
             checkpoint=unit.checkpoint,
-            planned_at=now,
+            planned_at=rooms.now,
         )
         _state.occupy(best, run)
-        placed.append(run)
+        placed.append((best, run))
     unit.last_run = number
     unit.state = _state.UnitState.ACTIVE
-    unit.runs.extend(placed)
+    runs = [run for _, run in placed]
+    unit.runs.extend(runs)
     job.dirty = True
-    return placed
+    return runs
 
 
-def _release_planned(
-    candidates: collections.abc.Iterable[_state.Worker], run: _state.Run
-) -> None:
-    for worker in candidates:
-        if worker.key == run.worker_key:
-            _state.release(worker, run)
-
-
-def _score(
-    worker: _state.Worker,
-    job: _state.Job,
-    step: _specs.StepSpec,
-    step_key: tuple[int, int],
-) -> float:
-    """Return how bad a worker is for a task; the lowest is taken."""
-    capacity = worker.report.capacity
-    cpu = step.need.cpu_millis
-    filler = serving = False
-    for run in worker.runs.values():
-        other = _lifecycle.step_of(run.unit, run.job)
-        cpu += other.need.cpu_millis
-        filler = filler or other.filler
-        serving = serving or other.latency_target_ms > 0
-    share = max(
-        cpu / max(1, capacity.cpu_millis),
-        (worker.used.memory_mb + step.need.memory_mb)
-        / max(1, capacity.memory_mb),
-        (worker.used.accelerators + step.need.accelerators)
-        / max(1, capacity.accelerators),
-    )
-    score = share + OVERCOMMITTED * max(0.0, share - 1.0)
-    if step.filler and serving:
-        score += FILLER_BESIDE_SERVING
-    if step.latency_target_ms > 0 and filler:
-        score += SERVING_BESIDE_FILLER
-    if step.lasting:
-        score += CROWDED_STEP * _count_of_step(worker, job, step_key)
-    if step.data_rack and step.data_rack != worker.report.rack:
-        score += FAR_FROM_DATA
-    return score + RECENT_FAILURE * worker.failures_in_row
-
-
-def _make_question(
-    eligible: list[_state.Worker],
-    job: _state.Job,
-    occurrence: int,
-    number: int,
-    waiting: list[_state.Unit],
-    advice: _state.StepAdvice,
-    now: float,
-) -> Question | None:
-    if advice.asking or now < advice.retry_at:
-        return None
-    step = job.spec.steps[number]
-    step_key = (occurrence, number)
+def _choose_worker(
+    rooms: _rooms.Rooms,
+    candidates: list[_state.Worker],
+    step: _Step,
+    unit: _state.Unit,
+) -> _state.Worker | None:
     open_workers = [
         worker
-        for worker in eligible
-        if advice.allowed.get(worker.key, True)
-        and has_room(worker, job, step_key)
+        for worker in candidates
+        if _rooms.room_for(rooms, worker, step.job, step.key) > 0
     ]
-    open_workers.sort(
-        key=lambda worker: (
-            worker.key not in advice.allowed,
-            _score(worker, job, step, step_key),
-        )
-    )
-    known = [each for each in open_workers if each.key in advice.allowed]
-    wanted = sum(len(unit.indexes) for unit in waiting)
-    if _holds(known, job, step, step_key) >= wanted:
-        # Only the tickets have to be renewed.
-        chosen = _enough(known, job, step, step_key, wanted)
-    else:
-        needed = len(_enough(open_workers, job, step, step_key, wanted))
-        chosen = open_workers[: ASKED_PER_NEEDED * needed + ASKED_IN_ADDITION]
-    if not chosen:
-        return None
-    return Question(
-        job=job, occurrence=occurrence, step=number, workers=tuple(chosen)
-    )
-
-
-def _room_for(
-    worker: _state.Worker,
-    job: _state.Job,
-    step: _specs.StepSpec,
-    step_key: tuple[int, int],
-) -> int:
-    need = _state.reserved_need(step)
-    free = _free(worker, job)
-    room = min(
-        free.cpu_millis // need.cpu_millis if need.cpu_millis else math.inf,
-        free.memory_mb // need.memory_mb if need.memory_mb else math.inf,
-        free.accelerators // need.accelerators
-        if need.accelerators
-        else math.inf,
+    # A worker on which the unit has failed is used again only when nothing
+    # else is left.
+    preferred = [
+        worker for worker in open_workers if worker.key not in unit.avoided
+    ]
+    return min(
+        preferred or open_workers,
+        key=lambda worker: _rooms.score(rooms, worker, step.job, step.key),
+        default=None,
     )
-    if step.spread_limit:
-        taken = _count_of_step(worker, job, step_key)
-        room = min(room, step.spread_limit - taken)
-    return int(min(room, step.count))
-
-
-def _holds(
-    workers: list[_state.Worker],
-    job: _state.Job,
-    step: _specs.StepSpec,
-    step_key: tuple[int, int],
-) -> int:
-    return sum(_room_for(each, job, step, step_key) for each in workers)
-
-
-def _enough(
-    workers: list[_state.Worker],
-    job: _state.Job,
-    step: _specs.StepSpec,
-    step_key: tuple[int, int],
-    wanted: int,
-) -> list[_state.Worker]:
-    chosen = []
-    for worker in workers:
-        if wanted <= 0:
-            break
-        chosen.append(worker)
-        wanted -= _room_for(worker, job, step, step_key)
-    return chosen
 
 
 def note_question(question: Question) -> None:
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -77,6 +77,8 @@
         Newest progress seen.
     planned_at, confirmed_at : float
         Monotonic times in seconds.
+    recorded : bool
+        Whether a stored record names the run.
     deadline_ms : int
         End of the start's lease on the worker's clock; 0 before it is sent.
     percent, measure : float
@@ -105,6 +107,7 @@
     ticket: str = ""
     checkpoint: str = ""
     planned_at: float = 0.0
+    recorded: bool = False
     confirmed_at: float = 0.0
     deadline_ms: int = 0
     percent: float = 0.0
@@ -343,6 +346,8 @@
         Worker lifetimes by key.
     active : dict of str to Job
         Jobs that are not in a terminal state.
+    top_priority : int
+        Priority of the service's most urgent queue.
     unknown_runs : dict of str to set of (str, int)
         Runs that workers list and no job knows, by worker; to be stopped.
     """
@@ -352,6 +357,7 @@
     jobs: dict[str, Job] = attrs.field(factory=dict)
     workers: dict[str, Worker] = attrs.field(factory=dict)
     active: dict[str, Job] = attrs.field(factory=dict)
+    top_priority: int = 0
     unknown_runs: dict[str, set[RunKey]] = attrs.field(factory=dict)
 
 
