Learn owners and config from peers while the store refuses an instance

Change: such an instance asks a peer every 0.2 s for the config and for the owners, and adopts higher fencing tokens.

--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -95,7 +95,7 @@
         _session.keep_lease,
         _session.follow_cell,
         _session.follow_config,
-        _session.ask_peers_for_config,
+        _session.ask_peers,
     ):
         _supervise(
             daemon, make_loop.__name__, functools.partial(make_loop, session)
@@ -166,8 +166,8 @@
             advice_http, settings.advisor or "", message
         )
 
-    async def config(message: _messages.ConfigRead) -> object:
-        return _session.answer_config(daemon.session, message)
+    async def cell(message: _messages.CellRead) -> object:
+        return _session.answer_cell(daemon.session, message)
 
     async def write(message: _messages.JobWrite) -> object:
         outcome = await _front.write_job(daemon.front, message)
@@ -187,7 +187,7 @@
         _messages.StateRead: state,
         _messages.PendingRead: pending,
         _messages.AdviceAsk: advice,
-        _messages.ConfigRead: config,
+        _messages.CellRead: cell,
         _messages.JobWrite: write,
     }
 
--- a/chestnuttide/node/_messages.py
+++ b/chestnuttide/node/_messages.py
@@ -131,8 +131,8 @@
 
 
 @attrs.frozen(kw_only=True, slots=True)
-class ConfigRead:
-    """Asks for a newer configuration.
+class CellRead:
+    """Asks for a newer configuration and for the services' owners.
 
     Attributes
     ----------
@@ -147,19 +147,22 @@
 
 
 @attrs.frozen(kw_only=True, slots=True)
-class ConfigReply:
-    """The newest configuration that the answering instance has.
+class CellReply:
+    """What the answering instance knows of the cell.
 
     Attributes
     ----------
     call_id : int
         Number of the call.
     document : bytes
-        The operator's document; empty if it is not newer.
+        The operator's configuration; empty if it is not newer.
+    owners : tuple of (str, str, str, int)
+        Service, instance, incarnation and fencing token of each owner.
     """
 
     call_id: int
     document: bytes
+    owners: tuple[tuple[str, str, str, int], ...]
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -265,8 +268,8 @@
     PendingReply,
     AdviceAsk,
     AdviceReply,
-    ConfigRead,
-    ConfigReply,
+    CellRead,
+    CellReply,
     JobNotice,
     JobWrite,
     JobWriteReply,
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -31,9 +31,10 @@
 RETRY_MINIMUM_S = 0.1
 RETRY_MAXIMUM_S = 0.5
 
-# A config is asked of a peer when the store has been silent for this long.
-# The configuration has to be in force within 2 s of its acknowledgement.
-CONFIG_PEER_PERIOD_S = 0.5
+# An instance that the store refuses asks a peer at this rate for the config
+# and the owners. A config has to be in force within 2 s of its
+# acknowledgement, and callers ask their instance for jobs all the while.
+PEER_PERIOD_S = 0.2
 
 # Each instance that ranks after another waits this much longer before it
 # claims a service, so that usually one write is made.
@@ -268,16 +269,11 @@
             LOG.info("Service lost its owner.", service=service)
         return
     instance, incarnation = cbor2.loads(item.value)
-    if former is None or former.fence < item.revision:
-        session.owners[service] = Owner(
-            instance=instance, incarnation=incarnation, fence=item.revision
-        )
-        LOG.info(
-            "Service has an owner.",
-            service=service,
-            owner=instance,
-            fence=item.revision,
-        )
+    _adopt_owner(
+        session,
+        service,
+        Owner(instance=instance, incarnation=incarnation, fence=item.revision),
+    )
 
 
 def _note_cell(session: Session) -> None:
@@ -331,13 +327,13 @@
     session.changed.set()
 
 
-async def ask_peers_for_config(session: Session) -> None:
-    """Ask the peers for newer configurations while the store is away."""
+async def ask_peers(session: Session) -> None:
+    """Ask the peers for config and owners while the store is away."""
     turn = 0
     while True:
-        await asyncio.sleep(CONFIG_PEER_PERIOD_S)
+        await asyncio.sleep(PEER_PERIOD_S)
         names = _peers.connected_names(session.peers)
-        if session.config_watched or not names:
+        if (session.config_watched and session.cell_known) or not names:
             continue
         turn += 1
         name = names[turn % len(names)]
@@ -346,28 +342,53 @@
             reply = await _peers.call(
                 session.peers,
                 name,
-                lambda call_id, version=version: _messages.ConfigRead(
+                lambda call_id, version=version: _messages.CellRead(
                     call_id=call_id, known_version=version
                 ),
             )
         except errors.MeshError as error:
-            LOG.info("Peer has no config.", peer=name, error=str(error))
+            LOG.info("Peer did not answer.", peer=name, error=str(error))
             continue
         if reply.document:
             adopt_config(session, reply.document, source=name)
+        for service, instance, incarnation, fence in reply.owners:
+            _adopt_owner(
+                session,
+                service,
+                Owner(instance=instance, incarnation=incarnation, fence=fence),
+            )
+
+
+def _adopt_owner(session: Session, service: str, owner: Owner) -> None:
+    """Take over an owner if its fencing token is higher."""
+    known = session.owners.get(service)
+    if known is not None and known.fence >= owner.fence:
+        return
+    session.owners[service] = owner
+    LOG.info(
+        "Service has an owner.",
+        service=service,
+        owner=owner.instance,
+        fence=owner.fence,
+    )
+    session.changed.set()
 
 
-def answer_config(
-    session: Session, message: _messages.ConfigRead
-) -> _messages.ConfigReply:
-    """Return the configuration if it is newer than the asker's."""
+def answer_cell(
+    session: Session, message: _messages.CellRead
+) -> _messages.CellReply:
+    """Return the owners, and the configuration if it is newer."""
     newer = (
         session.config is not None
         and session.config.version > message.known_version
     )
-    return _messages.ConfigReply(
+    return _messages.CellReply(
         call_id=message.call_id,
         document=session.config_document if newer else b"",
+        owners=tuple(
+            (service, owner.instance, owner.incarnation, owner.fence)
+            for service, owner in session.owners.items()
+        ),
     )
 
 
