Test the decisions of a service's owner by tables

Change: tables for ends, budgets, gangs, cancels, doubt after unanswered starts, lapses, takeovers, room, advice, stalls, draining and pacing. A worker's clock is None, not 0, before its first answer.

--- a/chestnuttide/workloads/_looks.py
+++ b/chestnuttide/workloads/_looks.py
@@ -71,7 +71,7 @@
     worker: _state.Worker, *, now: float, lease_s: float
 ) -> int | None:
     """Return a lease's end on the worker's clock; None if it is unknown."""
-    if not worker.clock_at:
+    if worker.clock_at is None:
         return None
     return worker.clock_ms + int((now - worker.clock_at + lease_s) * 1000)
 
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -262,8 +262,9 @@
         Sum of their needs.
     seen_at : float
         Monotonic time of the last answered look; 0 before this owner's first.
-    clock_ms, clock_at : int, float
-        The worker's clock at the monotonic time `clock_at`.
+    clock_ms, clock_at : int, float or None
+        The worker's clock at the monotonic time `clock_at`; None before the
+        first answer.
     lease_until : float
         Monotonic time by which all its runs have ended if it stays silent.
     highest_end : int
@@ -292,7 +293,7 @@
     used: model.Resources = model.Resources()
     seen_at: float = 0.0
     clock_ms: int = 0
-    clock_at: float = 0.0
+    clock_at: float | None = None
     lease_until: float = 0.0
     highest_end: int = 0
     stored_end: int = 0
--- /dev/null
+++ b/chestnuttide/workloads/tests/_world.py
@@ -0,0 +1,172 @@
+"""A pool with workers whose lists the tests write themselves."""
+
+import attrs
+
+from chestnuttide import model
+from chestnuttide import workloads
+
+LEASE_S = 2.5
+UNIX_S = 1_000_000.0
+
+
+@attrs.frozen(kw_only=True)
+class Row:
+    """A listed run."""
+
+    task: str
+    run: int
+    checkpoint: str = ""
+    percent: float = 0.0
+    measure: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class End:
+    """A listed end."""
+
+    number: int
+    task: str
+    run: int
+    how: str
+    checkpoint: str = ""
+
+
+def make_pool(count: int = 2, **capacity: int) -> workloads.Pool:
+    """Return a pool of workers that have answered once at time 0."""
+    pool = workloads.Pool(
+        service="workshop", bounds=workloads.Bounds(lease_s=LEASE_S)
+    )
+    for number in range(count):
+        add_worker(pool, f"w{number}", **capacity)
+    return pool
+
+
+def add_worker(
+    pool: workloads.Pool,
+    worker_id: str,
+    *,
+    cpu: int = 4000,
+    rack: str = "r1-1",
+    labels: tuple[str, ...] = (),
+) -> workloads.Worker:
+    """Add a worker that may be used at once."""
+    report = workloads.WorkerReport(
+        id=worker_id,
+        born_ms=1,
+        service="workshop",
+        address="127.0.0.1:1",
+        data_centre="a",
+        capacity=model.Resources(
+            cpu_millis=cpu, memory_mb=8000, accelerators=8
+        ),
+        labels=frozenset({rack, *labels}),
+        rack=rack,
+    )
+    worker = workloads.update_worker(
+        pool, report, now=0.0, lease_until=LEASE_S
+    )
+    worker.seen_at = 0.001
+    workloads.note_clock(worker, 1000, 0.0)
+    return worker
+
+
+def make_step(**fields: object) -> workloads.StepSpec:
+    """Return a step of one small task, with changed fields."""
+    fields.setdefault("count", 1)
+    fields.setdefault("need", model.Resources(cpu_millis=1000, memory_mb=100))
+    return workloads.StepSpec(**fields)
+
+
+def submit(
+    pool: workloads.Pool,
+    *steps: workloads.StepSpec,
+    job_id: str = "00000000000000aa",
+    now: float = 0.0,
+    occurrences: int = 0,
+    **queue: object,
+) -> workloads.Job:
+    """Add an accepted job."""
+    queue.setdefault("attempt_limit", 2)
+    job = workloads.add_job(
+        pool,
+        workloads.JobSpec(
+            id=job_id,
+            queue=workloads.Queue(
+                name="q",
+                host="h",
+                prefix="/p/",
+                service="workshop",
+                **queue,
+            ),
+            payload="",
+            steps=steps,
+            occurrences=occurrences,
+            first_due_unix_s=UNIX_S + 10,
+            interval_s=10,
+        ),
+        now=now,
+        now_unix_s=UNIX_S,
+    )
+    job.accepted = True
+    return job
+
+
+def start_all(
+    pool: workloads.Pool, *, now: float = 0.1
+) -> list[workloads.Run]:
+    """Plan, and confirm each planned run."""
+    runs = list(workloads.make_plan(pool, now=now).runs)
+    for run in runs:
+        run.phase = workloads.Phase.ORDERED
+        run.deadline_ms = 10**9
+        workloads.confirm_start(run, now=now)
+    return runs
+
+
+def look(
+    pool: workloads.Pool,
+    worker_key: str,
+    *,
+    running: tuple[Row, ...] = (),
+    ended: tuple[End, ...] = (),
+    sent_at: float = 1.0,
+    clock_ms: int = 2000,
+) -> list[tuple[workloads.Run, str]]:
+    """Apply a worker's lists."""
+    return workloads.apply_look(
+        pool,
+        pool.workers[worker_key],
+        workloads.Observation(
+            clock_ms=clock_ms,
+            running=running,
+            ended=ended,
+            sent_at=sent_at,
+            received_at=sent_at + 0.01,
+        ),
+        now_unix_s=UNIX_S,
+    )
+
+
+def end_of(
+    pool: workloads.Pool,
+    run: workloads.Run,
+    how: str,
+    *,
+    sent_at: float = 1.0,
+    checkpoint: str = "",
+) -> None:
+    """Let a run's worker list its end, and all others as running."""
+    worker = pool.workers[run.worker_key]
+    others = tuple(
+        Row(task=other.task, run=other.number)
+        for other in worker.runs.values()
+        if other is not run
+    )
+    end = End(
+        number=worker.highest_end + 1,
+        task=run.task,
+        run=run.number,
+        how=how,
+        checkpoint=checkpoint,
+    )
+    look(pool, worker.key, running=others, ended=(end,), sent_at=sent_at)
--- /dev/null
+++ b/chestnuttide/workloads/tests/test_lifecycle.py
@@ -0,0 +1,159 @@
+"""Ends of runs, and what becomes of their units and jobs."""
+
+import pytest
+
+from chestnuttide import workloads
+from chestnuttide.workloads.tests import _world
+
+STATES = workloads.JobState
+
+
+@pytest.mark.parametrize(
+    ("ends", "state", "failures"),
+    [
+        pytest.param(["done"], STATES.COMPLETE, 0, id="done-completes"),
+        pytest.param(["failed"], STATES.RUNNING, 1, id="one-failure-retries"),
+        pytest.param(
+            ["failed", "failed"], STATES.FAILED, 2, id="budget-ends-the-job"
+        ),
+        pytest.param(
+            ["stopped", "lapsed", "broken", "alone", "failed"],
+            STATES.RUNNING,
+            1,
+            id="other-ends-cost-no-attempt",
+        ),
+        pytest.param(
+            ["failed", "done"], STATES.COMPLETE, 1, id="retry-completes"
+        ),
+    ],
+)
+def test_ends_of_one_task(
+    ends: list[str], state: workloads.JobState, failures: int
+) -> None:
+    """Guards against runs after the budget, and against lost retries."""
+    pool = _world.make_pool()
+    job = _world.submit(pool, _world.make_step())
+    for number, how in enumerate(ends, start=1):
+        now = float(number)
+        (run,) = _world.start_all(pool, now=now)
+        assert run.number == number
+        _world.end_of(pool, run, how, sent_at=now + 0.5)
+    assert job.state == state
+    assert job.units[(0, 0, 0)].failures == failures
+    if state in workloads.TERMINAL_STATES:
+        assert not workloads.make_plan(pool, now=100.0).runs
+
+
+def test_an_end_that_is_listed_twice_counts_once() -> None:
+    """Guards against a budget used up by one repeated list."""
+    pool = _world.make_pool(1)
+    job = _world.submit(pool, _world.make_step())
+    (run,) = _world.start_all(pool)
+    end = _world.End(number=1, task=run.task, run=1, how="failed")
+    _world.look(pool, run.worker_key, ended=(end,))
+    _world.look(pool, run.worker_key, ended=(end,), sent_at=2.0)
+    assert job.units[(0, 0, 0)].failures == 1
+
+
+def test_a_step_waits_for_all_tasks_before_it() -> None:
+    """Guards against a start before its predecessors are done."""
+    pool = _world.make_pool()
+    job = _world.submit(
+        pool, _world.make_step(count=2), _world.make_step(after=(0,))
+    )
+    first, second = _world.start_all(pool)
+    _world.end_of(pool, first, "done")
+    assert not _world.start_all(pool, now=1.5)
+    _world.end_of(pool, second, "done", sent_at=2.0)
+    (last,) = _world.start_all(pool, now=2.5)
+    assert last.unit.key == (0, 1, 0)
+    _world.end_of(pool, last, "done", sent_at=3.0)
+    assert job.state == STATES.COMPLETE
+
+
+def test_a_lasting_task_is_restarted_however_it_ends() -> None:
+    """Guards against a service that stays down after its task has ended."""
+    pool = _world.make_pool()
+    job = _world.submit(pool, _world.make_step(lasting=True))
+    for number, how in enumerate(("failed", "done", "failed", "lapsed")):
+        now = 1.0 + number
+        (run,) = _world.start_all(pool, now=now)
+        _world.end_of(pool, run, how, sent_at=now + 0.3)
+    assert len(_world.start_all(pool, now=10.0)) == 1
+    assert job.state == STATES.RUNNING
+
+
+@pytest.mark.parametrize("phase", [None, *workloads.Phase])
+def test_nothing_starts_after_a_cancel(
+    phase: workloads.Phase | None,
+) -> None:
+    """Guards against starts of a cancelled job, whatever a run's phase."""
+    pool = _world.make_pool()
+    job = _world.submit(pool, _world.make_step(), _world.make_step())
+    if phase is not None:
+        for run in workloads.make_plan(pool, now=0.1).runs:
+            run.phase = phase
+    workloads.cancel_job(pool, job, _world.UNIX_S)
+    assert job.state == STATES.CANCELLED
+    left = [run for unit in job.units.values() for run in unit.runs]
+    assert all(run.stopping for run in left)
+    assert not any(run.phase == workloads.Phase.PLANNED for run in left)
+    assert not workloads.make_plan(pool, now=1.0).runs
+
+
+@pytest.mark.parametrize(
+    ("step", "resumed"),
+    [
+        pytest.param({"checkpointable": True}, "c7", id="resumes"),
+        pytest.param({}, "", id="not-checkpointable-starts-anew"),
+    ],
+)
+def test_checkpoint_of_a_stopped_run(
+    step: dict[str, bool], resumed: str
+) -> None:
+    """Guards against lost progress, and against a foreign checkpoint."""
+    pool = _world.make_pool()
+    _world.submit(pool, _world.make_step(**step))
+    (run,) = _world.start_all(pool)
+    _world.end_of(pool, run, "stopped", checkpoint="c7")
+    (again,) = _world.start_all(pool, now=2.0)
+    assert again.checkpoint == resumed
+
+
+def test_a_gang_starts_again_only_when_all_members_have_ended() -> None:
+    """Guards against a member that runs twice in two runs of its gang."""
+    pool = _world.make_pool(2)
+    _world.submit(pool, _world.make_step(count=4, gang=True))
+    runs = _world.start_all(pool)
+    assert {run.number for run in runs} == {1}
+    _world.end_of(pool, runs[0], "lapsed")
+    assert all(run.stopping for run in runs[1:])
+    assert not _world.start_all(pool, now=1.5)
+    for run in runs[1:]:
+        _world.end_of(pool, run, "broken", sent_at=2.0)
+    again = _world.start_all(pool, now=3.0)
+    assert {run.number for run in again} == {2}
+    assert len(again) == 4
+
+
+def test_one_failed_gang_is_one_attempt() -> None:
+    """Guards against a budget that each member of a gang uses up."""
+    pool = _world.make_pool(2)
+    job = _world.submit(pool, _world.make_step(count=3, gang=True))
+    runs = _world.start_all(pool)
+    for run in runs:
+        _world.end_of(pool, run, "failed")
+    assert job.units[(0, 0, 0)].failures == 1
+    assert job.state == STATES.RUNNING
+
+
+@pytest.mark.parametrize(
+    ("unix_s", "due"),
+    [(9.9, 0), (10.0, 1), (29.0, 2), (31.0, 3), (99.0, 3)],
+)
+def test_occurrences_are_released_when_due(unix_s: float, due: int) -> None:
+    """Guards against an occurrence that starts before its time."""
+    pool = _world.make_pool()
+    job = _world.submit(pool, _world.make_step(), occurrences=3)
+    workloads.release_due_occurrences(pool, job, _world.UNIX_S + unix_s)
+    assert len(_world.start_all(pool)) == due
--- /dev/null
+++ b/chestnuttide/workloads/tests/test_looks.py
@@ -0,0 +1,172 @@
+"""Doubt about a run: unanswered starts, silence and lost workers."""
+
+import pytest
+
+from chestnuttide import workloads
+from chestnuttide.workloads.tests import _world
+
+
+def _uncertain(pool: workloads.Pool) -> workloads.Run:
+    _world.submit(pool, _world.make_step())
+    (run,) = workloads.make_plan(pool, now=0.1).runs
+    run.phase = workloads.Phase.UNCERTAIN
+    run.deadline_ms = 5000
+    return run
+
+
+@pytest.mark.parametrize(
+    ("clock_ms", "stop_acknowledged_at", "sent_at", "listed", "again"),
+    [
+        pytest.param(4999, 0.0, 1.0, False, False, id="may-still-begin"),
+        pytest.param(5001, 0.0, 1.0, False, True, id="lease-has-passed"),
+        pytest.param(2000, 0.5, 1.0, False, True, id="stop-was-answered"),
+        pytest.param(2000, 1.5, 1.0, False, False, id="look-before-stop"),
+        pytest.param(5001, 0.0, 1.0, True, False, id="it-runs"),
+    ],
+)
+def test_an_unanswered_start(
+    clock_ms: int,
+    stop_acknowledged_at: float,
+    sent_at: float,
+    listed: bool,
+    again: bool,
+) -> None:
+    """Guards against a second run while a late start may still begin."""
+    pool = _world.make_pool(1)
+    run = _uncertain(pool)
+    run.stop_acknowledged_at = stop_acknowledged_at
+    rows = (_world.Row(task=run.task, run=1),) if listed else ()
+    _world.look(
+        pool,
+        run.worker_key,
+        running=rows,
+        sent_at=sent_at,
+        clock_ms=clock_ms,
+    )
+    assert bool(workloads.make_plan(pool, now=3.0).runs) == again
+    if listed:
+        assert run.phase == workloads.Phase.RUNNING
+
+
+@pytest.mark.parametrize(
+    ("sent_at", "lost"),
+    [
+        pytest.param(0.05, False, id="look-overtaken-by-the-start"),
+        pytest.param(0.2, True, id="look-after-the-start"),
+    ],
+)
+def test_a_confirmed_run_that_is_not_listed(
+    sent_at: float, lost: bool
+) -> None:
+    """Guards against a second run because answers overtook each other."""
+    pool = _world.make_pool(1)
+    _world.submit(pool, _world.make_step())
+    (run,) = _world.start_all(pool, now=0.1)
+    ends = _world.look(pool, run.worker_key, sent_at=sent_at)
+    assert bool(ends) == lost
+
+
+@pytest.mark.parametrize(
+    ("now", "lapsed"),
+    [
+        # Granted at 0.5 for 2.5 s on a clock that is 2% slow since 0, so it
+        # ends at 3.0 / 0.98 = 3.06, and 0.1 s are added.
+        pytest.param(3.0, False, id="before-the-lease"),
+        pytest.param(3.1, False, id="within-the-drift"),
+        pytest.param(3.7, True, id="after-drift-and-margin"),
+    ],
+)
+def test_a_silent_worker_lapses_after_its_lease(
+    now: float, lapsed: bool
+) -> None:
+    """Guards against a second run while a cut worker may still run it."""
+    pool = _world.make_pool(1)
+    _world.submit(pool, _world.make_step())
+    (run,) = _world.start_all(pool)
+    worker = pool.workers[run.worker_key]
+    deadline = workloads.lease_deadline_ms(
+        worker, now=0.5, lease_s=_world.LEASE_S
+    )
+    assert deadline == 4000
+    workloads.note_grant(worker, deadline, now=0.5)
+    runs = workloads.lapse_silent_worker(
+        pool, worker, now=now, now_unix_s=_world.UNIX_S
+    )
+    assert bool(runs) == lapsed
+
+
+def test_a_worker_runs_what_no_job_knows() -> None:
+    """Guards against a run that nobody stops after a takeover."""
+    pool = _world.make_pool(1)
+    _world.look(pool, "w0@1", running=(_world.Row(task="x.0.0.0", run=3),))
+    assert pool.unknown_runs == {"w0@1": {("x.0.0.0", 3)}}
+
+
+@pytest.mark.parametrize(
+    ("listed", "state"),
+    [
+        pytest.param("running", workloads.UnitState.ACTIVE, id="runs"),
+        pytest.param("done", workloads.UnitState.DONE, id="has-ended"),
+        pytest.param("", workloads.UnitState.WAITING, id="never-began"),
+    ],
+)
+def test_a_successor_decides_by_the_workers_lists(
+    listed: str, state: workloads.UnitState
+) -> None:
+    """Guards against a second run of what the former owner had started."""
+    former = _world.make_pool(1)
+    job = _world.submit(former, _world.make_step())
+    (run,) = _world.start_all(former)
+    record = workloads.encode_progress(job)
+    pool = _world.make_pool(1)
+    job = _world.submit(pool, _world.make_step())
+    workloads.apply_progress(
+        pool,
+        job,
+        record,
+        lease_until=20.0,
+        now=5.0,
+        now_unix_s=_world.UNIX_S,
+    )
+    assert not workloads.make_plan(pool, now=5.0).runs
+    row = _world.Row(task=run.task, run=1)
+    end = _world.End(number=1, task=run.task, run=1, how="done")
+    _world.look(
+        pool,
+        "w0@1",
+        running=(row,) if listed == "running" else (),
+        ended=(end,) if listed == "done" else (),
+        sent_at=5.1,
+    )
+    assert job.units[(0, 0, 0)].state == state
+    for again in workloads.make_plan(pool, now=6.0).runs:
+        assert again.number == 2
+
+
+def test_a_successor_waits_for_a_worker_that_it_cannot_reach() -> None:
+    """Guards against a second run of what an unlisted worker may run."""
+    former = _world.make_pool(1)
+    job = _world.submit(former, _world.make_step())
+    _world.start_all(former)
+    record = workloads.encode_progress(job)
+    pool = _world.make_pool(0)
+    _world.add_worker(pool, "other")
+    job = _world.submit(pool, _world.make_step())
+    workloads.apply_progress(
+        pool,
+        job,
+        record,
+        lease_until=20.0,
+        now=5.0,
+        now_unix_s=_world.UNIX_S,
+    )
+    holder = pool.workers["w0@1"]
+    assert not workloads.lapse_silent_worker(
+        pool, holder, now=19.9, now_unix_s=_world.UNIX_S
+    )
+    assert not workloads.make_plan(pool, now=19.9).runs
+    workloads.lapse_silent_worker(
+        pool, holder, now=20.1, now_unix_s=_world.UNIX_S
+    )
+    (run,) = workloads.make_plan(pool, now=20.2).runs
+    assert (run.number, run.worker_key) == (2, "other@1")
--- /dev/null
+++ b/chestnuttide/workloads/tests/test_planning.py
@@ -0,0 +1,152 @@
+"""Placement: capacity, limits, and the advisor."""
+
+import pytest
+
+from chestnuttide import model
+from chestnuttide import workloads
+from chestnuttide.workloads.tests import _world
+
+ADVICE = workloads.Advice(decide_s=0.9, per_worker_s=0.01, validity_s=2.0)
+
+
+def _need(cpu: int) -> model.Resources:
+    return model.Resources(cpu_millis=cpu, memory_mb=100)
+
+
+@pytest.mark.parametrize(
+    ("step", "placed"),
+    [
+        pytest.param({"count": 9}, 8, id="capacity"),
+        pytest.param({"count": 9, "spread_limit": 1}, 2, id="spread-limit"),
+        pytest.param({"count": 9, "label": "b"}, 0, id="label"),
+        pytest.param({"count": 9, "gang": True}, 0, id="gang-too-wide"),
+        pytest.param({"count": 8, "gang": True}, 8, id="gang-fits"),
+        pytest.param(
+            {"count": 9, "filler": True, "need": _need(4000)},
+            9,
+            id="filler-takes-no-cpu",
+        ),
+        pytest.param({"need": _need(4001)}, 0, id="larger-than-any-worker"),
+    ],
+)
+def test_room_on_two_workers_of_four_cores(
+    step: dict[str, object], placed: int
+) -> None:
+    """Guards against a worker over its capacity or a limit."""
+    pool = _world.make_pool(2)
+    _world.submit(pool, _world.make_step(**step))
+    assert len(workloads.make_plan(pool, now=0.1).runs) == placed
+    for worker in pool.workers.values():
+        assert worker.used.cpu_millis <= 4000
+
+
+def test_a_stopping_run_still_takes_room() -> None:
+    """Guards against a start beside a run that is being stopped."""
+    pool = _world.make_pool(1)
+    first = _world.submit(pool, _world.make_step(need=_need(4000)))
+    _world.start_all(pool)
+    workloads.cancel_job(pool, first, _world.UNIX_S)
+    _world.submit(pool, _world.make_step(), job_id="00000000000000bb")
+    assert not workloads.make_plan(pool, now=1.0).runs
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        pytest.param({"listed": False}, id="not-listed"),
+        pytest.param({"failed_looks": 1}, id="silent"),
+        pytest.param({"shunned_until": 9.0}, id="set-aside"),
+        pytest.param({"seen_at": 0.0}, id="not-yet-seen-by-this-owner"),
+    ],
+)
+def test_unusable_workers(change: dict[str, object]) -> None:
+    """Guards against starts on workers that may not get any."""
+    pool = _world.make_pool(1)
+    for name, value in change.items():
+        setattr(pool.workers["w0@1"], name, value)
+    _world.submit(pool, _world.make_step())
+    assert not workloads.make_plan(pool, now=1.0).runs
+
+
+def test_the_advisor_is_asked_before_a_start() -> None:
+    """Guards against starts without a ticket or on a forbidden worker."""
+    pool = _world.make_pool(3)
+    _world.submit(pool, _world.make_step(), advice=ADVICE)
+    plan = workloads.make_plan(pool, now=1.0)
+    assert not plan.runs
+    (question,) = plan.questions
+    assert len(question.workers) == 3
+    workloads.note_question(question)
+    assert not workloads.make_plan(pool, now=1.1).questions
+    workloads.note_advice(question, {"w1": "t"}, now=2.0, retry_s=0.1)
+    (run,) = workloads.make_plan(pool, now=2.1).runs
+    assert (run.worker_key, run.ticket) == ("w1@1", "t")
+
+
+def test_an_expired_ticket_is_not_used() -> None:
+    """Guards against starts that are rejected for their ticket."""
+    pool = _world.make_pool(1)
+    _world.submit(pool, _world.make_step(), advice=ADVICE)
+    (question,) = workloads.make_plan(pool, now=1.0).questions
+    workloads.note_question(question)
+    workloads.note_advice(question, {"w0": "t"}, now=2.0, retry_s=0.1)
+    plan = workloads.make_plan(pool, now=3.95)
+    assert not plan.runs
+    assert [each.report.id for each in plan.questions[0].workers] == ["w0"]
+
+
+def test_a_job_that_is_not_stored_waits_with_its_start() -> None:
+    """Guards against planned runs that are lost when a job is stored."""
+    pool = _world.make_pool(1)
+    job = _world.submit(pool, _world.make_step())
+    job.accepted = False
+    (run,) = workloads.make_plan(pool, now=1.0).runs
+    assert run.phase == workloads.Phase.PLANNED
+
+
+def test_a_large_task_is_not_overtaken_by_less_urgent_ones() -> None:
+    """Guards against large tasks that wait for ever behind small ones."""
+    pool = _world.make_pool(1)
+    pool.top_priority = 1
+    small = _world.submit(
+        pool, _world.make_step(count=2), job_id="00000000000000b1", priority=2
+    )
+    runs = _world.start_all(pool)
+    _world.submit(
+        pool,
+        _world.make_step(need=_need(4000)),
+        job_id="00000000000000b2",
+        priority=1,
+    )
+    _world.submit(
+        pool, _world.make_step(), job_id="00000000000000b3", priority=2
+    )
+    assert not workloads.make_plan(pool, now=1.0).runs
+    for run in runs:
+        _world.end_of(pool, run, "done")
+    assert small.state == workloads.JobState.COMPLETE
+    (run,) = workloads.make_plan(pool, now=2.0).runs
+    assert run.job.spec.id == "00000000000000b2"
+
+
+def test_a_failed_unit_avoids_its_worker() -> None:
+    """Guards against attempts that are used up on one bad worker."""
+    pool = _world.make_pool(2)
+    _world.submit(pool, _world.make_step())
+    (run,) = _world.start_all(pool)
+    _world.end_of(pool, run, "failed")
+    (again,) = _world.start_all(pool, now=3.0)
+    assert again.worker_key != run.worker_key
+
+
+def test_a_worker_that_fails_several_jobs_is_set_aside() -> None:
+    """Guards against a worker that fails everything and looks idle."""
+    pool = _world.make_pool(1)
+    for number in range(3):
+        _world.submit(
+            pool, _world.make_step(), job_id=f"{number:016x}", attempt_limit=9
+        )
+    for run in _world.start_all(pool):
+        _world.end_of(pool, run, "failed")
+    assert not workloads.make_plan(pool, now=3.0).runs
+    assert workloads.make_plan(pool, now=20.0).runs
--- /dev/null
+++ b/chestnuttide/workloads/tests/test_supervision.py
@@ -0,0 +1,81 @@
+"""Stalls, draining workers and interference."""
+
+import attrs
+import pytest
+
+from chestnuttide import workloads
+from chestnuttide.workloads.tests import _world
+
+
+@pytest.mark.parametrize(
+    ("progress_at", "percent", "seen_at", "stalled"),
+    [
+        pytest.param(1.0, 50, 2.5, False, id="recent-progress"),
+        pytest.param(1.0, 50, 3.5, True, id="no-progress"),
+        pytest.param(1.0, 50, 2.0, False, id="list-is-old"),
+        pytest.param(10.0, 10, 13.0, False, id="slow-but-moving"),
+    ],
+)
+def test_stalled_runs(
+    progress_at: float, percent: float, seen_at: float, stalled: bool
+) -> None:
+    """Guards against hung tasks, and against stops of slow ones."""
+    pool = _world.make_pool(1)
+    _world.submit(pool, _world.make_step())
+    (run,) = _world.start_all(pool, now=0.5)
+    run.progress_at = progress_at
+    run.percent = percent
+    pool.workers[run.worker_key].seen_at = seen_at
+    assert bool(workloads.find_stalled(pool, now=99.0)) == stalled
+
+
+@pytest.mark.parametrize(
+    ("step", "now", "moves"),
+    [
+        pytest.param({"lasting": True}, 1.0, True, id="lasting-at-once"),
+        pytest.param({"checkpointable": True}, 1.0, False, id="has-time"),
+        pytest.param({"checkpointable": True}, 9.0, True, id="last-call"),
+        pytest.param({}, 9.0, False, id="nothing-to-save"),
+    ],
+)
+def test_runs_on_a_draining_worker(
+    step: dict[str, bool], now: float, moves: bool
+) -> None:
+    """Guards against work that is lost when a worker leaves."""
+    pool = _world.make_pool(1)
+    _world.submit(pool, _world.make_step(**step))
+    (run,) = _world.start_all(pool)
+    worker = pool.workers[run.worker_key]
+    workloads.update_worker(
+        pool,
+        attrs.evolve(worker.report, draining=True, remaining_s=9.5),
+        now=0.5,
+        lease_until=0.0,
+    )
+    assert bool(workloads.evacuate(pool, now=now, stop_s=0.9)) == moves
+    assert run.stopping == moves
+
+
+@pytest.mark.parametrize(
+    ("tail_ms", "paced"),
+    [
+        pytest.param(50, 100, id="well-below-target"),
+        pytest.param(90, 50, id="close-to-target"),
+        pytest.param(120, 0, id="over-target"),
+    ],
+)
+def test_fillers_are_paced_by_their_neighbours(
+    tail_ms: float, paced: int
+) -> None:
+    """Guards against fillers that keep a serving task over its target."""
+    pool = _world.make_pool(1)
+    _world.submit(
+        pool, _world.make_step(lasting=True, latency_target_ms=100.0)
+    )
+    _world.submit(
+        pool, _world.make_step(filler=True), job_id="00000000000000bb"
+    )
+    serving, filler = _world.start_all(pool)
+    serving.percent, serving.measure = 100, tail_ms
+    workloads.pace_fillers(pool.workers["w0@1"])
+    assert filler.pace_percent == paced
