Replace failed ownerships, and count runs that no job knows

A job that ends has no record of its runs, which take up to stopMs to stop; the successor did not count them.

Change: an instance claims its own key anew, with a higher fencing token, when its ownership has failed; only a peer with a recent answer of the store ends an ownership; a worker that lists unknown runs gets no new ones until they are gone.

--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -295,11 +295,15 @@
     daemon.owned.pop(service, None)
     if not gained:
         return
+    if session.failed_fences.get(service) == fence:
+        # Another try to replace the failed ownership.
+        running[service] = asyncio.ensure_future(
+            _session.claim(session, service, replaced=fence)
+        )
+        return
     if owned is not None and owned.fence == fence:
-        # The ownership has failed; its key goes, so that it is taken anew.
-        LOG.warning("Ownership is given up.", service=service, fence=fence)
-        running[service] = asyncio.ensure_future(_owner.hand_over(owned))
-        session.owners.pop(service, None)
+        LOG.warning("Ownership has failed.", service=service, fence=fence)
+        session.failed_fences[service] = fence
         return
     owner = _ownership.Ownership(
         service=service,
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import time
 
 from chestnuttide import errors
 from chestnuttide.node import _advice_calls
@@ -33,6 +34,10 @@
 # so that an instance that reaches the store takes over at once.
 RELEASE_AFTER_S = 0.3
 
+# A peer that has had no good answer of the store for this long is cut off as
+# well; instances renew their leases more often than that.
+REACHES_STORE_S = 0.35
+
 # Ended jobs are kept for this long beyond the time that callers may ask.
 STATUS_MARGIN_S = 30.0
 
@@ -543,7 +548,8 @@
 ) -> _messages.ReleaseReply:
     """End a peer's ownership for it, if it still stands."""
     released = False
-    if not session.store.failing_since:
+    age_s = time.monotonic() - session.store.answered_at
+    if not session.store.failing_since and age_s < REACHES_STORE_S:
         try:
             await platform.commit(
                 session.store,
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -85,6 +85,8 @@
     released : dict of str to int
         Fencing token of the last owner of a service that stopped ordering
         before its key was removed.
+    failed_fences : dict of str to int
+        Fencing token of the instance's last ownership that has failed.
     ownerless_since : dict of str to float
         When a service was first seen without an owner.
     cell_known : bool
@@ -113,6 +115,7 @@
     owners: dict[str, Owner] = attrs.field(factory=dict)
     former_owners: dict[str, Owner] = attrs.field(factory=dict)
     released: dict[str, int] = attrs.field(factory=dict)
+    failed_fences: dict[str, int] = attrs.field(factory=dict)
     ownerless_since: dict[str, float] = attrs.field(factory=dict)
     cell_known: bool = False
     config: platform.ClusterConfig | None = None
@@ -428,15 +431,28 @@
     return former is not None and session.released.get(service) == former.fence
 
 
-async def claim(session: Session, service: str) -> None:
-    """Try to become the owner of a service; the watch shows the outcome."""
+async def claim(session: Session, service: str, *, replaced: int = 0) -> None:
+    """Try to become the owner of a service; the watch shows the outcome.
+
+    Parameters
+    ----------
+    session : Session
+        The session.
+    service : str
+        The service.
+    replaced : int
+        Fencing token of an own ownership that has failed; 0 if the service
+        has no owner.
+    """
     key = _keys.owner(service)
     value = cbor2.dumps([session.settings.instance, session.incarnation])
     try:
         revision = await platform.commit(
             session.store,
             platform.Transaction(
-                expect={key: 0}, put_leased={key: value}, lease=session.lease
+                expect={key: replaced},
+                put_leased={key: value},
+                lease=session.lease,
             ),
         )
     except errors.LeaseExpiredError:
--- a/chestnuttide/node/_worker_calls.py
+++ b/chestnuttide/node/_worker_calls.py
@@ -79,6 +79,7 @@
             owner.plan_wanted.set()
         _lapse(owner, worker)
     owner.pool.workers.pop(worker.key, None)
+    owner.pool.unknown_runs.pop(worker.key, None)
     LOG.info("Worker is no longer looked after.", worker=worker.key)
 
 
@@ -158,7 +159,7 @@
         _ownership.want_commit(owner, urgent=urgent)
     elif worker.stored_end < worker.highest_end:
         _ownership.want_commit(owner, urgent=False)
-    for task, number in owner.pool.unknown_runs.pop(worker.key, ()):
+    for task, number in owner.pool.unknown_runs.get(worker.key, ()):
         LOG.warning(
             "Worker runs what no job knows; stopping it.",
             worker=worker.key,
--- a/chestnuttide/platform/_kv_store.py
+++ b/chestnuttide/platform/_kv_store.py
@@ -143,6 +143,8 @@
     failing_since : float
         Monotonic time of the first failure since the last good answer; 0
         while the store answers.
+    answered_at : float
+        Monotonic time of the last good answer.
     silent : bool
         Whether the last failure was a call without an answer.
     """
@@ -152,6 +154,7 @@
     timeout_s: float
     count: collections.abc.Callable[[str, str], None]
     failing_since: float = 0.0
+    answered_at: float = 0.0
     silent: bool = False
 
 
@@ -347,6 +350,7 @@
             remedy="Try again later.",
         )
     store.failing_since = 0.0
+    store.answered_at = time.monotonic()
     store.silent = False
     return reply
 
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -103,7 +103,7 @@
         workers=[
             worker
             for worker in pool.workers.values()
-            if is_usable(worker, now)
+            if is_usable(worker, now) and worker.key not in pool.unknown_runs
         ],
     )
     if not rooms.workers:
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -351,6 +351,7 @@
         Priority of the service's most urgent queue.
     unknown_runs : dict of str to set of (str, int)
         Runs that workers list and no job knows, by worker; to be stopped.
+        What they take is not known, so their workers get no new runs.
     """
 
     service: str
--- a/chestnuttide/workloads/tests/test_looks.py
+++ b/chestnuttide/workloads/tests/test_looks.py
@@ -96,10 +96,18 @@
 
 
 def test_a_worker_runs_what_no_job_knows() -> None:
-    """Guards against a run that nobody stops after a takeover."""
+    """Guards against a run that nobody stops, or counts, after a takeover.
+
+    A job that ended just before has no record of its runs, which are still
+    being stopped and take room of an unknown size.
+    """
     pool = _world.make_pool(1)
+    _world.submit(pool, _world.make_step())
     _world.look(pool, "w0@1", running=(_world.Row(task="x.0.0.0", run=3),))
     assert pool.unknown_runs == {"w0@1": {("x.0.0.0", 3)}}
+    assert not workloads.make_plan(pool, now=2.0).runs
+    _world.look(pool, "w0@1", sent_at=2.0)
+    assert workloads.make_plan(pool, now=3.0).runs
 
 
 @pytest.mark.parametrize(
