--- /dev/null
+++ b/chestnuttide/node/tests/_cell.py
@@ -0,0 +1,308 @@
+"""A cell of real daemons on loopback, against the platform's stand-ins."""
+
+import asyncio
+import collections.abc
+import contextlib
+import functools
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import attrs
+from tornado import httpclient
+
+from standins import cloud
+
+SERVICE = "layout"
+HOST = "dials.example"
+ROOT = pathlib.Path(__file__).parents[3]
+
+
+@attrs.define(kw_only=True)
+class Node:
+    """A daemon's process.
+
+    Attributes
+    ----------
+    name : str
+        Name of the instance.
+    front, ready : int
+        Its ports.
+    settings : Path
+        Its settings file.
+    process : Popen
+        The process.
+    """
+
+    name: str
+    front: int
+    ready: int
+    settings: pathlib.Path
+    process: subprocess.Popen
+
+
+@attrs.define(kw_only=True)
+class Cell:
+    """Stand-ins and daemons.
+
+    Attributes
+    ----------
+    store, advisor : Store, Advisor
+        The platform's stand-ins.
+    workers : list of Worker
+        Workers of the one service.
+    nodes : list of Node
+        The daemons.
+    """
+
+    store: cloud.Store
+    advisor: cloud.Advisor
+    workers: list[cloud.Worker]
+    nodes: list[Node] = attrs.field(factory=list)
+
+
+def _free_port() -> int:
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return listener.getsockname()[1]
+
+
+def make_config(version: int, *, prefix: str = "/layout/") -> bytes:
+    """Return a configuration with one queue."""
+    return json.dumps(
+        {
+            "version": version,
+            "routes": [
+                {
+                    "name": "q1",
+                    "host": HOST,
+                    "prefix": prefix,
+                    "service": SERVICE,
+                    "priority": 0,
+                    "maxAttempts": 2,
+                    "stretch": 1.5,
+                    "targetLatencyMs": 250,
+                    "advice": {
+                        "decideMs": 20.0,
+                        "eachMs": 0.3,
+                        "validityMs": 2000,
+                    },
+                }
+            ],
+            "services": [{"name": SERVICE}],
+            "limits": {"maxBodyBytes": 65536},
+        }
+    ).encode()
+
+
+@contextlib.asynccontextmanager
+async def run_cell(
+    folder: pathlib.Path, *, nodes: int = 3, workers: int = 3
+) -> collections.abc.AsyncIterator[Cell]:
+    """Run a cell until the block ends."""
+    cell = Cell(
+        store=cloud.Store(),
+        advisor=cloud.Advisor(),
+        workers=[
+            cloud.Worker(
+                id=f"i-{number}",
+                service=SERVICE,
+                capacity={"cpu": 8000, "memMb": 8000, "gpu": 0},
+            )
+            for number in range(workers)
+        ],
+    )
+    servers = []
+
+    def serve(handler: object, state: object) -> str:
+        address, server = cloud.serve(functools.partial(handler, state))
+        servers.append(server)
+        return address
+
+    store = serve(cloud.answer_store, cell.store)
+    advisor = serve(cloud.answer_advice, cell.advisor)
+    for worker in cell.workers:
+        address = serve(cloud.answer_worker, worker)
+        entry = cloud.write_entry(worker, address)
+        cloud.put(cell.store, f"servers/{worker.id}", entry)
+    cloud.put(cell.store, "op/config", make_config(1))
+    try:
+        for number in range(nodes):
+            cell.nodes.append(
+                _start_node(folder, f"n{number}", store, advisor)
+            )
+        for node in cell.nodes:
+            await until_ready(node)
+        await until(lambda: f"cell/owners/{SERVICE}" in cell.store.keys)
+        yield cell
+    finally:
+        for node in cell.nodes:
+            node.process.send_signal(signal.SIGCONT)
+            node.process.kill()
+            node.process.wait()
+        for server in servers:
+            server.stop()
+
+
+def _start_node(
+    folder: pathlib.Path, name: str, store: str, advisor: str
+) -> Node:
+    front, ready, mesh = _free_port(), _free_port(), _free_port()
+    settings = folder / f"{name}.jsonc"
+    settings.write_text(
+        json.dumps(
+            {
+                "instance": name,
+                "data_centre": "a",
+                "ip": "127.0.0.1",
+                "listen": {
+                    "callers": f"127.0.0.1:{front}",
+                    "readiness": f"127.0.0.1:{ready}",
+                },
+                "mesh_ports": [mesh, mesh],
+                "store": {"address": store},
+                "advisor": advisor,
+                "metrics_port": _free_port(),
+            }
+        )
+    )
+    return Node(
+        name=name,
+        front=front,
+        ready=ready,
+        settings=settings,
+        process=spawn(folder, name, settings),
+    )
+
+
+def spawn(
+    folder: pathlib.Path, name: str, settings: pathlib.Path
+) -> subprocess.Popen:
+    """Start a daemon whose log goes to a file beside its settings."""
+    with open(folder / f"{name}.log", "ab") as log:
+        return subprocess.Popen(
+            [sys.executable, "-m", "chestnuttide.node"],
+            cwd=ROOT,
+            env={**os.environ, "CHESTNUTTIDE_CONFIG": str(settings)},
+            stdout=log,
+            stderr=log,
+        )
+
+
+async def until(
+    condition: collections.abc.Callable[[], bool], *, limit_s: float = 15.0
+) -> None:
+    """Wait until a condition holds.
+
+    Raises
+    ------
+    AssertionError
+        If it does not hold in time.
+    """
+    end = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < end, "the condition did not come true"
+        await asyncio.sleep(0.02)
+
+
+async def until_ready(node: Node) -> None:
+    """Wait until a daemon is ready."""
+    end = time.monotonic() + 15
+    while await call(f"http://127.0.0.1:{node.ready}/v1/ready") != 200:
+        assert time.monotonic() < end, f"{node.name} is not ready"
+        await asyncio.sleep(0.05)
+
+
+async def call(
+    url: str, *, method: str = "GET", body: bytes | None = None
+) -> int:
+    """Return the status of a call; 599 if there was no answer."""
+    status, _ = await fetch(url, method=method, body=body)
+    return status
+
+
+async def fetch(
+    url: str, *, method: str = "GET", body: bytes | None = None
+) -> tuple[int, dict[str, object]]:
+    """Return the status and the body of a call."""
+    client = httpclient.AsyncHTTPClient()
+    try:
+        response = await client.fetch(
+            httpclient.HTTPRequest(
+                url,
+                method=method,
+                body=body,
+                headers={"Host": HOST},
+                request_timeout=5,
+                allow_nonstandard_methods=True,
+            ),
+            raise_error=False,
+        )
+    except OSError:
+        return 599, {}
+    if response.code == 599 or not response.body:
+        return response.code, {}
+    return response.code, json.loads(response.body)
+
+
+def url(node: Node, job_id: str = "") -> str:
+    """Return the URL of a job, or of the queue."""
+    return f"http://127.0.0.1:{node.front}/layout/{job_id}"
+
+
+def make_job(*, count: int = 2, steps: int = 1) -> bytes:
+    """Return the body of a submission."""
+    return json.dumps(
+        {
+            "spec": "dial",
+            "steps": [
+                {
+                    "count": count,
+                    "cpu": 500,
+                    "memMb": 100,
+                    "estRuntimeMs": 200,
+                    "after": [number - 1] if number else [],
+                }
+                for number in range(steps)
+            ],
+        }
+    ).encode()
+
+
+async def submit(node: Node, job_id: str, **job: int) -> int:
+    """Submit a job and return the status."""
+    return await call(url(node, job_id), method="POST", body=make_job(**job))
+
+
+async def until_state(node: Node, job_id: str, state: str) -> None:
+    """Wait until a job is shown in a state."""
+    end = time.monotonic() + 15
+    while True:
+        _, document = await fetch(url(node, job_id))
+        if document.get("state") == state:
+            return
+        assert time.monotonic() < end, (job_id, document)
+        await asyncio.sleep(0.05)
+
+
+def owner_of(cell: Cell) -> Node:
+    """Return the daemon that owns the service."""
+    value = cell.store.keys[f"cell/owners/{SERVICE}"].value
+    return next(node for node in cell.nodes if node.name.encode() in value)
+
+
+def check_runs(cell: Cell) -> None:
+    """Assert that no task ran twice at once, nor again after its end."""
+    for worker in cell.workers:
+        assert worker.overlaps == []
+    numbers: dict[str, list[int]] = {}
+    for worker in cell.workers:
+        for task, run in worker.starts:
+            numbers.setdefault(task, []).append(run)
+    for task, runs in numbers.items():
+        assert len(set(runs)) == len(runs), (task, runs)
--- /dev/null
+++ b/standins/cloud/_advisor.py
@@ -0,0 +1,37 @@
+"""Stand-in of the policy advisor."""
+
+import attrs
+from tornado import httputil
+
+from standins.cloud import _http
+
+
+@attrs.define(kw_only=True)
+class Advisor:
+    """An advisor.
+
+    Attributes
+    ----------
+    refused : set of str
+        Workers that may run nothing.
+    calls : int
+        Calls so far.
+    """
+
+    refused: set[str] = attrs.field(factory=set)
+    calls: int = 0
+
+
+async def answer_advice(
+    advisor: Advisor,
+    request: httputil.HTTPServerRequest,
+    body: dict[str, object],
+) -> _http.Answer:
+    """Return a ticket for each worker that is not refused."""
+    advisor.calls += 1
+    good = [
+        [worker, f"t-{worker}"]
+        for worker in body["workers"]
+        if worker not in advisor.refused
+    ]
+    return 200, {"good": good, "validityMs": 2000}
--- /dev/null
+++ b/standins/cloud/_store.py
@@ -0,0 +1,234 @@
+"""Stand-in of the platform's key-value store."""
+
+import asyncio
+import base64
+import time
+
+import attrs
+from tornado import httputil
+
+from standins.cloud import _http
+
+
+@attrs.define(kw_only=True)
+class Key:
+    """A key.
+
+    Attributes
+    ----------
+    value : bytes
+        Its content.
+    revision, created : int
+        Revisions of the last change and of the creation.
+    lease : int
+        The lease with which it ends; 0 if there is none.
+    """
+
+    value: bytes
+    revision: int
+    created: int
+    lease: int = 0
+
+
+@attrs.define(kw_only=True)
+class Store:
+    """All of the store.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the last change.
+    keys : dict of str to Key
+        Present keys.
+    history : list of (int, str)
+        Revision and key of each change.
+    oldest : int
+        Changes up to this revision are forgotten.
+    leases : dict of int to (float, float)
+        End and time to live of each lease, in seconds.
+    refusal : int
+        Status with which all calls are refused; 0 for none, -1 for silence.
+    lose_answers : int
+        Transactions that are still to be done without an answer.
+    changed : asyncio.Event
+        Set and replaced at each change.
+    """
+
+    revision: int = 1
+    keys: dict[str, Key] = attrs.field(factory=dict)
+    history: list[tuple[int, str]] = attrs.field(factory=list)
+    oldest: int = 0
+    leases: dict[int, tuple[float, float]] = attrs.field(factory=dict)
+    refusal: int = 0
+    lose_answers: int = 0
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+
+def put(store: Store, key: str, value: bytes, *, lease: int = 0) -> None:
+    """Write a key as the operator or a worker does."""
+    store.revision += 1
+    _write(store, key, value, lease)
+    _wake(store)
+
+
+def end_leases(store: Store) -> None:
+    """Remove the keys of leases that have run out."""
+    now = time.monotonic()
+    for lease, (until, _) in list(store.leases.items()):
+        if until < now:
+            _end_lease(store, lease)
+
+
+def _end_lease(store: Store, lease: int) -> None:
+    del store.leases[lease]
+    keys = [key for key, item in store.keys.items() if item.lease == lease]
+    store.revision += 1
+    for key in keys:
+        _remove(store, key)
+    _wake(store)
+
+
+def _write(store: Store, key: str, value: bytes, lease: int) -> None:
+    former = store.keys.get(key)
+    store.keys[key] = Key(
+        value=value,
+        revision=store.revision,
+        created=former.created if former else store.revision,
+        lease=lease,
+    )
+    store.history.append((store.revision, key))
+
+
+def _remove(store: Store, key: str) -> None:
+    if store.keys.pop(key, None) is not None:
+        store.history.append((store.revision, key))
+
+
+def _wake(store: Store) -> None:
+    store.changed.set()
+    store.changed = asyncio.Event()
+
+
+def _show(store: Store, key: str, revision: int = 0) -> dict[str, object]:
+    item = store.keys.get(key)
+    if item is None:
+        return {"key": key, "rev": revision, "deleted": True}
+    return {
+        "key": key,
+        "value": base64.b64encode(item.value).decode(),
+        "rev": item.revision,
+        "created": item.created,
+        "lease": item.lease,
+    }
+
+
+async def answer_store(
+    store: Store,
+    request: httputil.HTTPServerRequest,
+    body: dict[str, object],
+) -> _http.Answer:
+    """Answer a call."""
+    if store.refusal < 0:
+        return None
+    if store.refusal:
+        return store.refusal, {}
+    end_leases(store)
+    query = {
+        name: values[0].decode() for name, values in request.arguments.items()
+    }
+    _, _, name = request.path.rpartition("/v1/")
+    name, _, argument = name.partition("/")
+    if name == "kv-key":
+        if query["key"] not in store.keys:
+            return 404, {}
+        shown = _show(store, query["key"])
+        return 200, {**shown, "storeRevision": store.revision}
+    if name == "kv-range":
+        return 200, {
+            "items": [
+                _show(store, key)
+                for key in sorted(store.keys)
+                if key.startswith(query["prefix"])
+            ],
+            "hasMore": False,
+            "storeRevision": store.revision,
+        }
+    if name == "kv-watch":
+        return await _watch(store, query)
+    if name == "kv-txn":
+        return _transact(store, body)
+    return _answer_lease(store, name, argument, body)
+
+
+def _answer_lease(
+    store: Store, name: str, argument: str, body: dict[str, object]
+) -> _http.Answer:
+    now = time.monotonic()
+    if name == "kv-lease":
+        lease = len(store.history) + len(store.leases) + 1000
+        while lease in store.leases:
+            lease += 1
+        ttl_s = body["ttlMs"] / 1000
+        store.leases[lease] = (now + ttl_s, ttl_s)
+        return 200, {"lease": lease, "ttlMs": body["ttlMs"]}
+    lease = int(argument)
+    if lease not in store.leases:
+        return 404, {}
+    if name == "kv-keep":
+        ttl_s = store.leases[lease][1]
+        store.leases[lease] = (now + ttl_s, ttl_s)
+    else:
+        _end_lease(store, lease)
+    return 200, {}
+
+
+async def _watch(store: Store, query: dict[str, str]) -> _http.Answer:
+    after = int(query["after"])
+    until = time.monotonic() + int(query["waitMs"]) / 1000
+    while True:
+        if after < store.oldest:
+            return 410, {}
+        newest = {
+            key: revision
+            for revision, key in store.history
+            if revision > after and key.startswith(query["prefix"])
+        }
+        if newest or time.monotonic() >= until:
+            events = [
+                _show(store, key, revision)
+                for key, revision in sorted(
+                    newest.items(), key=lambda pair: pair[1]
+                )
+            ]
+            return 200, {"events": events, "storeRevision": store.revision}
+        try:
+            async with asyncio.timeout(0.1):
+                await store.changed.wait()
+        except TimeoutError:
+            end_leases(store)
+
+
+def _transact(store: Store, body: dict[str, object]) -> _http.Answer:
+    for row in body["expect"]:
+        item = store.keys.get(row["key"])
+        if (item.revision if item else 0) != row["rev"]:
+            items = [
+                _show(store, each["key"])
+                for each in body["expect"]
+                if each["key"] in store.keys
+            ]
+            return 412, {"items": items}
+    leases = {row.get("lease", 0) for row in body["puts"]} - {0}
+    if leases - store.leases.keys():
+        return 404, {}
+    store.revision += 1
+    for row in body["puts"]:
+        value = base64.b64decode(row["value"])
+        _write(store, row["key"], value, row.get("lease", 0))
+    for key in body["remove"]:
+        _remove(store, key)
+    _wake(store)
+    if store.lose_answers:
+        store.lose_answers -= 1
+        return None
+    return 200, {"rev": store.revision}
