--- a/chestnuttide/cli/_main.py
+++ b/chestnuttide/cli/_main.py
@@ -13,6 +13,7 @@
 from chestnuttide.cli import _api
 from chestnuttide.cli import _commands
 from chestnuttide.cli import _exits
+from chestnuttide.cli import _trace
 
 
 class _Application(application.Application):
@@ -95,6 +96,6 @@
             ),
         ]
     )
-    for command in _commands.COMMANDS:
+    for command in (*_commands.COMMANDS, _trace.Trace):
         made.add(command())
     return made
--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -77,9 +77,10 @@
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
 
-async def run(settings: _settings.NodeSettings) -> None:
+async def run(
+    settings: _settings.NodeSettings, metrics: _metrics.NodeMetrics
+) -> None:
     """Serve until SIGTERM."""
-    metrics = _metrics.make_metrics()
     daemon = await _make_daemon(settings, metrics)
     # The modules and wiring live until the end; without them the collector
     # looks only at what requests have made.
--- a/chestnuttide/node/_main.py
+++ b/chestnuttide/node/_main.py
@@ -5,6 +5,7 @@
 
 from chestnuttide import errors
 from chestnuttide.node import _daemon
+from chestnuttide.node import _metrics
 from chestnuttide.node import _settings
 from chestnuttide import telemetry
 
@@ -22,8 +23,13 @@
         telemetry.configure_logging("info", "", "node", sys.stdout)
         LOG.error("Settings are unusable.", error=str(error))
         return BAD_SETTINGS
-    telemetry.configure_logging(
-        settings.log_level, settings.instance, "node", sys.stdout
+    metrics = _metrics.make_metrics()
+    telemetry.configure_bounded_logging(
+        settings.log_level,
+        settings.instance,
+        "node",
+        lines_per_s=settings.log_lines_per_s,
+        on_drop=lambda: metrics.dropped_log_lines.inc({}),
     )
-    asyncio.run(_daemon.run(settings))
+    asyncio.run(_daemon.run(settings, metrics))
     return 0
--- a/chestnuttide/telemetry/__init__.py
+++ b/chestnuttide/telemetry/__init__.py
@@ -4,6 +4,7 @@
 from chestnuttide.telemetry import _metrics
 
 Metrics = _metrics.Metrics
+configure_bounded_logging = _logs.configure_bounded_logging
 configure_logging = _logs.configure_logging
 count_refusal = _metrics.count_refusal
 count_retry = _metrics.count_retry
@@ -15,6 +16,7 @@
 
 __all__ = [
     "Metrics",
+    "configure_bounded_logging",
     "configure_logging",
     "count_refusal",
     "count_retry",
--- a/chestnuttide/telemetry/_logs.py
+++ b/chestnuttide/telemetry/_logs.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import logging
+import os
 import sys
 import typing
 
@@ -66,6 +67,71 @@
         return f"{self._prefix}{msg}", call
 
 
+class _DroppingHandler(logging.StreamHandler):
+    """A handler that drops a line rather than wait for its stream.
+
+    Parameters
+    ----------
+    stream : text stream
+        Where the lines go.
+    lines_per_s : int
+        Most lines a second.
+    on_drop : function
+        Called for each dropped line.
+    """
+
+    def __init__(
+        self,
+        stream: typing.TextIO,
+        lines_per_s: int,
+        on_drop: collections.abc.Callable[[], None],
+    ) -> None:
+        super().__init__(stream)
+        self._lines_per_s = lines_per_s
+        self._on_drop = on_drop
+        self._second = 0
+        self._lines = 0
+        os.set_blocking(stream.fileno(), False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a line unless the second's lines are used up."""
+        second = int(record.created)
+        if second != self._second:
+            self._second, self._lines = second, 0
+        self._lines += 1
+        if self._lines > self._lines_per_s:
+            self._on_drop()
+            return
+        super().emit(record)
+
+    def handleError(self, record: logging.LogRecord) -> None:  # noqa: N802
+        """Count a line that the stream did not take."""
+        self._on_drop()
+
+
+def configure_bounded_logging(
+    level: str,
+    instance_id: str,
+    daemon: str,
+    *,
+    lines_per_s: int,
+    on_drop: collections.abc.Callable[[], None],
+) -> None:
+    """Send logs to standard output, bounded and without ever blocking.
+
+    Parameters
+    ----------
+    level, instance_id, daemon : str
+        See `configure_logging`.
+    lines_per_s : int
+        Most lines a second; further ones are dropped.
+    on_drop : function
+        Called for each dropped line, to count it.
+    """
+    handler = _DroppingHandler(sys.stdout, lines_per_s, on_drop)
+    _install(handler, level, instance_id, daemon)
+
+
 def configure_logging(
     level: str,
     instance_id: str,
@@ -87,6 +153,12 @@
         Where the lines go; standard error by default.
     """
     handler = logging.StreamHandler(stream or sys.stderr)
+    _install(handler, level, instance_id, daemon)
+
+
+def _install(
+    handler: logging.Handler, level: str, instance_id: str, daemon: str
+) -> None:
     handler.setFormatter(
         json_formatter.JsonFormatter(
             ["levelname", "name", "message"],
