Resolve an unanswered start within a few tenths of a second

Change: an order may take 0.3 s; then the worker's lists are asked for at once, and if the run is not in them a stop is sent, after whose answer the lists decide.

--- a/chestnuttide/node/_worker_calls.py
+++ b/chestnuttide/node/_worker_calls.py
@@ -13,7 +13,7 @@
 
 # A worker answers within milliseconds; beyond this time the order is
 # uncertain, and the worker's lists decide.
-ORDER_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 0.3
 
 # A look returns after this time when nothing ends. Progress, latency and
 # silence are seen at this rate on workers that run something.
@@ -21,7 +21,7 @@
 IDLE_LOOK_S = 2.0
 
 # Limit of a look beyond its wait.
-LOOK_TIMEOUT_S = 0.8
+LOOK_TIMEOUT_S = 0.4
 
 # Lease of a start. Its end also ends the doubt about an unanswered start.
 START_LEASE_S = 2.5
@@ -64,7 +64,7 @@
             await _wait_for_commit(owner)
         if not worker.report.address or not _may_order(owner):
             await asyncio.sleep(SILENT_PAUSE_S)
-        elif not await _look(owner, worker):
+        elif not await _look(owner, worker, wait_s=_look_wait_s(worker)):
             worker.failed_looks += 1
             if worker.failed_looks == 1:
                 LOG.warning(
@@ -91,12 +91,17 @@
         LOG.debug("Ends are not stored yet.", service=owner.service)
 
 
-async def _look(owner: _ownership.Ownership, worker: workloads.Worker) -> bool:
+def _look_wait_s(worker: workloads.Worker) -> float:
+    if not worker.seen_at or worker.failed_looks:
+        return 0.0
+    return BUSY_LOOK_S if worker.runs else IDLE_LOOK_S
+
+
+async def _look(
+    owner: _ownership.Ownership, worker: workloads.Worker, *, wait_s: float
+) -> bool:
     """Extend the worker's lease and take over its lists."""
     sent_at = _clock.now()
-    wait_s = 0.0
-    if worker.seen_at and not worker.failed_looks:
-        wait_s = BUSY_LOOK_S if worker.runs else IDLE_LOOK_S
     deadline_ms = None
     if worker.runs:
         lease_s = owner.pool.bounds.lease_s
@@ -315,12 +320,33 @@
         )
         if not error.sent:
             _end(owner, run, "never")
+        else:
+            await _resolve_doubt(owner, worker, run)
         return
     if owner.deposed.is_set() or run not in run.unit.runs:
         return
     _note_start_reply(owner, worker, run, reply)
 
 
+async def _resolve_doubt(
+    owner: _ownership.Ownership,
+    worker: workloads.Worker,
+    run: workloads.Run,
+) -> None:
+    """Find out soon whether an unanswered start has begun, or never will.
+
+    A worker that does not list the run may still execute its start, until it
+    has answered a stop for it.
+    """
+    await _look(owner, worker, wait_s=0.0)
+    if run.phase != workloads.Phase.UNCERTAIN or not _may_order(owner):
+        return
+    run.stop_sent_at = _clock.now()
+    await _order_stop(owner, worker, run)
+    if run.stop_acknowledged_at and run in run.unit.runs:
+        await _look(owner, worker, wait_s=0.0)
+
+
 def _note_start_reply(
     owner: _ownership.Ownership,
     worker: workloads.Worker,
