Split the owner and the callers' front into modules of one job

Change: _intake, _release, _answers, _submission and _lookups; one function sends stops; a lost confirmation of an ownership is logged once.

--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -13,15 +13,20 @@
 
 from chestnuttide import errors
 from chestnuttide.node import _advice_calls
+from chestnuttide.node import _answers
 from chestnuttide.node import _clock
 from chestnuttide.node import _front
+from chestnuttide.node import _intake
+from chestnuttide.node import _lookups
 from chestnuttide.node import _messages
 from chestnuttide.node import _metrics
 from chestnuttide.node import _owner
 from chestnuttide.node import _ownership
 from chestnuttide.node import _peers
+from chestnuttide.node import _release
 from chestnuttide.node import _session
 from chestnuttide.node import _settings
+from chestnuttide.node import _submission
 from chestnuttide import platform
 from chestnuttide import telemetry
 from chestnuttide import workloads
@@ -70,7 +75,7 @@
     """
 
     session: _session.Session
-    front: _front.Front
+    front: _answers.Front
     owned: dict[str, _ownership.Ownership]
     workers_http: platform.HttpClient
     metrics: _metrics.NodeMetrics
@@ -131,7 +136,7 @@
         incarnation=secrets.token_hex(8),
     )
     owned: dict[str, _ownership.Ownership] = {}
-    front = _front.Front(session=session, owned=owned, metrics=metrics)
+    front = _answers.Front(session=session, owned=owned, metrics=metrics)
     workers_http = platform.make_client(
         max_clients=WORKER_CLIENTS,
         max_host_connections=CONNECTIONS_PER_WORKER,
@@ -157,10 +162,10 @@
     advice_http = platform.make_client(max_clients=STORE_CLIENTS)
 
     async def state(message: _messages.StateRead) -> object:
-        return _front.answer_state(daemon.front, message)
+        return _lookups.answer_state(daemon.front, message)
 
     async def pending(message: _messages.PendingRead) -> object:
-        return _front.answer_pending(daemon.front, message)
+        return _lookups.answer_pending(daemon.front, message)
 
     async def advice(message: _messages.AdviceAsk) -> object:
         return await _advice_calls.answer_ask(
@@ -171,16 +176,16 @@
         return _session.answer_cell(daemon.session, message)
 
     async def write(message: _messages.JobWrite) -> object:
-        outcome = await _front.write_job(daemon.front, message)
+        outcome = await _submission.write_job(daemon.front, message)
         return _messages.JobWriteReply(
             call_id=message.call_id, outcome=outcome
         )
 
     async def notice(message: _messages.JobNotice) -> None:
-        _owner.take_notice(daemon.owned.get(message.service), message)
+        _intake.take_notice(daemon.owned.get(message.service), message)
 
     async def release(message: _messages.Release) -> object:
-        return await _owner.release(daemon.session, message)
+        return await _release.release(daemon.session, message)
 
     return {
         _messages.JobNotice: notice,
@@ -361,7 +366,7 @@
     daemon.front.stopping = True
     LOG.info("Stopping.", owned=sorted(daemon.owned))
     await asyncio.gather(
-        *(_owner.hand_over(owner) for owner in daemon.owned.values())
+        *(_release.hand_over(owner) for owner in daemon.owned.values())
     )
     await asyncio.sleep(max(0.0, ROTATION_S - (_clock.now() - began)))
     servers[0].stop()
--- /dev/null
+++ b/chestnuttide/node/_release.py
@@ -0,0 +1,150 @@
+"""Confirmation and end of an ownership."""
+
+import asyncio
+import contextlib
+import time
+
+from chestnuttide import errors
+from chestnuttide.node import _clock
+from chestnuttide.node import _commits
+from chestnuttide.node import _keys
+from chestnuttide.node import _messages
+from chestnuttide.node import _ownership
+from chestnuttide.node import _peers
+from chestnuttide.node import _session
+from chestnuttide import platform
+from chestnuttide import telemetry
+
+LOG = telemetry.make_logger("owner")
+
+# An owner that stores nothing asks the store at this rate whether it still
+# is the owner.
+CONFIRM_S = 1.0
+
+# An owner that the store refuses for this long has a peer end its ownership,
+# so that an instance that reaches the store takes over at once.
+RELEASE_AFTER_S = 0.3
+
+# A peer that has had no good answer of the store for this long is cut off as
+# well; instances renew their leases more often than that.
+REACHES_STORE_S = 0.35
+
+
+async def confirm_loop(owner: _ownership.Ownership) -> None:
+    """Ask the store for the ownership when no commit has shown it."""
+    confirmed = True
+    while True:
+        await asyncio.sleep(CONFIRM_S / 10)
+        sent_at = _clock.now()
+        limit_s = RELEASE_AFTER_S if owner.store.failing_since else CONFIRM_S
+        if sent_at - owner.confirmed_at < limit_s:
+            continue
+        try:
+            item = await platform.read_key(
+                owner.store, _keys.owner(owner.service)
+            )
+        except errors.SchedulerError as error:
+            if confirmed:
+                LOG.warning(
+                    "Ownership is not confirmed.",
+                    service=owner.service,
+                    age_s=round(sent_at - owner.confirmed_at, 2),
+                    error=str(error),
+                )
+            confirmed = False
+            await _release_through_peer(owner)
+            continue
+        if item is None or item.revision != owner.fence:
+            LOG.warning(
+                "Deposed: the owner's key has changed.",
+                service=owner.service,
+                fence=owner.fence,
+            )
+            owner.deposed.set()
+            return
+        if not confirmed:
+            LOG.info("Ownership is confirmed again.", service=owner.service)
+        confirmed = True
+        owner.confirmed_at = max(owner.confirmed_at, sent_at)
+
+
+async def _release_through_peer(owner: _ownership.Ownership) -> None:
+    """Have a peer that reaches the store end this ownership."""
+    owner.releasing = True
+    for name in _peers.connected_names(owner.session.peers):
+        try:
+            reply = await _peers.call(
+                owner.session.peers,
+                name,
+                lambda call_id: _messages.Release(
+                    call_id=call_id,
+                    service=owner.service,
+                    fence=owner.fence,
+                ),
+            )
+        except errors.MeshError as error:
+            # The peer may still do it, so ordering cannot go on.
+            LOG.info("Peer did not release.", peer=name, error=str(error))
+            owner.deposed.set()
+            return
+        if reply.released:
+            LOG.warning(
+                "Ownership was ended through a peer.",
+                service=owner.service,
+                fence=owner.fence,
+                peer=name,
+            )
+            owner.deposed.set()
+            return
+    owner.releasing = False
+
+
+def _release_transaction(service: str, fence: int) -> platform.Transaction:
+    """Return the change that ends an ownership that orders no more."""
+    key = _keys.owner(service)
+    return platform.Transaction(
+        expect={key: fence},
+        put={_keys.released(service): str(fence).encode()},
+        remove=(key,),
+    )
+
+
+async def release(
+    session: _session.Session, message: _messages.Release
+) -> _messages.ReleaseReply:
+    """End a peer's ownership for it, if it still stands."""
+    released = False
+    age_s = time.monotonic() - session.store.answered_at
+    if not session.store.failing_since and age_s < REACHES_STORE_S:
+        try:
+            await platform.commit(
+                session.store,
+                _release_transaction(message.service, message.fence),
+            )
+            released = True
+        except platform.ConditionError:
+            released = True
+        except platform.StoreRefusedError as error:
+            LOG.info("Ownership was not released.", error=str(error))
+    return _messages.ReleaseReply(call_id=message.call_id, released=released)
+
+
+async def hand_over(owner: _ownership.Ownership) -> None:
+    """Store what is decided and give the ownership up."""
+    owner.stopping = True
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CONFIRM_S):
+            await _commits.commit_all(owner)
+    owner.deposed.set()
+    key = _keys.owner(owner.service)
+    try:
+        await platform.commit(
+            owner.store,
+            platform.Transaction(expect={key: owner.fence}, remove=(key,)),
+        )
+    except errors.SchedulerError as error:
+        LOG.warning(
+            "Ownership was not handed over; its lease ends it.",
+            service=owner.service,
+            error=str(error),
+        )
--- /dev/null
+++ b/chestnuttide/node/_submission.py
@@ -0,0 +1,226 @@
+"""Submission and cancellation of jobs."""
+
+import asyncio
+import random
+
+import attrs
+from tornado import httputil
+
+from chestnuttide import errors
+from chestnuttide.node import _answers
+from chestnuttide.node import _clock
+from chestnuttide.node import _intake
+from chestnuttide.node import _keys
+from chestnuttide.node import _messages
+from chestnuttide.node import _peers
+from chestnuttide import platform
+from chestnuttide import telemetry
+from chestnuttide import workloads
+
+LOG = telemetry.make_logger("front")
+
+# Share of a caller's deadline that is spent on storing its job; the rest is
+# left for the answer.
+STORE_SHARE = 0.7
+DEFAULT_DEADLINE_S = 3.0
+
+# Peers that are asked to write for an instance that the store refuses. The
+# store refuses at most some instances, or all.
+PEERS_TRIED = 3
+WRITE_PAUSE_S = 0.05
+
+
+async def submit(
+    front: _answers.Front,
+    queue: workloads.Queue,
+    job_id: str,
+    request: httputil.HTTPServerRequest,
+) -> _answers.Answer:
+    config = front.session.config
+    if len(request.body) > config.max_body_bytes:
+        return _answers.refuse(
+            "submit",
+            413,
+            "too_large",
+            f"The body exceeds {config.max_body_bytes} bytes. Shorten it.",
+            job=job_id,
+        )
+    try:
+        spec = platform.decode_job(
+            request.body,
+            job_id=job_id,
+            queue=queue,
+            now_unix_s=_clock.unix_time(),
+        )
+    except errors.RefusedError as error:
+        return _answers.refuse(
+            "submit", 400, str(error.reason), str(error), job=job_id
+        )
+    write = _messages.JobWrite(
+        call_id=0,
+        absent_keys=tuple(
+            _keys.job(service, job_id)
+            for service in sorted({queue.service, *config.services})
+        ),
+        key=_keys.job(queue.service, job_id),
+        value=workloads.encode_job(spec),
+    )
+    _notify_owner(front, queue.service, job_id, write.value, stored=False)
+    outcome = await _store_job(front, write, _deadline_s(request))
+    if outcome == "stored":
+        _notify_owner(front, queue.service, job_id, write.value, stored=True)
+    inputs = {
+        "queue": queue.name,
+        "outcome": outcome,
+        "tasks": sum(step.count for step in spec.steps),
+    }
+    if outcome in ("stored", "exists"):
+        return _answers.Answer(
+            status=200, body={}, call="submit", job=job_id, inputs=inputs
+        )
+    if outcome == "refused":
+        answer = _answers.refuse(
+            "submit",
+            503,
+            "store_unavailable",
+            "The job was not accepted and never runs. Submit it again.",
+            job=job_id,
+            retry_after_s=_answers.RETRY_AFTER_S,
+        )
+    else:
+        answer = _answers.refuse(
+            "submit",
+            504,
+            "outcome_unknown",
+            "Whether the job was stored is not known. Send the same id again.",
+            job=job_id,
+        )
+    return attrs.evolve(answer, inputs=inputs)
+
+
+def _deadline_s(request: httputil.HTTPServerRequest) -> float:
+    text = request.headers.get("Deadline-Ms", "")
+    return int(text) / 1000 if text.isdigit() else DEFAULT_DEADLINE_S
+
+
+def _notify_owner(
+    front: _answers.Front,
+    service: str,
+    job_id: str,
+    value: bytes,
+    *,
+    stored: bool,
+) -> None:
+    owner = front.session.owners.get(service)
+    if owner is None:
+        return
+    message = _messages.JobNotice(
+        service=service, job_id=job_id, value=value, stored=stored
+    )
+    if owner.incarnation == front.session.incarnation:
+        _intake.take_notice(front.owned.get(service), message)
+    else:
+        _peers.notify(front.session.peers, owner.instance, message)
+
+
+async def _store_job(
+    front: _answers.Front, write: _messages.JobWrite, deadline_s: float
+) -> str:
+    """Store a job here or through a peer.
+
+    Returns
+    -------
+    str
+        ``stored``, ``exists``, ``refused`` if it provably never runs, or
+        ``unknown``.
+    """
+    began = _clock.now()
+    unknown = False
+    while True:
+        outcomes = [await write_job(front, write)]
+        names = _peers.connected_names(front.session.peers)
+        for name in random.sample(names, min(PEERS_TRIED, len(names))):
+            if outcomes[-1] in ("stored", "exists"):
+                break
+            outcomes.append(await _write_through(front, name, write))
+        if outcomes[-1] in ("stored", "exists"):
+            return outcomes[-1]
+        # A job whose write may still take effect is not refused.
+        unknown = unknown or "unknown" in outcomes
+        if not unknown:
+            return "refused"
+        if _clock.now() - began > STORE_SHARE * deadline_s:
+            return "unknown"
+        await asyncio.sleep(WRITE_PAUSE_S)
+
+
+async def write_job(front: _answers.Front, write: _messages.JobWrite) -> str:
+    """Store a job from this instance; see `_store_job`.
+
+    While the store is silent nothing is sent, because a write without an
+    answer could not be refused truthfully.
+    """
+    if front.session.store.silent:
+        return "refused"
+    try:
+        await platform.commit(
+            front.session.store,
+            platform.Transaction(
+                expect=dict.fromkeys(write.absent_keys, 0),
+                put={write.key: write.value},
+            ),
+        )
+    except platform.ConditionError:
+        return "exists"
+    except platform.StoreRefusedError as error:
+        LOG.info("Job was not written.", key=write.key, error=str(error))
+        return "refused"
+    except errors.SchedulerError as error:
+        LOG.info("Write is uncertain.", key=write.key, error=str(error))
+        return "unknown"
+    return "stored"
+
+
+async def _write_through(
+    front: _answers.Front, name: str, write: _messages.JobWrite
+) -> str:
+    try:
+        reply = await _peers.call(
+            front.session.peers,
+            name,
+            lambda call_id: attrs.evolve(write, call_id=call_id),
+        )
+    except errors.MeshError as error:
+        LOG.info("Peer did not write.", peer=name, error=str(error))
+        return "unknown"
+    return reply.outcome
+
+
+async def cancel(
+    front: _answers.Front, queue: workloads.Queue, job_id: str
+) -> _answers.Answer:
+    try:
+        for service in sorted({queue.service, *front.session.config.services}):
+            item = await platform.read_key(
+                front.session.store, _keys.job(service, job_id)
+            )
+            if item is not None:
+                break
+        else:
+            return _answers.unknown_job("cancel", job_id)
+        record = workloads.decode_job(item.value)
+        if not isinstance(record, workloads.EndedJob):
+            await platform.commit(
+                front.session.store,
+                platform.Transaction(put={_keys.cancel(service, job_id): b""}),
+            )
+    except errors.SchedulerError as error:
+        return _answers.refuse(
+            "cancel",
+            503,
+            "store_unavailable",
+            f"The job may go on: {error}",
+            job=job_id,
+            retry_after_s=_answers.RETRY_AFTER_S,
+        )
+    return _answers.Answer(status=200, body={}, call="cancel", job=job_id)
--- a/chestnuttide/node/_worker_calls.py
+++ b/chestnuttide/node/_worker_calls.py
@@ -409,30 +409,42 @@
     worker: workloads.Worker,
     run: workloads.Run,
 ) -> None:
+    if await _send_stop(owner, worker, run.task, run.number):
+        run.stop_acknowledged_at = _clock.now()
+
+
+async def _send_stop(
+    owner: _ownership.Ownership,
+    worker: workloads.Worker,
+    task: str,
+    number: int,
+) -> bool:
+    """Stop a run; return whether the worker has answered that it will."""
     try:
         reply = await platform.stop_run(
             owner.workers_http,
             _address(worker),
-            task=run.task,
-            run=run.number,
+            task=task,
+            run=number,
             fence=owner.fence,
             timeout_s=ORDER_TIMEOUT_S,
             may_send=lambda: _may_order(owner),
         )
     except errors.PlatformError as error:
+        # The next look lists the run again, and the stop is repeated.
         LOG.info(
             "Stop was not answered.",
-            job=run.job.spec.id,
-            task=run.task,
+            task=task,
+            run=number,
             worker=worker.key,
             error=str(error),
         )
-        return
-    if reply.status == 200:
-        run.stop_acknowledged_at = _clock.now()
-        owner.metrics.orders.inc({"kind": "stop", "outcome": "200"})
-    else:
+        return False
+    if reply.status != 200:
         _note_rejection(owner, worker, reply, "stop")
+        return False
+    owner.metrics.orders.inc({"kind": "stop", "outcome": "200"})
+    return True
 
 
 async def _stop_unknown(
@@ -441,22 +453,7 @@
     task: str,
     number: int,
 ) -> None:
-    try:
-        reply = await platform.stop_run(
-            owner.workers_http,
-            _address(worker),
-            task=task,
-            run=number,
-            fence=owner.fence,
-            timeout_s=ORDER_TIMEOUT_S,
-            may_send=lambda: _may_order(owner),
-        )
-    except errors.PlatformError as error:
-        # The next look lists the run again.
-        LOG.info("Stop was not answered.", task=task, error=str(error))
-        return
-    if reply.status != 200:
-        _note_rejection(owner, worker, reply, "stop")
+    await _send_stop(owner, worker, task, number)
 
 
 async def _order_pace(
