--- a/chestnuttide/node/_worker_calls.py
+++ b/chestnuttide/node/_worker_calls.py
@@ -102,14 +102,11 @@
 ) -> bool:
     """Extend the worker's lease and take over its lists."""
     sent_at = _clock.now()
-    deadline_ms = None
-    if worker.runs:
-        lease_s = owner.pool.bounds.lease_s
-        deadline_ms = workloads.lease_deadline_ms(
-            worker, now=sent_at, lease_s=lease_s
-        )
-        if deadline_ms is not None:
-            workloads.note_grant(worker, deadline_ms, now=sent_at)
+    deadline_ms = workloads.hold_deadline_ms(
+        worker, now=sent_at, lease_s=owner.pool.bounds.lease_s
+    )
+    if deadline_ms is not None:
+        workloads.note_grant(worker, deadline_ms, now=sent_at)
     first = not worker.seen_at
     try:
         reply = await platform.hold_runs(
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -40,6 +40,7 @@
 end_run = _lifecycle.end_run
 evacuate = _supervision.evacuate
 find_stalled = _supervision.find_stalled
+hold_deadline_ms = _looks.hold_deadline_ms
 is_usable = _planning.is_usable
 lapse_silent_worker = _looks.lapse_silent_worker
 lease_deadline_ms = _looks.lease_deadline_ms
--- a/chestnuttide/workloads/_looks.py
+++ b/chestnuttide/workloads/_looks.py
@@ -76,6 +76,20 @@
     return worker.clock_ms + int((now - worker.clock_at + lease_s) * 1000)
 
 
+def hold_deadline_ms(
+    worker: _state.Worker, *, now: float, lease_s: float
+) -> int | None:
+    """Return the lease that a look at a worker asks for, or None.
+
+    An unanswered look may have extended the lease. While a worker is silent,
+    looks ask for none, so that the lease runs out and its runs can go on
+    elsewhere.
+    """
+    if not worker.runs or worker.failed_looks:
+        return None
+    return lease_deadline_ms(worker, now=now, lease_s=lease_s)
+
+
 def note_grant(worker: _state.Worker, deadline_ms: int, *, now: float) -> None:
     """Remember that an order with this lease may have been executed."""
     ahead_s = (deadline_ms - worker.clock_ms) / 1000
--- a/chestnuttide/workloads/tests/test_looks.py
+++ b/chestnuttide/workloads/tests/test_looks.py
@@ -95,6 +95,32 @@
     assert bool(runs) == lapsed
 
 
+@pytest.mark.parametrize(
+    ("failed_looks", "extended"),
+    [
+        pytest.param(0, True, id="answers"),
+        pytest.param(1, False, id="silent"),
+    ],
+)
+def test_looks_extend_the_lease_of_workers_that_answer(
+    failed_looks: int, extended: bool
+) -> None:
+    """Guards against a dead worker whose runs never lapse.
+
+    Found by hunts: mix --seed 511913586748 of gnomon-coop and mix --seed
+    992292016307 of voicecast, LOST at the end of the day.
+    """
+    pool = _world.make_pool(1)
+    _world.submit(pool, _world.make_step())
+    _world.start_all(pool)
+    worker = pool.workers["w0@1"]
+    worker.failed_looks = failed_looks
+    deadline = workloads.hold_deadline_ms(
+        worker, now=1.0, lease_s=_world.LEASE_S
+    )
+    assert (deadline is not None) == extended
+
+
 def test_a_worker_runs_what_no_job_knows() -> None:
     """Guards against a run that nobody stops, or counts, after a takeover.
 
