--- a/chestnuttide/node/_advice_calls.py
+++ b/chestnuttide/node/_advice_calls.py
@@ -49,9 +49,8 @@
     owner: _ownership.Ownership, question: workloads.Question
 ) -> str | None:
     own = owner.session.settings.instance
-    names = {own, *_peers.connected_names(owner.session.peers)}
-    ordered = sorted(names & owner.session.members.keys()) or [own]
-    kept = max(1, int(KEPT_FOR_SHORT * len(ordered)))
+    ordered = sorted({own, *_peers.connected_names(owner.session.peers)})
+    kept = max(1, round(KEPT_FOR_SHORT * len(ordered)))
     if question.cost_s <= LONG_QUESTION_S or len(ordered) == 1:
         ordered = ordered[:kept]
     else:
--- /dev/null
+++ b/chestnuttide/node/_claims.py
@@ -0,0 +1,92 @@
+"""Claims of services that have no owner."""
+
+import cbor2
+import xxhash
+
+from chestnuttide import errors
+from chestnuttide.node import _keys
+from chestnuttide.node import _session
+from chestnuttide import platform
+from chestnuttide import telemetry
+
+LOG = telemetry.make_logger("session")
+
+# Each instance that ranks after another waits this much longer before it
+# claims a service, so that usually one write is made.
+CLAIM_STAGGER_S = 0.25
+
+
+def is_own(session: _session.Session, service: str) -> bool:
+    """Return whether this start of the daemon owns a service."""
+    owner = session.owners.get(service)
+    return owner is not None and owner.incarnation == session.incarnation
+
+
+def should_claim(session: _session.Session, service: str, now: float) -> bool:
+    """Return whether it is this instance's turn to claim a service."""
+    if session.stopping or not session.lease or not session.cell_known:
+        return False
+    if service in session.owners:
+        session.ownerless_since.pop(service, None)
+        return False
+    since = session.ownerless_since.setdefault(service, now)
+    # The former owner is stopping, dead or cut off, so it comes last.
+    former_owner = session.former_owners.get(service)
+    former = former_owner.instance if former_owner else ""
+    ranked = sorted(
+        session.members,
+        key=lambda name: (
+            name == former,
+            xxhash.xxh64_intdigest(f"{service}/{name}".encode()),
+        ),
+    )
+    if session.settings.instance not in ranked:
+        return False
+    rank = ranked.index(session.settings.instance)
+    return now - since >= rank * CLAIM_STAGGER_S
+
+
+def has_former_stopped(session: _session.Session, service: str) -> bool:
+    """Return whether a service's last owner has stopped in order."""
+    former = session.former_owners.get(service)
+    return former is not None and session.released.get(service) == former.fence
+
+
+async def claim(
+    session: _session.Session, service: str, *, replaced: int = 0
+) -> None:
+    """Try to become the owner of a service; the watch shows the outcome.
+
+    Parameters
+    ----------
+    session : _session.Session
+        The session.
+    service : str
+        The service.
+    replaced : int
+        Fencing token of an own ownership that has failed; 0 if the service
+        has no owner.
+    """
+    key = _keys.owner(service)
+    value = cbor2.dumps([session.settings.instance, session.incarnation])
+    try:
+        revision = await platform.commit(
+            session.store,
+            platform.Transaction(
+                expect={key: replaced},
+                put_leased={key: value},
+                lease=session.lease,
+            ),
+        )
+    except errors.LeaseExpiredError:
+        LOG.warning("Claim failed: the lease has ended.", service=service)
+        session.lease = 0
+    except errors.SchedulerError as error:
+        # A claim whose answer was lost is seen by the watch.
+        LOG.info("Claim failed.", service=service, error=str(error))
+    else:
+        _session.apply_cell(
+            session,
+            platform.Item(key=key, value=value, revision=revision),
+        )
+        session.changed.set()
--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -14,6 +14,7 @@
 from chestnuttide import errors
 from chestnuttide.node import _advice_calls
 from chestnuttide.node import _answers
+from chestnuttide.node import _claims
 from chestnuttide.node import _clock
 from chestnuttide.node import _front
 from chestnuttide.node import _intake
@@ -176,7 +177,9 @@
         return _session.answer_cell(daemon.session, message)
 
     async def write(message: _messages.JobWrite) -> object:
-        outcome = await _submission.write_job(daemon.front, message)
+        outcome = "refused"
+        if not daemon.session.store.failing_since:
+            outcome = await _submission.write_job(daemon.front, message)
         return _messages.JobWriteReply(
             call_id=message.call_id, outcome=outcome
         )
@@ -269,8 +272,8 @@
     while True:
         session.changed.clear()
         for service in _services(session):
-            if _session.should_claim(session, service, _clock.now()):
-                await _session.claim(session, service)
+            if _claims.should_claim(session, service, _clock.now()):
+                await _claims.claim(session, service)
             _follow_ownership(daemon, running, service)
         try:
             async with asyncio.timeout(CLAIM_PERIOD_S):
@@ -290,7 +293,7 @@
 ) -> None:
     session = daemon.session
     owned = daemon.owned.get(service)
-    gained = _session.is_own(session, service) and not session.stopping
+    gained = _claims.is_own(session, service) and not session.stopping
     fence = session.owners[service].fence if gained else 0
     if owned is not None and owned.fence != fence:
         if not session.stopping and session.cell_known:
@@ -304,7 +307,7 @@
     if session.failed_fences.get(service) == fence:
         # Another try to replace the failed ownership.
         running[service] = asyncio.ensure_future(
-            _session.claim(session, service, replaced=fence)
+            _claims.claim(session, service, replaced=fence)
         )
         return
     if owned is not None and owned.fence == fence:
@@ -319,7 +322,7 @@
         workers_http=daemon.workers_http,
         pool=_make_pool(session.settings, service),
         metrics=daemon.metrics,
-        former_stopped=_session.has_former_stopped(session, service),
+        former_stopped=_claims.has_former_stopped(session, service),
     )
     daemon.owned[service] = owner
     running[service] = asyncio.ensure_future(_owner.own(owner))
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -5,7 +5,6 @@
 
 import attrs
 import cbor2
-import xxhash
 
 from chestnuttide import errors
 from chestnuttide.node import _clock
@@ -36,9 +35,9 @@
 # acknowledgement, and callers ask their instance for jobs all the while.
 PEER_PERIOD_S = 0.2
 
-# Each instance that ranks after another waits this much longer before it
-# claims a service, so that usually one write is made.
-CLAIM_STAGGER_S = 0.25
+# An instance whose membership has ended is still dialled for this long: it may
+# only have lost the store, and then needs its peers.
+FORMER_MEMBER_S = 60.0
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -78,6 +77,8 @@
         The instance's lease; 0 if it has none.
     members : dict of str to str
         Address of each live instance.
+    former_members : dict of str to (str, float)
+        Address of each instance whose membership has ended, and when.
     owners : dict of str to Owner
         Owner of each service that has one.
     former_owners : dict of str to Owner
@@ -112,6 +113,7 @@
     incarnation: str = ""
     lease: int = 0
     members: dict[str, str] = attrs.field(factory=dict)
+    former_members: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     owners: dict[str, Owner] = attrs.field(factory=dict)
     former_owners: dict[str, Owner] = attrs.field(factory=dict)
     released: dict[str, int] = attrs.field(factory=dict)
@@ -226,14 +228,15 @@
     """Keep members and owners up to date, for ever."""
 
     def on_list(items: tuple[platform.Item, ...]) -> None:
-        session.members.clear()
+        for name in list(session.members):
+            _end_membership(session, name)
         session.owners.clear()
         for item in items:
-            _apply_cell(session, item)
+            apply_cell(session, item)
         _note_cell(session)
 
     def on_item(item: platform.Item) -> None:
-        _apply_cell(session, item)
+        apply_cell(session, item)
         _note_cell(session)
 
     def on_working(working: bool) -> None:
@@ -250,13 +253,15 @@
     )
 
 
-def _apply_cell(session: Session, item: platform.Item) -> None:
+def apply_cell(session: Session, item: platform.Item) -> None:
+    """Take over a change of a member, an owner or a release."""
     if item.key.startswith(_keys.MEMBERS):
         name = item.key.removeprefix(_keys.MEMBERS)
         if item.removed:
-            session.members.pop(name, None)
+            _end_membership(session, name)
         else:
             session.members[name] = cbor2.loads(item.value)[0]
+            session.former_members.pop(name, None)
         return
     if item.key.startswith(_keys.RELEASED):
         if not item.removed:
@@ -279,9 +284,21 @@
     )
 
 
+def _end_membership(session: Session, name: str) -> None:
+    address = session.members.pop(name, None)
+    if address is not None:
+        session.former_members[name] = (address, _clock.now())
+
+
 def _note_cell(session: Session) -> None:
     session.changed.set()
-    _peers.update_members(session.peers, session.members)
+    now = _clock.now()
+    addresses = {
+        name: address
+        for name, (address, ended_at) in session.former_members.items()
+        if now - ended_at < FORMER_MEMBER_S
+    }
+    _peers.update_members(session.peers, addresses | session.members)
 
 
 async def follow_config(session: Session) -> None:
@@ -395,80 +412,6 @@
     )
 
 
-def is_own(session: Session, service: str) -> bool:
-    """Return whether this start of the daemon owns a service."""
-    owner = session.owners.get(service)
-    return owner is not None and owner.incarnation == session.incarnation
-
-
-def should_claim(session: Session, service: str, now: float) -> bool:
-    """Return whether it is this instance's turn to claim a service."""
-    if session.stopping or not session.lease or not session.cell_known:
-        return False
-    if service in session.owners:
-        session.ownerless_since.pop(service, None)
-        return False
-    since = session.ownerless_since.setdefault(service, now)
-    # The former owner is stopping, dead or cut off, so it comes last.
-    former_owner = session.former_owners.get(service)
-    former = former_owner.instance if former_owner else ""
-    ranked = sorted(
-        session.members,
-        key=lambda name: (
-            name == former,
-            xxhash.xxh64_intdigest(f"{service}/{name}".encode()),
-        ),
-    )
-    if session.settings.instance not in ranked:
-        return False
-    rank = ranked.index(session.settings.instance)
-    return now - since >= rank * CLAIM_STAGGER_S
-
-
-def has_former_stopped(session: Session, service: str) -> bool:
-    """Return whether a service's last owner has stopped in order."""
-    former = session.former_owners.get(service)
-    return former is not None and session.released.get(service) == former.fence
-
-
-async def claim(session: Session, service: str, *, replaced: int = 0) -> None:
-    """Try to become the owner of a service; the watch shows the outcome.
-
-    Parameters
-    ----------
-    session : Session
-        The session.
-    service : str
-        The service.
-    replaced : int
-        Fencing token of an own ownership that has failed; 0 if the service
-        has no owner.
-    """
-    key = _keys.owner(service)
-    value = cbor2.dumps([session.settings.instance, session.incarnation])
-    try:
-        revision = await platform.commit(
-            session.store,
-            platform.Transaction(
-                expect={key: replaced},
-                put_leased={key: value},
-                lease=session.lease,
-            ),
-        )
-    except errors.LeaseExpiredError:
-        LOG.warning("Claim failed: the lease has ended.", service=service)
-        session.lease = 0
-    except errors.SchedulerError as error:
-        # A claim whose answer was lost is seen by the watch.
-        LOG.info("Claim failed.", service=service, error=str(error))
-    else:
-        _apply_cell(
-            session,
-            platform.Item(key=key, value=value, revision=revision),
-        )
-        session.changed.set()
-
-
 async def leave(session: Session) -> None:
     """End the lease, so that others take over at once."""
     if not session.lease:
--- a/chestnuttide/node/_submission.py
+++ b/chestnuttide/node/_submission.py
@@ -24,9 +24,9 @@
 STORE_SHARE = 0.7
 DEFAULT_DEADLINE_S = 3.0
 
-# Peers that are asked to write for an instance that the store refuses. The
-# store refuses at most some instances, or all.
-PEERS_TRIED = 3
+# Peers that are asked to write for an instance that the store refuses. Those
+# that the store refuses as well say so within a round trip.
+PEERS_TRIED = 8
 WRITE_PAUSE_S = 0.05
 
 
