Remove settings and fields that nothing uses, and document the platform

Cause: read as a newcomer, settings named bounds that no decision used, and two packages built their lists of public names at run time.

--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -338,11 +338,9 @@
             lease_s=min(
                 _ownership.RUN_LEASE_S, bounds.worker_lease_max_ms / 1000
             ),
-            # Half of the allowed time: the clocks of instances differ.
+            # The allowed time is left for clocks that differ.
             early_s=0.0,
             stop_s=bounds.stop_ms / 1000,
-            notice_s=bounds.notice_ms / 1000,
-            harm_s=bounds.harm_ms / 1000,
         ),
     )
 
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -96,8 +96,6 @@
         Newest configuration.
     config_document : bytes
         As the operator wrote it.
-    config_at : float
-        Time of its adoption.
     config_watched : bool
         Whether the store's watch is working.
     changed : asyncio.Event
@@ -122,7 +120,6 @@
     cell_known: bool = False
     config: platform.ClusterConfig | None = None
     config_document: bytes = b""
-    config_at: float = 0.0
     config_watched: bool = False
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     stopping: bool = False
@@ -337,7 +334,6 @@
         return
     session.config = config
     session.config_document = document
-    session.config_at = _clock.now()
     LOG.info(
         "Config is in force.",
         version=config.version,
--- a/chestnuttide/node/_settings.py
+++ b/chestnuttide/node/_settings.py
@@ -38,15 +38,11 @@
     ----------
     address : str
         ``ip:port``.
-    writes_per_s, reads_per_s : float
-        Calls a second that all instances together may make.
     min_lease_ms : int
         Shortest lease that the store grants, in milliseconds.
     """
 
     address: str
-    writes_per_s: float = 400.0
-    reads_per_s: float = 2000.0
     min_lease_ms: int = 1000
 
 
@@ -60,12 +56,6 @@
         Longest lease of a worker's runs, in milliseconds.
     stop_ms : float
         Longest time that a stop of a run takes, in milliseconds.
-    early_ms : float
-        Time by which an occurrence may start before it is due.
-    notice_ms : float
-        Time for which an absent lasting task counts as away.
-    harm_ms : float
-        Time for which a serving task may miss its target.
     status_s : float
         Time for which an ended job's state can be read, in seconds.
     grace_s : float
@@ -74,9 +64,6 @@
 
     worker_lease_max_ms: float = 6000.0
     stop_ms: float = 900.0
-    early_ms: float = 250.0
-    notice_ms: float = 4500.0
-    harm_ms: float = 4000.0
     status_s: float = 120.0
     grace_s: float = 6.0
 
@@ -101,8 +88,6 @@
         The metadata store.
     advisor : str or None
         Address of the policy advisor.
-    machines : str or None
-        Address of the machine inventory.
     bounds : BoundSettings
         Bounds of the deployment.
     metrics_port : int
@@ -120,7 +105,6 @@
     mesh_ports: tuple[int, int]
     store: StoreSettings
     advisor: str | None = None
-    machines: str | None = None
     bounds: BoundSettings = BoundSettings()
     metrics_port: int = 9464
     log_level: str = "info"
--- /dev/null
+++ b/chestnuttide/node/tests/test_settings.py
@@ -0,0 +1,64 @@
+"""Settings that cannot be used, and what the error says."""
+
+import copy
+import json
+import pathlib
+
+import pytest
+
+from chestnuttide import errors
+from chestnuttide.node import _settings
+
+GOOD = {
+    "instance": "n1",
+    "data_centre": "a",
+    "ip": "127.0.0.1",
+    "listen": {"callers": "127.0.0.1:1", "readiness": "127.0.0.1:2"},
+    "mesh_ports": [3, 4],
+    "store": {"address": "127.0.0.1:5"},
+}
+
+
+def _write(folder: pathlib.Path, text: str) -> str:
+    path = folder / "settings.jsonc"
+    path.write_text(text)
+    return str(path)
+
+
+def test_settings_with_comments(tmp_path: pathlib.Path) -> None:
+    """Guards against a template whose comments cannot be read."""
+    text = "// the instance\n" + json.dumps(GOOD)
+    settings = _settings.load_settings(_write(tmp_path, text))
+    assert settings.mesh_ports == (3, 4)
+    assert settings.bounds.grace_s == 6.0
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        pytest.param({"instanse": "x"}, "instance", id="nearest-name"),
+        pytest.param({"mesh_ports": [9, 3]}, "mesh_ports", id="port-range"),
+        pytest.param({"mesh_ports": "x"}, "mesh_ports", id="wrong-type"),
+        pytest.param({"log_level": "loud"}, "log_level", id="log-level"),
+        pytest.param(
+            {"store": {"address": "a:1", "min_lease_ms": 0}},
+            "store.min_lease_ms",
+            id="nested-range",
+        ),
+        pytest.param({"bounds": {"grace_s": 0}}, "bounds.grace_s", id="grace"),
+    ],
+)
+def test_unusable_settings(
+    change: dict[str, object], named: str, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a daemon that starts with settings it misreads."""
+    text = json.dumps(copy.deepcopy(GOOD) | change)
+    with pytest.raises(errors.SettingsError) as caught:
+        _settings.load_settings(_write(tmp_path, text))
+    assert named in str(caught.value)
+
+
+def test_a_missing_file(tmp_path: pathlib.Path) -> None:
+    """Guards against an error that does not name the variable."""
+    with pytest.raises(errors.SettingsError, match="CHESTNUTTIDE_CONFIG"):
+        _settings.load_settings(str(tmp_path / "none"))
--- a/chestnuttide/platform/__init__.py
+++ b/chestnuttide/platform/__init__.py
@@ -32,8 +32,8 @@
 SyncResult = _ports.SyncResult
 TargetAnswer = _ports.TargetAnswer
 Targets = _ports.Targets
-Tickets = _advisor.Tickets
 TaskStart = _ports.TaskStart
+Tickets = _advisor.Tickets
 Transaction = _kv_store.Transaction
 WatchResult = _ports.WatchResult
 WorkerAddress = _run_orders.WorkerAddress
@@ -48,6 +48,10 @@
 hold_runs = _run_orders.hold
 is_job_id = _formats.is_job_id
 make_client = _http.make_client
+make_instance_list = _instance_list_client.make_instance_list
+make_store = _store_client.make_store
+make_targets = _target_client.make_targets
+make_worker_agent = _worker_agent_client.make_worker_agent
 pace_run = _run_orders.pace
 read_all = _kv_store.read_all
 read_key = _kv_store.read
@@ -55,9 +59,54 @@
 start_run = _run_orders.start
 stop_run = _run_orders.stop
 watch_keys = _kv_store.watch
-make_instance_list = _instance_list_client.make_instance_list
-make_store = _store_client.make_store
-make_targets = _target_client.make_targets
-make_worker_agent = _worker_agent_client.make_worker_agent
 
-__all__ = sorted(name for name in globals() if not name.startswith("_"))
+__all__ = [
+    "ClusterConfig",
+    "ConditionError",
+    "EndRow",
+    "Entry",
+    "HistoryLostError",
+    "HttpClient",
+    "InstanceChanges",
+    "InstanceList",
+    "Item",
+    "KvStore",
+    "Look",
+    "MAX_TRANSACTION_ENTRIES",
+    "MAX_WORKERS_PER_CALL",
+    "OrderReply",
+    "RunRow",
+    "StartOutcome",
+    "Store",
+    "StoreRefusedError",
+    "SyncResult",
+    "TargetAnswer",
+    "Targets",
+    "TaskStart",
+    "Tickets",
+    "Transaction",
+    "WatchResult",
+    "WorkerAddress",
+    "WorkerAgent",
+    "ask_advisor",
+    "commit",
+    "decode_config",
+    "decode_job",
+    "decode_worker",
+    "end_lease",
+    "grant_lease",
+    "hold_runs",
+    "is_job_id",
+    "make_client",
+    "make_instance_list",
+    "make_store",
+    "make_targets",
+    "make_worker_agent",
+    "pace_run",
+    "read_all",
+    "read_key",
+    "renew_lease",
+    "start_run",
+    "stop_run",
+    "watch_keys",
+]
--- a/chestnuttide/platform/_formats.py
+++ b/chestnuttide/platform/_formats.py
@@ -30,18 +30,14 @@
         Longest prefixes first.
     services : tuple of str
         Services whose workers may be used.
-    standby_services : frozenset of str
-        Services whose machines are off.
-    max_body_bytes, max_header_bytes : int
-        Limits of callers' requests.
+    max_body_bytes : int
+        Longest body of a caller's request.
     """
 
     version: int
     queues: tuple[workloads.Queue, ...]
     services: tuple[str, ...]
-    standby_services: frozenset[str]
     max_body_bytes: int = 262_144
-    max_header_bytes: int = 16_384
 
 
 def decode_config(value: bytes) -> ClusterConfig:
@@ -61,11 +57,7 @@
             version=int(document["version"]),
             queues=tuple(sorted(queues, key=lambda each: -len(each.prefix))),
             services=tuple(each["name"] for each in services),
-            standby_services=frozenset(
-                each["name"] for each in services if each.get("standby")
-            ),
             max_body_bytes=int(limits.get("maxBodyBytes", 262_144)),
-            max_header_bytes=int(limits.get("maxHeaderBytes", 16_384)),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise errors.ProtocolError(
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -318,17 +318,11 @@
         Time by which an occurrence may start before it is due.
     stop_s : float
         Longest time that a stop takes.
-    notice_s : float
-        Time for which an absent task of a lasting step counts as away.
-    harm_s : float
-        Time for which a serving task may miss its target.
     """
 
     lease_s: float = 6.0
     early_s: float = 0.25
     stop_s: float = 0.9
-    notice_s: float = 4.5
-    harm_s: float = 4.0
 
 
 @attrs.define(kw_only=True, slots=True, eq=False)
