--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -97,15 +97,12 @@
     """Place what can be placed, and say what the advisor is asked."""
     runs: list[_state.Run] = []
     questions: list[Question] = []
-    rooms = _rooms.Rooms(
-        now=now,
-        top_priority=pool.top_priority,
-        workers=[
-            worker
-            for worker in pool.workers.values()
-            if is_usable(worker, now) and worker.key not in pool.unknown_runs
-        ],
-    )
+    usable = [
+        worker
+        for worker in pool.workers.values()
+        if is_usable(worker, now) and worker.key not in pool.unknown_runs
+    ]
+    rooms = _rooms.make_rooms(pool, usable, now=now)
     if not rooms.workers:
         return Plan(runs=(), questions=())
     for step in _waiting_steps(pool, rooms):
--- a/chestnuttide/workloads/_rooms.py
+++ b/chestnuttide/workloads/_rooms.py
@@ -10,8 +10,10 @@
 from chestnuttide.workloads import _state
 
 # Share of each worker's processors that only the service's most urgent queue
-# may take, so that its work starts at once at the crest.
+# may take while the service is busy, so that its work starts at once at the
+# crest. With under half of the capacity in use, all work has to start.
 URGENT_RESERVE = 0.15
+BUSY_SHARE = 0.5
 
 # Weights of a candidate's score; its unit is a worker's whole capacity.
 FILLER_BESIDE_SERVING = 4.0
@@ -41,6 +43,8 @@
         Priority of the service's most urgent queue.
     workers : list of Worker
         Workers that may get new runs.
+    busy : bool
+        Whether half of the service's processors or more are in use.
     held : dict of str to Resources
         Room that more urgent steps of the round wait for, by worker.
     """
@@ -48,9 +52,24 @@
     now: float
     top_priority: int
     workers: list[_state.Worker]
+    busy: bool = False
     held: dict[str, model.Resources] = attrs.field(factory=dict)
 
 
+def make_rooms(
+    pool: _state.Pool, workers: list[_state.Worker], *, now: float
+) -> Rooms:
+    """Return the room at the begin of a round."""
+    capacity = sum(each.report.capacity.cpu_millis for each in workers)
+    used = sum(each.used.cpu_millis for each in workers)
+    return Rooms(
+        now=now,
+        top_priority=pool.top_priority,
+        workers=workers,
+        busy=used >= BUSY_SHARE * capacity,
+    )
+
+
 def free(
     rooms: Rooms, worker: _state.Worker, job: _state.Job
 ) -> model.Resources:
@@ -59,7 +78,7 @@
     held = rooms.held.get(worker.key)
     if held is not None:
         left = model.subtract(left, held)
-    if job.spec.queue.priority <= rooms.top_priority or not worker.runs:
+    if not rooms.busy or job.spec.queue.priority <= rooms.top_priority:
         return left
     kept = int(URGENT_RESERVE * worker.report.capacity.cpu_millis)
     return attrs.evolve(left, cpu_millis=left.cpu_millis - kept)
--- a/chestnuttide/workloads/tests/test_planning.py
+++ b/chestnuttide/workloads/tests/test_planning.py
@@ -129,6 +129,31 @@
     assert run.job.spec.id == "00000000000000b2"
 
 
+@pytest.mark.parametrize(
+    ("lasting_cpu", "priority", "placed"),
+    [
+        pytest.param(1500, 2, 1, id="half-of-the-capacity-is-free"),
+        pytest.param(2500, 2, 0, id="busy-keeps-room-for-urgent-work"),
+        pytest.param(2500, 0, 1, id="urgent-work-takes-it"),
+    ],
+)
+def test_room_for_urgent_work(
+    lasting_cpu: int, priority: int, placed: int
+) -> None:
+    """Guards against urgent work that waits, and against idle workers."""
+    pool = _world.make_pool(1)
+    _world.submit(pool, _world.make_step(need=_need(lasting_cpu)))
+    _world.start_all(pool)
+    rest = 4000 - lasting_cpu - 100
+    _world.submit(
+        pool,
+        _world.make_step(need=_need(rest)),
+        job_id="00000000000000bb",
+        priority=priority,
+    )
+    assert len(workloads.make_plan(pool, now=1.0).runs) == placed
+
+
 def test_a_failed_unit_avoids_its_worker() -> None:
     """Guards against attempts that are used up on one bad worker."""
     pool = _world.make_pool(2)
