--- a/chestnuttide/node/tests/_cell.py
+++ b/chestnuttide/node/tests/_cell.py
@@ -8,7 +8,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -17,11 +16,15 @@
 from tornado import httpclient
 
 from standins import cloud
+from standins import harness
 
 SERVICE = "layout"
 HOST = "dials.example"
 ROOT = pathlib.Path(__file__).parents[3]
 
+# Callers, readiness, mesh and metrics.
+PORTS_PER_NODE = 4
+
 
 @attrs.define(kw_only=True)
 class Node:
@@ -66,12 +69,6 @@
     nodes: list[Node] = attrs.field(factory=list)
 
 
-def _free_port() -> int:
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
-
-
 def make_config(version: int, *, prefix: str = "/layout/") -> bytes:
     """Return a configuration with one queue."""
     return json.dumps(
@@ -131,10 +128,14 @@
         entry = cloud.write_entry(worker, address)
         cloud.put(cell.store, f"servers/{worker.id}", entry)
     cloud.put(cell.store, "op/config", make_config(1))
+    ports = harness.make_harness(folder)
     try:
         for number in range(nodes):
+            # Ports of the ephemeral range may be taken by a connection
+            # between the choice and the daemon's start.
+            front = harness.find_ports(ports, PORTS_PER_NODE)
             cell.nodes.append(
-                _start_node(folder, f"n{number}", store, advisor)
+                _start_node(folder, f"n{number}", store, advisor, front)
             )
         for node in cell.nodes:
             await until_ready(node)
@@ -150,9 +151,9 @@
 
 
 def _start_node(
-    folder: pathlib.Path, name: str, store: str, advisor: str
+    folder: pathlib.Path, name: str, store: str, advisor: str, front: int
 ) -> Node:
-    front, ready, mesh = _free_port(), _free_port(), _free_port()
+    ready, mesh, metrics = front + 1, front + 2, front + 3
     settings = folder / f"{name}.jsonc"
     settings.write_text(
         json.dumps(
@@ -167,7 +168,7 @@
                 "mesh_ports": [mesh, mesh],
                 "store": {"address": store},
                 "advisor": advisor,
-                "metrics_port": _free_port(),
+                "metrics_port": metrics,
             }
         )
     )
