Place each step of a round once over counted units and workers

Change: steps count their units and workers their runs, so a round tries each step once over the workers that hold a ticket; a worker's watch event starts only its own look.

--- a/chestnuttide/node/_intake.py
+++ b/chestnuttide/node/_intake.py
@@ -33,7 +33,10 @@
     return until
 
 
-def apply_worker(owner: _ownership.Ownership, item: platform.Item) -> None:
+def apply_worker(
+    owner: _ownership.Ownership, item: platform.Item
+) -> workloads.Worker | None:
+    """Take over a worker's entry; return its worker if it may be used."""
     worker_id = item.key.removeprefix(_keys.WORKERS)
     current = [
         worker
@@ -43,18 +46,18 @@
     if item.removed:
         for worker in current:
             worker.listed = False
-        return
+        return None
     try:
         report = platform.decode_worker(worker_id, item.value)
     except errors.ProtocolError as error:
         LOG.warning("Worker entry is ignored.", error=str(error))
         for worker in current:
             worker.listed = False
-        return
+        return None
     if report.service != owner.service:
         for worker in current:
             worker.listed = False
-        return
+        return None
     key = workloads.worker_key(report)
     known = owner.pool.workers.get(key)
     draining = known is not None and known.report.draining
@@ -76,6 +79,7 @@
             remaining_s=report.remaining_s,
         )
     owner.plan_wanted.set()
+    return worker
 
 
 def apply_job(owner: _ownership.Ownership, item: platform.Item) -> None:
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -137,8 +137,8 @@
 
 async def _follow_workers(owner: _ownership.Ownership) -> None:
     def on_item(item: platform.Item) -> None:
-        _intake.apply_worker(owner, item)
-        for worker in list(owner.pool.workers.values()):
+        worker = _intake.apply_worker(owner, item)
+        if worker is not None:
             _worker_calls.ensure_hold_loop(owner, worker)
 
     def on_list(items: tuple[platform.Item, ...]) -> None:
--- a/chestnuttide/node/_worker_calls.py
+++ b/chestnuttide/node/_worker_calls.py
@@ -145,21 +145,25 @@
     )
     for run, how in ends:
         _log_end(owner, run, how)
-    _after_look(owner, worker, ends=bool(ends) or first)
+    if ends or first:
+        _follow_ends(owner, [run for run, _ in ends])
+    _after_look(owner, worker)
     return True
 
 
-def _after_look(
-    owner: _ownership.Ownership, worker: workloads.Worker, *, ends: bool
+def _follow_ends(
+    owner: _ownership.Ownership, runs: list[workloads.Run]
 ) -> None:
-    if ends:
-        urgent = any(
-            job.dirty and job.state in workloads.TERMINAL_STATES
-            for job in owner.pool.jobs.values()
-        )
-        owner.plan_wanted.set()
-        _ownership.want_commit(owner, urgent=urgent)
-    elif worker.stored_end < worker.highest_end:
+    """Place what can go on, and store the ends; a caller waits for a job's."""
+    owner.plan_wanted.set()
+    _ownership.want_commit(
+        owner,
+        urgent=any(run.job.state in workloads.TERMINAL_STATES for run in runs),
+    )
+
+
+def _after_look(owner: _ownership.Ownership, worker: workloads.Worker) -> None:
+    if worker.stored_end < worker.highest_end:
         _ownership.want_commit(owner, urgent=False)
     for task, number in owner.pool.unknown_runs.get(worker.key, ()):
         LOG.warning(
--- a/chestnuttide/workloads/_lifecycle.py
+++ b/chestnuttide/workloads/_lifecycle.py
@@ -48,7 +48,7 @@
         job.occurrences_due += 1
         for number, step in enumerate(job.spec.steps):
             for unit in _units_of(occurrence, number, step):
-                job.units[unit.key] = unit
+                _state.add_unit(job, unit)
 
 
 def _units_of(
@@ -65,11 +65,11 @@
 
 def is_step_ready(job: _state.Job, occurrence: int, number: int) -> bool:
     """Return whether all earlier steps that a step waits for are done."""
-    return all(
-        unit.state == _state.UnitState.DONE
-        for earlier in job.spec.steps[number].after
-        for unit in step_units(job, occurrence, earlier)
-    )
+    for earlier in job.spec.steps[number].after:
+        progress = job.steps[(occurrence, earlier)]
+        if progress.done < progress.total:
+            return False
+    return True
 
 
 def step_units(
@@ -167,7 +167,7 @@
     if checkpoint and step.checkpointable:
         unit.checkpoint = checkpoint
     if how == "done" and not step.lasting:
-        unit.state = _state.UnitState.DONE
+        _state.set_unit_state(job, unit, _state.UnitState.DONE)
         stop_runs(pool, unit, but=run.number if step.gang else None)
         _complete_if_done(pool, job, now_unix_s)
         return
@@ -175,14 +175,14 @@
         _note_failure(pool, run, now=now)
         limit = job.spec.queue.attempt_limit
         if not step.lasting and unit.failures >= limit:
-            unit.state = _state.UnitState.FAILED
+            _state.set_unit_state(job, unit, _state.UnitState.FAILED)
             _end_job(pool, job, _state.JobState.FAILED, now_unix_s)
             return
     if step.gang:
         # A gang cannot go on without one of its members.
         stop_runs(pool, unit)
     if not unit.runs:
-        unit.state = _state.UnitState.WAITING
+        _state.set_unit_state(job, unit, _state.UnitState.WAITING)
 
 
 def _note_failure(pool: _state.Pool, run: _state.Run, *, now: float) -> None:
@@ -220,5 +220,5 @@
 ) -> None:
     if job.occurrences_due < max(1, job.spec.occurrences):
         return
-    if all(unit.state == _state.UnitState.DONE for unit in job.units.values()):
+    if all(each.done == each.total for each in job.steps.values()):
         _end_job(pool, job, _state.JobState.COMPLETE, now_unix_s)
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -7,6 +7,8 @@
 
 import collections.abc
 import math
+import operator
+import typing
 
 import attrs
 
@@ -22,6 +24,11 @@
 # the time of a call; the answer does not change for the step.
 NAMED_SHARE = 0.5
 
+# Workers with room for a task of a step, and their scores, by key.
+_Places: typing.TypeAlias = dict[str, tuple[float, _state.Worker]]
+
+_score_of = operator.itemgetter(0)
+
 
 @attrs.frozen(kw_only=True, slots=True, eq=False)
 class Question:
@@ -74,19 +81,16 @@
         The job.
     key : (int, int)
         Occurrence and step.
-    spec : StepSpec
-        The step.
+    demand : Demand
+        What each of its tasks asks of a worker.
     waiting : list of Unit
         Units that could start.
-    eligible : list of Worker
-        Workers that could ever run its tasks.
     """
 
     job: _state.Job
     key: tuple[int, int]
-    spec: _specs.StepSpec
+    demand: _rooms.Demand
     waiting: list[_state.Unit]
-    eligible: list[_state.Worker]
 
 
 def _cost_s(advice: _specs.Advice, workers: int) -> float:
@@ -102,9 +106,9 @@
         for worker in pool.workers.values()
         if is_usable(worker, now) and worker.key not in pool.unknown_runs
     ]
-    rooms = _rooms.make_rooms(pool, usable, now=now)
-    if not rooms.workers:
+    if not usable:
         return Plan(runs=(), questions=())
+    rooms = _rooms.make_rooms(pool, usable, now=now)
     for step in _waiting_steps(pool, rooms):
         planned, question = _plan_step(rooms, step)
         runs.extend(planned)
@@ -133,62 +137,60 @@
     pool: _state.Pool, rooms: _rooms.Rooms
 ) -> collections.abc.Iterator[_Step]:
     for job in sorted(pool.active.values(), key=_urgency):
-        for occurrence in range(job.occurrences_due):
-            for number, spec in enumerate(job.spec.steps):
-                waiting = _waiting_units(job, occurrence, number, rooms.now)
-                if waiting:
-                    yield _Step(
-                        job=job,
-                        key=(occurrence, number),
-                        spec=spec,
-                        waiting=waiting,
-                        eligible=[
-                            worker
-                            for worker in rooms.workers
-                            if _rooms.may_ever_run(worker, spec)
-                        ],
-                    )
-
-
-def _waiting_units(
-    job: _state.Job, occurrence: int, number: int, now: float
-) -> list[_state.Unit]:
-    waiting = [
-        unit
-        for unit in _lifecycle.step_units(job, occurrence, number)
-        if unit.state == _state.UnitState.WAITING and now >= unit.not_before
-    ]
-    if waiting and not _lifecycle.is_step_ready(job, occurrence, number):
-        return []
-    return waiting
+        for key, progress in job.steps.items():
+            if not progress.waiting:
+                continue
+            if not _lifecycle.is_step_ready(job, *key):
+                continue
+            waiting = [
+                unit
+                for unit in _lifecycle.step_units(job, *key)
+                if unit.state == _state.UnitState.WAITING
+                and rooms.now >= unit.not_before
+            ]
+            if waiting:
+                yield _Step(
+                    job=job,
+                    key=key,
+                    demand=_rooms.make_demand(rooms, job, key),
+                    waiting=waiting,
+                )
 
 
 def _plan_step(
     rooms: _rooms.Rooms, step: _Step
 ) -> tuple[list[_state.Run], Question | None]:
-    advice = None
-    candidates = step.eligible
-    if step.job.spec.queue.advice is not None:
-        advice = step.job.advice.setdefault(step.key, _state.StepAdvice())
-        candidates = [
-            worker
-            for worker in step.eligible
-            if _has_ticket(advice, worker, rooms.now)
-        ]
-    runs: list[_state.Run] = []
-    left = 0
-    for unit in step.waiting:
-        placed = _place_unit(rooms, candidates, step, unit, advice)
-        runs.extend(placed)
-        left += 0 if placed else len(unit.indexes)
-    if not left:
+    if step.job.spec.queue.advice is None:
+        eligible = _eligible(rooms, step, rooms.workers.values())
+        runs, left = _place_units(rooms, step, eligible, None)
+        if left:
+            _wait_for_workers(rooms, step, eligible, left)
         return runs, None
-    if advice is None:
-        _wait_for_workers(rooms, step, step.eligible, left)
+    advice = step.job.advice.setdefault(step.key, _state.StepAdvice())
+    candidates = [
+        rooms.workers[key]
+        for key, (_, until) in advice.good.items()
+        if key in rooms.workers and until > rooms.now + TICKET_MARGIN_S
+    ]
+    runs, left = _place_units(rooms, step, candidates, advice)
+    if not left:
         return runs, None
     return runs, _wait_for_tickets(rooms, step, advice, left)
 
 
+def _eligible(
+    rooms: _rooms.Rooms,
+    step: _Step,
+    workers: collections.abc.Iterable[_state.Worker],
+) -> list[_state.Worker]:
+    """Return the workers that could ever run tasks of a step."""
+    return [
+        worker
+        for worker in workers
+        if _rooms.may_ever_run(worker, step.demand)
+    ]
+
+
 def _has_ticket(
     advice: _state.StepAdvice, worker: _state.Worker, now: float
 ) -> bool:
@@ -209,16 +211,10 @@
     list of (Worker, float)
         The workers, and the seconds until each is expected to have room.
     """
-    need = _state.reserved_need(step.spec)
+    need = _state.reserved_need(step.demand.spec)
     chosen: list[tuple[_state.Worker, float]] = []
-    open_workers = [
-        (worker, _rooms.room_for(rooms, worker, step.job, step.key))
-        for worker in workers
-    ]
-    open_workers = [pair for pair in open_workers if pair[1] > 0]
-    open_workers.sort(
-        key=lambda pair: _rooms.score(rooms, pair[0], step.job, step.key)
-    )
+    open_workers = _open_workers(rooms, step, workers)
+    open_workers.sort(key=lambda pair: _rooms.score(pair[0], step.demand))
     for worker, room in open_workers:
         if wanted <= 0:
             return chosen
@@ -226,14 +222,16 @@
             _rooms.hold(rooms, worker, need)
         wanted -= room
         chosen.append((worker, 0.0))
+    if wanted <= 0:
+        return chosen
     taken = {worker.key for worker, _ in chosen} | rooms.held.keys()
     full = [
-        (worker, _rooms.wait_for_room(rooms, worker, step.spec))
+        (worker, _rooms.wait_for_room(rooms, worker, step.demand))
         for worker in workers
         if worker.key not in taken
     ]
     full.sort(key=lambda pair: pair[1])
-    for worker, wait_s in full[: max(0, wanted)]:
+    for worker, wait_s in full[:wanted]:
         if math.isinf(wait_s):
             break
         _rooms.block(rooms, worker)
@@ -241,6 +239,19 @@
     return chosen
 
 
+def _open_workers(
+    rooms: _rooms.Rooms,
+    step: _Step,
+    workers: collections.abc.Iterable[_state.Worker],
+) -> list[tuple[_state.Worker, int]]:
+    """Return the workers with room, and for how many tasks of a step."""
+    return [
+        (worker, room)
+        for worker in workers
+        if (room := _rooms.room_for(rooms, worker, step.demand))
+    ]
+
+
 def _wait_for_tickets(
     rooms: _rooms.Rooms,
     step: _Step,
@@ -249,18 +260,24 @@
 ) -> Question | None:
     policy = step.job.spec.queue.advice
     good = [
-        worker
-        for worker in step.eligible
-        if advice.allowed.get(worker.key, False)
-    ]
-    unknown = [
-        worker for worker in step.eligible if worker.key not in advice.allowed
+        rooms.workers[key]
+        for key, allowed in advice.allowed.items()
+        if allowed and key in rooms.workers
     ]
     chosen = _wait_for_workers(rooms, step, good, wanted)
     if advice.asking or rooms.now < advice.retry_at:
         return None
     limit = max(1, int(NAMED_SHARE * policy.decide_s / policy.per_worker_s))
     if not chosen:
+        unknown = _eligible(
+            rooms,
+            step,
+            [
+                worker
+                for key, worker in rooms.workers.items()
+                if key not in advice.allowed
+            ],
+        )
         named = _by_score(rooms, step, unknown)[:limit]
     else:
         # The ticket is asked for when the room is expected to be there by
@@ -283,52 +300,86 @@
 
 
 def _by_score(
-    rooms: _rooms.Rooms,
-    step: _Step,
-    workers: collections.abc.Iterable[_state.Worker],
+    rooms: _rooms.Rooms, step: _Step, workers: list[_state.Worker]
 ) -> list[_state.Worker]:
     return sorted(
         workers,
         key=lambda worker: (
-            _rooms.room_for(rooms, worker, step.job, step.key) == 0,
-            _rooms.score(rooms, worker, step.job, step.key),
+            _rooms.room_for(rooms, worker, step.demand) == 0,
+            _rooms.score(worker, step.demand),
         ),
     )
 
 
-def _place_unit(
+def _place_units(
     rooms: _rooms.Rooms,
+    step: _Step,
     candidates: list[_state.Worker],
+    advice: _state.StepAdvice | None,
+) -> tuple[list[_state.Run], int]:
+    """Place as many units as there is room for.
+
+    Returns
+    -------
+    list of Run, int
+        The planned runs, and the tasks that found no room.
+    """
+    places = dict(
+        (worker.key, (_rooms.score(worker, step.demand), worker))
+        for worker, _ in _open_workers(rooms, step, candidates)
+    )
+    runs: list[_state.Run] = []
+    left = 0
+    for unit in step.waiting:
+        placed = _place_unit(rooms, step, places, unit, advice)
+        runs.extend(placed)
+        left += 0 if placed else len(unit.indexes)
+    return runs, left
+
+
+def _place_unit(
+    rooms: _rooms.Rooms,
     step: _Step,
+    places: _Places,
     unit: _state.Unit,
     advice: _state.StepAdvice | None,
 ) -> list[_state.Run]:
-    if step.spec.same_rack:
+    if step.demand.spec.same_rack:
         # All members in one rack run faster, if one has the room.
-        for rack in sorted({each.report.rack for each in candidates}):
-            group = [each for each in candidates if each.report.rack == rack]
-            placed = _place_members(rooms, group, step, unit, advice)
+        racks = {worker.report.rack for _, worker in places.values()}
+        for rack in sorted(racks):
+            group = {
+                key: pair
+                for key, pair in places.items()
+                if pair[1].report.rack == rack
+            }
+            placed = _place_members(rooms, step, group, unit, advice)
             if placed:
+                for run in placed:
+                    _update_place(rooms, step, places, run.worker_key)
                 return placed
-    return _place_members(rooms, candidates, step, unit, advice)
+    return _place_members(rooms, step, places, unit, advice)
 
 
 def _place_members(
     rooms: _rooms.Rooms,
-    candidates: list[_state.Worker],
     step: _Step,
+    places: _Places,
     unit: _state.Unit,
     advice: _state.StepAdvice | None,
 ) -> list[_state.Run]:
     """Reserve room for all members of a unit, or for none."""
+    if not places:
+        return []
     job = step.job
     number = unit.last_run + 1
-    placed: list[tuple[_state.Worker, _state.Run]] = []
+    placed: list[_state.Run] = []
     for index in unit.indexes:
-        best = _choose_worker(rooms, candidates, step, unit)
+        best = _choose_place(places, unit)
         if best is None:
-            for worker, run in placed:
-                _state.release(worker, run)
+            for run in placed:
+                _state.release(rooms.workers[run.worker_key], run)
+                _update_place(rooms, step, places, run.worker_key)
             return []
         run = _state.Run(
             job=job,
@@ -336,42 +387,40 @@
             index=index,
             number=number,
             worker_key=best.key,
-            need=_state.reserved_need(step.spec),
+            need=_state.reserved_need(step.demand.spec),
             ticket=advice.good[best.key][0] if advice is not None else "",
             checkpoint=unit.checkpoint,
             planned_at=rooms.now,
         )
         _state.occupy(best, run)
-        placed.append((best, run))
+        _update_place(rooms, step, places, best.key)
+        placed.append(run)
     unit.last_run = number
-    unit.state = _state.UnitState.ACTIVE
-    runs = [run for _, run in placed]
-    unit.runs.extend(runs)
+    _state.set_unit_state(job, unit, _state.UnitState.ACTIVE)
+    unit.runs.extend(placed)
     job.dirty = True
-    return runs
+    return placed
 
 
-def _choose_worker(
-    rooms: _rooms.Rooms,
-    candidates: list[_state.Worker],
-    step: _Step,
-    unit: _state.Unit,
-) -> _state.Worker | None:
-    open_workers = [
-        worker
-        for worker in candidates
-        if _rooms.room_for(rooms, worker, step.job, step.key) > 0
-    ]
+def _update_place(
+    rooms: _rooms.Rooms, step: _Step, places: _Places, key: str
+) -> None:
+    worker = rooms.workers[key]
+    if _rooms.room_for(rooms, worker, step.demand):
+        places[key] = (_rooms.score(worker, step.demand), worker)
+    else:
+        places.pop(key, None)
+
+
+def _choose_place(places: _Places, unit: _state.Unit) -> _state.Worker | None:
     # A worker on which the unit has failed is used again only when nothing
     # else is left.
-    preferred = [
-        worker for worker in open_workers if worker.key not in unit.avoided
-    ]
-    return min(
-        preferred or open_workers,
-        key=lambda worker: _rooms.score(rooms, worker, step.job, step.key),
-        default=None,
-    )
+    pairs = places.values()
+    if unit.avoided:
+        preferred = [pair for pair in pairs if pair[1].key not in unit.avoided]
+        pairs = preferred or pairs
+    best = min(pairs, key=_score_of, default=None)
+    return None if best is None else best[1]
 
 
 def note_question(question: Question) -> None:
--- a/chestnuttide/workloads/_records.py
+++ b/chestnuttide/workloads/_records.py
@@ -54,7 +54,7 @@
     for row in rows:
         occurrence, step, index, state, last_run, failed, saved, runs = row
         unit = job.units[(occurrence, step, index)]
-        unit.state = _state.UnitState(state)
+        _state.set_unit_state(job, unit, _state.UnitState(state))
         unit.last_run = last_run
         unit.failed_runs = set(failed)
         unit.failures = len(failed)
--- a/chestnuttide/workloads/_rooms.py
+++ b/chestnuttide/workloads/_rooms.py
@@ -31,6 +31,30 @@
 MIN_RUN_S = 0.5
 
 
+@attrs.frozen(kw_only=True, slots=True, eq=False)
+class Demand:
+    """What each task of a step asks of a worker.
+
+    Attributes
+    ----------
+    spec : StepSpec
+        The step.
+    step_runs_key : (str, int, int)
+        Its job, occurrence and number.
+    cpu_millis, memory_mb, accelerators : int
+        What a task reserves.
+    urgent : bool
+        Whether it may use the processors that are kept for urgent work.
+    """
+
+    spec: _specs.StepSpec
+    step_runs_key: tuple[str, int, int]
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int
+    urgent: bool
+
+
 @attrs.define(kw_only=True, slots=True)
 class Rooms:
     """Room as one round of planning sees it.
@@ -41,8 +65,8 @@
         Time of the round.
     top_priority : int
         Priority of the service's most urgent queue.
-    workers : list of Worker
-        Workers that may get new runs.
+    workers : dict of str to Worker
+        Workers that may get new runs, by key.
     busy : bool
         Whether half of the service's processors or more are in use.
     held : dict of str to Resources
@@ -51,7 +75,7 @@
 
     now: float
     top_priority: int
-    workers: list[_state.Worker]
+    workers: dict[str, _state.Worker]
     busy: bool = False
     held: dict[str, model.Resources] = attrs.field(factory=dict)
 
@@ -65,23 +89,25 @@
     return Rooms(
         now=now,
         top_priority=pool.top_priority,
-        workers=workers,
+        workers={each.key: each for each in workers},
         busy=used >= BUSY_SHARE * capacity,
     )
 
 
-def free(
-    rooms: Rooms, worker: _state.Worker, job: _state.Job
-) -> model.Resources:
-    """Return what a job may take of a worker now."""
-    left = model.subtract(worker.report.capacity, worker.used)
-    held = rooms.held.get(worker.key)
-    if held is not None:
-        left = model.subtract(left, held)
-    if not rooms.busy or job.spec.queue.priority <= rooms.top_priority:
-        return left
-    kept = int(URGENT_RESERVE * worker.report.capacity.cpu_millis)
-    return attrs.evolve(left, cpu_millis=left.cpu_millis - kept)
+def make_demand(
+    rooms: Rooms, job: _state.Job, step_key: tuple[int, int]
+) -> Demand:
+    """Return what each task of a step asks of a worker."""
+    spec = job.spec.steps[step_key[1]]
+    need = _state.reserved_need(spec)
+    return Demand(
+        spec=spec,
+        step_runs_key=(job.spec.id, *step_key),
+        cpu_millis=need.cpu_millis,
+        memory_mb=need.memory_mb,
+        accelerators=need.accelerators,
+        urgent=job.spec.queue.priority <= rooms.top_priority,
+    )
 
 
 def hold(rooms: Rooms, worker: _state.Worker, need: model.Resources) -> None:
@@ -95,68 +121,77 @@
     rooms.held[worker.key] = worker.report.capacity
 
 
-def may_ever_run(worker: _state.Worker, step: _specs.StepSpec) -> bool:
+def may_ever_run(worker: _state.Worker, demand: Demand) -> bool:
     """Return whether an empty worker could run a task of a step."""
+    capacity = worker.report.capacity
+    label = demand.spec.label
     return (
-        not step.label or step.label in worker.report.labels
-    ) and model.fits(_state.reserved_need(step), worker.report.capacity)
-
-
-def count_of_step(
-    worker: _state.Worker, job: _state.Job, step_key: tuple[int, int]
-) -> int:
-    """Return how many runs of a step a worker has."""
-    return sum(
-        1
-        for run in worker.runs.values()
-        if run.job is job and run.unit.key[:2] == step_key
+        demand.cpu_millis <= capacity.cpu_millis
+        and demand.memory_mb <= capacity.memory_mb
+        and demand.accelerators <= capacity.accelerators
+        and (not label or label in worker.report.labels)
     )
 
 
-def room_for(
-    rooms: Rooms,
-    worker: _state.Worker,
-    job: _state.Job,
-    step_key: tuple[int, int],
-) -> int:
+def room_for(rooms: Rooms, worker: _state.Worker, demand: Demand) -> int:
     """Return how many further tasks of a step fit a worker now."""
-    step = job.spec.steps[step_key[1]]
-    need = _state.reserved_need(step)
-    left = free(rooms, worker, job)
-    room = step.count
-    for wanted, available in (
-        (need.cpu_millis, left.cpu_millis),
-        (need.memory_mb, left.memory_mb),
-        (need.accelerators, left.accelerators),
+    capacity, used = worker.report.capacity, worker.used
+    cpu = capacity.cpu_millis - used.cpu_millis
+    memory = capacity.memory_mb - used.memory_mb
+    accelerators = capacity.accelerators - used.accelerators
+    held = rooms.held.get(worker.key)
+    if held is not None:
+        cpu -= held.cpu_millis
+        memory -= held.memory_mb
+        accelerators -= held.accelerators
+    if rooms.busy and not demand.urgent:
+        cpu -= int(URGENT_RESERVE * capacity.cpu_millis)
+    if (
+        cpu < demand.cpu_millis
+        or memory < demand.memory_mb
+        or accelerators < demand.accelerators
     ):
-        if wanted:
-            room = min(room, available // wanted)
-    if step.spread_limit:
-        taken = count_of_step(worker, job, step_key)
-        room = min(room, step.spread_limit - taken)
+        return 0
+    room = demand.spec.count
+    if demand.cpu_millis:
+        room = min(room, cpu // demand.cpu_millis)
+    if demand.memory_mb:
+        room = min(room, memory // demand.memory_mb)
+    if demand.accelerators:
+        room = min(room, accelerators // demand.accelerators)
+    if demand.spec.spread_limit:
+        taken = worker.step_runs.get(demand.step_runs_key, 0)
+        room = min(room, demand.spec.spread_limit - taken)
     return max(0, room)
 
 
 def wait_for_room(
-    rooms: Rooms, worker: _state.Worker, step: _specs.StepSpec
+    rooms: Rooms, worker: _state.Worker, demand: Demand
 ) -> float:
     """Return the expected seconds until a task of a step fits a worker."""
-    need = _state.reserved_need(step)
-    left = model.subtract(worker.report.capacity, worker.used)
-    if model.fits(need, left):
+    capacity, used = worker.report.capacity, worker.used
+    cpu = capacity.cpu_millis - used.cpu_millis - demand.cpu_millis
+    memory = capacity.memory_mb - used.memory_mb - demand.memory_mb
+    accelerators = (
+        capacity.accelerators - used.accelerators - demand.accelerators
+    )
+    if cpu >= 0 and memory >= 0 and accelerators >= 0:
         return 0.0
     ends = sorted(
-        ((_remaining_s(run, rooms.now), run) for run in worker.runs.values()),
+        ((remaining_s(run, rooms.now), run) for run in worker.runs.values()),
         key=lambda pair: pair[0],
     )
-    for remaining_s, run in ends:
-        left = model.add(left, run.need)
-        if model.fits(need, left):
-            return remaining_s
+    for wait_s, run in ends:
+        cpu += run.need.cpu_millis
+        memory += run.need.memory_mb
+        accelerators += run.need.accelerators
+        if cpu >= 0 and memory >= 0 and accelerators >= 0:
+            return wait_s
     return math.inf
 
 
-def _remaining_s(run: _state.Run, now: float) -> float:
+def remaining_s(run: _state.Run, now: float) -> float:
+    """Return the expected seconds until a run ends."""
     step = _lifecycle.step_of(run.unit, run.job)
     if run.stopping:
         return 0.0
@@ -165,63 +200,47 @@
     if run.phase != _state.Phase.RUNNING or run.percent <= 0:
         return max(MIN_RUN_S, step.estimate_s)
     elapsed_s = max(0.0, run.progress_at - run.confirmed_at)
-    remaining_s = elapsed_s * (100.0 - run.percent) / run.percent
-    return max(0.0, remaining_s - (now - run.progress_at))
+    expected_s = elapsed_s * (100.0 - run.percent) / run.percent
+    return max(0.0, expected_s - (now - run.progress_at))
 
 
-def score(
-    rooms: Rooms,
-    worker: _state.Worker,
-    job: _state.Job,
-    step_key: tuple[int, int],
-) -> float:
+def score(worker: _state.Worker, demand: Demand) -> float:
     """Return how bad a worker is for a task; the lowest is taken."""
-    step = job.spec.steps[step_key[1]]
-    capacity = worker.report.capacity
-    cpu = step.need.cpu_millis
-    filler = serving = False
-    for run in worker.runs.values():
-        other = _lifecycle.step_of(run.unit, run.job)
-        cpu += other.need.cpu_millis
-        filler = filler or other.filler
-        serving = serving or other.latency_target_ms > 0
+    step = demand.spec
+    capacity, used = worker.report.capacity, worker.used
     share = max(
-        cpu / max(1, capacity.cpu_millis),
-        (worker.used.memory_mb + step.need.memory_mb)
-        / max(1, capacity.memory_mb),
-        (worker.used.accelerators + step.need.accelerators)
+        (worker.wanted_cpu_millis + step.need.cpu_millis)
+        / max(1, capacity.cpu_millis),
+        (used.memory_mb + demand.memory_mb) / max(1, capacity.memory_mb),
+        (used.accelerators + demand.accelerators)
         / max(1, capacity.accelerators),
     )
-    total = share if _is_spread(rooms, worker, job, step) else 1.0 - share
-    total += OVERCOMMITTED * max(0.0, share - 1.0)
-    if step.filler and serving:
+    total = share if _is_spread(worker, demand) else 1.0 - share
+    if share > 1.0:
+        total += OVERCOMMITTED * (share - 1.0)
+    if step.filler and worker.serving:
         total += FILLER_BESIDE_SERVING
-    if step.latency_target_ms > 0 and filler:
+    if worker.fillers and step.latency_target_ms > 0:
         total += SERVING_BESIDE_FILLER
     if step.lasting:
-        total += CROWDED_STEP * count_of_step(worker, job, step_key)
+        taken = worker.step_runs.get(demand.step_runs_key, 0)
+        total += CROWDED_STEP * taken
     if step.data_rack and step.data_rack != worker.report.rack:
         total += FAR_FROM_DATA
     return total + RECENT_FAILURE * worker.failures_in_row
 
 
-def _is_spread(
-    rooms: Rooms,
-    worker: _state.Worker,
-    job: _state.Job,
-    step: _specs.StepSpec,
-) -> bool:
+def _is_spread(worker: _state.Worker, demand: Demand) -> bool:
     """Return whether a task prefers empty workers to full ones.
 
     Serving tasks disturb each other, and small urgent ones should not all
     depend on one worker. The rest is packed.
     """
-    if step.lasting:
+    if demand.spec.lasting:
         return True
     capacity = worker.report.capacity
-    share = max(
-        step.need.cpu_millis / max(1, capacity.cpu_millis),
-        step.need.memory_mb / max(1, capacity.memory_mb),
+    return (
+        demand.urgent
+        and demand.cpu_millis < LARGE_SHARE * capacity.cpu_millis
+        and demand.memory_mb < LARGE_SHARE * capacity.memory_mb
     )
-    urgent = job.spec.queue.priority <= rooms.top_priority
-    return urgent and share < LARGE_SHARE
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -197,6 +197,23 @@
     retry_at: float = 0.0
 
 
+@attrs.define(kw_only=True, slots=True, eq=False)
+class StepProgress:
+    """Counts of a step's units, so that a round need not look at each.
+
+    Attributes
+    ----------
+    total : int
+        Units of the step.
+    waiting, done : int
+        Units in these states.
+    """
+
+    total: int
+    waiting: int
+    done: int = 0
+
+
 @attrs.define(kw_only=True, slots=True, eq=False)
 class Job:
     """A job and its progress.
@@ -211,6 +228,8 @@
         What callers may be shown.
     units : dict of (int, int, int) to Unit
         Units of the occurrences that are due.
+    steps : dict of (int, int) to StepProgress
+        Counts of units by occurrence and step; `set_unit_state` keeps them.
     occurrences_due : int
         Occurrences whose units exist.
     advice : dict of (int, int) to StepAdvice
@@ -235,6 +254,7 @@
     state: JobState = JobState.QUEUED
     shown_state: JobState = JobState.QUEUED
     units: dict[UnitKey, Unit] = attrs.field(factory=dict)
+    steps: dict[tuple[int, int], StepProgress] = attrs.field(factory=dict)
     occurrences_due: int = 0
     advice: dict[tuple[int, int], StepAdvice] = attrs.field(factory=dict)
     accepted_at: float = 0.0
@@ -260,6 +280,12 @@
         Runs that occupy it, until their end is known.
     used : Resources
         Sum of their needs.
+    wanted_cpu_millis : int
+        Sum of the processors that their steps ask for, with those of fillers.
+    fillers, serving : int
+        Runs that use left-over processors, and runs with a latency target.
+    step_runs : dict of (str, int, int) to int
+        Runs of each step, by job, occurrence and step.
     seen_at : float
         Monotonic time of the last answered look; 0 before this owner's first.
     clock_ms, clock_at : int, float or None
@@ -291,6 +317,10 @@
     report: _specs.WorkerReport
     runs: dict[RunKey, Run] = attrs.field(factory=dict)
     used: model.Resources = model.Resources()
+    wanted_cpu_millis: int = 0
+    fillers: int = 0
+    serving: int = 0
+    step_runs: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
     seen_at: float = 0.0
     clock_ms: int = 0
     clock_at: float | None = None
@@ -362,17 +392,54 @@
     return f"{report.id}@{report.born_ms}"
 
 
+def add_unit(job: Job, unit: Unit) -> None:
+    """Add a waiting unit to its job."""
+    job.units[unit.key] = unit
+    progress = job.steps.get(unit.key[:2])
+    if progress is None:
+        job.steps[unit.key[:2]] = StepProgress(total=1, waiting=1)
+    else:
+        progress.total += 1
+        progress.waiting += 1
+
+
+def set_unit_state(job: Job, unit: Unit, state: UnitState) -> None:
+    """Change a unit's state and the counts of its step."""
+    progress = job.steps[unit.key[:2]]
+    progress.waiting += (state == UnitState.WAITING) - (
+        unit.state == UnitState.WAITING
+    )
+    progress.done += (state == UnitState.DONE) - (unit.state == UnitState.DONE)
+    unit.state = state
+
+
 def occupy(worker: Worker, run: Run) -> None:
     """Reserve a run's need on its worker."""
     if run.key not in worker.runs:
         worker.runs[run.key] = run
         worker.used = model.add(worker.used, run.need)
+        _count_run(worker, run, 1)
 
 
 def release(worker: Worker, run: Run) -> None:
     """Free what a run has reserved, once it has provably ended."""
     if worker.runs.pop(run.key, None) is not None:
         worker.used = model.subtract(worker.used, run.need)
+        _count_run(worker, run, -1)
+
+
+def _count_run(worker: Worker, run: Run, change: int) -> None:
+    occurrence, number, _ = run.unit.key
+    step = run.job.spec.steps[number]
+    worker.wanted_cpu_millis += change * step.need.cpu_millis
+    worker.fillers += change * step.filler
+    worker.serving += change * (step.latency_target_ms > 0)
+    key = (run.job.spec.id, occurrence, number)
+    count = worker.step_runs.get(key, 0) + change
+    if count:
+        worker.step_runs[key] = count
+    else:
+        del worker.step_runs[key]
 
 
 def reserved_need(step: _specs.StepSpec) -> model.Resources:
