Let the largest instances own services

Change: members publish their processor time and link, and rank by them when a service has no owner; an instance that has just joined waits for larger ones that start with it.

--- a/chestnuttide/node/_claims.py
+++ b/chestnuttide/node/_claims.py
@@ -15,6 +15,12 @@
 # claims a service, so that usually one write is made.
 CLAIM_STAGGER_S = 0.25
 
+# An instance that has just joined may not know the larger ones that start
+# with it. All instances start within 0.3 s; one of half a core waits longer
+# than that for the others, one of two cores hardly waits.
+NEW_MEMBER_S = 1.0
+NEW_MEMBER_WAIT_CORE_S = 0.2
+
 
 def is_own(session: _session.Session, service: str) -> bool:
     """Return whether this start of the daemon owns a service."""
@@ -30,20 +36,34 @@
         session.ownerless_since.pop(service, None)
         return False
     since = session.ownerless_since.setdefault(service, now)
-    # The former owner is stopping, dead or cut off, so it comes last.
+    ranked = rank_members(session, service)
+    if session.settings.instance not in ranked:
+        return False
+    wait_s = ranked.index(session.settings.instance) * CLAIM_STAGGER_S
+    if now - session.joined_at < NEW_MEMBER_S:
+        wait_s += NEW_MEMBER_WAIT_CORE_S / session.settings.capacity.cores
+    return now - since >= wait_s
+
+
+def rank_members(session: _session.Session, service: str) -> list[str]:
+    """Return the members in the order in which they should claim a service.
+
+    An owner's work grows with its service, so larger instances come first.
+    The former owner is stopping, dead or cut off, so it comes last.
+    """
     former_owner = session.former_owners.get(service)
     former = former_owner.instance if former_owner else ""
-    ranked = sorted(
-        session.members,
-        key=lambda name: (
+
+    def order(name: str) -> tuple[bool, float, float, int]:
+        member = session.members[name]
+        return (
             name == former,
+            -member.cores,
+            -member.link_mbps,
             xxhash.xxh64_intdigest(f"{service}/{name}".encode()),
-        ),
-    )
-    if session.settings.instance not in ranked:
-        return False
-    rank = ranked.index(session.settings.instance)
-    return now - since >= rank * CLAIM_STAGGER_S
+        )
+
+    return sorted(session.members, key=order)
 
 
 def has_former_stopped(session: _session.Session, service: str) -> bool:
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -40,6 +40,25 @@
 FORMER_MEMBER_S = 60.0
 
 
+@attrs.frozen(kw_only=True, slots=True)
+class Member:
+    """A live instance.
+
+    Attributes
+    ----------
+    address : str
+        ``ip:port`` for the other instances.
+    cores : float
+        Its processor time, in cores of the reference.
+    link_mbps : float
+        Bandwidth of its link.
+    """
+
+    address: str
+    cores: float
+    link_mbps: float
+
+
 @attrs.frozen(kw_only=True, slots=True)
 class Owner:
     """The owner of a service.
@@ -75,8 +94,10 @@
         This start of the daemon.
     lease : int
         The instance's lease; 0 if it has none.
-    members : dict of str to str
-        Address of each live instance.
+    joined_at : float
+        When the lease was granted.
+    members : dict of str to Member
+        Live instances by name.
     former_members : dict of str to (str, float)
         Address of each instance whose membership has ended, and when.
     owners : dict of str to Owner
@@ -110,7 +131,8 @@
     address: str = ""
     incarnation: str = ""
     lease: int = 0
-    members: dict[str, str] = attrs.field(factory=dict)
+    joined_at: float = 0.0
+    members: dict[str, Member] = attrs.field(factory=dict)
     former_members: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     owners: dict[str, Owner] = attrs.field(factory=dict)
     former_owners: dict[str, Owner] = attrs.field(factory=dict)
@@ -152,12 +174,21 @@
 async def _join(session: Session, ttl_s: float) -> None:
     lease, _ = await platform.grant_lease(session.store, ttl_s=ttl_s)
     key = _keys.member(session.settings.instance)
-    value = cbor2.dumps([session.address, session.incarnation])
+    capacity = session.settings.capacity
+    value = cbor2.dumps(
+        [
+            session.address,
+            session.incarnation,
+            capacity.cores,
+            capacity.link_mbps,
+        ]
+    )
     await platform.commit(
         session.store,
         platform.Transaction(put_leased={key: value}, lease=lease),
     )
     session.lease = lease
+    session.joined_at = _clock.now()
     LOG.info("Joined the cell.", lease=lease, address=session.address)
     session.changed.set()
 
@@ -257,7 +288,10 @@
         if item.removed:
             _end_membership(session, name)
         else:
-            session.members[name] = cbor2.loads(item.value)[0]
+            address, _, cores, link_mbps = cbor2.loads(item.value)
+            session.members[name] = Member(
+                address=address, cores=cores, link_mbps=link_mbps
+            )
             session.former_members.pop(name, None)
         return
     if item.key.startswith(_keys.RELEASED):
@@ -282,9 +316,9 @@
 
 
 def _end_membership(session: Session, name: str) -> None:
-    address = session.members.pop(name, None)
-    if address is not None:
-        session.former_members[name] = (address, _clock.now())
+    member = session.members.pop(name, None)
+    if member is not None:
+        session.former_members[name] = (member.address, _clock.now())
 
 
 def _note_cell(session: Session) -> None:
@@ -295,7 +329,9 @@
         for name, (address, ended_at) in session.former_members.items()
         if now - ended_at < FORMER_MEMBER_S
     }
-    _peers.update_members(session.peers, addresses | session.members)
+    for name, member in session.members.items():
+        addresses[name] = member.address
+    _peers.update_members(session.peers, addresses)
 
 
 async def follow_config(session: Session) -> None:
--- a/chestnuttide/node/_settings.py
+++ b/chestnuttide/node/_settings.py
@@ -68,6 +68,30 @@
     grace_s: float = 6.0
 
 
+@attrs.frozen(kw_only=True, slots=True)
+class CapacitySettings:
+    """What the instance may use of its machine.
+
+    Attributes
+    ----------
+    core_share : float
+        Share of a core's time.
+    core_speed : float
+        Speed of a core; 1 is the platform's reference.
+    link_mbps : float
+        Bandwidth of its link, in megabits a second.
+    """
+
+    core_share: float = 1.0
+    core_speed: float = 1.0
+    link_mbps: float = 1000.0
+
+    @property
+    def cores(self) -> float:
+        """Processor time of the instance, in cores of the reference."""
+        return self.core_share * self.core_speed
+
+
 @attrs.frozen(kw_only=True, slots=True)
 class NodeSettings:
     """All settings of an instance.
@@ -90,6 +114,8 @@
         Address of the policy advisor.
     bounds : BoundSettings
         Bounds of the deployment.
+    capacity : CapacitySettings
+        What the instance may use of its machine.
     metrics_port : int
         Port of the metrics.
     log_level : str
@@ -106,6 +132,7 @@
     store: StoreSettings
     advisor: str | None = None
     bounds: BoundSettings = BoundSettings()
+    capacity: CapacitySettings = CapacitySettings()
     metrics_port: int = 9464
     log_level: str = "info"
     log_lines_per_s: int = 400
@@ -169,6 +196,9 @@
         "bounds.worker_lease_max_ms": settings.bounds.worker_lease_max_ms
         >= 1000,
         "bounds.grace_s": settings.bounds.grace_s > 0,
+        "capacity.core_share": settings.capacity.core_share > 0,
+        "capacity.core_speed": settings.capacity.core_speed > 0,
+        "capacity.link_mbps": settings.capacity.link_mbps > 0,
         "store.min_lease_ms": settings.store.min_lease_ms > 0,
         "log_lines_per_s": settings.log_lines_per_s > 0,
         "log_level": settings.log_level
