--- /dev/null
+++ b/chestnuttide/workloads/tests/test_properties.py
@@ -0,0 +1,126 @@
+"""Properties of a pool over random orders of events."""
+
+import collections
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from chestnuttide import model
+from chestnuttide import workloads
+from chestnuttide.workloads.tests import _world
+
+HOW = ("done", "done", "done", "failed", "stopped", "lapsed")
+
+STEPS = strategies.lists(
+    strategies.builds(
+        lambda count, cpu, gang, filler, limit: {
+            "count": count,
+            "need": model.Resources(cpu_millis=cpu, memory_mb=500),
+            "gang": gang,
+            "filler": filler,
+            "spread_limit": limit,
+        },
+        strategies.integers(1, 4),
+        strategies.sampled_from((500, 1500, 4000)),
+        strategies.booleans(),
+        strategies.booleans(),
+        strategies.integers(0, 2),
+    ),
+    min_size=1,
+    max_size=3,
+)
+
+
+def _check_counts(pool: workloads.Pool) -> None:
+    for job in pool.jobs.values():
+        for key, progress in job.steps.items():
+            states = collections.Counter(
+                unit.state
+                for unit in job.units.values()
+                if unit.key[:2] == key
+            )
+            assert progress.waiting == states[workloads.UnitState.WAITING]
+            assert progress.done == states[workloads.UnitState.DONE]
+            assert progress.total == states.total()
+    for worker in pool.workers.values():
+        runs = list(worker.runs.values())
+        steps = [workloads.step_of(run.unit, run.job) for run in runs]
+        assert worker.fillers == sum(step.filler for step in steps)
+        assert worker.wanted_cpu_millis == sum(
+            step.need.cpu_millis for step in steps
+        )
+        assert worker.used.cpu_millis == sum(
+            run.need.cpu_millis for run in runs
+        )
+        per_step = collections.Counter(
+            (run.job.spec.id, *run.unit.key[:2]) for run in runs
+        )
+        assert worker.step_runs == per_step
+
+
+def _check_promises(pool: workloads.Pool) -> None:
+    for worker in pool.workers.values():
+        assert model.fits(worker.used, worker.report.capacity)
+    for job in pool.jobs.values():
+        for unit in job.units.values():
+            numbers = {run.number for run in unit.runs}
+            assert len(numbers) <= 1, "two runs of one task"
+            assert unit.failures <= job.spec.queue.attempt_limit
+            step = workloads.step_of(unit, job)
+            if unit.runs:
+                assert all(
+                    job.steps[(unit.key[0], earlier)].done
+                    == job.steps[(unit.key[0], earlier)].total
+                    for earlier in step.after
+                ), "a step began before its predecessors were done"
+        if job.cancelled:
+            assert all(
+                run.stopping
+                for unit in job.units.values()
+                for run in unit.runs
+            ), "a run of a cancelled job goes on"
+
+
+@hypothesis.given(
+    strategies.lists(STEPS, min_size=1, max_size=4),
+    strategies.integers(0, 2**32),
+)
+@hypothesis.settings(max_examples=150, deadline=None)
+def test_counts_and_promises_hold_after_each_event(
+    jobs: list[list[dict[str, object]]], seed: int
+) -> None:
+    """Guards against capacity, order, attempts and counts that drift."""
+    rng = random.Random(seed)
+    pool = _world.make_pool(3)
+    for number, steps in enumerate(jobs):
+        _world.submit(
+            pool,
+            *(
+                _world.make_step(**fields, after=(index - 1,) if index else ())
+                for index, fields in enumerate(steps)
+            ),
+            job_id=f"{number:016x}",
+            priority=number % 3,
+        )
+    now = 1.0
+    for _ in range(30):
+        now += 1.0
+        event = rng.choice(("plan", "plan", "end", "end", "end", "cancel"))
+        if event == "plan":
+            _world.start_all(pool, now=now)
+        elif event == "end":
+            runs = [
+                run
+                for worker in pool.workers.values()
+                for run in worker.runs.values()
+            ]
+            if runs:
+                run = rng.choice(runs)
+                how = "stopped" if run.stopping else rng.choice(HOW)
+                _world.end_of(pool, run, how)
+        elif rng.random() < 0.3:
+            job = rng.choice(list(pool.jobs.values()))
+            workloads.cancel_job(pool, job, _world.UNIX_S)
+        _check_counts(pool)
+        _check_promises(pool)
