Add a randomized fault soak of the real daemons

Cause: faults that overlap were tried only by the users' bench, not by the project's own tests. Change: soak/ runs daemons against the stand-ins behind loopback proxies, injects signals, cuts, lost and late answers, restarts of workers and series of configurations, and checks the promises from what callers and workers see.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo bench format lint unit
+.PHONY: test demo bench soak format lint unit
 
 $(STAMP): requirements.lock
 	python3 -m venv $(VENV)
@@ -30,3 +30,8 @@
 
 bench: $(STAMP)
 	$(PYTHON) -m bench
+
+# Randomized faults on real daemons: make soak SEEDS=10 FIRST_SEED=1
+SEEDS ?= 10
+soak: $(STAMP)
+	$(PYTHON) -m soak --seeds $(SEEDS) $(if $(FIRST_SEED),--first-seed $(FIRST_SEED))
--- a/chestnuttide/node/tests/test_cell.py
+++ b/chestnuttide/node/tests/test_cell.py
@@ -8,24 +8,24 @@
 
 import pytest
 
-from chestnuttide.node.tests import _cell
 from standins import cloud
+from standins import node_cell
 
 JOBS = [f"{number:016x}" for number in range(12)]
 
 
 def run(
     scenario: collections.abc.Callable[
-        [_cell.Cell], collections.abc.Awaitable[None]
+        [node_cell.Cell], collections.abc.Awaitable[None]
     ],
     folder: pathlib.Path,
 ) -> None:
     """Run a scenario in a cell."""
 
     async def main() -> None:
-        async with _cell.run_cell(folder) as cell:
+        async with node_cell.run_cell(folder) as cell:
             await scenario(cell)
-            _cell.check_runs(cell)
+            node_cell.check_runs(cell)
 
     asyncio.run(main())
 
@@ -35,18 +35,18 @@
 ) -> None:
     """Guards against lost and doubled jobs on a calm day."""
 
-    async def scenario(cell: _cell.Cell) -> None:
+    async def scenario(cell: node_cell.Cell) -> None:
         for number, job_id in enumerate(JOBS):
             node = cell.nodes[number % 3]
-            assert await _cell.submit(node, job_id, steps=2) == 200
+            assert await node_cell.submit(node, job_id, steps=2) == 200
             other = cell.nodes[(number + 1) % 3]
-            assert await _cell.submit(other, job_id, steps=2) == 200
+            assert await node_cell.submit(other, job_id, steps=2) == 200
         for number, job_id in enumerate(JOBS):
             node = cell.nodes[(number + 2) % 3]
-            await _cell.until_state(node, job_id, "complete")
+            await node_cell.until_state(node, job_id, "complete")
         starts = [start for each in cell.workers for start in each.starts]
         assert len(starts) == len(JOBS) * 4
-        _, queue = await _cell.fetch(_cell.url(cell.nodes[0]))
+        _, queue = await node_cell.fetch(node_cell.url(cell.nodes[0]))
         assert queue == {"pending": 0}
 
     run(scenario, tmp_path)
@@ -65,17 +65,17 @@
 ) -> None:
     """Guards against jobs that end with their owner, or run twice."""
 
-    async def scenario(cell: _cell.Cell) -> None:
+    async def scenario(cell: node_cell.Cell) -> None:
         for worker in cell.workers:
             worker.run_s = 1.0
-        owner = _cell.owner_of(cell)
+        owner = node_cell.owner_of(cell)
         others = [node for node in cell.nodes if node is not owner]
         for job_id in JOBS:
-            assert await _cell.submit(others[0], job_id, steps=2) == 200
+            assert await node_cell.submit(others[0], job_id, steps=2) == 200
         await asyncio.sleep(0.5)
         owner.process.send_signal(fault)
         for job_id in JOBS:
-            await _cell.until_state(others[1], job_id, "complete")
+            await node_cell.until_state(others[1], job_id, "complete")
         if fault == signal.SIGSTOP:
             owner.process.send_signal(signal.SIGCONT)
             await asyncio.sleep(1.0)
@@ -90,18 +90,19 @@
 ) -> None:
     """Guards against refused jobs that run, and against an idle owner."""
 
-    async def scenario(cell: _cell.Cell) -> None:
+    async def scenario(cell: node_cell.Cell) -> None:
         cell.store.refusal = 503
         statuses = [
-            await _cell.submit(cell.nodes[0], job_id) for job_id in JOBS[:3]
+            await node_cell.submit(cell.nodes[0], job_id)
+            for job_id in JOBS[:3]
         ]
         assert statuses == [503] * 3
         await asyncio.sleep(2.0)
         cell.store.refusal = 0
-        assert await _cell.submit(cell.nodes[1], JOBS[5]) in (200, 503)
+        assert await node_cell.submit(cell.nodes[1], JOBS[5]) in (200, 503)
         await asyncio.sleep(0.5)
-        assert await _cell.submit(cell.nodes[1], JOBS[5]) == 200
-        await _cell.until_state(cell.nodes[2], JOBS[5], "complete")
+        assert await node_cell.submit(cell.nodes[1], JOBS[5]) == 200
+        await node_cell.until_state(cell.nodes[2], JOBS[5], "complete")
         started = {
             task.split(".")[0]
             for worker in cell.workers
@@ -117,15 +118,15 @@
 ) -> None:
     """Guards against writes that are repeated after they took effect."""
 
-    async def scenario(cell: _cell.Cell) -> None:
+    async def scenario(cell: node_cell.Cell) -> None:
         for job_id in JOBS:
             cell.store.lose_answers = 2
-            status = await _cell.submit(cell.nodes[0], job_id)
+            status = await node_cell.submit(cell.nodes[0], job_id)
             if status != 200:
                 assert status == 504
-                assert await _cell.submit(cell.nodes[1], job_id) == 200
+                assert await node_cell.submit(cell.nodes[1], job_id) == 200
         for job_id in JOBS:
-            await _cell.until_state(cell.nodes[0], job_id, "complete")
+            await node_cell.until_state(cell.nodes[0], job_id, "complete")
 
     run(scenario, tmp_path)
 
@@ -135,21 +136,22 @@
 ) -> None:
     """Guards against runs that go on after their job's cancellation."""
 
-    async def scenario(cell: _cell.Cell) -> None:
+    async def scenario(cell: node_cell.Cell) -> None:
         for worker in cell.workers:
             worker.run_s = 60.0
         node = cell.nodes[0]
-        assert await _cell.submit(node, JOBS[0], count=6) == 200
-        await _cell.until_state(node, JOBS[0], "running")
+        assert await node_cell.submit(node, JOBS[0], count=6) == 200
+        await node_cell.until_state(node, JOBS[0], "running")
         assert (
-            await _cell.call(_cell.url(node, JOBS[0]), method="DELETE") == 200
+            await node_cell.call(node_cell.url(node, JOBS[0]), method="DELETE")
+            == 200
         )
-        await _cell.until_state(cell.nodes[1], JOBS[0], "canceled")
-        await _cell.until(
+        await node_cell.until_state(cell.nodes[1], JOBS[0], "canceled")
+        await node_cell.until(
             lambda: not any(worker.runs for worker in cell.workers)
         )
-        unknown = _cell.url(node, JOBS[9])
-        assert await _cell.call(unknown, method="DELETE") == 410
+        unknown = node_cell.url(node, JOBS[9])
+        assert await node_cell.call(unknown, method="DELETE") == 410
 
     run(scenario, tmp_path)
 
@@ -180,15 +182,15 @@
 ) -> None:
     """Guards against bad input that is accepted or disturbs others."""
 
-    async def scenario(cell: _cell.Cell) -> None:
+    async def scenario(cell: node_cell.Cell) -> None:
         node = cell.nodes[0]
         cloud.put(cell.store, "servers/odd", b"\xff not an entry")
-        answer = await _cell.call(
-            _cell.url(node, path), method=method, body=body
+        answer = await node_cell.call(
+            node_cell.url(node, path), method=method, body=body
         )
         assert answer == status
-        assert await _cell.submit(node, JOBS[7]) == 200
-        await _cell.until_state(node, JOBS[7], "complete")
+        assert await node_cell.submit(node, JOBS[7]) == 200
+        await node_cell.until_state(node, JOBS[7], "complete")
 
     run(scenario, tmp_path)
 
@@ -198,12 +200,12 @@
 ) -> None:
     """Guards against an old configuration after the new one's bound."""
 
-    async def scenario(cell: _cell.Cell) -> None:
+    async def scenario(cell: node_cell.Cell) -> None:
         cloud.put(
-            cell.store, "op/config", _cell.make_config(2, prefix="/new/")
+            cell.store, "op/config", node_cell.make_config(2, prefix="/new/")
         )
         await asyncio.sleep(2.0)
         for node in cell.nodes:
-            assert await _cell.submit(node, JOBS[0]) == 404
+            assert await node_cell.submit(node, JOBS[0]) == 404
 
     run(scenario, tmp_path)
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults on real daemons, against stand-ins of the platform."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,59 @@
+"""Runs seeds of the soak and prints one line for each."""
+
+import argparse
+import asyncio
+import pathlib
+import random
+import sys
+import time
+
+from soak import _run
+
+OUTPUT = pathlib.Path("build") / "soak"
+
+
+def main(arguments: list[str]) -> int:
+    """Run the seeds; return 0 only if all passed."""
+    parser = argparse.ArgumentParser(prog="soak", description=__doc__)
+    parser.add_argument("--seeds", type=int, default=10)
+    parser.add_argument(
+        "--first-seed", type=int, default=None, help="default: a fresh one"
+    )
+    parser.add_argument("--nodes", type=int, default=5)
+    parser.add_argument("--for-s", type=float, default=15.0)
+    options = parser.parse_args(arguments)
+    first = options.first_seed
+    if first is None:
+        first = random.SystemRandom().randrange(10**6)
+    passed = failed = 0
+    for seed in range(first, first + options.seeds):
+        folder = OUTPUT / str(seed)
+        folder.mkdir(parents=True, exist_ok=True)
+        for old in folder.glob("*.log"):
+            old.unlink()
+        began = time.monotonic()
+        ledger = asyncio.run(
+            _run.run_seed(
+                folder.resolve(),
+                seed,
+                nodes=options.nodes,
+                for_s=options.for_s,
+            )
+        )
+        _run.write_ledger(folder, ledger)
+        summary = _run.report(ledger)
+        violations = summary.pop("violations")
+        verdict = "failed" if violations else "passed"
+        seconds = time.monotonic() - began
+        print(f"seed {seed} {verdict} in {seconds:.0f} s: {summary}")
+        for line in violations[:10]:
+            print(f"    {line}")
+        sys.stdout.flush()
+        passed += not violations
+        failed += bool(violations)
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/soak/_run.py
@@ -0,0 +1,226 @@
+"""One run of the soak: a cell, its callers, the faults and the verdict."""
+
+import asyncio
+import collections.abc
+import contextlib
+import functools
+import json
+import pathlib
+import random
+import time
+
+from soak import _checks
+from soak import _clients
+from soak import _faults
+from soak import _proxy
+from standins import cloud
+from standins import harness
+from standins import node_cell
+
+WORKERS = 4
+WORKER_CPU = 8000
+JOBS_PER_S = 4.0
+
+# Time after the last fault in which all accepted jobs have to end.
+FINISH_S = 40.0
+
+# A configuration is in force this long after its acknowledgement.
+CONFIG_S = 2.0
+
+# Speeds of the workers' clocks; the pages allow 2% slow.
+CLOCK_RATES = (1.0, 0.98, 0.99, 1.0)
+
+
+async def run_seed(
+    folder: pathlib.Path, seed: int, *, nodes: int, for_s: float
+) -> _checks.Ledger:
+    """Run one seed and return what was seen.
+
+    Parameters
+    ----------
+    folder : Path
+        Takes settings and logs.
+    seed : int
+        Decides all jobs and faults.
+    nodes : int
+        Number of daemons.
+    for_s : float
+        Seconds for which faults come.
+    """
+    rng = random.Random(seed)
+    async with _run_world(folder, nodes=nodes) as world:
+        callers = _clients.Callers(
+            ledger=world.ledger,
+            nodes=world.cell.nodes,
+            rng=random.Random(rng.random()),
+        )
+        stop = asyncio.Event()
+        jobs: set[asyncio.Task[None]] = set()
+        arrivals = asyncio.ensure_future(
+            _submit_jobs(callers, jobs, stop, random.Random(rng.random()))
+        )
+        await _faults.inject(world, rng, for_s=for_s)
+        stop.set()
+        await arrivals
+        await _settle(world, callers, jobs)
+    return world.ledger
+
+
+@contextlib.asynccontextmanager
+async def _run_world(
+    folder: pathlib.Path, *, nodes: int
+) -> collections.abc.AsyncIterator[_faults.World]:
+    ledger = _checks.Ledger()
+    closers: list[collections.abc.Callable[[], None]] = []
+    store, advisor = cloud.Store(), cloud.Advisor()
+    workers = [
+        cloud.Worker(
+            id=f"i-{number}",
+            service=node_cell.SERVICE,
+            capacity={"cpu": WORKER_CPU, "memMb": 8000, "gpu": 0},
+            clock_rate=CLOCK_RATES[number % len(CLOCK_RATES)],
+        )
+        for number in range(WORKERS)
+    ]
+
+    async def serve(handler: object, state: object) -> _proxy.Proxy:
+        address, server = cloud.serve(functools.partial(handler, state))
+        closers.append(server.stop)
+        return _proxy.Proxy(target=address)
+
+    async def listen(proxy: _proxy.Proxy) -> str:
+        address, server = await _proxy.serve(proxy)
+        closers.append(server.close)
+        return address
+
+    store_proxy = await serve(cloud.answer_store, store)
+    advisor_proxy = await serve(cloud.answer_advice, advisor)
+    advisor_address = await listen(advisor_proxy)
+    cell = node_cell.Cell(store=store, advisor=advisor, workers=workers)
+    world = _faults.World(
+        cell=cell,
+        folder=folder,
+        ledger=ledger,
+        store_proxies={},
+        worker_proxies=[],
+        advisor_proxy=advisor_proxy,
+    )
+    for worker in workers:
+        _checks.watch_worker(ledger, worker)
+        proxy = await serve(cloud.answer_worker, worker)
+        world.worker_proxies.append(proxy)
+        address = await listen(proxy)
+        cell.worker_addresses.append(address)
+        entry = cloud.write_entry(worker, address)
+        cloud.put(store, f"servers/{worker.id}", entry)
+    cloud.put(store, "op/config", node_cell.make_config(1))
+    ports = harness.make_harness(folder)
+    try:
+        for number in range(nodes):
+            name = f"n{number}"
+            proxy = _proxy.Proxy(target=store_proxy.target)
+            world.store_proxies[name] = proxy
+            cell.nodes.append(
+                node_cell.start_node(
+                    folder,
+                    name,
+                    await listen(proxy),
+                    advisor_address,
+                    harness.find_ports(ports, node_cell.PORTS_PER_NODE),
+                )
+            )
+        for node in cell.nodes:
+            await node_cell.until_ready(node)
+        yield world
+    finally:
+        for node in cell.nodes:
+            node.process.kill()
+            node.process.wait()
+        for proxy in [
+            *world.store_proxies.values(),
+            *world.worker_proxies,
+            advisor_proxy,
+        ]:
+            await _proxy.close(proxy)
+        for close in closers:
+            close()
+
+
+async def _submit_jobs(
+    callers: _clients.Callers,
+    jobs: set[asyncio.Task[None]],
+    stop: asyncio.Event,
+    rng: random.Random,
+) -> None:
+    while not stop.is_set():
+        await asyncio.sleep(rng.expovariate(JOBS_PER_S))
+        job_id = f"{rng.getrandbits(64):016x}"
+        jobs.add(asyncio.ensure_future(_clients.run_job(callers, job_id)))
+
+
+async def _settle(
+    world: _faults.World,
+    callers: _clients.Callers,
+    jobs: set[asyncio.Task[None]],
+) -> None:
+    """Let all jobs end without faults, and check what must hold then."""
+    ledger = world.ledger
+    for node in world.cell.nodes:
+        await node_cell.until_ready(node)
+    await asyncio.sleep(CONFIG_S)
+    await _check_config(world)
+    callers.calm.set()
+    began = time.monotonic()
+    done, left = await asyncio.wait(jobs, timeout=FINISH_S)
+    for task in done:
+        if task.exception() is not None:
+            _checks.break_promise(ledger, f"caller: {task.exception()!r}")
+    for task in left:
+        task.cancel()
+    waited_s = time.monotonic() - began
+    for job in ledger.jobs.values():
+        if job.accepted_at and job.state not in _checks.TERMINAL:
+            _checks.break_promise(
+                ledger,
+                f"{job.id} is {job.state or 'unknown'} after {waited_s:.0f} s",
+            )
+        if not job.accepted_at and not job.refused:
+            _checks.break_promise(ledger, f"{job.id} was never answered")
+    for worker in world.cell.workers:
+        for task, run in worker.runs:
+            job = ledger.jobs[task.split(".")[0]]
+            if job.state in _checks.TERMINAL:
+                _checks.break_promise(
+                    ledger, f"{task} run {run} goes on: job is {job.state}"
+                )
+
+
+async def _check_config(world: _faults.World) -> None:
+    """Check that each daemon has the newest configuration in force."""
+    for node in world.cell.nodes:
+        url = f"http://127.0.0.1:{node.front}/v{world.version}/"
+        status = await node_cell.call(url)
+        if status != 200:
+            _checks.break_promise(
+                world.ledger,
+                f"{node.name} answers {status} for version {world.version}",
+            )
+
+
+def report(ledger: _checks.Ledger) -> dict[str, object]:
+    """Return a summary for the log."""
+    return {
+        "jobs": len(ledger.jobs),
+        "complete": sum(
+            job.state == "complete" for job in ledger.jobs.values()
+        ),
+        "refused": sum(job.refused for job in ledger.jobs.values()),
+        "faults": len(ledger.faults),
+        "violations": ledger.violations,
+    }
+
+
+def write_ledger(folder: pathlib.Path, ledger: _checks.Ledger) -> None:
+    """Keep faults and broken promises beside the daemons' logs."""
+    text = json.dumps({"faults": ledger.faults, **report(ledger)}, indent=1)
+    (folder / "ledger.json").write_text(text, encoding="utf-8")
--- /dev/null
+++ b/soak/tests/test_soak.py
@@ -0,0 +1,98 @@
+"""A short seeded run of the soak, and checks that can fail."""
+
+import asyncio
+import pathlib
+
+import pytest
+
+from soak import _checks
+from soak import _run
+from standins import cloud
+
+# Seeds that failed once stay here, each with a line on its cause.
+SEEDS = (100,)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_promises_hold_through_faults(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    """Guards against promises that break when faults overlap."""
+    ledger = asyncio.run(_run.run_seed(tmp_path, seed, nodes=4, for_s=6.0))
+    assert ledger.faults
+    assert ledger.violations == []
+
+
+def _make_ledger() -> tuple[_checks.Ledger, list[cloud.Worker]]:
+    ledger = _checks.Ledger()
+    workers = [
+        cloud.Worker(
+            id=f"i-{number}",
+            service="s",
+            capacity={"cpu": 1000},
+            lease_until=float("inf"),
+            run_s=1000.0,
+        )
+        for number in range(2)
+    ]
+    for worker in workers:
+        _checks.watch_worker(ledger, worker)
+    ledger.jobs["a"] = _checks.Job(
+        id="a",
+        body={
+            "spec": "s",
+            "steps": [
+                {"count": 2, "cpu": 600},
+                {"count": 1, "cpu": 100, "after": [0]},
+            ],
+        },
+    )
+    return ledger, workers
+
+
+def _order(task: str, *, run: int = 1, spec: str = "s") -> dict[str, object]:
+    return {"task": task, "run": run, "spec": spec}
+
+
+@pytest.mark.parametrize(
+    ("prepare", "order", "found"),
+    [
+        pytest.param({}, _order("a.0.0.0"), "", id="allowed"),
+        pytest.param({}, _order("b.0.0.0"), "nobody", id="unknown-job"),
+        pytest.param(
+            {}, _order("a.0.0.0", spec="x"), "nobody", id="other-payload"
+        ),
+        pytest.param({}, _order("a.0.1.0"), "predecessor", id="too-early"),
+        pytest.param(
+            {"refused": True}, _order("a.0.0.0"), "refused", id="refused"
+        ),
+        pytest.param(
+            {"state": "canceled"}, _order("a.0.0.0"), "shown", id="ended"
+        ),
+        pytest.param(
+            {"cancelled_at": 1.0}, _order("a.0.0.0"), "cancel", id="cancelled"
+        ),
+    ],
+)
+def test_a_forbidden_start_is_found(
+    prepare: dict[str, object], order: dict[str, object], found: str
+) -> None:
+    """Guards against checks of the soak that cannot fail."""
+    ledger, workers = _make_ledger()
+    for name, value in prepare.items():
+        setattr(ledger.jobs["a"], name, value)
+    workers[0].on_start(order)
+    if found:
+        assert found in ledger.violations[0]
+    else:
+        assert ledger.violations == []
+
+
+def test_doubled_runs_and_capacity_are_found() -> None:
+    """Guards against checks of the soak that cannot fail."""
+    ledger, workers = _make_ledger()
+    workers[0].runs[("a.0.0.0", 1)] = cloud.Run(begun=0.0, ends=float("inf"))
+    workers[1].on_start(_order("a.0.0.0", run=2))
+    assert "two runs at once" in ledger.violations[0]
+    workers[0].on_start(_order("a.0.0.1"))
+    assert "over capacity" in ledger.violations[-1]
--- a/standins/cloud/__init__.py
+++ b/standins/cloud/__init__.py
@@ -6,6 +6,7 @@
 from standins.cloud import _worker
 
 Advisor = _advisor.Advisor
+Run = _worker.Run
 Store = _store.Store
 Worker = _worker.Worker
 answer_advice = _advisor.answer_advice
@@ -19,6 +20,7 @@
 
 __all__ = [
     "Advisor",
+    "Run",
     "Store",
     "Worker",
     "answer_advice",
--- a/standins/cloud/_store.py
+++ b/standins/cloud/_store.py
@@ -50,6 +50,8 @@
         Status with which all calls are refused; 0 for none, -1 for silence.
     lose_answers : int
         Transactions that are still to be done without an answer.
+    late_s : float
+        Time after which the transactions whose answers are lost take effect.
     changed : asyncio.Event
         Set and replaced at each change.
     """
@@ -61,6 +63,7 @@
     leases: dict[int, tuple[float, float]] = attrs.field(factory=dict)
     refusal: int = 0
     lose_answers: int = 0
+    late_s: float = 0.0
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
 
@@ -156,6 +159,11 @@
     if name == "kv-watch":
         return await _watch(store, query)
     if name == "kv-txn":
+        if store.lose_answers:
+            store.lose_answers -= 1
+            await asyncio.sleep(store.late_s)
+            _transact(store, body)
+            return None
         return _transact(store, body)
     return _answer_lease(store, name, argument, body)
 
@@ -228,7 +236,4 @@
     for key in body["remove"]:
         _remove(store, key)
     _wake(store)
-    if store.lose_answers:
-        store.lose_answers -= 1
-        return None
     return 200, {"rev": store.revision}
--- a/standins/cloud/_worker.py
+++ b/standins/cloud/_worker.py
@@ -1,6 +1,7 @@
 """Stand-in of a worker that runs tasks under leases and checks fences."""
 
 import asyncio
+import collections.abc
 import json
 import time
 
@@ -10,6 +11,10 @@
 from standins.cloud import _http
 
 
+def _ignore(*event: object) -> None:
+    """Stand for an observer that is not set."""
+
+
 @attrs.define(kw_only=True)
 class Run:
     """A run.
@@ -56,6 +61,14 @@
         All runs that began, for the tests.
     overlaps : list of str
         Tasks that began while another run of them ran here.
+    clock_rate : float
+        Speed of its clock; it may be 2% slow.
+    on_start : function
+        Called with each start that is accepted, before it runs.
+    on_end : function
+        Called with the task, the run and how it ended.
+    on_acknowledged : function
+        Called with the task, the run and how, once an end is acknowledged.
     silent : bool
         Whether calls get no answer.
     """
@@ -73,6 +86,10 @@
     next_end: int = 1
     starts: list[tuple[str, int]] = attrs.field(factory=list)
     overlaps: list[str] = attrs.field(factory=list)
+    clock_rate: float = 1.0
+    on_start: collections.abc.Callable[[dict[str, object]], None] = _ignore
+    on_end: collections.abc.Callable[[str, int, str], None] = _ignore
+    on_acknowledged: collections.abc.Callable[[str, int, str], None] = _ignore
     silent: bool = False
 
 
@@ -99,7 +116,7 @@
     """End what has finished, and everything once the lease is over."""
     now = time.monotonic()
     for key, run in list(worker.runs.items()):
-        if now > worker.lease_until:
+        if _clock_s(worker) > worker.lease_until:
             _end(worker, key, "lapsed")
         elif now >= run.ends:
             _end(worker, key, "done")
@@ -110,10 +127,15 @@
     worker.ends.append([worker.next_end, *key, how, ""])
     worker.next_end += 1
     worker.rejected[key[0]] = max(worker.rejected.get(key[0], 0), key[1])
+    worker.on_end(*key, how)
+
+
+def _clock_s(worker: Worker) -> float:
+    return time.monotonic() * worker.clock_rate
 
 
-def _clock_ms() -> int:
-    return int(time.monotonic() * 1000)
+def _clock_ms(worker: Worker) -> int:
+    return int(_clock_s(worker) * 1000)
 
 
 async def answer_worker(
@@ -125,7 +147,7 @@
     if worker.silent:
         return None
     lapse(worker)
-    clock = {"clockMs": _clock_ms(), "born": worker.born_ms}
+    clock = {"clockMs": _clock_ms(worker), "born": worker.born_ms}
     if request.headers.get("Expect-Instance", worker.id) != worker.id:
         return 421, clock
     if body.get("fence", 0) < worker.fence:
@@ -159,6 +181,7 @@
         return 409, {**clock, "reason": "late"}
     if any(key[0] == task for key in worker.runs):
         worker.overlaps.append(task)
+    worker.on_start(body)
     now = time.monotonic()
     worker.runs[(task, run)] = Run(begun=now, ends=now + worker.run_s)
     worker.starts.append((task, run))
@@ -167,6 +190,9 @@
 
 async def _hold(worker: Worker, body: dict[str, object]) -> _http.Answer:
     seen = body["seenUpto"]
+    for number, task, run, how, _ in worker.ends:
+        if number <= seen:
+            worker.on_acknowledged(task, run, how)
     worker.ends = [row for row in worker.ends if row[0] > seen]
     until = time.monotonic() + body.get("waitMs", 0) / 1000
     while not worker.ends and time.monotonic() < until:
@@ -178,7 +204,7 @@
         for (task, run), each in worker.runs.items()
     ]
     return 200, {
-        "clockMs": _clock_ms(),
+        "clockMs": _clock_ms(worker),
         "born": worker.born_ms,
         "running": running,
         "ended": worker.ends[:500],
--- a/chestnuttide/node/tests/_cell.py
+++ b/standins/node_cell.py
@@ -20,7 +20,7 @@
 
 SERVICE = "layout"
 HOST = "dials.example"
-ROOT = pathlib.Path(__file__).parents[3]
+ROOT = pathlib.Path(__file__).parents[1]
 
 # Callers, readiness, mesh and metrics.
 PORTS_PER_NODE = 4
@@ -59,6 +59,8 @@
         The platform's stand-ins.
     workers : list of Worker
         Workers of the one service.
+    worker_addresses : list of str
+        Where the daemons reach each worker.
     nodes : list of Node
         The daemons.
     """
@@ -66,19 +68,20 @@
     store: cloud.Store
     advisor: cloud.Advisor
     workers: list[cloud.Worker]
+    worker_addresses: list[str] = attrs.field(factory=list)
     nodes: list[Node] = attrs.field(factory=list)
 
 
 def make_config(version: int, *, prefix: str = "/layout/") -> bytes:
-    """Return a configuration with one queue."""
+    """Return a configuration with a queue, and one that names its version."""
     return json.dumps(
         {
             "version": version,
             "routes": [
                 {
-                    "name": "q1",
+                    "name": name,
                     "host": HOST,
-                    "prefix": prefix,
+                    "prefix": path,
                     "service": SERVICE,
                     "priority": 0,
                     "maxAttempts": 2,
@@ -90,6 +93,7 @@
                         "validityMs": 2000,
                     },
                 }
+                for name, path in (("q1", prefix), ("v", f"/v{version}/"))
             ],
             "services": [{"name": SERVICE}],
             "limits": {"maxBodyBytes": 65536},
@@ -125,6 +129,7 @@
     advisor = serve(cloud.answer_advice, cell.advisor)
     for worker in cell.workers:
         address = serve(cloud.answer_worker, worker)
+        cell.worker_addresses.append(address)
         entry = cloud.write_entry(worker, address)
         cloud.put(cell.store, f"servers/{worker.id}", entry)
     cloud.put(cell.store, "op/config", make_config(1))
@@ -135,7 +140,7 @@
             # between the choice and the daemon's start.
             front = harness.find_ports(ports, PORTS_PER_NODE)
             cell.nodes.append(
-                _start_node(folder, f"n{number}", store, advisor, front)
+                start_node(folder, f"n{number}", store, advisor, front)
             )
         for node in cell.nodes:
             await until_ready(node)
@@ -150,9 +155,10 @@
             server.stop()
 
 
-def _start_node(
+def start_node(
     folder: pathlib.Path, name: str, store: str, advisor: str, front: int
 ) -> Node:
+    """Write a daemon's settings and start it."""
     ready, mesh, metrics = front + 1, front + 2, front + 3
     settings = folder / f"{name}.jsonc"
     settings.write_text(
