Ask for unjudged workers when the allowed are full, and place lasting tasks first

Change: a question also names workers that the advisor has not judged, as many as should contain the missing ones; lasting tasks are planned before all others and may use the room that is kept for urgent work.

--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -24,6 +24,10 @@
 # the time of a call; the answer does not change for the step.
 NAMED_SHARE = 0.5
 
+# Share of the named workers that the advisor is expected to allow, until
+# answers about the step show it.
+EXPECTED_GOOD_SHARE = 0.3
+
 # Workers with room for a task of a step, and their scores, by key.
 _Places: typing.TypeAlias = dict[str, tuple[float, _state.Worker]]
 
@@ -128,9 +132,18 @@
     )
 
 
-def _urgency(job: _state.Job) -> tuple[int, float]:
+def _urgency(job: _state.Job) -> tuple[bool, int, float]:
+    """Return the order of a job; lasting tasks come before all others.
+
+    They are few, and a lasting task that is away is missed all the time that
+    it waits, however full the service is.
+    """
     queue = job.spec.queue
-    return (queue.priority, job.accepted_at + queue.latency_objective_s)
+    return (
+        not job.is_lasting,
+        queue.priority,
+        job.accepted_at + queue.latency_objective_s,
+    )
 
 
 def _waiting_steps(
@@ -264,31 +277,23 @@
         for key, allowed in advice.allowed.items()
         if allowed and key in rooms.workers
     ]
+    room = sum(room for _, room in _open_workers(rooms, step, good))
     chosen = _wait_for_workers(rooms, step, good, wanted)
     if advice.asking or rooms.now < advice.retry_at:
         return None
     limit = max(1, int(NAMED_SHARE * policy.decide_s / policy.per_worker_s))
-    if not chosen:
-        unknown = _eligible(
-            rooms,
-            step,
-            [
-                worker
-                for key, worker in rooms.workers.items()
-                if key not in advice.allowed
-            ],
-        )
-        named = _by_score(rooms, step, unknown)[:limit]
-    else:
-        # The ticket is asked for when the room is expected to be there by
-        # the time of the answer.
-        cost_s = _cost_s(policy, len(chosen))
-        named = [
-            worker
-            for worker, wait_s in chosen
-            if wait_s <= cost_s
-            and not _has_ticket(advice, worker, rooms.now + cost_s)
-        ][:limit]
+    # A ticket is asked for when the room is expected to be there by the time
+    # of the answer.
+    cost_s = _cost_s(policy, len(chosen))
+    named = [
+        worker
+        for worker, wait_s in chosen
+        if wait_s <= cost_s
+        and not _has_ticket(advice, worker, rooms.now + cost_s)
+    ]
+    if not good or room < wanted:
+        named += _name_unknown(rooms, step, advice, wanted - room)
+    named = named[:limit]
     if not named:
         return None
     return Question(
@@ -299,6 +304,48 @@
     )
 
 
+def _name_unknown(
+    rooms: _rooms.Rooms,
+    step: _Step,
+    advice: _state.StepAdvice,
+    missing: int,
+) -> list[_state.Worker]:
+    """Return workers that the advisor has not judged for a step, best first.
+
+    Parameters
+    ----------
+    rooms : Rooms
+        The round.
+    step : _Step
+        The step.
+    advice : StepAdvice
+        What is known of it.
+    missing : int
+        Tasks for which no allowed worker has room.
+
+    Returns
+    -------
+    list of Worker
+        All of them before the first answer, later as many of those with room
+        as should contain the workers that are missing.
+    """
+    unknown = _eligible(
+        rooms,
+        step,
+        [
+            worker
+            for key, worker in rooms.workers.items()
+            if key not in advice.allowed
+        ],
+    )
+    if not any(advice.allowed.values()):
+        return _by_score(rooms, step, unknown)
+    share = sum(advice.allowed.values()) / len(advice.allowed)
+    count = math.ceil(missing / max(EXPECTED_GOOD_SHARE, share))
+    unknown = [worker for worker, _ in _open_workers(rooms, step, unknown)]
+    return _by_score(rooms, step, unknown)[:count]
+
+
 def _by_score(
     rooms: _rooms.Rooms, step: _Step, workers: list[_state.Worker]
 ) -> list[_state.Worker]:
--- a/chestnuttide/workloads/_rooms.py
+++ b/chestnuttide/workloads/_rooms.py
@@ -106,7 +106,7 @@
         cpu_millis=need.cpu_millis,
         memory_mb=need.memory_mb,
         accelerators=need.accelerators,
-        urgent=job.spec.queue.priority <= rooms.top_priority,
+        urgent=spec.lasting or job.spec.queue.priority <= rooms.top_priority,
     )
 
 
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -265,6 +265,11 @@
     ended_unix_s: float = 0.0
     progress_revision: int = 0
 
+    @property
+    def is_lasting(self) -> bool:
+        """Whether its tasks run until it is cancelled."""
+        return any(step.lasting for step in self.spec.steps)
+
 
 @attrs.define(kw_only=True, slots=True, eq=False)
 class Worker:
--- a/chestnuttide/workloads/tests/test_planning.py
+++ b/chestnuttide/workloads/tests/test_planning.py
@@ -175,3 +175,61 @@
         _world.end_of(pool, run, "failed")
     assert not workloads.make_plan(pool, now=3.0).runs
     assert workloads.make_plan(pool, now=20.0).runs
+
+
+def _ask(
+    pool: workloads.Pool, tickets: dict[str, str], *, now: float
+) -> tuple[str, ...]:
+    """Answer the one question of a round, and return the named workers."""
+    (question,) = workloads.make_plan(pool, now=now).questions
+    workloads.note_question(question)
+    workloads.note_advice(question, tickets, now=now, retry_s=0.1)
+    return tuple(worker.report.id for worker in question.workers)
+
+
+def test_workers_not_yet_judged_are_asked_for_when_the_allowed_are_full() -> (
+    None
+):
+    """Guards against a task that waits for ever beside free workers.
+
+    The first question names a limited number of workers; the allowed one is
+    then kept full by more urgent work.
+    """
+    pool = _world.make_pool(2)
+    pool.workers["w1@1"].failures_in_row = 5
+    narrow = workloads.Advice(decide_s=0.1, per_worker_s=0.05, validity_s=2.0)
+    job = _world.submit(
+        pool, _world.make_step(need=_need(3000)), advice=narrow, priority=1
+    )
+    assert _ask(pool, {"w0": "t"}, now=1.0) == ("w0",)
+    _world.submit(
+        pool,
+        _world.make_step(count=2, need=_need(1500), label="r1-1"),
+        job_id="00000000000000bb",
+    )
+    pool.workers["w1@1"].shunned_until = 1.2
+    workloads.make_plan(pool, now=1.1)
+    (step,) = job.advice.values()
+    step.good.clear()
+    assert "w1" in _ask(pool, {"w1": "t"}, now=1.5)
+    (run,) = workloads.make_plan(pool, now=1.6).runs
+    assert run.worker_key == "w1@1"
+
+
+def test_lasting_tasks_come_before_urgent_ones() -> None:
+    """Guards against a lasting task that stays away on a full service."""
+    pool = _world.make_pool(1)
+    _world.submit(
+        pool,
+        _world.make_step(need=_need(4000)),
+        job_id="00000000000000b1",
+        priority=0,
+    )
+    _world.submit(
+        pool,
+        _world.make_step(need=_need(4000), lasting=True),
+        job_id="00000000000000b2",
+        priority=1,
+    )
+    (run,) = workloads.make_plan(pool, now=1.0).runs
+    assert run.job.spec.id == "00000000000000b2"
