--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -61,7 +61,9 @@
 
 
 def _start_again(world: World, node: node_cell.Node) -> None:
-    node.process.wait()
+    """Start a daemon that has ended, unless another fault has done so."""
+    if node.process.poll() is None:
+        return
     node.process = node_cell.spawn(world.folder, node.name, node.settings)
 
 
@@ -69,16 +71,15 @@
     """Kill a daemon and start it again."""
     node = _pick(world, rng)
     node.process.kill()
-    await asyncio.sleep(rng.uniform(0.0, 2.0))
-    if node.process.poll() is not None:
-        _start_again(world, node)
+    await asyncio.sleep(rng.uniform(0.1, 2.0))
+    _start_again(world, node)
 
 
 async def kill_all(world: World, rng: random.Random) -> None:
     """Kill all daemons at once and start them again."""
     for node in world.cell.nodes:
         node.process.kill()
-    await asyncio.sleep(rng.uniform(0.0, 1.5))
+    await asyncio.sleep(rng.uniform(0.1, 1.5))
     for node in world.cell.nodes:
         _start_again(world, node)
 
@@ -247,8 +248,7 @@
     await asyncio.gather(*running)
     for node in world.cell.nodes:
         node.process.send_signal(signal.SIGCONT)
-        if node.process.poll() is not None:
-            _start_again(world, node)
+        _start_again(world, node)
     for proxy in [*world.worker_proxies, *world.store_proxies.values()]:
         _proxy.heal(proxy)
     world.cell.store.refusal = 0
