End the daemons of process tests with their parent

Cause: a daemon of a soak that was ended by hand ran on. Change: the kernel kills it with its parent, as for the other stand-ins. Result: node tests pass.

--- a/standins/harness.py
+++ b/standins/harness.py
@@ -155,7 +155,7 @@
             cwd=_ROOT,
             env=environment,
             start_new_session=True,
-            preexec_fn=_die_with_parent,
+            preexec_fn=die_with_parent,
         )
     process = Process(
         name=name,
@@ -457,5 +457,6 @@
     return True
 
 
-def _die_with_parent() -> None:
+def die_with_parent() -> None:
+    """Have the kernel kill this process when the harness's process ends."""
     _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
--- a/standins/node_cell.py
+++ b/standins/node_cell.py
@@ -198,6 +198,7 @@
             env={**os.environ, "CHESTNUTTIDE_CONFIG": str(settings)},
             stdout=log,
             stderr=log,
+            preexec_fn=harness.die_with_parent,
         )
 
 
