Hand unconfirmed runs to a worker's new lifetime

A worker started again under its id after a run was planned and before its start left; the new lifetime accepted the start, and the owner took the run as lost with the former one. Change: a start is not sent to a lifetime that the store no longer lists; starts that no look has confirmed move to the new lifetime until a look or an answered stop decides; starts that were never answered before their lease ended are stopped at the worker's next lifetime.

--- a/chestnuttide/node/_worker_calls.py
+++ b/chestnuttide/node/_worker_calls.py
@@ -128,7 +128,7 @@
         _note_rejection(owner, worker, reply, "hold")
         return False
     if reply.born_ms != worker.report.born_ms:
-        _lose_lifetime(owner, worker, "born again")
+        _succeed_lifetime(owner, worker, reply.born_ms)
         return False
     observation = workloads.Observation(
         clock_ms=reply.clock_ms,
@@ -145,12 +145,25 @@
     )
     for run, how in ends:
         _log_end(owner, run, how)
+    if first:
+        _stop_unanswered_starts(owner, worker)
     if ends or first:
         _follow_ends(owner, [run for run, _ in ends])
     _after_look(owner, worker)
     return True
 
 
+def _stop_unanswered_starts(
+    owner: _ownership.Ownership, worker: workloads.Worker
+) -> None:
+    """Keep a new lifetime from executing starts to the former ones."""
+    starts = owner.pool.unanswered_starts.pop(worker.report.id, set())
+    for task, number in starts:
+        _ownership.start_order(
+            owner, _stop_unknown(owner, worker, task, number)
+        )
+
+
 def _follow_ends(
     owner: _ownership.Ownership, runs: list[workloads.Run]
 ) -> None:
@@ -224,6 +237,23 @@
         _ownership.want_commit(owner, urgent=False)
 
 
+def _succeed_lifetime(
+    owner: _ownership.Ownership, worker: workloads.Worker, born_ms: int
+) -> None:
+    """Follow a worker that has started again under its id."""
+    handed = workloads.begin_lifetime(owner.pool, worker, born_ms)
+    for run in handed:
+        LOG.warning(
+            "Start may have reached a new lifetime.",
+            job=run.job.spec.id,
+            task=run.task,
+            run=run.number,
+            worker=run.worker_key,
+        )
+        ensure_hold_loop(owner, owner.pool.workers[run.worker_key])
+    _lose_lifetime(owner, worker, "born again")
+
+
 def _lose_lifetime(
     owner: _ownership.Ownership, worker: workloads.Worker, why: str
 ) -> None:
@@ -234,18 +264,13 @@
         why=why,
         runs=len(worker.runs),
     )
-    worker.listed = False
-    for run in list(worker.runs.values()):
-        if run.phase == workloads.Phase.PLANNED:
-            continue
-        workloads.end_run(
-            owner.pool,
-            run,
-            "lost",
-            "",
-            now=_clock.now(),
-            now_unix_s=_clock.unix_time(),
-        )
+    lost = workloads.end_lifetime(
+        owner.pool,
+        worker,
+        now=_clock.now(),
+        now_unix_s=_clock.unix_time(),
+    )
+    for run in lost:
         _log_end(owner, run, "lost")
     owner.plan_wanted.set()
     _ownership.want_commit(owner, urgent=False)
@@ -283,7 +308,8 @@
 async def order_start(owner: _ownership.Ownership, run: workloads.Run) -> None:
     """Send a stored run's start to its worker."""
     worker = owner.pool.workers.get(run.worker_key)
-    if worker is None:
+    if worker is None or not worker.listed:
+        # It has left, or has started again since the run was planned.
         _end(owner, run, "never")
         return
     now = _clock.now()
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -1,6 +1,7 @@
 """Decisions of a service's owner about its jobs, runs and workers."""
 
 from chestnuttide.workloads import _lifecycle
+from chestnuttide.workloads import _lifetimes
 from chestnuttide.workloads import _looks
 from chestnuttide.workloads import _planning
 from chestnuttide.workloads import _records
@@ -31,12 +32,14 @@
 add_job = _lifecycle.add_job
 apply_look = _looks.apply_look
 apply_progress = _records.apply_progress
+begin_lifetime = _lifetimes.begin_lifetime
 cancel_job = _lifecycle.cancel_job
 confirm_start = _looks.confirm_start
 decode_job = _records.decode_job
 encode_end = _records.encode_end
 encode_job = _records.encode_job
 encode_progress = _records.encode_progress
+end_lifetime = _lifetimes.end_lifetime
 end_run = _lifecycle.end_run
 evacuate = _supervision.evacuate
 find_stalled = _supervision.find_stalled
@@ -81,12 +84,14 @@
     "add_job",
     "apply_look",
     "apply_progress",
+    "begin_lifetime",
     "cancel_job",
     "confirm_start",
     "decode_job",
     "encode_end",
     "encode_job",
     "encode_progress",
+    "end_lifetime",
     "end_run",
     "evacuate",
     "find_stalled",
--- a/chestnuttide/workloads/_looks.py
+++ b/chestnuttide/workloads/_looks.py
@@ -149,6 +149,7 @@
 
 
 def _note_running(run: _state.Run, row: RunRow, now: float) -> None:
+    run.listed = True
     if run.phase != _state.Phase.RUNNING:
         run.phase = _state.Phase.RUNNING
         run.confirmed_at = now
@@ -226,6 +227,10 @@
         if run.phase != _state.Phase.PLANNED
     ]
     for run in lapsed:
+        if run.phase != _state.Phase.RUNNING:
+            pool.unanswered_starts.setdefault(worker.report.id, set()).add(
+                run.key
+            )
         _lifecycle.end_run(
             pool, run, "lost", "", now=now, now_unix_s=now_unix_s
         )
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -79,6 +79,8 @@
         Monotonic times in seconds.
     recorded : bool
         Whether a stored record names the run.
+    listed : bool
+        Whether a look at its worker's lifetime has listed it.
     deadline_ms : int
         End of the start's lease on the worker's clock; 0 before it is sent.
     percent, measure : float
@@ -108,6 +110,7 @@
     checkpoint: str = ""
     planned_at: float = 0.0
     recorded: bool = False
+    listed: bool = False
     confirmed_at: float = 0.0
     deadline_ms: int = 0
     percent: float = 0.0
@@ -381,6 +384,9 @@
     unknown_runs : dict of str to set of (str, int)
         Runs that workers list and no job knows, by worker; to be stopped.
         What they take is not known, so their workers get no new runs.
+    unanswered_starts : dict of str to set of (str, int)
+        Runs whose start was never answered before their lease ended, by the
+        worker's id. A later lifetime could still execute the start.
     """
 
     service: str
@@ -390,6 +396,7 @@
     active: dict[str, Job] = attrs.field(factory=dict)
     top_priority: int = 0
     unknown_runs: dict[str, set[RunKey]] = attrs.field(factory=dict)
+    unanswered_starts: dict[str, set[RunKey]] = attrs.field(factory=dict)
 
 
 def worker_key(report: _specs.WorkerReport) -> str:
--- a/chestnuttide/workloads/tests/test_looks.py
+++ b/chestnuttide/workloads/tests/test_looks.py
@@ -204,3 +204,61 @@
     )
     (run,) = workloads.make_plan(pool, now=20.2).runs
     assert (run.number, run.worker_key) == (2, "other@1")
+
+
+@pytest.mark.parametrize(
+    ("listed", "seen", "state"),
+    [
+        pytest.param(True, "", workloads.UnitState.WAITING, id="ran-before"),
+        pytest.param(
+            False, "runs", workloads.UnitState.ACTIVE, id="reached-the-new-one"
+        ),
+        pytest.param(
+            False, "absent", workloads.UnitState.ACTIVE, id="may-still-arrive"
+        ),
+        pytest.param(
+            False, "rejected", workloads.UnitState.WAITING, id="never-will"
+        ),
+    ],
+)
+def test_a_start_across_a_restart_of_its_worker(
+    listed: bool, seen: str, state: workloads.UnitState
+) -> None:
+    """Guards against a second run of a task that the new lifetime runs.
+
+    The worker has started again under its id between the choice of the
+    worker and the start; seed 1014 of the soak found two runs at once.
+    """
+    pool = _world.make_pool(1)
+    job = _world.submit(pool, _world.make_step())
+    (run,) = _world.start_all(pool)
+    former = pool.workers["w0@1"]
+    if listed:
+        row = _world.Row(task=run.task, run=run.number)
+        _world.look(pool, "w0@1", running=(row,))
+    handed = workloads.begin_lifetime(pool, former, 2)
+    workloads.end_lifetime(pool, former, now=2.0, now_unix_s=_world.UNIX_S)
+    assert bool(handed) is not listed
+    if seen == "rejected":
+        run.stop_acknowledged_at = 2.5
+    if seen:
+        row = _world.Row(task=run.task, run=run.number)
+        running = (row,) if seen == "runs" else ()
+        _world.look(pool, "w0@2", running=running, sent_at=3.0)
+    (unit,) = job.units.values()
+    assert unit.state == state
+    assert len(unit.runs) == (state == workloads.UnitState.ACTIVE)
+
+
+def test_an_unanswered_start_is_remembered_for_the_next_lifetime() -> None:
+    """Guards against a late start at a worker that has started again."""
+    pool = _world.make_pool(1)
+    _world.submit(pool, _world.make_step())
+    (run,) = workloads.make_plan(pool, now=0.1).runs
+    run.phase = workloads.Phase.UNCERTAIN
+    worker = pool.workers["w0@1"]
+    worker.failed_looks = 3
+    workloads.lapse_silent_worker(
+        pool, worker, now=worker.lease_until + 1, now_unix_s=_world.UNIX_S
+    )
+    assert pool.unanswered_starts == {"w0": {run.key}}
