End a worker's former lifetime as soon as the store shows the new one

Starts that reached a new lifetime took none of its room in the owner's books, so that it was filled over its capacity; looks meant for the former lifetime acknowledged the first ends of the new one, so that done tasks ran again. Change: the report of a new lifetime hands the former one's unconfirmed runs over at once, and after a look without an answer no end is acknowledged until the lifetime is known.

--- a/chestnuttide/node/_intake.py
+++ b/chestnuttide/node/_intake.py
@@ -58,6 +58,9 @@
         for worker in current:
             worker.listed = False
         return None
+    if any(each.report.born_ms > report.born_ms for each in current):
+        LOG.info("Worker entry is older than its lifetime.", worker=worker_id)
+        return None
     key = workloads.worker_key(report)
     known = owner.pool.workers.get(key)
     draining = known is not None and known.report.draining
@@ -67,9 +70,7 @@
         now=_clock.now(),
         lease_until=_former_lease_until(owner),
     )
-    for other in current:
-        if other.key != key:
-            other.listed = False
+    end_former_lifetimes(owner, worker)
     if known is None or draining != report.draining:
         LOG.info(
             "Worker has reported.",
@@ -82,6 +83,14 @@
     return worker
 
 
+def end_former_lifetimes(
+    owner: _ownership.Ownership, worker: workloads.Worker
+) -> None:
+    """Hand over what the former lifetimes of a listed worker still have."""
+    for former in workloads.former_lifetimes(owner.pool, worker.report):
+        _worker_calls.succeed_lifetime(owner, former, worker.report.born_ms)
+
+
 def apply_job(owner: _ownership.Ownership, item: platform.Item) -> None:
     prefix = _keys.job(owner.service, "")
     if not item.key.startswith(prefix) or item.removed:
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -116,6 +116,10 @@
             if _keys.job(owner.service, job_id) in known:
                 _intake.apply_progress(owner, item)
         _intake.apply_work(owner, work.items)
+        for worker in list(owner.pool.workers.values()):
+            if worker.listed:
+                # Records may name lifetimes that ended before the takeover.
+                _intake.end_former_lifetimes(owner, worker)
         for worker in list(owner.pool.workers.values()):
             _worker_calls.ensure_hold_loop(owner, worker)
         owner.plan_wanted.set()
--- a/chestnuttide/node/_worker_calls.py
+++ b/chestnuttide/node/_worker_calls.py
@@ -113,7 +113,7 @@
             owner.workers_http,
             _address(worker),
             fence=owner.fence,
-            acknowledged_end=worker.stored_end,
+            acknowledged_end=workloads.acknowledged_end(worker),
             deadline_ms=deadline_ms,
             wait_s=wait_s,
             timeout_s=LOOK_TIMEOUT_S,
@@ -128,7 +128,7 @@
         _note_rejection(owner, worker, reply, "hold")
         return False
     if reply.born_ms != worker.report.born_ms:
-        _succeed_lifetime(owner, worker, reply.born_ms)
+        succeed_lifetime(owner, worker, reply.born_ms)
         return False
     observation = workloads.Observation(
         clock_ms=reply.clock_ms,
@@ -237,7 +237,7 @@
         _ownership.want_commit(owner, urgent=False)
 
 
-def _succeed_lifetime(
+def succeed_lifetime(
     owner: _ownership.Ownership, worker: workloads.Worker, born_ms: int
 ) -> None:
     """Follow a worker that has started again under its id."""
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -29,6 +29,7 @@
 UnitState = _state.UnitState
 Worker = _state.Worker
 WorkerReport = _specs.WorkerReport
+acknowledged_end = _looks.acknowledged_end
 add_job = _lifecycle.add_job
 apply_look = _looks.apply_look
 apply_progress = _records.apply_progress
@@ -43,6 +44,7 @@
 end_run = _lifecycle.end_run
 evacuate = _supervision.evacuate
 find_stalled = _supervision.find_stalled
+former_lifetimes = _lifetimes.former_lifetimes
 hold_deadline_ms = _looks.hold_deadline_ms
 is_usable = _planning.is_usable
 lapse_silent_worker = _looks.lapse_silent_worker
@@ -81,6 +83,7 @@
     "UnitState",
     "Worker",
     "WorkerReport",
+    "acknowledged_end",
     "add_job",
     "apply_look",
     "apply_progress",
@@ -95,6 +98,7 @@
     "end_run",
     "evacuate",
     "find_stalled",
+    "former_lifetimes",
     "hold_deadline_ms",
     "is_usable",
     "lapse_silent_worker",
--- a/chestnuttide/workloads/_lifetimes.py
+++ b/chestnuttide/workloads/_lifetimes.py
@@ -3,6 +3,7 @@
 import attrs
 
 from chestnuttide.workloads import _lifecycle
+from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
 
 # A start names the worker's id, which the new lifetime shares, and its clock
@@ -10,6 +11,19 @@
 NEVER_EXPIRES_MS = 2**62
 
 
+def former_lifetimes(
+    pool: _state.Pool, report: _specs.WorkerReport
+) -> list[_state.Worker]:
+    """Return the lifetimes that a worker's report shows to be over."""
+    return [
+        worker
+        for worker in pool.workers.values()
+        if worker.report.id == report.id
+        and worker.report.born_ms < report.born_ms
+        and (worker.listed or worker.runs)
+    ]
+
+
 def end_lifetime(
     pool: _state.Pool, worker: _state.Worker, *, now: float, now_unix_s: float
 ) -> list[_state.Run]:
--- a/chestnuttide/workloads/_looks.py
+++ b/chestnuttide/workloads/_looks.py
@@ -90,6 +90,15 @@
     return lease_deadline_ms(worker, now=now, lease_s=lease_s)
 
 
+def acknowledged_end(worker: _state.Worker) -> int:
+    """Return the number up to which a look may acknowledge ends.
+
+    A worker that did not answer may have started again, and then counts its
+    ends anew; what was stored of the former lifetime says nothing of them.
+    """
+    return 0 if worker.failed_looks else worker.stored_end
+
+
 def note_grant(worker: _state.Worker, deadline_ms: int, *, now: float) -> None:
     """Remember that an order with this lease may have been executed."""
     ahead_s = (deadline_ms - worker.clock_ms) / 1000
--- a/chestnuttide/workloads/tests/test_looks.py
+++ b/chestnuttide/workloads/tests/test_looks.py
@@ -1,5 +1,6 @@
 """Doubt about a run: unanswered starts, silence and lost workers."""
 
+import attrs
 import pytest
 
 from chestnuttide import workloads
@@ -262,3 +263,43 @@
         pool, worker, now=worker.lease_until + 1, now_unix_s=_world.UNIX_S
     )
     assert pool.unanswered_starts == {"w0": {run.key}}
+
+
+def test_runs_of_an_unseen_restart_take_room_of_the_new_lifetime() -> None:
+    """Guards against a worker over its capacity after a quick restart.
+
+    Seed 1009 of the soak: starts for the former lifetime reached the new one,
+    which looked empty to the owner.
+    """
+    pool = _world.make_pool(1)
+    _world.submit(pool, _world.make_step(count=3))
+    _world.start_all(pool)
+    report = attrs.evolve(pool.workers["w0@1"].report, born_ms=2)
+    worker = workloads.update_worker(pool, report, now=1.0, lease_until=9.0)
+    (former,) = workloads.former_lifetimes(pool, report)
+    workloads.begin_lifetime(pool, former, 2)
+    workloads.end_lifetime(pool, former, now=1.0, now_unix_s=_world.UNIX_S)
+    assert worker.used.cpu_millis == 3000
+    assert workloads.former_lifetimes(pool, report) == []
+
+
+@pytest.mark.parametrize(
+    ("failed_looks", "acknowledged"),
+    [
+        pytest.param(0, 7, id="answers"),
+        pytest.param(1, 0, id="may-have-started-again"),
+    ],
+)
+def test_ends_of_a_new_lifetime_are_not_acknowledged_unseen(
+    failed_looks: int, acknowledged: int
+) -> None:
+    """Guards against ends that are forgotten before they were read.
+
+    Seed 1010 of the soak: a look that was meant for the former lifetime
+    acknowledged the first ends of the new one, and the tasks ran again.
+    """
+    pool = _world.make_pool(1)
+    worker = pool.workers["w0@1"]
+    worker.stored_end = 7
+    worker.failed_looks = failed_looks
+    assert workloads.acknowledged_end(worker) == acknowledged
