Store a job's end without waiting for its earlier changes

Change: a job's end is a transaction of its own, which expects only the owner's key; while the store is slow, ends of single tasks are gathered for two of its answers; a worker with ends that are not stored yet is looked at again after 0.1 s.

--- a/chestnuttide/node/_commits.py
+++ b/chestnuttide/node/_commits.py
@@ -1,6 +1,7 @@
 """Storing of what an owner has decided, many jobs in one transaction."""
 
 import asyncio
+import collections.abc
 
 import attrs
 
@@ -16,18 +17,23 @@
 LOG = telemetry.make_logger("commit")
 
 # Changes of this time share a transaction. Nobody waits for the end of a
-# single task, so ends are gathered for longer than starts.
+# single task, so ends are gathered for longer than starts. While the store is
+# slow they are gathered for some of its answers, because a job's next start
+# waits for the change that is being stored.
 URGENT_DELAY_S = 0.002
 DELAY_S = 0.02
+SLOW_ANSWER_S = 0.05
+SLOW_DELAY_ANSWERS = 2.0
+MAX_DELAY_S = 0.6
 
 RETRY_PAUSE_S = 0.05
 
 # Rounds under way at once. A round takes one answer of the store.
 MAX_ROUNDS = 32
 
-# A live job takes its expectation and its put, an ended one a put, a removal
-# and an expectation; one entry is the owner's own expectation.
-_ENTRIES_PER_JOB = 4
+# A live job takes its expectation and its put, an ended one a put and a
+# removal; one entry is the owner's own expectation.
+_ENTRIES_PER_JOB = 2
 
 
 @attrs.frozen(kw_only=True, slots=True, eq=False)
@@ -58,7 +64,7 @@
     former: asyncio.Task[bool] | None = None
     while not owner.deposed.is_set():
         await owner.commit_wanted.wait()
-        await asyncio.sleep(URGENT_DELAY_S if owner.commit_urgent else DELAY_S)
+        await _gather_changes(owner)
         owner.commit_wanted.clear()
         owner.commit_urgent = False
         while len(owner.rounds) >= MAX_ROUNDS:
@@ -70,6 +76,17 @@
         former.add_done_callback(owner.rounds.discard)
 
 
+async def _gather_changes(owner: _ownership.Ownership) -> None:
+    """Wait for further changes, but not once somebody waits for one."""
+    delay_s = DELAY_S
+    if owner.answer_s > SLOW_ANSWER_S:
+        delay_s = min(MAX_DELAY_S, SLOW_DELAY_ANSWERS * owner.answer_s)
+    until = _clock.now() + delay_s
+    while not owner.commit_urgent and _clock.now() < until:
+        await asyncio.sleep(DELAY_S)
+    await asyncio.sleep(URGENT_DELAY_S)
+
+
 async def commit_all(owner: _ownership.Ownership) -> None:
     """Store all changed records and wait for the rounds under way."""
     if owner.rounds:
@@ -90,17 +107,19 @@
         for worker in owner.pool.workers.values()
     }
     dirty = [job for job in owner.pool.jobs.values() if job.dirty]
-    busy = [job for job in dirty if job.spec.id in owner.storing]
-    free = [job for job in dirty if job.spec.id not in owner.storing]
-    for job in free:
-        owner.storing.add(job.spec.id)
-    limit = platform.MAX_TRANSACTION_ENTRIES - 1
-    chunk = limit // _ENTRIES_PER_JOB
+    live = [job for job in dirty if not _has_ended(job)]
+    busy = [job for job in live if job.spec.id in owner.storing]
+    free = [job for job in live if job.spec.id not in owner.storing]
+    # The end of a job waits for no change of it that is being stored.
+    ended = [job for job in dirty if _has_ended(job)]
+    for job in (*free, *ended):
+        job.dirty = False
+    owner.storing.update(job.spec.id for job in free)
     stored = all(
         await asyncio.gather(
             *(
-                _commit_jobs(owner, free[begin : begin + chunk])
-                for begin in range(0, len(free), chunk)
+                _commit_jobs(owner, jobs)
+                for jobs in (*_chunks(free), *_chunks(ended))
             )
         )
     )
@@ -109,8 +128,8 @@
         stored = stored and former.result()
     if not stored:
         return False
-    if busy:
-        # Their former change is stored by now; the new one takes a round.
+    if busy or any(_has_ended(job) for job in free):
+        # What is not stored yet takes another round.
         owner.commit_wanted.set()
         return True
     for key, number in highest_ends.items():
@@ -124,25 +143,49 @@
     return True
 
 
+def _has_ended(job: workloads.Job) -> bool:
+    return job.state in workloads.TERMINAL_STATES
+
+
+def _chunks(
+    jobs: list[workloads.Job],
+) -> collections.abc.Iterator[list[workloads.Job]]:
+    """Return the jobs in groups that fit a transaction."""
+    size = (platform.MAX_TRANSACTION_ENTRIES - 1) // _ENTRIES_PER_JOB
+    for begin in range(0, len(jobs), size):
+        yield jobs[begin : begin + size]
+
+
 async def _commit_jobs(
     owner: _ownership.Ownership, jobs: list[workloads.Job]
 ) -> bool:
-    """Store some jobs; return False if the ownership has ended."""
+    """Store some live jobs, or some ended ones.
+
+    Returns
+    -------
+    bool
+        False if the ownership has ended.
+    """
+    ended = _has_ended(jobs[0])
     try:
-        return await _commit_until_stored(owner, jobs)
+        return await _commit_until_stored(owner, jobs, ended=ended)
     finally:
-        for job in jobs:
-            owner.storing.discard(job.spec.id)
-            if job.dirty:
-                owner.commit_wanted.set()
+        if not ended:
+            owner.storing.difference_update(job.spec.id for job in jobs)
+        if any(job.dirty for job in jobs):
+            owner.commit_wanted.set()
 
 
 async def _commit_until_stored(
-    owner: _ownership.Ownership, jobs: list[workloads.Job]
+    owner: _ownership.Ownership, jobs: list[workloads.Job], *, ended: bool
 ) -> bool:
     unanswered = False
     while not owner.deposed.is_set():
-        batch = _make_batch(owner, jobs)
+        # A job that has ended meanwhile is stored by its own transaction.
+        jobs = [job for job in jobs if _has_ended(job) == ended]
+        if not jobs:
+            return True
+        batch = make_batch(owner, jobs)
         sent_at = _clock.now()
         try:
             revision = await platform.commit(
@@ -164,37 +207,37 @@
                 )
                 owner.metrics.retries.inc({"reason": "store_error"})
             unanswered = True
-            for job in jobs:
-                job.dirty = True
             await asyncio.sleep(RETRY_PAUSE_S)
             continue
         owner.confirmed_at = max(owner.confirmed_at, sent_at)
+        owner.answer_s = _clock.now() - sent_at
         if unanswered:
             LOG.info("Commits succeed again.", service=owner.service)
-        _apply(owner, batch, revision)
+        apply_batch(owner, batch, revision)
         return True
     return False
 
 
-def _make_batch(
+def make_batch(
     owner: _ownership.Ownership, jobs: list[workloads.Job]
 ) -> _Batch:
+    """Return the transaction that stores some jobs as they are now."""
     expect = {_keys.owner(owner.service): owner.fence}
     put: dict[str, bytes] = {}
     remove: list[str] = []
     planned: list[workloads.Run] = []
     for job in jobs:
-        job.dirty = False
-        # An unanswered transaction may take effect seconds later; with the
-        # revision of the record it cannot replace a newer one.
         progress = _keys.progress(owner.service, job.spec.id)
-        expect[progress] = job.progress_revision
-        if job.state in workloads.TERMINAL_STATES:
-            key = _keys.job(owner.service, job.spec.id)
-            put[key] = workloads.encode_end(job)
-            if job.progress_revision:
-                remove.append(progress)
+        if _has_ended(job):
+            put[_keys.job(owner.service, job.spec.id)] = workloads.encode_end(
+                job
+            )
+            remove.append(progress)
         else:
+            # An unanswered transaction may take effect seconds later; with
+            # the revision of the record it cannot replace a newer one, nor
+            # bring the record of an ended job back.
+            expect[progress] = job.progress_revision
             put[progress] = workloads.encode_progress(job)
             planned.extend(
                 run
@@ -235,14 +278,20 @@
     for job in jobs:
         key = _keys.progress(owner.service, job.spec.id)
         job.progress_revision = revisions.get(key, 0)
-        job.dirty = True
     owner.metrics.retries.inc({"reason": "store_answer_lost"})
     return True
 
 
-def _apply(owner: _ownership.Ownership, batch: _Batch, revision: int) -> None:
+def apply_batch(
+    owner: _ownership.Ownership, batch: _Batch, revision: int
+) -> None:
+    """Show and order what a transaction has stored."""
     for job, state in batch.jobs:
         ended = state in workloads.TERMINAL_STATES
+        if job.shown_state in workloads.TERMINAL_STATES and not ended:
+            # Stored after the end; an ended job needs no such record.
+            owner.removals.append(_keys.progress(owner.service, job.spec.id))
+            continue
         job.progress_revision = 0 if ended else revision
         if ended and job.shown_state != state:
             queue = job.spec.queue.name
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -53,7 +53,9 @@
     rounds : set of Task
         Rounds of commits under way.
     storing : set of str
-        Jobs whose record is being stored.
+        Live jobs whose progress is being stored.
+    answer_s : float
+        Time that the store took for its last answered commit.
     committed : asyncio.Event
         Set after each commit, and replaced.
     plan_wanted : asyncio.Event
@@ -89,6 +91,7 @@
     commit_urgent: bool = False
     rounds: set[asyncio.Task[bool]] = attrs.field(factory=set)
     storing: set[str] = attrs.field(factory=set)
+    answer_s: float = 0.0
     committed: asyncio.Event = attrs.field(factory=asyncio.Event)
     plan_wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
     hold_loops: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
--- a/chestnuttide/node/_worker_calls.py
+++ b/chestnuttide/node/_worker_calls.py
@@ -26,8 +26,9 @@
 # Lease of a start. Its end also ends the doubt about an unanswered start.
 START_LEASE_S = 2.5
 
-# Ends that are not stored yet would be returned again at once.
-UNSTORED_PAUSE_S = 0.5
+# Ends that are not stored yet would be returned again at once. A slow store
+# holds the look at further ends back by no more than this.
+UNSTORED_PAUSE_S = 0.1
 
 SILENT_PAUSE_S = 0.25
 STOP_REPEAT_S = 0.5
--- /dev/null
+++ b/chestnuttide/node/tests/test_commits.py
@@ -0,0 +1,137 @@
+"""Commits of an owner against the stand-in of the store."""
+
+import asyncio
+import collections.abc
+import functools
+
+from chestnuttide.node import _commits
+from chestnuttide.node import _keys
+from chestnuttide.node import _metrics
+from chestnuttide.node import _ownership
+from chestnuttide import platform
+from chestnuttide import workloads
+from chestnuttide.workloads.tests import _world
+from standins import cloud
+
+SERVICE = "workshop"
+
+
+def _run(
+    scenario: collections.abc.Callable[
+        [_ownership.Ownership, cloud.Store], collections.abc.Awaitable[None]
+    ],
+) -> None:
+    """Run a scenario with an owner whose key is in the store."""
+
+    async def main() -> None:
+        store, metrics = cloud.Store(), _metrics.make_metrics()
+        address, server = cloud.serve(
+            functools.partial(cloud.answer_store, store)
+        )
+        cloud.put(store, _keys.owner(SERVICE), b"me")
+        owner = _ownership.Ownership(
+            service=SERVICE,
+            fence=store.revision,
+            session=None,
+            store=platform.KvStore(
+                http=platform.make_client(max_clients=10),
+                address=address,
+                timeout_s=0.7,
+                count=_metrics.store_counter(metrics),
+            ),
+            workers_http=None,
+            pool=_world.make_pool(2),
+            metrics=metrics,
+        )
+        rounds = asyncio.ensure_future(_commits.run(owner))
+        try:
+            await scenario(owner, store)
+        finally:
+            owner.deposed.set()
+            rounds.cancel()
+            await asyncio.gather(rounds, *owner.rounds, return_exceptions=True)
+            server.stop()
+
+    asyncio.run(main())
+
+
+def _plan_two_steps(owner: _ownership.Ownership) -> workloads.Job:
+    job = _world.submit(owner.pool, _world.make_step(count=2))
+    _world.start_all(owner.pool)
+    _ownership.want_commit(owner, urgent=True)
+    return job
+
+
+async def _until_shown(job: workloads.Job, *, limit_s: float) -> None:
+    async with asyncio.timeout(limit_s):
+        while job.shown_state != workloads.JobState.COMPLETE:
+            await asyncio.sleep(0.01)
+
+
+def test_a_jobs_end_waits_for_no_earlier_change() -> None:
+    """Guards against answers that wait for a lost answer of the store."""
+
+    async def scenario(
+        owner: _ownership.Ownership, store: cloud.Store
+    ) -> None:
+        store.lose_answers = 1
+        job = _plan_two_steps(owner)
+        await asyncio.sleep(0.1)
+        assert store.lose_answers == 0
+        for worker in list(owner.pool.workers.values()):
+            for run in list(worker.runs.values()):
+                _world.end_of(owner.pool, run, "done")
+        _ownership.want_commit(owner, urgent=True)
+        # The lost answer is given up after 0.7 s.
+        await _until_shown(job, limit_s=0.4)
+        record = store.keys[_keys.job(SERVICE, job.spec.id)].value
+        assert workloads.decode_job(record).state == "complete"
+
+    _run(scenario)
+
+
+def test_ends_are_acknowledged_only_once_the_job_is_stored() -> None:
+    """Guards against done tasks that run again after a takeover.
+
+    A job ends while its earlier change is tried again, so the record of that
+    change is never written.
+    """
+
+    async def scenario(
+        owner: _ownership.Ownership, store: cloud.Store
+    ) -> None:
+        store.refusal = 503
+        _plan_two_steps(owner)
+        await asyncio.sleep(0.2)
+        for worker in list(owner.pool.workers.values()):
+            for run in list(worker.runs.values()):
+                _world.end_of(owner.pool, run, "done")
+        await asyncio.sleep(0.2)
+        workers = owner.pool.workers.values()
+        assert all(worker.stored_end == 0 for worker in workers)
+        store.refusal = 0
+        async with asyncio.timeout(2.0):
+            while not all(
+                worker.stored_end == worker.highest_end for worker in workers
+            ):
+                assert not any(worker.stored_end for worker in workers) or (
+                    _keys.job(SERVICE, "00000000000000aa") in store.keys
+                )
+                await asyncio.sleep(0.005)
+
+    _run(scenario)
+
+
+def test_a_record_that_is_stored_late_is_removed() -> None:
+    """Guards against progress of ended jobs that stays in the store."""
+
+    async def scenario(
+        owner: _ownership.Ownership, store: cloud.Store
+    ) -> None:
+        job = _plan_two_steps(owner)
+        batch = _commits.make_batch(owner, [job])
+        job.shown_state = workloads.JobState.COMPLETE
+        _commits.apply_batch(owner, batch, 99)
+        assert owner.removals == [_keys.progress(SERVICE, job.spec.id)]
+
+    _run(scenario)
