Go on owning when a peer could not be asked to release

Change: a call to a peer that is not connected has its own error, because nothing was sent; the owner asks the next peer, and a submission counts it as not written.

--- a/chestnuttide/errors/__init__.py
+++ b/chestnuttide/errors/__init__.py
@@ -6,6 +6,7 @@
 HTTP_STATUS = _kinds.HTTP_STATUS
 LeaseExpiredError = _kinds.LeaseExpiredError
 MeshError = _kinds.MeshError
+PeerNotConnectedError = _kinds.PeerNotConnectedError
 PlatformError = _kinds.PlatformError
 ProtocolError = _kinds.ProtocolError
 Reason = _kinds.Reason
@@ -22,6 +23,7 @@
     "HTTP_STATUS",
     "LeaseExpiredError",
     "MeshError",
+    "PeerNotConnectedError",
     "PlatformError",
     "ProtocolError",
     "Reason",
--- a/chestnuttide/errors/_kinds.py
+++ b/chestnuttide/errors/_kinds.py
@@ -198,6 +198,12 @@
     code = "mesh_unavailable"
 
 
+class PeerNotConnectedError(MeshError):
+    """An instance is not connected; nothing was sent to it."""
+
+    code = "peer_not_connected"
+
+
 class ProtocolError(SchedulerError):
     """A peer sent a message that cannot be decoded."""
 
--- a/chestnuttide/node/_peers.py
+++ b/chestnuttide/node/_peers.py
@@ -126,12 +126,14 @@
 
     Raises
     ------
+    errors.PeerNotConnectedError
+        If the instance is not connected; nothing was sent.
     errors.MeshError
-        If the instance is not connected or does not answer in time.
+        If the instance does not answer in time.
     """
     connection = peers.network.connections.get((KIND, name))
     if connection is None:
-        raise errors.MeshError(
+        raise errors.PeerNotConnectedError(
             message=f"Instance {name} is not connected.",
             remedy="Ask another instance or the store.",
         )
--- a/chestnuttide/node/_release.py
+++ b/chestnuttide/node/_release.py
@@ -52,7 +52,7 @@
                     error=str(error),
                 )
             confirmed = False
-            await _release_through_peer(owner)
+            await release_through_peer(owner)
             continue
         if item is None or item.revision != owner.fence:
             LOG.warning(
@@ -68,7 +68,7 @@
         owner.confirmed_at = max(owner.confirmed_at, sent_at)
 
 
-async def _release_through_peer(owner: _ownership.Ownership) -> None:
+async def release_through_peer(owner: _ownership.Ownership) -> None:
     """Have a peer that reaches the store end this ownership."""
     owner.releasing = True
     for name in _peers.connected_names(owner.session.peers):
@@ -82,6 +82,9 @@
                     fence=owner.fence,
                 ),
             )
+        except errors.PeerNotConnectedError as error:
+            LOG.info("Peer was not asked.", peer=name, error=str(error))
+            continue
         except errors.MeshError as error:
             # The peer may still do it, so ordering cannot go on.
             LOG.info("Peer did not release.", peer=name, error=str(error))
--- a/chestnuttide/node/_submission.py
+++ b/chestnuttide/node/_submission.py
@@ -190,6 +190,9 @@
             name,
             lambda call_id: attrs.evolve(write, call_id=call_id),
         )
+    except errors.PeerNotConnectedError as error:
+        LOG.info("Peer was not asked.", peer=name, error=str(error))
+        return "refused"
     except errors.MeshError as error:
         LOG.info("Peer did not write.", peer=name, error=str(error))
         return "unknown"
