Keep workers empty only for work that can come, and not for long when idle

Change: room is not kept for a gang that the allowed workers could not hold even empty, and on a service that is not busy full workers are kept for 2 s at most; how busy it is counts all listed workers. A loop that looks after a worker goes on after an unexpected error, with a log line. Result: table cases that failed before.

--- a/chestnuttide/node/_worker_calls.py
+++ b/chestnuttide/node/_worker_calls.py
@@ -41,10 +41,23 @@
     task = owner.hold_loops.get(worker.key)
     if task is None or task.done():
         owner.hold_loops[worker.key] = asyncio.ensure_future(
-            _hold_loop(owner, worker)
+            _keep_looking(owner, worker)
         )
 
 
+async def _keep_looking(
+    owner: _ownership.Ownership, worker: workloads.Worker
+) -> None:
+    """Look after a worker, and go on after an unexpected error."""
+    while not owner.deposed.is_set():
+        try:
+            await _hold_loop(owner, worker)
+            return
+        except Exception:
+            LOG.exception("Look has failed.", worker=worker.key)
+            await asyncio.sleep(SILENT_PAUSE_S)
+
+
 def _address(worker: workloads.Worker) -> platform.WorkerAddress:
     return platform.WorkerAddress(
         id=worker.report.id, address=worker.report.address
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -28,6 +28,11 @@
 # answers about the step show it.
 EXPECTED_GOOD_SHARE = 0.3
 
+# On a service that is not busy, a full worker is kept from less urgent work
+# for this long at most: the platform takes work that waits for 3 s beside
+# free room as lost.
+KEEP_IDLE_S = 2.0
+
 # Workers with room for a task of a step, and their scores, by key.
 _Places: typing.TypeAlias = dict[str, tuple[float, _state.Worker]]
 
@@ -226,6 +231,9 @@
     """
     need = _state.reserved_need(step.demand.spec)
     chosen: list[tuple[_state.Worker, float]] = []
+    if step.demand.spec.gang and not _could_hold_gang(workers, step.demand):
+        # Kept room would stay empty for as long as the job exists.
+        return chosen
     open_workers = _open_workers(rooms, step, workers)
     open_workers.sort(key=lambda pair: _rooms.score(pair[0], step.demand))
     for worker, room in open_workers:
@@ -235,7 +243,7 @@
             _rooms.hold(rooms, worker, need)
         wanted -= room
         chosen.append((worker, 0.0))
-    if wanted <= 0:
+    if wanted <= 0 or not _may_keep_workers(rooms, step):
         return chosen
     taken = {worker.key for worker, _ in chosen} | rooms.held.keys()
     full = [
@@ -252,6 +260,23 @@
     return chosen
 
 
+def _may_keep_workers(rooms: _rooms.Rooms, step: _Step) -> bool:
+    """Return whether full workers may be kept empty for a step."""
+    if rooms.busy:
+        return True
+    progress = step.job.steps[step.key]
+    progress.kept_since = progress.kept_since or rooms.now
+    return rooms.now - progress.kept_since < KEEP_IDLE_S
+
+
+def _could_hold_gang(
+    workers: collections.abc.Iterable[_state.Worker], demand: _rooms.Demand
+) -> bool:
+    """Return whether empty workers would have room for a whole gang."""
+    members = sum(_rooms.room_when_empty(worker, demand) for worker in workers)
+    return members >= demand.spec.count
+
+
 def _open_workers(
     rooms: _rooms.Rooms,
     step: _Step,
--- a/chestnuttide/workloads/_rooms.py
+++ b/chestnuttide/workloads/_rooms.py
@@ -84,8 +84,9 @@
     pool: _state.Pool, workers: list[_state.Worker], *, now: float
 ) -> Rooms:
     """Return the room at the begin of a round."""
-    capacity = sum(each.report.capacity.cpu_millis for each in workers)
-    used = sum(each.used.cpu_millis for each in workers)
+    listed = [each for each in pool.workers.values() if each.listed]
+    capacity = sum(each.report.capacity.cpu_millis for each in listed)
+    used = sum(each.used.cpu_millis for each in listed)
     return Rooms(
         now=now,
         top_priority=pool.top_priority,
@@ -146,6 +147,28 @@
         accelerators -= held.accelerators
     if rooms.busy and not demand.urgent:
         cpu -= int(URGENT_RESERVE * capacity.cpu_millis)
+    room = _tasks_within(demand, cpu, memory, accelerators)
+    if room and demand.spec.spread_limit:
+        taken = worker.step_runs.get(demand.step_runs_key, 0)
+        room = min(room, demand.spec.spread_limit - taken)
+    return max(0, room)
+
+
+def room_when_empty(worker: _state.Worker, demand: Demand) -> int:
+    """Return how many tasks of a step fit a worker that runs nothing else."""
+    capacity = worker.report.capacity
+    room = _tasks_within(
+        demand,
+        capacity.cpu_millis,
+        capacity.memory_mb,
+        capacity.accelerators,
+    )
+    return min(room, demand.spec.spread_limit or room)
+
+
+def _tasks_within(
+    demand: Demand, cpu: int, memory: int, accelerators: int
+) -> int:
     if (
         cpu < demand.cpu_millis
         or memory < demand.memory_mb
@@ -159,10 +182,7 @@
         room = min(room, memory // demand.memory_mb)
     if demand.accelerators:
         room = min(room, accelerators // demand.accelerators)
-    if demand.spec.spread_limit:
-        taken = worker.step_runs.get(demand.step_runs_key, 0)
-        room = min(room, demand.spec.spread_limit - taken)
-    return max(0, room)
+    return room
 
 
 def wait_for_room(
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -210,11 +210,15 @@
         Units of the step.
     waiting, done : int
         Units in these states.
+    kept_since : float
+        Monotonic time at which workers were first kept empty for it on a
+        service that is not busy; 0 before.
     """
 
     total: int
     waiting: int
     done: int = 0
+    kept_since: float = 0.0
 
 
 @attrs.define(kw_only=True, slots=True, eq=False)
--- a/chestnuttide/workloads/tests/test_planning.py
+++ b/chestnuttide/workloads/tests/test_planning.py
@@ -233,3 +233,69 @@
     )
     (run,) = workloads.make_plan(pool, now=1.0).runs
     assert run.job.spec.id == "00000000000000b2"
+
+
+@pytest.mark.parametrize(
+    ("width", "placed"),
+    [
+        pytest.param(3, 1, id="gang-that-never-fits-keeps-nothing"),
+        pytest.param(2, 0, id="gang-that-will-fit-keeps-room"),
+    ],
+)
+def test_room_is_kept_only_for_gangs_that_can_fit(
+    width: int, placed: int
+) -> None:
+    """Guards against an idle worker that a gang without hope keeps.
+
+    Found by a hunt: the advisor allowed a gang too few workers, and a job
+    with the same one allowed worker waited until the end of the day.
+    """
+    pool = _world.make_pool(2)
+    _world.submit(
+        pool,
+        _world.make_step(need=_need(4000), lasting=True),
+        job_id="00000000000000a1",
+        attempt_limit=9,
+    )
+    _world.start_all(pool)
+    _world.submit(
+        pool,
+        _world.make_step(need=_need(4000), count=width, gang=True),
+        job_id="00000000000000b1",
+    )
+    _world.submit(
+        pool, _world.make_step(), job_id="00000000000000b2", priority=1
+    )
+    assert len(workloads.make_plan(pool, now=1.0).runs) == placed
+
+
+@pytest.mark.parametrize(
+    ("now", "placed"),
+    [
+        pytest.param(1.0, 0, id="kept-at-first"),
+        pytest.param(3.5, 1, id="free-again"),
+    ],
+)
+def test_an_idle_service_keeps_no_worker_for_long(
+    now: float, placed: int
+) -> None:
+    """Guards against work that waits beside free room.
+
+    Found by a hunt: a large task kept the one allowed worker of a small one
+    until the end of the day.
+    """
+    pool = _world.make_pool(3)
+    for key in ("w1@1", "w2@1"):
+        pool.workers[key].shunned_until = 99.0
+    _world.submit(pool, _world.make_step(), job_id="00000000000000a1")
+    _world.start_all(pool)
+    _world.submit(
+        pool,
+        _world.make_step(need=_need(4000)),
+        job_id="00000000000000b1",
+    )
+    _world.submit(
+        pool, _world.make_step(), job_id="00000000000000b2", priority=1
+    )
+    workloads.make_plan(pool, now=0.9)
+    assert len(workloads.make_plan(pool, now=now).runs) == placed
