--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -22,9 +22,10 @@
 LEASE_TTL_S = 1.2
 RENEWALS_PER_TTL = 4
 
-# A watch that has nothing to report returns after this time; the store
-# allows 30 s.
-WATCH_WAIT_S = 20.0
+# A watch that has nothing to report returns after this time. A connection
+# that has gone silent for good shows only then, and a config has to be in
+# force within 2 s of its acknowledgement.
+WATCH_WAIT_S = 1.2
 
 # Pauses after a failed call to the store.
 RETRY_MINIMUM_S = 0.1
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -179,6 +179,7 @@
     worker.rejected.clear()
     worker.ends.clear()
     worker.next_end = 1
+    worker.lapsed_end = 0
     worker.fence = 0
     worker.born_ms += 1000
     _announce(world, index)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -24,7 +24,9 @@
 # Time after the last fault in which all accepted jobs have to end.
 FINISH_S = 40.0
 
-# A configuration is in force this long after its acknowledgement.
+# A daemon is in touch once no fault has come for the first time, and has a
+# configuration in force within the second.
+CONTACT_S = 3.0
 CONFIG_S = 2.0
 
 # Speeds of the workers' clocks; the pages allow 2% slow.
@@ -167,7 +169,7 @@
     ledger = world.ledger
     for node in world.cell.nodes:
         await node_cell.until_ready(node)
-    await asyncio.sleep(CONFIG_S)
+    await asyncio.sleep(CONTACT_S + CONFIG_S)
     await _check_config(world)
     callers.calm.set()
     began = time.monotonic()
