Acknowledge an end only behind the stored change that holds it

While the store was silent a job's change was tried again; the job ended meanwhile and was dropped from that change, whose round counted as stored, so the next round acknowledged an end that no record held. All instances were killed before the job's end was stored. Change: each end remembers its job's change; an end may be acknowledged once that change of its job and all before it at the worker are stored. Rounds no longer wait for each other. Calls to workers and questions to the advisor are split into modules of one job.

--- a/chestnuttide/node/_commits.py
+++ b/chestnuttide/node/_commits.py
@@ -9,7 +9,7 @@
 from chestnuttide.node import _clock
 from chestnuttide.node import _keys
 from chestnuttide.node import _ownership
-from chestnuttide.node import _worker_calls
+from chestnuttide.node import _starts
 from chestnuttide import platform
 from chestnuttide import telemetry
 from chestnuttide import workloads
@@ -44,14 +44,14 @@
     ----------
     transaction : Transaction
         The transaction.
-    jobs : tuple of (Job, JobState)
-        Its jobs, with the state that it stores.
+    jobs : tuple of (Job, JobState, int)
+        Its jobs, with the state and the change that it stores.
     planned : tuple of Run
         Runs that may be ordered once it is stored.
     """
 
     transaction: platform.Transaction
-    jobs: tuple[tuple[workloads.Job, workloads.JobState], ...]
+    jobs: tuple[tuple[workloads.Job, workloads.JobState, int], ...]
     planned: tuple[workloads.Run, ...]
 
 
@@ -61,7 +61,6 @@
     Rounds overlap, so that a slow store delays each change by one answer and
     not by those of the changes before it.
     """
-    former: asyncio.Task[bool] | None = None
     while not owner.deposed.is_set():
         await owner.commit_wanted.wait()
         await _gather_changes(owner)
@@ -71,9 +70,9 @@
             await asyncio.wait(
                 owner.rounds, return_when=asyncio.FIRST_COMPLETED
             )
-        former = asyncio.ensure_future(_commit_round(owner, former))
-        owner.rounds.add(former)
-        former.add_done_callback(owner.rounds.discard)
+        task = asyncio.ensure_future(_commit_round(owner))
+        owner.rounds.add(task)
+        task.add_done_callback(owner.rounds.discard)
 
 
 async def _gather_changes(owner: _ownership.Ownership) -> None:
@@ -91,56 +90,33 @@
     """Store all changed records and wait for the rounds under way."""
     if owner.rounds:
         await asyncio.wait(owner.rounds)
-    await _commit_round(owner, None)
+    await _commit_round(owner)
 
 
-async def _commit_round(
-    owner: _ownership.Ownership, former: asyncio.Task[bool] | None
-) -> bool:
-    """Store the records that are dirty now, and acknowledge ends.
+async def _commit_round(owner: _ownership.Ownership) -> None:
+    """Store the records that are dirty now.
 
-    An end may be acknowledged when its job's record and those of all rounds
-    before are stored.
+    A live job whose former change is being stored waits for the next round,
+    which follows that change. The end of a job waits for nothing.
     """
-    highest_ends = {
-        worker.key: worker.highest_end
-        for worker in owner.pool.workers.values()
-    }
-    dirty = [job for job in owner.pool.jobs.values() if job.dirty]
+    dirty = [
+        job
+        for job in owner.pool.jobs.values()
+        if job.dirty and (_has_ended(job) or job.spec.id not in owner.storing)
+    ]
     live = [job for job in dirty if not _has_ended(job)]
-    busy = [job for job in live if job.spec.id in owner.storing]
-    free = [job for job in live if job.spec.id not in owner.storing]
-    # The end of a job waits for no change of it that is being stored.
     ended = [job for job in dirty if _has_ended(job)]
-    for job in (*free, *ended):
+    for job in dirty:
         job.dirty = False
-    owner.storing.update(job.spec.id for job in free)
-    stored = all(
-        await asyncio.gather(
-            *(
-                _commit_jobs(owner, jobs)
-                for jobs in (*_chunks(free), *_chunks(ended))
-            )
+    owner.storing.update(job.spec.id for job in live)
+    await asyncio.gather(
+        *(
+            _commit_jobs(owner, jobs)
+            for jobs in (*_chunks(live), *_chunks(ended))
         )
     )
-    if former is not None:
-        await asyncio.wait([former])
-        stored = stored and former.result()
-    if not stored:
-        return False
-    if busy or any(_has_ended(job) for job in free):
-        # What is not stored yet takes another round.
-        owner.commit_wanted.set()
-        return True
-    for key, number in highest_ends.items():
-        worker = owner.pool.workers.get(key)
-        if worker is not None:
-            worker.stored_end = max(worker.stored_end, number)
-    owner.committed.set()
-    owner.committed = asyncio.Event()
-    if owner.removals:
+    if owner.removals and not owner.deposed.is_set():
         await _remove_old(owner)
-    return True
 
 
 def _has_ended(job: workloads.Job) -> bool:
@@ -158,17 +134,11 @@
 
 async def _commit_jobs(
     owner: _ownership.Ownership, jobs: list[workloads.Job]
-) -> bool:
-    """Store some live jobs, or some ended ones.
-
-    Returns
-    -------
-    bool
-        False if the ownership has ended.
-    """
+) -> None:
+    """Store some live jobs, or some ended ones."""
     ended = _has_ended(jobs[0])
     try:
-        return await _commit_until_stored(owner, jobs, ended=ended)
+        await _commit_until_stored(owner, jobs, ended=ended)
     finally:
         if not ended:
             owner.storing.difference_update(job.spec.id for job in jobs)
@@ -178,13 +148,13 @@
 
 async def _commit_until_stored(
     owner: _ownership.Ownership, jobs: list[workloads.Job], *, ended: bool
-) -> bool:
+) -> None:
     unanswered = False
     while not owner.deposed.is_set():
         # A job that has ended meanwhile is stored by its own transaction.
         jobs = [job for job in jobs if _has_ended(job) == ended]
         if not jobs:
-            return True
+            return
         batch = make_batch(owner, jobs)
         sent_at = _clock.now()
         try:
@@ -195,7 +165,7 @@
             )
         except platform.ConditionError as error:
             if not _adopt_revisions(owner, jobs, error.items):
-                return False
+                return
             continue
         except errors.SchedulerError as error:
             if not unanswered:
@@ -214,8 +184,7 @@
         if unanswered:
             LOG.info("Commits succeed again.", service=owner.service)
         apply_batch(owner, batch, revision)
-        return True
-    return False
+        return
 
 
 def make_batch(
@@ -249,7 +218,7 @@
         transaction=platform.Transaction(
             expect=expect, put=put, remove=tuple(remove)
         ),
-        jobs=tuple((job, job.state) for job in jobs),
+        jobs=tuple((job, job.state, job.change) for job in jobs),
         planned=tuple(planned),
     )
 
@@ -286,7 +255,8 @@
     owner: _ownership.Ownership, batch: _Batch, revision: int
 ) -> None:
     """Show and order what a transaction has stored."""
-    for job, state in batch.jobs:
+    for job, state, change in batch.jobs:
+        job.stored_change = max(job.stored_change, change)
         ended = state in workloads.TERMINAL_STATES
         if job.shown_state in workloads.TERMINAL_STATES and not ended:
             # Stored after the end; an ended job needs no such record.
@@ -309,8 +279,12 @@
         job.shown_state = state
     for run in batch.planned:
         run.recorded = True
-    for job, _ in batch.jobs:
+    for job, _, _ in batch.jobs:
         order_recorded(owner, job)
+    for worker in owner.pool.workers.values():
+        workloads.note_stored(worker)
+    owner.committed.set()
+    owner.committed = asyncio.Event()
 
 
 def order_recorded(owner: _ownership.Ownership, job: workloads.Job) -> None:
@@ -325,9 +299,7 @@
                 and not run.stopping
             ):
                 run.phase = workloads.Phase.ORDERED
-                _ownership.start_order(
-                    owner, _worker_calls.order_start(owner, run)
-                )
+                _ownership.start_order(owner, _starts.order_start(owner, run))
 
 
 async def _remove_old(owner: _ownership.Ownership) -> None:
--- a/chestnuttide/node/_intake.py
+++ b/chestnuttide/node/_intake.py
@@ -6,9 +6,10 @@
 from chestnuttide.node import _clock
 from chestnuttide.node import _commits
 from chestnuttide.node import _keys
+from chestnuttide.node import _looks
 from chestnuttide.node import _messages
+from chestnuttide.node import _orders
 from chestnuttide.node import _ownership
-from chestnuttide.node import _worker_calls
 from chestnuttide import platform
 from chestnuttide import telemetry
 from chestnuttide import workloads
@@ -88,7 +89,7 @@
 ) -> None:
     """Hand over what the former lifetimes of a listed worker still have."""
     for former in workloads.former_lifetimes(owner.pool, worker.report):
-        _worker_calls.succeed_lifetime(owner, former, worker.report.born_ms)
+        _looks.succeed_lifetime(owner, former, worker.report.born_ms)
 
 
 def apply_job(owner: _ownership.Ownership, item: platform.Item) -> None:
@@ -216,7 +217,7 @@
     )
     workloads.cancel_job(owner.pool, job, _clock.unix_time())
     for worker in owner.pool.workers.values():
-        _worker_calls.send_stops(owner, worker)
+        _orders.send_stops(owner, worker)
     _ownership.want_commit(owner, urgent=True)
 
 
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -8,10 +8,11 @@
 from chestnuttide.node import _commits
 from chestnuttide.node import _intake
 from chestnuttide.node import _keys
+from chestnuttide.node import _looks
+from chestnuttide.node import _orders
 from chestnuttide.node import _ownership
 from chestnuttide.node import _release
 from chestnuttide.node import _session
-from chestnuttide.node import _worker_calls
 from chestnuttide import platform
 from chestnuttide import telemetry
 from chestnuttide import workloads
@@ -121,7 +122,7 @@
                 # Records may name lifetimes that ended before the takeover.
                 _intake.end_former_lifetimes(owner, worker)
         for worker in list(owner.pool.workers.values()):
-            _worker_calls.ensure_hold_loop(owner, worker)
+            _looks.ensure_hold_loop(owner, worker)
         owner.plan_wanted.set()
         owner.ready = True
         return True
@@ -143,7 +144,7 @@
     def on_item(item: platform.Item) -> None:
         worker = _intake.apply_worker(owner, item)
         if worker is not None:
-            _worker_calls.ensure_hold_loop(owner, worker)
+            _looks.ensure_hold_loop(owner, worker)
 
     def on_list(items: tuple[platform.Item, ...]) -> None:
         names = {item.key.removeprefix(_keys.WORKERS) for item in items}
@@ -220,7 +221,7 @@
             worker=run.worker_key,
         )
     for worker in owner.pool.workers.values():
-        _worker_calls.send_stops(owner, worker)
+        _orders.send_stops(owner, worker)
     _forget_announced(owner, now)
     _forget_ended(owner, unix_time)
     owner.plan_wanted.set()
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -89,7 +89,7 @@
     deposed: asyncio.Event = attrs.field(factory=asyncio.Event)
     commit_wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
     commit_urgent: bool = False
-    rounds: set[asyncio.Task[bool]] = attrs.field(factory=set)
+    rounds: set[asyncio.Task[None]] = attrs.field(factory=set)
     storing: set[str] = attrs.field(factory=set)
     answer_s: float = 0.0
     committed: asyncio.Event = attrs.field(factory=asyncio.Event)
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -4,6 +4,7 @@
 from chestnuttide.workloads import _lifetimes
 from chestnuttide.workloads import _looks
 from chestnuttide.workloads import _planning
+from chestnuttide.workloads import _questions
 from chestnuttide.workloads import _records
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
@@ -19,7 +20,7 @@
 Phase = _state.Phase
 Plan = _planning.Plan
 Pool = _state.Pool
-Question = _planning.Question
+Question = _questions.Question
 Queue = _specs.Queue
 Run = _state.Run
 StepAdvice = _state.StepAdvice
@@ -50,13 +51,14 @@
 lapse_silent_worker = _looks.lapse_silent_worker
 lease_deadline_ms = _looks.lease_deadline_ms
 make_plan = _planning.make_plan
-note_advice = _planning.note_advice
+note_advice = _questions.note_advice
 note_clock = _looks.note_clock
 note_grant = _looks.note_grant
-note_question = _planning.note_question
+note_question = _questions.note_question
 pace_fillers = _supervision.pace_fillers
 release_due_occurrences = _lifecycle.release_due_occurrences
 step_of = _lifecycle.step_of
+note_stored = _looks.note_stored
 stop_runs = _lifecycle.stop_runs
 stop_stalled = _supervision.stop_stalled
 update_worker = _looks.update_worker
@@ -109,6 +111,7 @@
     "note_grant",
     "note_question",
     "pace_fillers",
+    "note_stored",
     "release_due_occurrences",
     "step_of",
     "stop_runs",
--- a/chestnuttide/workloads/_lifecycle.py
+++ b/chestnuttide/workloads/_lifecycle.py
@@ -102,7 +102,7 @@
 ) -> None:
     job.state = state
     job.ended_unix_s = now_unix_s
-    job.dirty = True
+    _state.mark_changed(job)
     pool.active.pop(job.spec.id, None)
     for unit in job.units.values():
         stop_runs(pool, unit)
@@ -160,7 +160,7 @@
     drop_run(pool, run)
     if job.state in _state.TERMINAL_STATES:
         return
-    job.dirty = True
+    _state.mark_changed(job)
     if unit.state in (_state.UnitState.DONE, _state.UnitState.FAILED):
         return
     checkpoint = checkpoint or run.checkpoint
--- a/chestnuttide/workloads/_lifetimes.py
+++ b/chestnuttide/workloads/_lifetimes.py
@@ -78,6 +78,6 @@
         run.phase = _state.Phase.UNCERTAIN
         if run.deadline_ms >= 0:
             run.deadline_ms = NEVER_EXPIRES_MS
-        run.job.dirty = True
+        _state.mark_changed(run.job)
         _state.occupy(successor, run)
     return handed
--- a/chestnuttide/workloads/_looks.py
+++ b/chestnuttide/workloads/_looks.py
@@ -90,6 +90,16 @@
     return lease_deadline_ms(worker, now=now, lease_s=lease_s)
 
 
+def note_stored(worker: _state.Worker) -> None:
+    """Find the last end whose job is stored as it was with that end."""
+    unstored = worker.unstored
+    while unstored and unstored[0].job.stored_change >= unstored[0].change:
+        unstored.popleft()
+    worker.stored_end = (
+        unstored[0].number - 1 if unstored else worker.highest_end
+    )
+
+
 def acknowledged_end(worker: _state.Worker) -> int:
     """Return the number up to which a look may acknowledge ends.
 
@@ -142,6 +152,11 @@
         run = worker.runs.get((row.task, row.run))
         if run is not None:
             end(run, row.how, row.checkpoint)
+            worker.unstored.append(
+                _state.UnstoredEnd(
+                    number=row.number, job=run.job, change=run.job.change
+                )
+            )
     listed = {(row.task, row.run): row for row in look.running}
     for key, row in listed.items():
         run = worker.runs.get(key)
@@ -154,6 +169,7 @@
         if how:
             end(run, how, "")
     _note_unknown(pool, worker, listed, ended_keys)
+    note_stored(worker)
     return ends
 
 
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -13,8 +13,8 @@
 import attrs
 
 from chestnuttide.workloads import _lifecycle
+from chestnuttide.workloads import _questions
 from chestnuttide.workloads import _rooms
-from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
 
 # A start takes a store write and a call, so a ticket must be valid for longer.
@@ -39,31 +39,6 @@
 _score_of = operator.itemgetter(0)
 
 
-@attrs.frozen(kw_only=True, slots=True, eq=False)
-class Question:
-    """A call to the advisor that should be made.
-
-    Attributes
-    ----------
-    job : Job
-        The job.
-    occurrence, step : int
-        The step that is asked for.
-    workers : tuple of Worker
-        Workers that are named.
-    """
-
-    job: _state.Job
-    occurrence: int
-    step: int
-    workers: tuple[_state.Worker, ...]
-
-    @property
-    def cost_s(self) -> float:
-        """Seconds that the advisor takes."""
-        return _cost_s(self.job.spec.queue.advice, len(self.workers))
-
-
 @attrs.frozen(kw_only=True, slots=True)
 class Plan:
     """What to do next.
@@ -77,7 +52,7 @@
     """
 
     runs: tuple[_state.Run, ...]
-    questions: tuple[Question, ...]
+    questions: tuple[_questions.Question, ...]
 
 
 @attrs.frozen(kw_only=True, slots=True, eq=False)
@@ -102,14 +77,10 @@
     waiting: list[_state.Unit]
 
 
-def _cost_s(advice: _specs.Advice, workers: int) -> float:
-    return advice.decide_s + advice.per_worker_s * workers
-
-
 def make_plan(pool: _state.Pool, *, now: float) -> Plan:
     """Place what can be placed, and say what the advisor is asked."""
     runs: list[_state.Run] = []
-    questions: list[Question] = []
+    questions: list[_questions.Question] = []
     usable = [
         worker
         for worker in pool.workers.values()
@@ -177,7 +148,7 @@
 
 def _plan_step(
     rooms: _rooms.Rooms, step: _Step
-) -> tuple[list[_state.Run], Question | None]:
+) -> tuple[list[_state.Run], _questions.Question | None]:
     if step.job.spec.queue.advice is None:
         eligible = _eligible(rooms, step, rooms.workers.values())
         runs, left = _place_units(rooms, step, eligible, None)
@@ -295,7 +266,7 @@
     step: _Step,
     advice: _state.StepAdvice,
     wanted: int,
-) -> Question | None:
+) -> _questions.Question | None:
     policy = step.job.spec.queue.advice
     good = [
         rooms.workers[key]
@@ -309,7 +280,7 @@
     limit = max(1, int(NAMED_SHARE * policy.decide_s / policy.per_worker_s))
     # A ticket is asked for when the room is expected to be there by the time
     # of the answer.
-    cost_s = _cost_s(policy, len(chosen))
+    cost_s = _questions.cost_s(policy, len(chosen))
     named = [
         worker
         for worker, wait_s in chosen
@@ -321,7 +292,7 @@
     named = named[:limit]
     if not named:
         return None
-    return Question(
+    return _questions.Question(
         job=step.job,
         occurrence=step.key[0],
         step=step.key[1],
@@ -470,7 +441,7 @@
     unit.last_run = number
     _state.set_unit_state(job, unit, _state.UnitState.ACTIVE)
     unit.runs.extend(placed)
-    job.dirty = True
+    _state.mark_changed(job)
     return placed
 
 
@@ -493,32 +464,3 @@
         pairs = preferred or pairs
     best = min(pairs, key=_score_of, default=None)
     return None if best is None else best[1]
-
-
-def note_question(question: Question) -> None:
-    """Note that a question is under way."""
-    advice = question.job.advice[(question.occurrence, question.step)]
-    advice.asking = {each.key for each in question.workers}
-
-
-def note_advice(
-    question: Question,
-    tickets: collections.abc.Mapping[str, str] | None,
-    *,
-    now: float,
-    retry_s: float,
-) -> None:
-    """Take over the advisor's answer, or its failure as None."""
-    advice = question.job.advice.setdefault(
-        (question.occurrence, question.step), _state.StepAdvice()
-    )
-    advice.asking = set()
-    if tickets is None:
-        advice.retry_at = now + retry_s
-        return
-    validity_s = question.job.spec.queue.advice.validity_s
-    for worker in question.workers:
-        ticket = tickets.get(worker.report.id)
-        advice.allowed[worker.key] = ticket is not None
-        if ticket is not None:
-            advice.good[worker.key] = (ticket, now + validity_s)
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -1,5 +1,6 @@
 """State of one service's pool: its jobs, runs and workers."""
 
+import collections
 import enum
 import typing
 
@@ -250,7 +251,9 @@
     cancelled : bool
         Whether its caller has cancelled it.
     dirty : bool
-        Whether its record has to be stored.
+        Whether its record has to be stored; see `mark_changed`.
+    change, stored_change : int
+        Number of its last change, and of the last one that is stored.
     ended_unix_s : float
         Time of its end; 0 before.
     progress_revision : int
@@ -269,6 +272,8 @@
     started: bool = False
     cancelled: bool = False
     dirty: bool = False
+    change: int = 0
+    stored_change: int = 0
     ended_unix_s: float = 0.0
     progress_revision: int = 0
 
@@ -278,6 +283,25 @@
         return any(step.lasting for step in self.spec.steps)
 
 
+@attrs.frozen(kw_only=True, slots=True, eq=False)
+class UnstoredEnd:
+    """An end that a worker has listed and no stored record contains.
+
+    Attributes
+    ----------
+    number : int
+        Number of the end at the worker.
+    job : Job
+        The job of the run.
+    change : int
+        The job's change that contains the end.
+    """
+
+    number: int
+    job: Job
+    change: int
+
+
 @attrs.define(kw_only=True, slots=True, eq=False)
 class Worker:
     """A lifetime of a worker.
@@ -307,6 +331,8 @@
         Monotonic time by which all its runs have ended if it stays silent.
     highest_end : int
         Number of the last end that was taken over into the jobs.
+    unstored : deque of UnstoredEnd
+        Ends that may not be acknowledged yet, in order.
     stored_end : int
         Number of the last end that is stored, and may be acknowledged.
     listed : bool
@@ -338,6 +364,9 @@
     clock_at: float | None = None
     lease_until: float = 0.0
     highest_end: int = 0
+    unstored: collections.deque[UnstoredEnd] = attrs.field(
+        factory=collections.deque
+    )
     stored_end: int = 0
     listed: bool = True
     failures_in_row: int = 0
@@ -408,6 +437,12 @@
     return f"{report.id}@{report.born_ms}"
 
 
+def mark_changed(job: Job) -> None:
+    """Note that a job's record has to be stored."""
+    job.dirty = True
+    job.change += 1
+
+
 def add_unit(job: Job, unit: Unit) -> None:
     """Add a waiting unit to its job."""
     job.units[unit.key] = unit
--- a/chestnuttide/workloads/tests/test_looks.py
+++ b/chestnuttide/workloads/tests/test_looks.py
@@ -303,3 +303,38 @@
     worker.stored_end = 7
     worker.failed_looks = failed_looks
     assert workloads.acknowledged_end(worker) == acknowledged
+
+
+@pytest.mark.parametrize(
+    ("stored", "acknowledged"),
+    [
+        pytest.param((0, 0), 0, id="nothing-stored"),
+        pytest.param((1, 0), 1, id="first-job-stored"),
+        pytest.param((0, 1), 0, id="only-a-later-end-stored"),
+        pytest.param((1, 1), 2, id="both-stored"),
+    ],
+)
+def test_ends_are_acknowledged_behind_what_is_stored(
+    stored: tuple[int, int], acknowledged: int
+) -> None:
+    """Guards against done tasks that run again after a takeover.
+
+    On scale-1 of gnomon-coop an end was acknowledged although the change of
+    its job that held it was dropped for the job's end, which was not stored
+    when all instances were killed.
+    """
+    pool = _world.make_pool(1)
+    jobs = [
+        _world.submit(pool, _world.make_step(count=2), job_id=f"{n:016x}")
+        for n in (1, 2)
+    ]
+    runs = _world.start_all(pool)
+    for job in jobs:
+        _world.end_of(
+            pool, next(run for run in runs if run.job is job), "done"
+        )
+    for job, is_stored in zip(jobs, stored, strict=True):
+        job.stored_change = job.change if is_stored else job.change - 1
+    worker = pool.workers["w0@1"]
+    workloads.note_stored(worker)
+    assert worker.stored_end == acknowledged
