Remember a worker until its ends are stored

The store lost a worker's entry while the change with its last end was not answered. The owner forgot the worker; when its entry was back, the end was nobody's and was acknowledged. The next owner found the task in no list and ran it again. Change: a worker is forgotten only once its ends are stored.

--- a/chestnuttide/node/_looks.py
+++ b/chestnuttide/node/_looks.py
@@ -54,7 +54,7 @@
     owner: _ownership.Ownership, worker: workloads.Worker
 ) -> None:
     while not owner.deposed.is_set():
-        if not worker.listed and not worker.runs:
+        if workloads.is_finished(worker):
             break
         if worker.stored_end < worker.highest_end:
             await _wait_for_commit(owner)
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -47,6 +47,7 @@
 find_stalled = _supervision.find_stalled
 former_lifetimes = _lifetimes.former_lifetimes
 hold_deadline_ms = _looks.hold_deadline_ms
+is_finished = _looks.is_finished
 is_usable = _planning.is_usable
 lapse_silent_worker = _looks.lapse_silent_worker
 lease_deadline_ms = _looks.lease_deadline_ms
@@ -102,6 +103,7 @@
     "find_stalled",
     "former_lifetimes",
     "hold_deadline_ms",
+    "is_finished",
     "is_usable",
     "lapse_silent_worker",
     "lease_deadline_ms",
--- a/chestnuttide/workloads/_looks.py
+++ b/chestnuttide/workloads/_looks.py
@@ -100,6 +100,16 @@
     )
 
 
+def is_finished(worker: _state.Worker) -> bool:
+    """Return whether a worker can be forgotten.
+
+    The store may lose the entry of a live worker and list it again. Ends that
+    are not stored yet are remembered until then, or the next look would take
+    them as nobody's and acknowledge them.
+    """
+    return not worker.listed and not worker.runs and not worker.unstored
+
+
 def acknowledged_end(worker: _state.Worker) -> int:
     """Return the number up to which a look may acknowledge ends.
 
--- a/chestnuttide/workloads/tests/test_looks.py
+++ b/chestnuttide/workloads/tests/test_looks.py
@@ -338,3 +338,31 @@
     worker = pool.workers["w0@1"]
     workloads.note_stored(worker)
     assert worker.stored_end == acknowledged
+
+
+@pytest.mark.parametrize(
+    ("stored", "listed", "finished"),
+    [
+        pytest.param(False, False, False, id="its-end-is-not-stored"),
+        pytest.param(True, False, True, id="its-end-is-stored"),
+        pytest.param(True, True, False, id="listed-again"),
+    ],
+)
+def test_a_worker_is_remembered_until_its_ends_are_stored(
+    stored: bool, listed: bool, finished: bool
+) -> None:
+    """Guards against ends that are acknowledged when a worker is back.
+
+    Hunts on voicecast found done tasks that ran again: the store lost the
+    worker's entry while the job's change was not answered yet, and the
+    worker was forgotten with its end.
+    """
+    pool = _world.make_pool(1)
+    job = _world.submit(pool, _world.make_step(count=1))
+    (run,) = _world.start_all(pool)
+    _world.end_of(pool, run, "done")
+    worker = pool.workers["w0@1"]
+    worker.listed = listed
+    job.stored_change = job.change if stored else 0
+    workloads.note_stored(worker)
+    assert workloads.is_finished(worker) is finished
