Choose a commit's kind where its jobs are chosen

The first live job of a chunk ended between the choice of the chunk and its transaction; the chunk was then taken for one of ended jobs, its live jobs were dropped from it and stayed marked as being stored. Change: whether a chunk holds live or ended jobs is decided where it is made.

--- a/chestnuttide/node/_commits.py
+++ b/chestnuttide/node/_commits.py
@@ -110,10 +110,8 @@
         job.dirty = False
     owner.storing.update(job.spec.id for job in live)
     await asyncio.gather(
-        *(
-            _commit_jobs(owner, jobs)
-            for jobs in (*_chunks(live), *_chunks(ended))
-        )
+        *(_commit_jobs(owner, jobs, ended=False) for jobs in _chunks(live)),
+        *(_commit_jobs(owner, jobs, ended=True) for jobs in _chunks(ended)),
     )
     if owner.removals and not owner.deposed.is_set():
         await _remove_old(owner)
@@ -133,10 +131,13 @@
 
 
 async def _commit_jobs(
-    owner: _ownership.Ownership, jobs: list[workloads.Job]
+    owner: _ownership.Ownership, jobs: list[workloads.Job], *, ended: bool
 ) -> None:
-    """Store some live jobs, or some ended ones."""
-    ended = _has_ended(jobs[0])
+    """Store some live jobs, or some ended ones.
+
+    A live job may end before this coroutine begins, so what the jobs were
+    when they were chosen is an argument.
+    """
     try:
         await _commit_until_stored(owner, jobs, ended=ended)
     finally:
--- a/chestnuttide/node/tests/test_commits.py
+++ b/chestnuttide/node/tests/test_commits.py
@@ -135,3 +135,41 @@
         assert owner.removals == [_keys.progress(SERVICE, job.spec.id)]
 
     _run(scenario)
+
+
+def test_a_job_that_ends_early_does_not_hold_the_others_of_its_chunk() -> None:
+    """Guards against live jobs that are never stored again.
+
+    Seed 4108 of the soak: the first job of a chunk ended between the choice
+    of the chunk and its transaction, and the others stood still for ever.
+    """
+
+    async def scenario(
+        owner: _ownership.Ownership, store: cloud.Store
+    ) -> None:
+        first = _world.submit(owner.pool, _world.make_step(), job_id="a" * 16)
+        second = _world.submit(owner.pool, _world.make_step(), job_id="b" * 16)
+        runs = _world.start_all(owner.pool)
+        round_ = asyncio.ensure_future(_commits.commit_all(owner))
+        # The chunk is chosen in the next iteration, its transaction made in
+        # the one after it.
+        await asyncio.sleep(0)
+        await _end_before_the_transaction(owner, first, runs)
+        await round_
+        async with asyncio.timeout(1.0):
+            while _keys.progress(SERVICE, second.spec.id) not in store.keys:
+                await asyncio.sleep(0.01)
+        assert second.spec.id not in owner.storing
+
+    _run(scenario)
+
+
+async def _end_before_the_transaction(
+    owner: _ownership.Ownership,
+    job: workloads.Job,
+    runs: list[workloads.Run],
+) -> None:
+    assert job.spec.id in owner.storing
+    run = next(each for each in runs if each.job is job)
+    _world.end_of(owner.pool, run, "done")
+    _ownership.want_commit(owner, urgent=True)
--- a/soak/_seeds.py
+++ b/soak/_seeds.py
@@ -16,5 +16,6 @@
     2031: "as 2026",
     2032: "as 2013",
     2035: "as 2013",
+    4108: "a job that ended early kept the others of its transaction back",
     4204: "check: a start that a cut held back until after a cancel",
 }
