Log a submission whose time is over, and correct a comment

A submission that ran out of time was answered 504 without a line that names the limit, and a comment said that the record of an ended job cannot come back, which a job's first record can. Change: a log line with key, limit and whether the instance stops; the comment says what a takeover does. Result: tests of node and docs_tools pass; no decision is changed.

--- a/chestnuttide/node/_commits.py
+++ b/chestnuttide/node/_commits.py
@@ -205,8 +205,9 @@
             remove.append(progress)
         else:
             # An unanswered transaction may take effect seconds later; with
-            # the revision of the record it cannot replace a newer one, nor
-            # bring the record of an ended job back.
+            # the revision of the record it cannot replace a newer one. A
+            # job's first record may still appear after the job's end; a
+            # takeover ignores records of jobs that have ended.
             expect[progress] = job.progress_revision
             put[progress] = workloads.encode_progress(job)
             planned.extend(
--- a/chestnuttide/node/_submission.py
+++ b/chestnuttide/node/_submission.py
@@ -139,6 +139,12 @@
         async with asyncio.timeout(limit_s):
             return await _try_to_store(front, write)
     except TimeoutError:
+        LOG.info(
+            "Time to store a job is over.",
+            key=write.key,
+            limit_s=round(limit_s, 2),
+            stopping=front.stopping,
+        )
         return "unknown"
 
 
