Grant the lease of a start before the run counts as sent

Cause: a run left the planned phase when its record was stored, and its lease was recorded only when the command was sent. The lease of an idle worker has expired, so a poll loop that checked it in between ended the run as expired and freed its capacity.

Change: begin_start records the lease and the phase together, and may_send_start checks right before the send that the run still exists.

--- a/chestnuttide/node/_commits.py
+++ b/chestnuttide/node/_commits.py
@@ -285,30 +285,13 @@
     for run in batch.planned:
         run.recorded = True
     for job, _, _ in batch.jobs:
-        start_recorded_runs(owner, job)
+        _starts.start_recorded_runs(owner, job)
     for worker in owner.pool.workers.values():
         workloads.update_stored_completion(worker)
     owner.committed.set()
     owner.committed = asyncio.Event()
 
 
-def start_recorded_runs(
-    owner: _ownership.Ownership, job: workloads.Job
-) -> None:
-    """Start the planned runs of an accepted job whose record is stored."""
-    if not job.accepted:
-        return
-    for unit in job.units.values():
-        for run in unit.runs:
-            if (
-                run.phase == workloads.Phase.PLANNED
-                and run.recorded
-                and not run.stopping
-            ):
-                run.phase = workloads.Phase.START_SENT
-                _ownership.start_command(owner, _starts.start_run(owner, run))
-
-
 async def _remove_old_records(owner: _ownership.Ownership) -> None:
     """Remove records of jobs whose state callers may no longer query."""
     limit = platform.MAX_TRANSACTION_ENTRIES - 1
--- a/chestnuttide/node/_starts.py
+++ b/chestnuttide/node/_starts.py
@@ -11,24 +11,37 @@
 
 LOG = telemetry.make_logger("worker")
 
-# Lease of a starting run. Once it expires, an unanswered start can no longer
-# take effect.
-START_LEASE_S = 2.5
 
-
-async def start_run(owner: _ownership.Ownership, run: workloads.Run) -> None:
-    """Send the start command of a recorded run to its worker."""
-    worker = owner.pool.workers.get(run.worker_key)
-    if worker is None or not worker.listed:
-        # The worker has left or restarted since the run was planned.
-        _commands.end_run(owner, run, "never")
+def start_recorded_runs(
+    owner: _ownership.Ownership, job: workloads.Job
+) -> None:
+    """Start the planned runs of an accepted job whose record is stored."""
+    if not job.accepted:
         return
-    now = _clock.now()
-    deadline_ms = workloads.lease_deadline_ms(
-        worker, now=now, lease_s=START_LEASE_S
-    )
-    run.deadline_ms = deadline_ms
-    workloads.record_lease(worker, deadline_ms, now=now)
+    recorded = [
+        run
+        for unit in job.units.values()
+        for run in unit.runs
+        if run.phase == workloads.Phase.PLANNED
+        and run.recorded
+        and not run.stopping
+    ]
+    for run in recorded:
+        if run not in run.unit.runs:
+            # Dropped with another member of its gang.
+            continue
+        worker = workloads.begin_start(owner.pool, run, now=_clock.now())
+        if worker is None:
+            _commands.end_run(owner, run, "never")
+        else:
+            _ownership.start_command(owner, _send_start(owner, worker, run))
+
+
+async def _send_start(
+    owner: _ownership.Ownership,
+    worker: workloads.Worker,
+    run: workloads.Run,
+) -> None:
     try:
         reply = await platform.start_run(
             owner.workers_http,
@@ -36,13 +49,14 @@
             task=run.task,
             run=run.number,
             payload=run.job.spec.payload,
-            deadline_ms=deadline_ms,
+            deadline_ms=run.deadline_ms,
             fencing_token=owner.fencing_token,
             checkpoint=run.checkpoint,
             ticket=run.ticket,
             timeout_s=_commands.COMMAND_TIMEOUT_S,
             may_send=lambda: (
-                _ownership.may_send_commands(owner) and not run.stopping
+                _ownership.may_send_commands(owner)
+                and workloads.may_send_start(run)
             ),
         )
     except errors.PlatformError as error:
--- a/chestnuttide/node/_updates.py
+++ b/chestnuttide/node/_updates.py
@@ -5,11 +5,11 @@
 from chestnuttide import errors
 from chestnuttide.node import _clock
 from chestnuttide.node import _commands
-from chestnuttide.node import _commits
 from chestnuttide.node import _keys
 from chestnuttide.node import _messages
 from chestnuttide.node import _ownership
 from chestnuttide.node import _polls
+from chestnuttide.node import _starts
 from chestnuttide import platform
 from chestnuttide import telemetry
 from chestnuttide import workloads
@@ -164,7 +164,7 @@
             for step in job.spec.steps[:LOGGED_STEPS]
         ],
     )
-    _commits.start_recorded_runs(owner, job)
+    _starts.start_recorded_runs(owner, job)
     owner.plan_requested.set()
 
 
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -7,6 +7,7 @@
 from chestnuttide.workloads import _poll_replies
 from chestnuttide.workloads import _records
 from chestnuttide.workloads import _specs
+from chestnuttide.workloads import _starts
 from chestnuttide.workloads import _state
 from chestnuttide.workloads import _supervision
 
@@ -34,6 +35,7 @@
 add_job = _lifecycle.add_job
 apply_poll_reply = _poll_replies.apply_poll_reply
 apply_progress = _records.apply_progress
+begin_start = _starts.begin_start
 cancel_job = _lifecycle.cancel_job
 confirm_start = _poll_replies.confirm_start
 decode_job = _records.decode_job
@@ -50,6 +52,7 @@
 is_usable = _planning.is_usable
 lease_deadline_ms = _poll_replies.lease_deadline_ms
 make_plan = _planning.make_plan
+may_send_start = _starts.may_send_start
 poll_lease_deadline_ms = _poll_replies.poll_lease_deadline_ms
 record_clock = _poll_replies.record_clock
 record_lease = _poll_replies.record_lease
@@ -90,6 +93,7 @@
     "add_job",
     "apply_poll_reply",
     "apply_progress",
+    "begin_start",
     "cancel_job",
     "confirm_start",
     "decode_job",
@@ -106,6 +110,7 @@
     "is_usable",
     "lease_deadline_ms",
     "make_plan",
+    "may_send_start",
     "poll_lease_deadline_ms",
     "record_clock",
     "record_lease",
--- /dev/null
+++ b/chestnuttide/workloads/_starts.py
@@ -0,0 +1,47 @@
+"""Start commands of runs: their leases, and whether one may still be sent."""
+
+from chestnuttide.workloads import _poll_replies
+from chestnuttide.workloads import _state
+
+# Lease that a start requests. Once it expires, an unanswered start can no
+# longer take effect.
+START_LEASE_S = 2.5
+
+
+def begin_start(
+    pool: _state.Pool, run: _state.Run, *, now: float
+) -> _state.Worker | None:
+    """Record the lease of a planned run whose start is about to be sent.
+
+    The run and the lease change together. The lease of an idle worker has
+    expired long ago, and a run that had left `Phase.PLANNED` under that lease
+    would be ended as expired although its start is yet to be sent.
+
+    Returns
+    -------
+    Worker or None
+        The worker to send the start to; None if it can no longer be started
+        there, because the worker has left or restarted.
+    """
+    worker = pool.workers.get(run.worker_key)
+    if worker is None or not worker.listed or worker.clock_at is None:
+        return None
+    run.deadline_ms = _poll_replies.lease_deadline_ms(
+        worker, now=now, lease_s=START_LEASE_S
+    )
+    _poll_replies.record_lease(worker, run.deadline_ms, now=now)
+    run.phase = _state.Phase.START_SENT
+    return worker
+
+
+def may_send_start(run: _state.Run) -> bool:
+    """Return whether a start that has begun may still be sent.
+
+    A process that was paused since `begin_start` may have ended the run
+    meanwhile, and its task may already run elsewhere.
+    """
+    return (
+        run in run.unit.runs
+        and run.phase == _state.Phase.START_SENT
+        and not run.stopping
+    )
