Record a hand-over as a release, and reject malformed poll replies

Cause: hand_over removed the owner's key without the record that the owner has stopped, so the successor kept runs on silent workers for 5 s longer. A poll reply without a start time counted as one of another incarnation, and all runs of the worker as lost; a command's reply that was no JSON object raised AttributeError, and its run stayed unanswered.

Change: hand_over uses the release transaction; a poll reply without born is no answer; an unreadable body leaves the status.

--- a/chestnuttide/node/_release.py
+++ b/chestnuttide/node/_release.py
@@ -151,13 +151,10 @@
         async with asyncio.timeout(CONFIRM_PERIOD_S):
             await _commits.commit_all(owner)
     owner.deposed.set()
-    key = _keys.owner(owner.service)
     try:
         await platform.commit(
             owner.store,
-            platform.Transaction(
-                expect={key: owner.fencing_token}, remove=(key,)
-            ),
+            _release_transaction(owner.service, owner.fencing_token),
         )
     except errors.SchedulerError as error:
         LOG.warning(
--- a/chestnuttide/node/tests/test_release.py
+++ b/chestnuttide/node/tests/test_release.py
@@ -10,6 +10,7 @@
 from chestnuttide.node import _peers
 from chestnuttide.node import _release
 from chestnuttide.node import _session
+from chestnuttide import platform
 from chestnuttide.workloads.tests import _pool_fixtures
 
 NOT_CONNECTED = errors.PeerNotConnectedError(
@@ -67,3 +68,29 @@
     asyncio.run(_release.release_through_peer(owner))
     assert owner.deposed.is_set() is deposed
     assert owner.releasing is deposed
+
+
+def test_a_handed_over_service_is_recorded_as_released(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a successor that waits for an owner that has stopped.
+
+    Without the record, runs on workers that do not answer are taken as lost
+    only 5 s later.
+    """
+    committed: list[platform.Transaction] = []
+
+    async def commit(
+        store: object, transaction: platform.Transaction, **_: object
+    ) -> int:
+        assert owner.deposed.is_set()
+        committed.append(transaction)
+        return 9
+
+    monkeypatch.setattr(platform, "commit", commit)
+    owner = _make_owner()
+    asyncio.run(_release.hand_over(owner))
+    (transaction,) = committed
+    assert transaction.expect == {"cell/owners/s": 7}
+    assert transaction.remove == ("cell/owners/s",)
+    assert transaction.put == {"cell/released/s": b"7"}
--- a/chestnuttide/platform/_worker_commands.py
+++ b/chestnuttide/platform/_worker_commands.py
@@ -183,7 +183,8 @@
         document = json.loads(reply.body)
         return PollReply(
             clock_ms=int(document["clockMs"]),
-            born_ms=int(document.get("born", 0)),
+            # Without it, a live worker would seem to have restarted.
+            born_ms=int(document["born"]),
             running=tuple(_decode_run(row) for row in document["running"]),
             ended=tuple(
                 Completion(
@@ -286,10 +287,12 @@
 
 
 def _decode_command_reply(reply: _http.Reply) -> CommandReply:
+    # The status decides; a body that is not a JSON object is ignored.
     try:
         document = json.loads(reply.body) if reply.body else {}
     except ValueError:
-        # The status decides; a body that is not JSON is ignored.
+        document = {}
+    if not isinstance(document, dict):
         document = {}
     return CommandReply(
         status=reply.status,
--- /dev/null
+++ b/chestnuttide/platform/tests/test_worker_commands.py
@@ -0,0 +1,83 @@
+"""Replies of workers that do not have the specified form."""
+
+import asyncio
+
+import pytest
+
+from chestnuttide import errors
+from chestnuttide import platform
+from chestnuttide.platform import _http
+
+WORKER = platform.WorkerAddress(id="w", address="127.0.0.1:1")
+
+
+def _answer_with(
+    monkeypatch: pytest.MonkeyPatch, status: int, body: bytes
+) -> None:
+    async def fetch(client: object, **request: object) -> _http.Reply:
+        return _http.Reply(status=status, headers={}, body=body)
+
+    monkeypatch.setattr(_http, "fetch", fetch)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        pytest.param(b'{"clockMs":5,"running":[],"ended":[]}', id="no-born"),
+        pytest.param(b"[]", id="a-list"),
+        pytest.param(b"{", id="not-json"),
+        pytest.param(
+            b'{"clockMs":5,"born":1,"running":[1],"ended":[]}', id="odd-row"
+        ),
+    ],
+)
+def test_a_malformed_poll_reply_is_no_answer(
+    monkeypatch: pytest.MonkeyPatch, body: bytes
+) -> None:
+    """Guards against runs of a live worker that are started elsewhere.
+
+    A reply without the worker's start time counted as one of another
+    incarnation, and all runs of the worker as lost.
+    """
+    _answer_with(monkeypatch, 200, body)
+    with pytest.raises(errors.PlatformError):
+        asyncio.run(
+            platform.poll_worker(
+                None,
+                WORKER,
+                fencing_token=1,
+                acknowledged_completion=0,
+                deadline_ms=None,
+                wait_s=0.0,
+                timeout_s=1.0,
+                may_send=lambda: True,
+            )
+        )
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        pytest.param(b"[]", id="a-list"),
+        pytest.param(b"7", id="a-number"),
+        pytest.param(b"\xff", id="not-json"),
+        pytest.param(b"", id="empty"),
+    ],
+)
+def test_the_status_of_a_command_counts_without_a_readable_body(
+    monkeypatch: pytest.MonkeyPatch, body: bytes
+) -> None:
+    """Guards against a run that stays unanswered after an odd reply."""
+    _answer_with(monkeypatch, 200, body)
+    reply = asyncio.run(
+        platform.stop_run(
+            None,
+            WORKER,
+            task="t",
+            run=1,
+            fencing_token=1,
+            timeout_s=1.0,
+            may_send=lambda: True,
+        )
+    )
+    assert reply == platform.CommandReply(status=200)
