Leave room for gangs on a service that is partly in use

Small urgent tasks were spread over all workers, 15% of each worker was kept for them, and every waiting gang reserved whole workers, which then stood half empty.

Change: the reserve for urgent work is a share of the service and not of each worker; small urgent tasks are packed once a fifth of the service is in use; only the most urgent waiting step of a queue reserves full workers, a gang only after 10 s.

--- a/chestnuttide/workloads/_free_capacity.py
+++ b/chestnuttide/workloads/_free_capacity.py
@@ -9,13 +9,18 @@
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
 
-# Share of each worker's processors that is reserved for the service's most
-# urgent queue while the service is busy, so that its work starts at once at
-# the peak. While less than BUSY_SHARE of the processors is in use, all work
-# has to start, so nothing is reserved.
+# Share of the service's processors that is reserved for its most urgent queue
+# while the service is busy, so that its work starts at once at the peak. The
+# reserve is not tied to a worker: the same share of each worker would leave
+# room for fewer large tasks. While less than BUSY_SHARE of the processors is
+# in use, all work has to start, so nothing is reserved.
 URGENT_RESERVE_SHARE = 0.15
 BUSY_SHARE = 0.5
 
+# Small urgent tasks are spread over the workers of a service, so that they do
+# not depend on one worker, while less than this share of it is in use.
+CROWDED_SHARE = 0.2
+
 # Weights of a candidate's score, in units of a worker's whole capacity.
 FILLER_BESIDE_SERVING_WEIGHT = 4.0
 SERVING_BESIDE_FILLER_WEIGHT = 2.0
@@ -46,6 +51,8 @@
         Capacity that a task allocates.
     urgent : bool
         Whether it may use the processors that are reserved for urgent work.
+    spread : bool
+        Whether small tasks are spread over workers instead of packed.
     """
 
     spec: _specs.StepSpec
@@ -54,6 +61,7 @@
     memory_mb: int
     accelerators: int
     urgent: bool
+    spread: bool
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -70,15 +78,24 @@
         Workers on which new runs may be placed, by key.
     busy : bool
         Whether at least `BUSY_SHARE` of the service's processors is in use.
+    crowded : bool
+        Whether at least `CROWDED_SHARE` of them is in use.
+    spare_cpu_millis : float
+        Processors that less urgent work may still take in this round.
     reserved : dict of str to Resources
         Capacity reserved for more urgent steps of the round, by worker.
+    reserving_priorities : set of int
+        Priorities of the queues for which full workers are reserved.
     """
 
     now: float
     top_priority: int
     workers: dict[str, _state.Worker]
     busy: bool = False
+    crowded: bool = False
+    spare_cpu_millis: float = math.inf
     reserved: dict[str, model.Resources] = attrs.field(factory=dict)
+    reserving_priorities: set[int] = attrs.field(factory=set)
 
 
 def make_view(
@@ -88,27 +105,56 @@
     listed = [each for each in pool.workers.values() if each.listed]
     capacity = sum(each.report.capacity.cpu_millis for each in listed)
     used = sum(each.used.cpu_millis for each in listed)
+    busy = used >= BUSY_SHARE * capacity
+    spare = (1.0 - URGENT_RESERVE_SHARE) * capacity - used
     return CapacityView(
         now=now,
         top_priority=pool.top_priority,
         workers={each.key: each for each in workers},
-        busy=used >= BUSY_SHARE * capacity,
+        busy=busy,
+        crowded=used >= CROWDED_SHARE * capacity,
+        spare_cpu_millis=spare if busy else math.inf,
     )
 
 
+def allocate(
+    view: CapacityView, worker: _state.Worker, run: _state.Run
+) -> None:
+    """Allocate the capacity of a run that is planned in this round."""
+    _state.allocate(worker, run)
+    view.spare_cpu_millis -= run.need.cpu_millis
+
+
+def deallocate(
+    view: CapacityView, worker: _state.Worker, run: _state.Run
+) -> None:
+    """Free the capacity of a run that is dropped again in this round."""
+    _state.deallocate(worker, run)
+    view.spare_cpu_millis += run.need.cpu_millis
+
+
+def may_use_processors(view: CapacityView, demand: Demand) -> bool:
+    """Return whether a task leaves the reserve for urgent work free."""
+    return demand.urgent or view.spare_cpu_millis >= demand.cpu_millis
+
+
 def make_demand(
     view: CapacityView, job: _state.Job, step_key: tuple[int, int]
 ) -> Demand:
     """Return the requirements of each task of a step."""
     spec = job.spec.steps[step_key[1]]
     need = _state.allocated_need(spec)
+    urgent = spec.lasting or job.spec.queue.priority <= view.top_priority
     return Demand(
         spec=spec,
         step_runs_key=(job.spec.id, *step_key),
         cpu_millis=need.cpu_millis,
         memory_mb=need.memory_mb,
         accelerators=need.accelerators,
-        urgent=spec.lasting or job.spec.queue.priority <= view.top_priority,
+        urgent=urgent,
+        # One small task on each worker would leave too little room for large
+        # ones everywhere.
+        spread=urgent and not view.crowded,
     )
 
 
@@ -150,8 +196,8 @@
         cpu -= reserved.cpu_millis
         memory -= reserved.memory_mb
         accelerators -= reserved.accelerators
-    if view.busy and not demand.urgent:
-        cpu -= int(URGENT_RESERVE_SHARE * capacity.cpu_millis)
+    if not may_use_processors(view, demand):
+        return 0
     fitting = _count_tasks_within(demand, cpu, memory, accelerators)
     if fitting and demand.spec.spread_limit:
         taken = worker.step_runs.get(demand.step_runs_key, 0)
@@ -268,7 +314,7 @@
         return True
     capacity = worker.report.capacity
     return (
-        demand.urgent
+        demand.spread
         and demand.cpu_millis < LARGE_TASK_SHARE * capacity.cpu_millis
         and demand.memory_mb < LARGE_TASK_SHARE * capacity.memory_mb
     )
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -34,6 +34,11 @@
 # although there is free capacity as lost.
 IDLE_RESERVATION_S = 2.0
 
+# Full workers are reserved for a gang only after it has waited for this long.
+# Until then, capacity that it waits for is used by others, as it becomes free
+# on many workers at once and not on the reserved ones alone.
+GANG_RESERVATION_DELAY_S = 10.0
+
 # Workers with free capacity for a task of a step: score and worker, by key.
 _ScoredWorkers: typing.TypeAlias = dict[str, tuple[float, _state.Worker]]
 
@@ -237,7 +242,20 @@
 def _may_reserve_full_workers(
     view: _free_capacity.CapacityView, step: _WaitingStep
 ) -> bool:
-    """Return whether full workers may be reserved for a step."""
+    """Return whether full workers may be reserved for a step.
+
+    Only the most urgent waiting step of a queue reserves them. If all did,
+    a queue of gangs would hold most workers half empty, and none of the gangs
+    would start sooner.
+    """
+    if step.demand.spec.gang:
+        waiting_s = view.now - step.job.accepted_at
+        if view.busy and waiting_s < GANG_RESERVATION_DELAY_S:
+            return False
+    priority = step.job.spec.queue.priority
+    if priority in view.reserving_priorities:
+        return False
+    view.reserving_priorities.add(priority)
     if view.busy:
         return True
     progress = step.job.steps[step.key]
@@ -440,10 +458,14 @@
     number = unit.last_run + 1
     placed: list[_state.Run] = []
     for index in unit.indexes:
-        best = _choose_worker(scored, unit)
+        best = None
+        if _free_capacity.may_use_processors(view, step.demand):
+            best = _choose_worker(scored, unit)
         if best is None:
             for run in placed:
-                _state.deallocate(view.workers[run.worker_key], run)
+                _free_capacity.deallocate(
+                    view, view.workers[run.worker_key], run
+                )
                 _update_score(view, step, scored, run.worker_key)
             return []
         run = _state.Run(
@@ -457,7 +479,7 @@
             checkpoint=unit.checkpoint,
             planned_at=view.now,
         )
-        _state.allocate(best, run)
+        _free_capacity.allocate(view, best, run)
         _update_score(view, step, scored, best.key)
         placed.append(run)
     unit.last_run = number
