--- a/chestnuttide/node/tests/test_starts.py
+++ b/chestnuttide/node/tests/test_starts.py
@@ -78,8 +78,7 @@
 
     A poll loop checked the worker's old lease after the start's record was
     stored and before the start was sent. It ended the run as expired, the
-    task was placed on another worker, and the first start was sent as well:
-    trouble-2 of krog-urnik at 8b7f4dd.
+    task was placed on another worker, and the first start was sent as well.
     """
     sent = _record_sends(monkeypatch)
 
