Log how often a task has lost its worker, and what a worker replaces

Change: 'Run has ended' gives lost_runs and listed_s, for how long polls had listed the run; 'Worker has reported' names the former workers at its address. No decision depends on them.

--- a/chestnuttide/node/_commands.py
+++ b/chestnuttide/node/_commands.py
@@ -29,6 +29,8 @@
     owner: _ownership.Ownership, run: workloads.Run, outcome: str
 ) -> None:
     owner.metrics.run_ends.inc({"how": outcome})
+    worker = owner.pool.workers.get(run.worker_key)
+    last_reply_at = worker.last_reply_at if worker is not None else 0.0
     LOG.info(
         "Run has ended.",
         job=run.job.spec.id,
@@ -38,6 +40,10 @@
         worker=run.worker_key,
         percent=run.percent,
         failures=run.unit.failures,
+        lost_runs=run.unit.lost_runs,
+        listed_s=round(max(0.0, last_reply_at - run.confirmed_at), 3)
+        if run.listed
+        else 0.0,
     )
 
 
--- a/chestnuttide/node/_updates.py
+++ b/chestnuttide/node/_updates.py
@@ -83,6 +83,11 @@
             address=report.address,
             draining=report.draining,
             remaining_s=report.remaining_s,
+            replaces=[
+                each.key
+                for each in owner.pool.workers.values()
+                if each is not worker and each.report.address == report.address
+            ],
         )
     owner.plan_requested.set()
     return worker
--- a/chestnuttide/workloads/_lifecycle.py
+++ b/chestnuttide/workloads/_lifecycle.py
@@ -159,6 +159,7 @@
     job, unit = run.job, run.unit
     step = step_of(unit, job)
     drop_run(pool, run)
+    unit.lost_runs += result == "lost"
     if job.state in _state.TERMINAL_STATES:
         return
     _state.mark_changed(job)
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -157,6 +157,9 @@
         Number of failed runs.
     failed_runs : set of int
         Numbers of the failed runs.
+    lost_runs : int
+        Number of runs that were lost with their worker, for the log; an
+        owner counts only those that it has seen itself.
     checkpoint : str
         Checkpoint to resume from; empty if there is none.
     runs : list of Run
@@ -176,6 +179,7 @@
     last_run: int = 0
     failures: int = 0
     failed_runs: set[int] = attrs.field(factory=set)
+    lost_runs: int = 0
     checkpoint: str = ""
     runs: list[Run] = attrs.field(factory=list)
     avoided: set[str] = attrs.field(factory=set)
