Give up a task that crashes the workers that start it

Cause: a retry without a bound. Only completions 'failed' counted against a task. A run that was lost with its worker ended as 'lost' and was planned again at once, beside other work, with no memory of it. The class of fault is blame that is assigned to nobody: a failure that is seen only as the loss of the place where it happened.

Change: each loss of a worker is recorded with the unit and stored with its progress, so a successor knows it. Runs that polls had not yet proven are suspects; a suspected task starts on a worker that has proven its runs and starts nothing else until this one is proven, so a second crash has one suspect. After two such crashes, or five in all, the task is given up and its job is shown as failed. A worker that answers again, or that the store goes on listing, has not crashed, and its mark is withdrawn; workers that were draining count for nothing. Trials take a quarter of the workers at most.

--- a/chestnuttide/node/_commands.py
+++ b/chestnuttide/node/_commands.py
@@ -29,6 +29,7 @@
     owner: _ownership.Ownership, run: workloads.Run, outcome: str
 ) -> None:
     owner.metrics.run_ends.inc({"how": outcome})
+    _count_lost_run(owner, run)
     worker = owner.pool.workers.get(run.worker_key)
     last_reply_at = worker.last_reply_at if worker is not None else 0.0
     LOG.info(
@@ -40,13 +41,26 @@
         worker=run.worker_key,
         percent=run.percent,
         failures=run.unit.failures,
-        lost_runs=run.unit.lost_runs,
+        crashes=[
+            [number, crash.worker_key, crash.suspects]
+            for number, crash in run.unit.crashes.items()
+        ],
         listed_s=round(max(0.0, last_reply_at - run.confirmed_at), 3)
         if run.listed
         else 0.0,
     )
 
 
+def _count_lost_run(owner: _ownership.Ownership, run: workloads.Run) -> None:
+    crash = run.unit.crashes.get(run.number)
+    if crash is None:
+        return
+    suspects = "none"
+    if crash.suspects:
+        suspects = "one" if crash.suspects == 1 else "several"
+    owner.metrics.lost_runs.inc({"suspects": suspects})
+
+
 def end_run(
     owner: _ownership.Ownership, run: workloads.Run, outcome: str
 ) -> None:
--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -44,6 +44,10 @@
 # Connections to one worker: its poll and concurrent commands.
 CONNECTIONS_PER_WORKER = 4
 
+# The store removes the entry of a dead worker after three heartbeats of
+# silence. The fourth covers the watch and a store that is slow.
+ENTRY_EXPIRY_HEARTBEATS = 4
+
 CLAIM_PERIOD_S = 0.1
 RESTART_PAUSE_S = 0.2
 
@@ -353,6 +357,9 @@
             # clock differences.
             early_s=0.0,
             stop_s=bounds.stop_ms / 1000,
+            entry_expiry_s=ENTRY_EXPIRY_HEARTBEATS
+            * bounds.worker_heartbeat_ms
+            / 1000,
         ),
     )
 
--- a/chestnuttide/node/_metrics.py
+++ b/chestnuttide/node/_metrics.py
@@ -41,6 +41,13 @@
         ``chestnuttide_store_calls_total{kind,outcome}``.
     run_ends : Counter
         ``chestnuttide_run_ends_total{how}``.
+    lost_runs : Counter
+        ``chestnuttide_lost_runs_total{suspects}``, runs under which a worker
+        crashed or fell silent; ``suspects`` is ``none`` if the run is not
+        suspected of having caused it, else ``one`` or ``several``.
+    given_up : Counter
+        ``chestnuttide_given_up_total{reason}``, tasks that are not tried
+        again.
     commands : Counter
         ``chestnuttide_orders_total{kind,outcome}``.
     start_wait_seconds : Histogram
@@ -59,6 +66,8 @@
     retries: aioprometheus.Counter
     store_calls: aioprometheus.Counter
     run_ends: aioprometheus.Counter
+    lost_runs: aioprometheus.Counter
+    given_up: aioprometheus.Counter
     commands: aioprometheus.Counter
     start_wait_seconds: aioprometheus.Histogram
     job_seconds: aioprometheus.Histogram
@@ -89,6 +98,10 @@
         retries=counter("retries", "Attempts made again, by reason."),
         store_calls=counter("store_calls", "Calls to the store."),
         run_ends=counter("run_ends", "Ends of runs, by how."),
+        lost_runs=counter(
+            "lost_runs", "Runs lost with their worker, by suspicion."
+        ),
+        given_up=counter("given_up", "Tasks not tried again, by reason."),
         commands=counter("orders", "Orders to workers, by outcome."),
         start_wait_seconds=histogram(
             "start_wait_seconds", "Seconds until a job's first start."
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -218,6 +218,7 @@
             silent_s=round(now - run.progress_at, 2),
         )
         workloads.stop_stalled(owner.pool, run, now=now)
+    _give_up_deadly_tasks(owner, now, unix_time)
     moved = workloads.evacuate(owner.pool, now=now, stop_s=limits.stop_s)
     for run in moved:
         LOG.info(
@@ -233,6 +234,28 @@
     owner.plan_requested.set()
 
 
+def _give_up_deadly_tasks(
+    owner: _ownership.Ownership, now: float, unix_time: float
+) -> None:
+    """Fail the jobs of tasks that crash the workers that start them."""
+    given_up = workloads.settle_crashes(
+        owner.pool, now=now, now_unix_s=unix_time
+    )
+    for job, unit in given_up:
+        LOG.warning(
+            "Task crashes its workers; giving it up.",
+            job=job.spec.id,
+            unit=unit.key,
+            crashes=[
+                [number, crash.index, crash.worker_key, crash.suspects]
+                for number, crash in unit.crashes.items()
+            ],
+        )
+        owner.metrics.given_up.inc({"reason": "crashes"})
+    if given_up:
+        _ownership.request_commit(owner, urgent=True)
+
+
 def _drop_unstored_jobs(owner: _ownership.Ownership, now: float) -> None:
     for job in list(owner.pool.active.values()):
         if not job.accepted and now - job.accepted_at > ANNOUNCED_JOB_LIMIT_S:
--- a/chestnuttide/node/_settings.py
+++ b/chestnuttide/node/_settings.py
@@ -60,12 +60,15 @@
         Time for which callers can query an ended job's state, in seconds.
     grace_s : float
         Time from SIGTERM to SIGKILL, in seconds.
+    worker_heartbeat_ms : float
+        Interval at which a worker writes its entry, in milliseconds.
     """
 
     worker_lease_max_ms: float = 6000.0
     stop_ms: float = 900.0
     status_s: float = 120.0
     grace_s: float = 6.0
+    worker_heartbeat_ms: float = 1500.0
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -196,6 +199,7 @@
         "bounds.worker_lease_max_ms": settings.bounds.worker_lease_max_ms
         >= 1000,
         "bounds.grace_s": settings.bounds.grace_s > 0,
+        "bounds.worker_heartbeat_ms": settings.bounds.worker_heartbeat_ms > 0,
         "capacity.core_share": settings.capacity.core_share > 0,
         "capacity.core_speed": settings.capacity.core_speed > 0,
         "capacity.link_mbps": settings.capacity.link_mbps > 0,
--- a/chestnuttide/node/_starts.py
+++ b/chestnuttide/node/_starts.py
@@ -1,5 +1,7 @@
 """Start commands for recorded runs, and recovery if one is unanswered."""
 
+import asyncio
+
 from chestnuttide import errors
 from chestnuttide.node import _clock
 from chestnuttide.node import _commands
@@ -104,6 +106,21 @@
         await _polls.poll_worker(owner, worker, wait_s=0.0)
 
 
+async def _end_trial(
+    owner: _ownership.Ownership,
+    worker: workloads.Worker,
+    run: workloads.Run,
+) -> None:
+    """Poll a worker as soon as a run on trial there can be proven.
+
+    Nothing else starts on the worker until then, and the poll in progress may
+    wait for longer.
+    """
+    await asyncio.sleep(workloads.PROVEN_RUN_S)
+    if run in run.unit.runs and not run.proven:
+        await _polls.poll_worker(owner, worker, wait_s=0.0)
+
+
 def _handle_start_reply(
     owner: _ownership.Ownership,
     worker: workloads.Worker,
@@ -116,6 +133,8 @@
     if reply.status == 200:
         first = not run.job.started
         workloads.confirm_start(run, now=now)
+        if run.on_trial:
+            _ownership.start_command(owner, _end_trial(owner, worker, run))
         owner.metrics.commands.inc({"kind": "start", "outcome": "200"})
         LOG.info(
             "Run has started.",
@@ -125,6 +144,7 @@
             worker=run.worker_key,
             fence=owner.fencing_token,
             resumed=bool(run.checkpoint),
+            on_trial=run.on_trial,
             age_s=round(now - run.job.accepted_at, 3),
         )
         if first:
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -1,6 +1,7 @@
 """Scheduling decisions of a service's owner: jobs, runs and workers."""
 
 from chestnuttide.workloads import _advisor_queries
+from chestnuttide.workloads import _crashes
 from chestnuttide.workloads import _incarnations
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _planning
@@ -13,10 +14,12 @@
 
 Advice = _specs.Advice
 AdvisorQuery = _advisor_queries.AdvisorQuery
+Crash = _state.Crash
 EndedJob = _records.EndedJob
 Job = _state.Job
 JobSpec = _specs.JobSpec
 JobState = _state.JobState
+PROVEN_RUN_S = _state.PROVEN_RUN_S
 Phase = _state.Phase
 Plan = _planning.Plan
 PollReply = _poll_replies.PollReply
@@ -59,6 +62,7 @@
 record_query = _advisor_queries.record_query
 record_query_result = _advisor_queries.record_query_result
 release_due_occurrences = _lifecycle.release_due_occurrences
+settle_crashes = _crashes.settle_crashes
 start_incarnation = _incarnations.start_incarnation
 step_of = _lifecycle.step_of
 stop_runs = _lifecycle.stop_runs
@@ -71,10 +75,12 @@
 __all__ = [
     "Advice",
     "AdvisorQuery",
+    "Crash",
     "EndedJob",
     "Job",
     "JobSpec",
     "JobState",
+    "PROVEN_RUN_S",
     "Phase",
     "Plan",
     "PollReply",
@@ -117,6 +123,7 @@
     "record_query",
     "record_query_result",
     "release_due_occurrences",
+    "settle_crashes",
     "start_incarnation",
     "step_of",
     "stop_runs",
--- /dev/null
+++ b/chestnuttide/workloads/_crashes.py
@@ -0,0 +1,201 @@
+"""Crashes of workers: which task caused them, and when it is given up.
+
+A task may crash every worker that starts it. All runs of the worker are lost,
+and most of them belong to sound tasks. Those that were only just started are
+suspected. A suspected task next starts on trial: on a worker that has proven
+its other runs, and that starts nothing else until this one is proven too. A
+crash then has one suspect. A task that was the only suspect twice is given up.
+"""
+
+import collections.abc
+
+from chestnuttide.workloads import _lifecycle
+from chestnuttide.workloads import _state
+
+# Crashes with a unit as their only suspect after which it is given up. A sound
+# unit could get there only if its worker crashed for another reason while it
+# was on trial.
+MAX_SOLE_CRASHES = 2
+
+# Crashes after which a unit is given up although none of them can be
+# attributed, for example because its owner changed each time. The users allow
+# five starts.
+MAX_CRASHES = 5
+
+# Crashes after which a unit is suspected even if its runs had been proven.
+SUSPICIOUS_CRASHES = 3
+
+
+def is_suspect(unit: _state.Unit) -> bool:
+    """Return whether a unit's next run is on trial."""
+    return len(unit.crashes) >= SUSPICIOUS_CRASHES or any(
+        crash.suspects for crash in unit.crashes.values()
+    )
+
+
+def may_start(unit: _state.Unit) -> bool:
+    """Return whether a unit may be started again after its crashes.
+
+    A unit with too many of them waits until `settle_crashes` gives it up or
+    finds that some of the workers had only been silent.
+    """
+    return not _is_given_up(unit.crashes.values())
+
+
+def _is_given_up(crashes: collections.abc.Collection[_state.Crash]) -> bool:
+    sole = sum(crash.suspects == 1 for crash in crashes)
+    return sole >= MAX_SOLE_CRASHES or len(crashes) >= MAX_CRASHES
+
+
+def record_crash(pool: _state.Pool, worker: _state.Worker) -> None:
+    """Record that a worker may have crashed under its runs.
+
+    This comes before the runs are ended. It may be called again for the same
+    worker. A worker that was draining has left and not crashed.
+    """
+    if worker.report.draining:
+        return
+    lost = [
+        run
+        for run in worker.runs.values()
+        if run.phase != _state.Phase.PLANNED
+    ]
+    suspects = _find_suspects(lost)
+    for run in lost:
+        unit = run.unit
+        if run.number in unit.crashes:
+            continue
+        unit.crashes[run.number] = _state.Crash(
+            worker_key=worker.key,
+            index=run.index,
+            suspects=len(suspects) if unit in suspects else 0,
+        )
+        _state.mark_changed(run.job)
+        index_unit(pool, run.job, unit)
+
+
+def _find_suspects(
+    lost: collections.abc.Iterable[_state.Run],
+) -> list[_state.Unit]:
+    """Return the units that may have crashed the worker of the lost runs.
+
+    Nothing unproven starts beside a run on trial, so only runs on trial are
+    suspected if there are any.
+    """
+    unproven = [run for run in lost if not run.proven]
+    on_trial = [run for run in unproven if run.on_trial]
+    suspects = [run.unit for run in on_trial or unproven]
+    suspects += [
+        run.unit for run in lost if len(run.unit.crashes) >= SUSPICIOUS_CRASHES
+    ]
+    return list(dict.fromkeys(suspects))
+
+
+def index_unit(pool: _state.Pool, job: _state.Job, unit: _state.Unit) -> None:
+    """Include a unit in the pool's index of units with crashes."""
+    if unit.crashes:
+        pool.crashed_units[(job.spec.id, unit.key)] = (job, unit)
+
+
+def clear_crashes(
+    job: _state.Job,
+    unit: _state.Unit,
+    predicate: collections.abc.Callable[[_state.Crash], bool],
+) -> bool:
+    """Remove the crashes of a unit for which a predicate holds.
+
+    Returns
+    -------
+    bool
+        Whether there were any.
+    """
+    kept = {
+        number: crash
+        for number, crash in unit.crashes.items()
+        if not predicate(crash)
+    }
+    if len(kept) == len(unit.crashes):
+        return False
+    unit.crashes = kept
+    _state.mark_changed(job)
+    return True
+
+
+def refute_crash(pool: _state.Pool, worker: _state.Worker) -> None:
+    """Remove the crash of a worker that turns out to have been silent."""
+    for job, unit in pool.crashed_units.values():
+        clear_crashes(job, unit, lambda crash: crash.worker_key == worker.key)
+
+
+def refute_by_run(run: _state.Run) -> None:
+    """Remove crashes that a listed run shows not to be its own fault.
+
+    A start that was sent to a worker that crashed may have reached its next
+    incarnation instead, and runs there. A long-running task that serves has
+    started without crashing its worker.
+    """
+    unit = run.unit
+    crash = unit.crashes.get(run.number)
+    if (
+        crash is not None
+        and crash.index == run.index
+        and crash.worker_key != run.worker_key
+    ):
+        clear_crashes(run.job, unit, lambda each: each is crash)
+    lasting = _lifecycle.step_of(unit, run.job).lasting
+    if lasting and run.proven and run.percent >= 100:
+        clear_crashes(run.job, unit, lambda each: True)
+
+
+def settle_crashes(
+    pool: _state.Pool, *, now: float, now_unix_s: float
+) -> list[tuple[_state.Job, _state.Unit]]:
+    """Give up the units that crash their workers.
+
+    A crash is confirmed once the store no longer lists the worker. One that it
+    lists for longer than the entry of a dead worker lasts is alive, and only
+    out of this owner's reach.
+
+    Returns
+    -------
+    list of (Job, Unit)
+        The units that were given up, for the log.
+    """
+    given_up = []
+    for key, (job, unit) in list(pool.crashed_units.items()):
+        if (
+            pool.active.get(job.spec.id) is not job
+            or unit.state == _state.UnitState.DONE
+            or not unit.crashes
+        ):
+            del pool.crashed_units[key]
+            continue
+        if may_start(unit):
+            continue
+        clear_crashes(
+            job,
+            unit,
+            lambda crash: _is_alive(pool, crash.worker_key, now=now),
+        )
+        confirmed = [
+            crash
+            for crash in unit.crashes.values()
+            if not _is_listed(pool, crash.worker_key)
+        ]
+        if _is_given_up(confirmed):
+            given_up.append((job, unit))
+            _lifecycle.fail_unit(pool, job, unit, now_unix_s)
+    return given_up
+
+
+def _is_listed(pool: _state.Pool, worker_key: str) -> bool:
+    worker = pool.workers.get(worker_key)
+    return worker is not None and worker.listed
+
+
+def _is_alive(pool: _state.Pool, worker_key: str, *, now: float) -> bool:
+    if not _is_listed(pool, worker_key):
+        return False
+    worker = pool.workers[worker_key]
+    silent_s = now - max(worker.lost_at, worker.known_since)
+    return silent_s > pool.limits.entry_expiry_s
--- a/chestnuttide/workloads/_free_capacity.py
+++ b/chestnuttide/workloads/_free_capacity.py
@@ -21,6 +21,10 @@
 # not depend on one worker, while less than this share of it is in use.
 CROWDED_SHARE = 0.2
 
+# Share of the usable workers on which suspected tasks may be on trial at a
+# time. Nothing else starts on these workers meanwhile.
+TRIAL_WORKER_SHARE = 0.25
+
 # Weights of a candidate's score, in units of a worker's whole capacity.
 FILLER_BESIDE_SERVING_WEIGHT = 4.0
 SERVING_BESIDE_FILLER_WEIGHT = 2.0
@@ -86,6 +90,13 @@
         Capacity reserved for more urgent steps of the round, by worker.
     reserving_priorities : set of int
         Priorities of the queues for which full workers are reserved.
+    trial_slots : int
+        Number of further workers on which a trial may start in this round.
+    kept_free : set of str
+        Workers on which nothing starts, so that their runs are proven soon
+        and a trial can start there.
+    opened : set of str
+        Workers that the trial that is being placed may use.
     """
 
     now: float
@@ -96,6 +107,9 @@
     spare_cpu_millis: float = math.inf
     reserved: dict[str, model.Resources] = attrs.field(factory=dict)
     reserving_priorities: set[int] = attrs.field(factory=set)
+    trial_slots: int = 1
+    kept_free: set[str] = attrs.field(factory=set)
+    opened: set[str] = attrs.field(factory=set)
 
 
 def make_view(
@@ -107,6 +121,7 @@
     used = sum(each.used.cpu_millis for each in listed)
     busy = used >= BUSY_SHARE * capacity
     spare = (1.0 - URGENT_RESERVE_SHARE) * capacity - used
+    trials = sum(each.trials > 0 for each in workers)
     return CapacityView(
         now=now,
         top_priority=pool.top_priority,
@@ -114,6 +129,7 @@
         busy=busy,
         crowded=used >= CROWDED_SHARE * capacity,
         spare_cpu_millis=spare if busy else math.inf,
+        trial_slots=max(1, int(TRIAL_WORKER_SHARE * len(workers))) - trials,
     )
 
 
@@ -187,6 +203,10 @@
     view: CapacityView, worker: _state.Worker, demand: Demand
 ) -> int:
     """Return how many more tasks of a step fit on a worker now."""
+    if (
+        worker.trials or worker.key in view.kept_free
+    ) and worker.key not in view.opened:
+        return 0
     capacity, used = worker.report.capacity, worker.used
     cpu = capacity.cpu_millis - used.cpu_millis
     memory = capacity.memory_mb - used.memory_mb
--- a/chestnuttide/workloads/_incarnations.py
+++ b/chestnuttide/workloads/_incarnations.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from chestnuttide.workloads import _crashes
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
@@ -36,6 +37,7 @@
         The ended runs.
     """
     worker.listed = False
+    _crashes.record_crash(pool, worker)
     lost = [
         run
         for run in worker.runs.values()
@@ -64,6 +66,7 @@
     list of Run
         The moved runs.
     """
+    _crashes.record_crash(pool, worker)
     report = attrs.evolve(worker.report, born_ms=born_ms)
     key = _state.worker_key(report)
     successor = pool.workers.get(key)
--- a/chestnuttide/workloads/_lifecycle.py
+++ b/chestnuttide/workloads/_lifecycle.py
@@ -159,7 +159,6 @@
     job, unit = run.job, run.unit
     step = step_of(unit, job)
     drop_run(pool, run)
-    unit.lost_runs += result == "lost"
     if job.state in _state.TERMINAL_STATES:
         return
     _state.mark_changed(job)
@@ -177,8 +176,7 @@
         _record_failure(pool, run, now=now)
         limit = job.spec.queue.attempt_limit
         if not step.lasting and unit.failures >= limit:
-            _state.set_unit_state(job, unit, _state.UnitState.FAILED)
-            _end_job(pool, job, _state.JobState.FAILED, now_unix_s)
+            fail_unit(pool, job, unit, now_unix_s)
             return
     if step.gang:
         # A gang cannot continue without one of its members.
@@ -187,6 +185,17 @@
         _state.set_unit_state(job, unit, _state.UnitState.WAITING)
 
 
+def fail_unit(
+    pool: _state.Pool,
+    job: _state.Job,
+    unit: _state.Unit,
+    now_unix_s: float,
+) -> None:
+    """End a unit that is not tried again as failed, and its job with it."""
+    _state.set_unit_state(job, unit, _state.UnitState.FAILED)
+    _end_job(pool, job, _state.JobState.FAILED, now_unix_s)
+
+
 def _record_failure(pool: _state.Pool, run: _state.Run, *, now: float) -> None:
     unit = run.unit
     if run.number not in unit.failed_runs:
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -13,6 +13,7 @@
 import attrs
 
 from chestnuttide.workloads import _advisor_queries
+from chestnuttide.workloads import _crashes
 from chestnuttide.workloads import _free_capacity
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _state
@@ -142,6 +143,7 @@
                 for unit in _lifecycle.step_units(job, *key)
                 if unit.state == _state.UnitState.WAITING
                 and view.now >= unit.not_before
+                and (not unit.crashes or _crashes.may_start(unit))
             ]
             if waiting:
                 yield _WaitingStep(
@@ -414,12 +416,58 @@
     runs: list[_state.Run] = []
     unplaced = 0
     for unit in step.waiting:
-        placed = _place_unit(view, step, scored, unit, advice)
+        if unit.crashes and _crashes.is_suspect(unit):
+            placed, waits = _place_on_trial(view, step, scored, unit, advice)
+        else:
+            placed = _place_unit(view, step, scored, unit, advice)
+            waits = False
         runs.extend(placed)
-        unplaced += 0 if placed else len(unit.indexes)
+        unplaced += 0 if placed or waits else len(unit.indexes)
     return runs, unplaced
 
 
+def _place_on_trial(
+    view: _free_capacity.CapacityView,
+    step: _WaitingStep,
+    scored: _ScoredWorkers,
+    unit: _state.Unit,
+    advice: _state.StepAdvice | None,
+) -> tuple[list[_state.Run], bool]:
+    """Place a suspected unit where a crash would have no other suspect.
+
+    Workers with few runs come first, because they lose the least.
+
+    Returns
+    -------
+    list of Run, bool
+        The planned runs, and whether the unit waits for a worker that has
+        capacity for it.
+    """
+    if view.trial_slots <= 0:
+        return [], bool(scored)
+    quiet = {
+        key: (float(len(worker.runs)), worker)
+        for key, (_, worker) in scored.items()
+        if not worker.unproven_runs
+    }
+    view.opened.update(quiet)
+    placed = _place_unit(view, step, quiet, unit, advice)
+    view.opened.clear()
+    used = {run.worker_key for run in placed}
+    for key in used:
+        _update_score(view, step, scored, key)
+    if not placed and scored:
+        _, kept_free = min(
+            scored.values(), key=lambda pair: pair[1].unproven_runs
+        )
+        view.kept_free.add(kept_free.key)
+        scored.pop(kept_free.key)
+        view.trial_slots -= 1
+        return [], True
+    view.trial_slots -= len(used)
+    return placed, False
+
+
 def _place_unit(
     view: _free_capacity.CapacityView,
     step: _WaitingStep,
@@ -478,6 +526,7 @@
             ticket=advice.tickets[best.key][0] if advice is not None else "",
             checkpoint=unit.checkpoint,
             planned_at=view.now,
+            on_trial=bool(unit.crashes) and _crashes.is_suspect(unit),
         )
         _free_capacity.allocate(view, best, run)
         _update_score(view, step, scored, best.key)
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from chestnuttide.workloads import _crashes
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
@@ -156,6 +157,9 @@
     """
     now = reply.received_at
     record_clock(worker, reply.clock_ms, now)
+    if worker.lost_at or not worker.last_reply_at:
+        _crashes.refute_crash(pool, worker)
+        worker.lost_at = 0.0
     worker.last_reply_at = now
     completions: list[tuple[_state.Run, str]] = []
 
@@ -185,7 +189,7 @@
     for key, row in listed.items():
         run = worker.runs.get(key)
         if run is not None:
-            _record_running(run, row, now)
+            _record_running(worker, run, row, now)
     for run in list(worker.runs.values()):
         if run.key in listed or run.key in completed_keys:
             continue
@@ -197,7 +201,9 @@
     return completions
 
 
-def _record_running(run: _state.Run, row: RunReport, now: float) -> None:
+def _record_running(
+    worker: _state.Worker, run: _state.Run, row: RunReport, now: float
+) -> None:
     run.listed = True
     if run.phase != _state.Phase.RUNNING:
         run.phase = _state.Phase.RUNNING
@@ -211,6 +217,10 @@
         run.percent = row.percent
         run.progress_at = now
     run.latency_ms_or_cpu = row.latency_ms_or_cpu
+    if now - run.confirmed_at >= _state.PROVEN_RUN_S:
+        _state.prove_run(worker, run)
+    if run.unit.crashes:
+        _crashes.refute_by_run(run)
     if row.checkpoint and row.checkpoint != run.checkpoint:
         run.checkpoint = row.checkpoint
 
@@ -276,6 +286,9 @@
         for run in worker.runs.values()
         if run.phase != _state.Phase.PLANNED
     ]
+    if expired:
+        worker.lost_at = now
+        _crashes.record_crash(pool, worker)
     for run in expired:
         if run.phase != _state.Phase.RUNNING:
             pool.unanswered_starts.setdefault(worker.report.id, set()).add(
@@ -301,7 +314,9 @@
     key = _state.worker_key(report)
     worker = pool.workers.get(key)
     if worker is None:
-        worker = _state.Worker(key=key, report=report, lease_until=lease_until)
+        worker = _state.Worker(
+            key=key, report=report, lease_until=lease_until, known_since=now
+        )
         pool.workers[key] = worker
     worker.report = report
     worker.listed = True
--- a/chestnuttide/workloads/_records.py
+++ b/chestnuttide/workloads/_records.py
@@ -5,6 +5,7 @@
 import cbor2
 
 from chestnuttide import model
+from chestnuttide.workloads import _crashes
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
@@ -24,6 +25,7 @@
             sorted(unit.failed_runs),
             unit.checkpoint,
             [[run.index, run.number, run.worker_key] for run in unit.runs],
+            *_encode_crashes(unit),
         ]
         for unit in job.units.values()
         if unit.last_run
@@ -31,6 +33,29 @@
     return cbor2.dumps([_RECORD_VERSION, job.started, rows])
 
 
+def _encode_crashes(unit: _state.Unit) -> list[list[list[object]]]:
+    """Return the last column of a unit's row, which few units have."""
+    if not unit.crashes:
+        return []
+    return [
+        [
+            [number, crash.worker_key, crash.index, crash.suspects]
+            for number, crash in unit.crashes.items()
+        ]
+    ]
+
+
+def _decode_crashes(
+    rows: list[tuple[int, str, int, int]],
+) -> dict[int, _state.Crash]:
+    return {
+        number: _state.Crash(
+            worker_key=worker_key, index=index, suspects=suspects
+        )
+        for number, worker_key, index, suspects in rows
+    }
+
+
 def apply_progress(
     pool: _state.Pool,
     job: _state.Job,
@@ -52,13 +77,15 @@
         job.state = job.shown_state = _state.JobState.RUNNING
     _restore_occurrences(pool, job, rows, now_unix_s)
     for row in rows:
-        occurrence, step, index, state, last_run, failed, saved, runs = row
+        occurrence, step, index, state, last_run, failed, saved, runs = row[:8]
         unit = job.units[(occurrence, step, index)]
         _state.set_unit_state(job, unit, _state.UnitState(state))
         unit.last_run = last_run
         unit.failed_runs = set(failed)
         unit.failures = len(failed)
         unit.checkpoint = saved
+        unit.crashes = _decode_crashes(row[8] if len(row) > 8 else [])
+        _crashes.index_unit(pool, job, unit)
         for member, number, key in runs:
             worker = pool.workers.get(key)
             if worker is None:
@@ -77,6 +104,7 @@
                 # starts of former owners, so any poll reply is conclusive.
                 deadline_ms=-1,
                 planned_at=now,
+                on_trial=_crashes.is_suspect(unit),
                 stopping=unit.state == _state.UnitState.DONE,
             )
             unit.runs.append(run)
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -49,6 +49,10 @@
     RUNNING = "running"
 
 
+# A run that polls still list after this time did not crash its worker as it
+# started.
+PROVEN_RUN_S: typing.Final = 0.3
+
 UnitKey: typing.TypeAlias = tuple[int, int, int]
 RunKey: typing.TypeAlias = tuple[str, int]
 
@@ -83,6 +87,11 @@
         Whether a stored record contains the run.
     listed : bool
         Whether a poll reply of its worker incarnation has listed it.
+    proven : bool
+        Whether a poll reply has listed it `PROVEN_RUN_S` after its start.
+    on_trial : bool
+        Whether its unit was suspected of crashing workers when it was
+        planned. Nothing else starts beside it until it is proven.
     deadline_ms : int
         Expiry of the start's lease on the worker's clock; 0 before it is
         sent.
@@ -116,6 +125,8 @@
     planned_at: float = 0.0
     recorded: bool = False
     listed: bool = False
+    proven: bool = False
+    on_trial: bool = False
     confirmed_at: float = 0.0
     deadline_ms: int = 0
     percent: float = 0.0
@@ -139,6 +150,26 @@
         return (self.task, self.number)
 
 
+@attrs.frozen(kw_only=True, slots=True)
+class Crash:
+    """A crash of a worker under a run.
+
+    Attributes
+    ----------
+    worker_key : str
+        The worker incarnation that crashed.
+    index : int
+        Number of the run's task in its step.
+    suspects : int
+        Number of units on the worker that may have caused the crash, with
+        this one; 0 if this one is not among them.
+    """
+
+    worker_key: str
+    index: int
+    suspects: int
+
+
 @attrs.define(kw_only=True, slots=True, eq=False)
 class Unit:
     """A task, or all members of a gang, which start and end together.
@@ -157,9 +188,8 @@
         Number of failed runs.
     failed_runs : set of int
         Numbers of the failed runs.
-    lost_runs : int
-        Number of runs that were lost with their worker, for the log; an
-        owner counts only those that it has seen itself.
+    crashes : dict of int to Crash
+        Crashes of workers under its runs, by run number.
     checkpoint : str
         Checkpoint to resume from; empty if there is none.
     runs : list of Run
@@ -179,7 +209,7 @@
     last_run: int = 0
     failures: int = 0
     failed_runs: set[int] = attrs.field(factory=set)
-    lost_runs: int = 0
+    crashes: dict[int, Crash] = attrs.field(factory=dict)
     checkpoint: str = ""
     runs: list[Run] = attrs.field(factory=list)
     avoided: set[str] = attrs.field(factory=set)
@@ -332,6 +362,9 @@
         Number of filler runs, and of runs with a latency target.
     step_runs : dict of (str, int, int) to int
         Number of runs by job, occurrence and step.
+    unproven_runs, trials : int
+        Number of runs that are not proven, and of those among them that are
+        on trial.
     last_reply_at : float
         Monotonic time of the last poll reply to this owner; 0 before the
         first.
@@ -361,6 +394,11 @@
         Monotonic time at which it was first seen draining; 0 before.
     failed_polls : int
         Failed polls since the last reply.
+    known_since : float
+        Monotonic time at which this owner learned of it.
+    lost_at : float
+        Monotonic time at which its runs were ended because it was silent; 0
+        while it answers.
     """
 
     key: str
@@ -371,6 +409,8 @@
     fillers: int = 0
     serving: int = 0
     step_runs: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
+    unproven_runs: int = 0
+    trials: int = 0
     last_reply_at: float = 0.0
     clock_ms: int = 0
     clock_at: float | None = None
@@ -387,6 +427,8 @@
     stalls: int = 0
     draining_since: float = 0.0
     failed_polls: int = 0
+    known_since: float = 0.0
+    lost_at: float = 0.0
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -401,11 +443,14 @@
         How long before its due time an occurrence may start.
     stop_s : float
         Longest time that a stop takes.
+    entry_expiry_s : float
+        Silence after which the store has removed the entry of a dead worker.
     """
 
     lease_s: float = 6.0
     early_s: float = 0.25
     stop_s: float = 0.9
+    entry_expiry_s: float = 6.0
 
 
 @attrs.define(kw_only=True, slots=True, eq=False)
@@ -433,6 +478,8 @@
     unanswered_starts : dict of str to set of (str, int)
         Runs whose start was not answered before their lease expired, by
         worker id. A later incarnation could still execute the start.
+    crashed_units : dict of (str, (int, int, int)) to (Job, Unit)
+        Units under whose runs workers have crashed, by job and unit.
     """
 
     service: str
@@ -443,6 +490,9 @@
     top_priority: int = 0
     unknown_runs: dict[str, set[RunKey]] = attrs.field(factory=dict)
     unanswered_starts: dict[str, set[RunKey]] = attrs.field(factory=dict)
+    crashed_units: dict[tuple[str, UnitKey], tuple[Job, Unit]] = attrs.field(
+        factory=dict
+    )
 
 
 def worker_key(report: _specs.WorkerReport) -> str:
@@ -492,7 +542,18 @@
         _count_run(worker, run, -1)
 
 
+def prove_run(worker: Worker, run: Run) -> None:
+    """Record that a run did not crash its worker as it started."""
+    if not run.proven:
+        worker.unproven_runs -= 1
+        worker.trials -= run.on_trial
+        run.proven = True
+
+
 def _count_run(worker: Worker, run: Run, change: int) -> None:
+    if not run.proven:
+        worker.unproven_runs += change
+        worker.trials += change * run.on_trial
     occurrence, number, _ = run.unit.key
     step = run.job.spec.steps[number]
     worker.requested_cpu_millis += change * step.need.cpu_millis
--- a/chestnuttide/workloads/tests/_crash_simulation.py
+++ b/chestnuttide/workloads/tests/_crash_simulation.py
@@ -150,6 +150,9 @@
             )
             if workloads.is_removable(worker):
                 del simulation.pool.workers[worker.key]
+        workloads.settle_crashes(
+            simulation.pool, now=simulation.now, now_unix_s=simulation.now
+        )
         _plan(simulation)
         for job in simulation.pool.jobs.values():
             simulation.states[job.spec.id] = job.state
