Do not start a planned run on a worker that has shrunk meanwhile

Cause: a run is planned against the capacity that its worker reports then, and its start is sent once its record is stored. If the store is slow or away for seconds, the worker may have reported less capacity in between, and the start brought it over. The class of fault is a decision that is carried out later on an outdated belief.

Change: begin_start checks what is allocated on the worker against its latest report, for the resources that the run needs; a run that no longer fits is dropped and planned again.

--- a/chestnuttide/workloads/_starts.py
+++ b/chestnuttide/workloads/_starts.py
@@ -1,5 +1,6 @@
 """Start commands of runs: their leases, and whether one may still be sent."""
 
+from chestnuttide import model
 from chestnuttide.workloads import _poll_replies
 from chestnuttide.workloads import _state
 
@@ -21,11 +22,14 @@
     -------
     Worker or None
         The worker to send the start to; None if it can no longer be started
-        there, because the worker has left or restarted.
+        there, because the worker has left, has restarted or has less capacity
+        than when the run was planned.
     """
     worker = pool.workers.get(run.worker_key)
     if worker is None or not worker.listed or worker.clock_at is None:
         return None
+    if not _fits(worker, run.need):
+        return None
     run.deadline_ms = _poll_replies.lease_deadline_ms(
         worker, now=now, lease_s=START_LEASE_S
     )
@@ -34,6 +38,22 @@
     return worker
 
 
+def _fits(worker: _state.Worker, need: model.Resources) -> bool:
+    """Return whether a worker has the capacity allocated for a planned run.
+
+    Its capacity may have shrunk while the run's record was being stored. Only
+    the resources that the run needs count.
+    """
+    capacity, used = worker.report.capacity, worker.used
+    return (
+        (not need.cpu_millis or used.cpu_millis <= capacity.cpu_millis)
+        and (not need.memory_mb or used.memory_mb <= capacity.memory_mb)
+        and (
+            not need.accelerators or used.accelerators <= capacity.accelerators
+        )
+    )
+
+
 def may_send_start(run: _state.Run) -> bool:
     """Return whether a start that has begun may still be sent.
 
