Show whom a crash is blamed on, and hold workers for gangs on trial

Cause: a gang on trial needs several workers without unproven runs at the same time, and only one worker was kept free for it, so it could wait for as long as other work kept starting.

Change: as many workers are kept free as the waiting gang needs. Tests for what the fix promises: sound work beside the cause is not suspected, a silent worker that answers or stays listed has not crashed, crashes survive a change of owner, a worker that was draining has left, trials leave three quarters of the workers to others, long-running tasks and gangs are given up too, and a task that crashes its worker 0.2 or 1 s after the start still stays within five starts. The property test also loses workers and checks the new counts.

--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -456,16 +456,31 @@
     used = {run.worker_key for run in placed}
     for key in used:
         _update_score(view, step, scored, key)
-    if not placed and scored:
-        _, kept_free = min(
-            scored.values(), key=lambda pair: pair[1].unproven_runs
-        )
-        view.kept_free.add(kept_free.key)
-        scored.pop(kept_free.key)
-        view.trial_slots -= 1
-        return [], True
     view.trial_slots -= len(used)
-    return placed, False
+    if placed or not scored:
+        return placed, False
+    _keep_workers_free(view, step, scored, len(unit.indexes))
+    return [], True
+
+
+def _keep_workers_free(
+    view: _free_capacity.CapacityView,
+    step: _WaitingStep,
+    scored: _ScoredWorkers,
+    wanted: int,
+) -> None:
+    """Start nothing on workers that a trial needs, so that they fall quiet."""
+    workers = sorted(
+        (worker for _, worker in scored.values()),
+        key=lambda worker: worker.unproven_runs,
+    )
+    for worker in workers:
+        if wanted <= 0:
+            return
+        wanted -= _free_capacity.count_fitting_tasks(view, worker, step.demand)
+        view.kept_free.add(worker.key)
+        view.trial_slots -= 1
+        scored.pop(worker.key)
 
 
 def _place_unit(
--- a/chestnuttide/workloads/tests/test_crashes.py
+++ b/chestnuttide/workloads/tests/test_crashes.py
@@ -3,6 +3,8 @@
 import collections
 import itertools
 
+import attrs
+import cbor2
 import pytest
 
 from chestnuttide import model
@@ -82,3 +84,262 @@
             (True, workloads.JobState.FAILED),
             (False, workloads.JobState.COMPLETE),
         }, (seed, states)
+
+
+def _crash_under_all(pool: workloads.Pool, *, now: float) -> None:
+    """End all workers that have runs, as a crash and a restart show them."""
+    for worker in list(pool.workers.values()):
+        if worker.runs:
+            workloads.end_incarnation(
+                pool, worker, now=now, now_unix_s=_pool_fixtures.UNIX_S
+            )
+
+
+def _fall_silent(
+    pool: workloads.Pool, worker: workloads.Worker, *, now: float
+) -> None:
+    """Let a worker's lease expire without a reply."""
+    worker.failed_polls = 1
+    worker.lease_until = now
+    workloads.expire_worker_lease(
+        pool, worker, now=now, now_unix_s=_pool_fixtures.UNIX_S
+    )
+
+
+def _settle(pool: workloads.Pool, *, now: float) -> int:
+    """Return how many units are given up."""
+    return len(
+        workloads.settle_crashes(
+            pool, now=now, now_unix_s=_pool_fixtures.UNIX_S
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        pytest.param({"count": 1}, id="task"),
+        pytest.param({"count": 3, "gang": True}, id="gang"),
+        pytest.param({"count": 1, "lasting": True}, id="long-running"),
+    ],
+)
+def test_a_task_alone_under_two_crashes_is_given_up(
+    step: dict[str, object],
+) -> None:
+    """Guards against a kind of task that is started without end."""
+    pool = _pool_fixtures.make_pool(8)
+    job = _pool_fixtures.submit(pool, _pool_fixtures.make_step(**step))
+    for number in (1, 2):
+        assert _pool_fixtures.start_all(pool, now=10.0 * number)
+        _crash_under_all(pool, now=10.0 * number + 0.01)
+        assert _settle(pool, now=10.0 * number + 3.0) == number - 1
+    assert job.state == workloads.JobState.FAILED
+    assert not workloads.make_plan(pool, now=99.0).runs
+
+
+def test_work_that_ran_before_is_not_suspected_of_a_crash() -> None:
+    """Guards against sound work that is given up beside the cause."""
+    pool = _pool_fixtures.make_pool(1)
+    sound = _pool_fixtures.submit(pool, _pool_fixtures.make_step())
+    (run,) = _pool_fixtures.start_all(pool)
+    _pool_fixtures.apply_reply(
+        pool,
+        run.worker_key,
+        running=(_pool_fixtures.RunReport(task=run.task, run=1),),
+    )
+    cause = _pool_fixtures.submit(
+        pool, _pool_fixtures.make_step(), job_id="00000000000000b1"
+    )
+    _pool_fixtures.start_all(pool, now=2.0)
+    _crash_under_all(pool, now=2.1)
+    crashes = [
+        job.units[(0, 0, 0)].crashes[1].suspects for job in (sound, cause)
+    ]
+    assert crashes == [0, 1]
+
+
+@pytest.mark.parametrize(
+    ("answers", "still_listed", "given_up"),
+    [
+        pytest.param(True, True, 0, id="answers-again"),
+        pytest.param(False, True, 0, id="cut-off-but-alive"),
+        pytest.param(False, False, 1, id="gone"),
+    ],
+)
+def test_a_silent_worker_has_not_crashed_if_it_lives(
+    answers: bool, still_listed: bool, given_up: int
+) -> None:
+    """Guards against work that is given up because workers were cut off."""
+    pool = _pool_fixtures.make_pool(3)
+    job = _pool_fixtures.submit(pool, _pool_fixtures.make_step())
+    for now in (1.0, 2.0):
+        (run,) = _pool_fixtures.start_all(pool, now=now)
+        _fall_silent(pool, pool.workers[run.worker_key], now=now + 0.1)
+    assert _settle(pool, now=3.0) == 0
+    assert not workloads.make_plan(pool, now=3.0).runs
+    for worker in pool.workers.values():
+        if worker.failed_polls and answers:
+            _pool_fixtures.apply_reply(pool, worker.key, sent_at=4.0)
+            worker.failed_polls = 0
+        worker.listed = still_listed
+    assert _settle(pool, now=20.0) == given_up
+    assert bool(job.units[(0, 0, 0)].crashes) == bool(given_up)
+    assert len(workloads.make_plan(pool, now=20.0).runs) == 1 - given_up
+
+
+def test_a_worker_that_was_draining_has_left() -> None:
+    """Guards against suspicion of the last work on a worker that leaves."""
+    pool = _pool_fixtures.make_pool(1)
+    job = _pool_fixtures.submit(pool, _pool_fixtures.make_step())
+    _pool_fixtures.start_all(pool)
+    (worker,) = pool.workers.values()
+    worker.report = attrs.evolve(worker.report, draining=True)
+    _crash_under_all(pool, now=1.0)
+    assert not job.units[(0, 0, 0)].crashes
+
+
+def test_a_start_that_reached_the_next_incarnation_crashed_none() -> None:
+    """Guards against suspicion of a run that a restarted worker executes."""
+    pool = _pool_fixtures.make_pool(1)
+    job = _pool_fixtures.submit(pool, _pool_fixtures.make_step())
+    (run,) = _pool_fixtures.start_all(pool)
+    (worker,) = pool.workers.values()
+    workloads.start_incarnation(pool, worker, 2)
+    unit = job.units[(0, 0, 0)]
+    assert unit.crashes[1].suspects == 1
+    _pool_fixtures.apply_reply(
+        pool,
+        "w0@2",
+        running=(_pool_fixtures.RunReport(task=run.task, run=1),),
+    )
+    assert not unit.crashes
+
+
+def test_a_suspected_task_starts_where_a_crash_has_no_other_suspect() -> None:
+    """Guards against blame that falls on work beside a suspected task."""
+    pool = _pool_fixtures.make_pool(2, cpu=8000)
+    suspected = _pool_fixtures.submit(
+        pool, _pool_fixtures.make_step(), priority=0
+    )
+    (run,) = _pool_fixtures.start_all(pool)
+    _crash_under_all(pool, now=0.2)
+    _pool_fixtures.add_worker(pool, "w9", cpu=8000)
+    other = _pool_fixtures.submit(
+        pool, _pool_fixtures.make_step(count=2), job_id="00000000000000b1"
+    )
+    # An unproven run on each worker keeps the suspected task waiting.
+    suspected.units[(0, 0, 0)].not_before = 2.0
+    assert len(_pool_fixtures.start_all(pool, now=1.0)) == 2
+    assert not workloads.make_plan(pool, now=2.0).runs
+    runs = [each for unit in other.units.values() for each in unit.runs]
+    _pool_fixtures.apply_reply(
+        pool,
+        runs[0].worker_key,
+        running=tuple(
+            _pool_fixtures.RunReport(task=each.task, run=each.number)
+            for each in runs
+            if each.worker_key == runs[0].worker_key
+        ),
+        sent_at=2.0,
+    )
+    (trial,) = _pool_fixtures.start_all(pool, now=2.1)
+    assert trial.job is suspected
+    assert trial.worker_key == runs[0].worker_key
+    # Nothing else starts there until the suspected task is proven.
+    _pool_fixtures.submit(
+        pool, _pool_fixtures.make_step(count=9), job_id="00000000000000b2"
+    )
+    keys = {
+        each.worker_key for each in workloads.make_plan(pool, now=2.2).runs
+    }
+    assert trial.worker_key not in keys
+    assert keys
+
+
+def test_trials_leave_most_workers_to_other_work() -> None:
+    """Guards against a wave of suspected tasks that stops all other work."""
+    pool = _pool_fixtures.make_pool(16)
+    _pool_fixtures.submit(pool, _pool_fixtures.make_step(count=40))
+    _pool_fixtures.start_all(pool)
+    _crash_under_all(pool, now=0.2)
+    for worker in pool.workers.values():
+        worker.listed = False
+    for number in range(16):
+        _pool_fixtures.add_worker(pool, f"x{number}")
+    trials = workloads.make_plan(pool, now=1.0).runs
+    assert len(trials) == 4
+    _pool_fixtures.submit(
+        pool, _pool_fixtures.make_step(count=40), job_id="00000000000000b1"
+    )
+    assert len(workloads.make_plan(pool, now=1.1).runs) == 40
+
+
+def test_crashes_survive_a_change_of_owner() -> None:
+    """Guards against a count of crashes that is lost with its owner."""
+    pool = _pool_fixtures.make_pool(2)
+    job = _pool_fixtures.submit(pool, _pool_fixtures.make_step())
+    _pool_fixtures.start_all(pool)
+    _crash_under_all(pool, now=0.2)
+    successor = _pool_fixtures.make_pool(2)
+    restored = _pool_fixtures.submit(successor, _pool_fixtures.make_step())
+    workloads.apply_progress(
+        successor,
+        restored,
+        workloads.encode_progress(job),
+        lease_until=3.0,
+        now=0.5,
+        now_unix_s=_pool_fixtures.UNIX_S,
+    )
+    assert restored.units[(0, 0, 0)].crashes == job.units[(0, 0, 0)].crashes
+    (run,) = _pool_fixtures.start_all(successor, now=1.0)
+    assert run.on_trial
+    _crash_under_all(successor, now=1.1)
+    assert _settle(successor, now=2.0) == 1
+
+
+def test_a_record_without_crashes_has_the_former_format() -> None:
+    """Guards against records that an older daemon beside this one rejects."""
+    pool = _pool_fixtures.make_pool(1)
+    job = _pool_fixtures.submit(pool, _pool_fixtures.make_step())
+    _pool_fixtures.start_all(pool)
+    _, _, (row,) = cbor2.loads(workloads.encode_progress(job))
+    assert len(row) == 8
+
+
+def test_a_long_running_task_that_serves_is_no_longer_suspected() -> None:
+    """Guards against a long-running task that is given up after months."""
+    pool = _pool_fixtures.make_pool(6)
+    job = _pool_fixtures.submit(pool, _pool_fixtures.make_step(lasting=True))
+    for number in range(1, 5):
+        now = 10.0 * number
+        (run,) = _pool_fixtures.start_all(pool, now=now)
+        _pool_fixtures.apply_reply(
+            pool,
+            run.worker_key,
+            running=(
+                _pool_fixtures.RunReport(
+                    task=run.task, run=run.number, percent=100.0
+                ),
+            ),
+            sent_at=now + 1.0,
+        )
+        _crash_under_all(pool, now=now + 2.0)
+        assert _settle(pool, now=now + 5.0) == 0
+    assert len(job.units[(0, 0, 0)].crashes) == 1
+
+
+@pytest.mark.parametrize("crash_delay_s", [0.2, 1.0])
+def test_a_task_that_crashes_its_worker_late_is_given_up_too(
+    crash_delay_s: float,
+) -> None:
+    """Guards against a deadly task that is proven before it crashes."""
+    for seed in range(3):
+        simulation = _play(seed=seed, crash_delay_s=crash_delay_s)
+        for task in simulation.deadly:
+            assert len(simulation.starts[task]) <= MAX_STARTS, (seed, task)
+            state = simulation.states[task.split(".")[0]]
+            assert state == workloads.JobState.FAILED
+        assert sum(
+            state != workloads.JobState.COMPLETE
+            for state in simulation.states.values()
+        ) == len(simulation.deadly)
--- a/chestnuttide/workloads/tests/test_properties.py
+++ b/chestnuttide/workloads/tests/test_properties.py
@@ -3,6 +3,7 @@
 import collections
 import random
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 
@@ -57,6 +58,9 @@
             (run.job.spec.id, *run.unit.key[:2]) for run in runs
         )
         assert worker.step_runs == per_step
+        unproven = [run for run in runs if not run.proven]
+        assert worker.unproven_runs == len(unproven)
+        assert worker.trials == sum(run.on_trial for run in unproven)
 
 
 def _check_invariants(pool: workloads.Pool) -> None:
@@ -82,6 +86,47 @@
             ), "a run of a cancelled job is not being stopped"
 
 
+def _list_runs(pool: workloads.Pool, rng: random.Random, now: float) -> None:
+    """Have a worker list its runs, and answer again if it was silent."""
+    worker = rng.choice(list(pool.workers.values()))
+    _pool_fixtures.apply_reply(
+        pool,
+        worker.key,
+        running=tuple(
+            _pool_fixtures.RunReport(task=run.task, run=run.number, percent=9)
+            for run in worker.runs.values()
+        ),
+        sent_at=now,
+    )
+    worker.failed_polls = 0
+
+
+def _lose_worker(pool: workloads.Pool, rng: random.Random, now: float) -> None:
+    """Have a worker fall silent, or crash and restart under its id."""
+    worker = rng.choice(list(pool.workers.values()))
+    if rng.random() < 0.5:
+        worker.failed_polls = 1
+        worker.lease_until = now
+        workloads.expire_worker_lease(
+            pool, worker, now=now, now_unix_s=_pool_fixtures.UNIX_S
+        )
+    elif worker.listed:
+        born_ms = worker.report.born_ms + 1
+        workloads.start_incarnation(pool, worker, born_ms)
+        workloads.end_incarnation(
+            pool, worker, now=now, now_unix_s=_pool_fixtures.UNIX_S
+        )
+        successor = workloads.update_worker(
+            pool,
+            attrs.evolve(worker.report, born_ms=born_ms),
+            now=now,
+            lease_until=now,
+        )
+        successor.last_reply_at = now
+        workloads.record_clock(successor, 1000, now)
+    workloads.settle_crashes(pool, now=now, now_unix_s=_pool_fixtures.UNIX_S)
+
+
 @hypothesis.given(
     strategies.lists(STEPS, min_size=1, max_size=4),
     strategies.integers(0, 2**32),
@@ -108,7 +153,9 @@
     now = 1.0
     for _ in range(30):
         now += 1.0
-        event = rng.choice(("plan", "plan", "end", "end", "end", "cancel"))
+        event = rng.choice(
+            ("plan", "plan", "end", "end", "end", "cancel", "list", "lose")
+        )
         if event == "plan":
             _pool_fixtures.start_all(pool, now=now)
         elif event == "end":
@@ -121,6 +168,10 @@
                 run = rng.choice(runs)
                 result = "stopped" if run.stopping else rng.choice(COMPLETIONS)
                 _pool_fixtures.complete_run(pool, run, result)
+        elif event == "list":
+            _list_runs(pool, rng, now=now)
+        elif event == "lose":
+            _lose_worker(pool, rng, now=now)
         elif rng.random() < 0.3:
             job = rng.choice(list(pool.jobs.values()))
             workloads.cancel_job(pool, job, _pool_fixtures.UNIX_S)
