End a run whose start was lost in a restart after its first stop answer

What callers saw: a job that stays running for ever after a worker has restarted under its id.

Cause: a run whose start may have reached the new incarnation ends once a poll that was sent after the answer to its stop does not list it. The owner repeated the stop after each poll reply, and each answer replaced the time of the one before, 10 ms after the next poll had been sent. With stops repeated every 0.5 s and polls that take 0.5 s, no poll was ever later than the last answer. The class of fault is a livelock of two periodic actions that reset each other.

Change: the first answer counts, and an answered stop of an unanswered start is not repeated. Which stops are due is now decided in workloads.

--- a/chestnuttide/node/_commands.py
+++ b/chestnuttide/node/_commands.py
@@ -16,8 +16,6 @@
 # Pause before an unavailable worker is polled, or a unit is placed, again.
 WORKER_RETRY_PAUSE_S = 0.25
 
-STOP_RETRY_S = 0.5
-
 
 def worker_address(worker: workloads.Worker) -> platform.WorkerAddress:
     return platform.WorkerAddress(
@@ -137,18 +135,8 @@
     owner: _ownership.Ownership, worker: workloads.Worker
 ) -> None:
     """Send the stops that are due on a worker, and resend unanswered ones."""
-    now = _clock.now()
-    for run in worker.runs.values():
-        uncertain = run.phase == workloads.Phase.UNCERTAIN
-        if not run.stopping and not (uncertain and run.deadline_ms > 0):
-            continue
-        if run.phase == workloads.Phase.PLANNED:
-            continue
-        if now - run.stop_sent_at >= STOP_RETRY_S:
-            run.stop_sent_at = now
-            _ownership.start_command(
-                owner, stop_run_on_worker(owner, worker, run)
-            )
+    for run in workloads.take_due_stops(worker, now=_clock.now()):
+        _ownership.start_command(owner, stop_run_on_worker(owner, worker, run))
 
 
 async def stop_run_on_worker(
@@ -157,7 +145,7 @@
     run: workloads.Run,
 ) -> None:
     if await _send_stop(owner, worker, run.task, run.number):
-        run.stop_acknowledged_at = _clock.now()
+        workloads.record_stop_answer(run, now=_clock.now())
 
 
 async def _send_stop(
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -10,6 +10,7 @@
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _starts
 from chestnuttide.workloads import _state
+from chestnuttide.workloads import _stops
 from chestnuttide.workloads import _supervision
 
 Advice = _specs.Advice
@@ -61,12 +62,14 @@
 record_lease = _poll_replies.record_lease
 record_query = _advisor_queries.record_query
 record_query_result = _advisor_queries.record_query_result
+record_stop_answer = _stops.record_stop_answer
 release_due_occurrences = _lifecycle.release_due_occurrences
 settle_crashes = _crashes.settle_crashes
 start_incarnation = _incarnations.start_incarnation
 step_of = _lifecycle.step_of
 stop_runs = _lifecycle.stop_runs
 stop_stalled = _supervision.stop_stalled
+take_due_stops = _stops.take_due_stops
 throttle_fillers = _supervision.throttle_fillers
 update_stored_completion = _poll_replies.update_stored_completion
 update_worker = _poll_replies.update_worker
@@ -122,12 +125,14 @@
     "record_lease",
     "record_query",
     "record_query_result",
+    "record_stop_answer",
     "release_due_occurrences",
     "settle_crashes",
     "start_incarnation",
     "step_of",
     "stop_runs",
     "stop_stalled",
+    "take_due_stops",
     "throttle_fillers",
     "update_stored_completion",
     "update_worker",
