Do not count a stop that a former incarnation has answered

What callers saw: nothing yet; found when the code of stops was read for the fault before this one.

Cause: the time of a stop's answer stayed with a run that was moved to its worker's next incarnation, or was recorded for it when the answer came late. The new incarnation knows nothing of that stop and may still execute the start, but its first poll reply without the run was taken to show that it never would. The task would then have run twice. The class of fault is evidence that is used for another process than the one that gave it.

Change: moving a run clears the answer, and an answer counts only while the run belongs to the worker that gave it.

Evidence: both cases of the new test in test_stops.py failed before and pass now; all tests of workloads pass.

--- a/chestnuttide/node/_commands.py
+++ b/chestnuttide/node/_commands.py
@@ -145,7 +145,7 @@
     run: workloads.Run,
 ) -> None:
     if await _send_stop(owner, worker, run.task, run.number):
-        workloads.record_stop_answer(run, now=_clock.now())
+        workloads.record_stop_answer(run, worker, now=_clock.now())
 
 
 async def _send_stop(
--- a/chestnuttide/workloads/_incarnations.py
+++ b/chestnuttide/workloads/_incarnations.py
@@ -87,6 +87,7 @@
         _state.deallocate(worker, run)
         run.worker_key = key
         run.phase = _state.Phase.UNCERTAIN
+        run.stop_sent_at = run.stop_acknowledged_at = 0.0
         if run.deadline_ms >= 0:
             run.deadline_ms = NEVER_EXPIRES_MS
         _state.mark_changed(run.job)
--- a/chestnuttide/workloads/_stops.py
+++ b/chestnuttide/workloads/_stops.py
@@ -31,11 +31,14 @@
     return run.stopping
 
 
-def record_stop_answer(run: _state.Run, *, now: float) -> None:
-    """Record that a run's worker has answered a stop for it.
+def record_stop_answer(
+    run: _state.Run, worker: _state.Worker, *, now: float
+) -> None:
+    """Record that a worker has answered a stop for a run.
 
     The first answer counts: the worker rejects the run's start from then on,
-    so the next poll that is sent shows whether it runs.
+    so the next poll that is sent shows whether it runs. An answer of a former
+    incarnation does not bind the one that the run was moved to.
     """
-    if not run.stop_acknowledged_at:
+    if run.worker_key == worker.key and not run.stop_acknowledged_at:
         run.stop_acknowledged_at = now
--- a/chestnuttide/workloads/tests/test_stops.py
+++ b/chestnuttide/workloads/tests/test_stops.py
@@ -34,7 +34,7 @@
         due = workloads.take_due_stops(worker, now=now)
         sent_at = now
         for each in due:
-            workloads.record_stop_answer(each, now=now + STOP_ANSWER_S)
+            workloads.record_stop_answer(each, worker, now=now + STOP_ANSWER_S)
         now += poll_wait_s
         _pool_fixtures.apply_reply(
             pool, worker.key, sent_at=sent_at, clock_ms=int(1000 * now)
@@ -52,3 +52,30 @@
         for step in range(11)
     ]
     assert sent == [step % 5 == 0 for step in range(11)]
+
+
+@pytest.mark.parametrize("answered_after_move", [False, True])
+def test_a_stop_answered_before_a_restart_does_not_end_the_moved_run(
+    answered_after_move: bool,
+) -> None:
+    """Guards against a second run while the lost start can still arrive."""
+    pool = _pool_fixtures.make_pool(1)
+    job = _pool_fixtures.submit(pool, _pool_fixtures.make_step())
+    (run,) = _pool_fixtures.start_all(pool)
+    run.phase = workloads.Phase.UNCERTAIN
+    former = pool.workers[run.worker_key]
+    if not answered_after_move:
+        workloads.record_stop_answer(run, former, now=0.5)
+    workloads.start_incarnation(pool, former, 2)
+    workloads.end_incarnation(
+        pool, former, now=1.0, now_unix_s=_pool_fixtures.UNIX_S
+    )
+    if answered_after_move:
+        workloads.record_stop_answer(run, former, now=1.0)
+    _pool_fixtures.apply_reply(pool, run.worker_key, sent_at=2.0)
+    assert job.units[(0, 0, 0)].runs == [run]
+    successor = pool.workers[run.worker_key]
+    assert workloads.take_due_stops(successor, now=2.1) == [run]
+    workloads.record_stop_answer(run, successor, now=2.2)
+    _pool_fixtures.apply_reply(pool, run.worker_key, sent_at=2.3)
+    assert not job.units[(0, 0, 0)].runs
