Test crashing tasks and shrinking workers with real daemons

Change: worker stand-ins crash under tasks that a test names, restart under the same or a new id, and report a changed capacity. Process tests of a deadly task beside sound jobs, also while its owner is killed, and of workers that shrink and grow. The soak has deadly tasks in 4% of its jobs and a fault that resizes workers; it checks the users' limit of five starts, that no sound job is shown as failed, and the capacity from 4.5 s (contact time and one heartbeat) after a change.

--- a/chestnuttide/node/tests/test_cell.py
+++ b/chestnuttide/node/tests/test_cell.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import json
 import pathlib
 import signal
@@ -19,11 +20,12 @@
         [node_cell.Cell], collections.abc.Awaitable[None]
     ],
     folder: pathlib.Path,
+    **size: int,
 ) -> None:
     """Run a scenario in a new cell and check its runs afterwards."""
 
     async def main() -> None:
-        async with node_cell.run_cell(folder) as cell:
+        async with node_cell.run_cell(folder, **size) as cell:
             await scenario(cell)
             node_cell.check_runs(cell)
 
@@ -85,6 +87,92 @@
     run(scenario, tmp_path)
 
 
+@pytest.mark.parametrize(
+    ("keeps_id", "owner_dies"),
+    [
+        pytest.param(True, False, id="same-id"),
+        pytest.param(False, False, id="new-id"),
+        pytest.param(False, True, id="owner-dies"),
+    ],
+)
+def test_a_task_that_crashes_workers_is_given_up_beside_other_work(
+    keeps_id: bool, owner_dies: bool, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a task that takes down one worker after another."""
+    deadly_job, *sound_jobs = JOBS
+    deadly_task = f"{deadly_job}.0.0.1"
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def scenario(cell: node_cell.Cell) -> None:
+        owner = node_cell.owner_of(cell)
+        other = next(node for node in cell.nodes if node is not owner)
+
+        def on_crash(number: int) -> None:
+            life = len(tasks)
+            tasks.add(
+                asyncio.ensure_future(
+                    node_cell.restart_worker(
+                        cell,
+                        number,
+                        down_s=3.2,
+                        new_id="" if keeps_id else f"i-{number}-{life}",
+                    )
+                )
+            )
+            if owner_dies and life == 1:
+                owner.process.send_signal(signal.SIGKILL)
+
+        for number, worker in enumerate(cell.workers):
+            worker.is_deadly = deadly_task.__eq__
+            worker.on_crash = functools.partial(on_crash, number)
+        for job_id in JOBS:
+            assert await node_cell.submit(other, job_id) == 200
+            await asyncio.sleep(0.1)
+        for job_id in sound_jobs:
+            await node_cell.wait_until_state(
+                other, job_id, "complete", limit_s=60.0
+            )
+        await node_cell.wait_until_state(
+            other, deadly_job, "failed", limit_s=60.0
+        )
+        starts = [task for worker in cell.workers for task, _ in worker.starts]
+        # Three more starts after three crashes are too many.
+        assert 2 <= starts.count(deadly_task) <= 5
+        for task in tasks:
+            task.cancel()
+
+    run(scenario, tmp_path, workers=6)
+
+
+def test_a_worker_that_has_shrunk_is_not_filled_over_its_capacity(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against an owner that does not follow its workers' capacity."""
+
+    async def scenario(cell: node_cell.Cell) -> None:
+        for number, worker in enumerate(cell.workers):
+            worker.run_s = 1.0
+            worker.capacity["cpu"] = 1000
+            node_cell.register_worker(cell, number)
+        # The users allow the platform's contact time and one heartbeat.
+        await asyncio.sleep(4.5)
+        most = 0
+        for job_id in JOBS[:4]:
+            assert await node_cell.submit(cell.nodes[0], job_id) == 200
+        for _ in range(60):
+            await asyncio.sleep(0.05)
+            most = max(most, *(len(worker.runs) for worker in cell.workers))
+        # Each task needs half of what is left of a worker.
+        assert most == 2
+        for number, worker in enumerate(cell.workers):
+            worker.capacity["cpu"] = 8000
+            node_cell.register_worker(cell, number)
+        for job_id in JOBS[:4]:
+            await node_cell.wait_until_state(cell.nodes[1], job_id, "complete")
+
+    run(scenario, tmp_path)
+
+
 def test_jobs_refused_during_a_store_outage_never_run(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -20,6 +20,8 @@
 POLL_PAUSE_S = 0.4
 
 CANCEL_SHARE = 0.15
+# Share of the jobs with a task that crashes each worker that starts it.
+DEADLY_SHARE = 0.04
 MAX_STEPS = 3
 MAX_TASKS_PER_STEP = 5
 CPU_MILLIS_CHOICES = (500, 1500, 4000)
@@ -101,6 +103,9 @@
     rng, ledger = callers.rng, callers.ledger
     job = _checks.Job(id=job_id, body=_make_body(rng, job_id))
     ledger.jobs[job_id] = job
+    if rng.random() < DEADLY_SHARE:
+        index = rng.randrange(job.body["steps"][0]["count"])
+        ledger.deadly_starts[f"{job_id}.0.0.{index}"] = 0
     if not await _submit(callers, job):
         return
     will_cancel = rng.random() < CANCEL_SHARE
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -14,6 +14,14 @@
 # Time after its acknowledgement from which every daemon must know a job.
 VISIBILITY_LIMIT_S = 3.0
 
+# Starts after which a task that crashes its workers has to be given up: three
+# more after three crashes are too many.
+MAX_DEADLY_STARTS = 5
+
+# A capacity that has shrunk is in force after the contact time and one
+# heartbeat.
+CAPACITY_LIMIT_S = 4.5
+
 TERMINAL = ("complete", "failed", "canceled")
 
 
@@ -57,6 +65,11 @@
         Runs of each task that ended successfully.
     acknowledged_tasks : set of str
         Tasks whose successful completion was acknowledged to the worker.
+    deadly_starts : dict of str to int
+        Starts of each task that crashes the workers that start it.
+    capacities : list of (float, Worker, int)
+        Times at which capacities ended to be in force, with the worker and
+        its processors.
     faults : list of str
         Injected faults, for the report.
     violations : list of str
@@ -69,6 +82,10 @@
         factory=lambda: collections.defaultdict(set)
     )
     acknowledged_tasks: set[str] = attrs.field(factory=set)
+    deadly_starts: dict[str, int] = attrs.field(factory=dict)
+    capacities: list[tuple[float, cloud.Worker, int]] = attrs.field(
+        factory=list
+    )
     faults: list[str] = attrs.field(factory=list)
     violations: list[str] = attrs.field(factory=list)
 
@@ -87,6 +104,7 @@
         if outcome == "done":
             ledger.acknowledged_tasks.add(task)
 
+    worker.is_deadly = ledger.deadly_starts.__contains__
     worker.on_start = on_start
     worker.on_completion = on_completion
     worker.on_acknowledged = on_acknowledged
@@ -103,6 +121,10 @@
 ) -> None:
     task = command["task"]
     label = f"{task} run {command['run']} on {worker.id}"
+    if task in ledger.deadly_starts:
+        ledger.deadly_starts[task] += 1
+        if ledger.deadly_starts[task] > MAX_DEADLY_STARTS:
+            record_violation(ledger, f"started in spite of crashes: {label}")
     for other in ledger.workers:
         cloud.end_due_runs(other)
         if any(key[0] == task for key in other.runs):
@@ -151,7 +173,17 @@
         other_id, _, other_step, _ = task.split(".")
         other = ledger.jobs[other_id]
         used += other.body["steps"][int(other_step)]["cpu"]
-    if used > worker.capacity["cpu"]:
+    now = time.monotonic()
+    allowed = max(
+        worker.capacity["cpu"],
+        *(
+            cpu
+            for until_s, resized, cpu in ledger.capacities
+            if resized is worker and now - until_s < CAPACITY_LIMIT_S
+        ),
+        0,
+    )
+    if used > allowed:
         record_violation(ledger, f"over capacity ({used} millicores): {label}")
 
 
@@ -168,7 +200,7 @@
         return
     if job.state in TERMINAL and state != job.state:
         record_violation(ledger, f"{job.id} went from {job.state} to {state}")
-    if state == "failed":
+    if state == "failed" and not _is_deadly(ledger, job):
         record_violation(
             ledger, f"{job.id} is reported as failed without cause"
         )
@@ -177,6 +209,10 @@
     job.state = state
 
 
+def _is_deadly(ledger: Ledger, job: Job) -> bool:
+    return any(task.startswith(f"{job.id}.") for task in ledger.deadly_starts)
+
+
 def _check_complete(ledger: Ledger, job: Job) -> None:
     for number, step in enumerate(job.body["steps"]):
         for index in range(step["count"]):
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -175,24 +175,25 @@
 
 async def crash_worker(testbed: Testbed, rng: random.Random) -> None:
     """Restart a worker under its id with all its state lost."""
-    worker = rng.choice(testbed.cell.workers)
-    index = testbed.cell.workers.index(worker)
-    worker.runs.clear()
-    worker.highest_ended_runs.clear()
-    worker.completions.clear()
-    worker.next_completion = 1
-    worker.last_expired_completion = 0
-    worker.fencing_token = 0
-    worker.incarnation_ms += 1000
-    _register_worker(testbed, index)
+    index = rng.randrange(len(testbed.cell.workers))
+    cloud.restart(testbed.cell.workers[index])
+    node_cell.register_worker(testbed.cell, index)
     await asyncio.sleep(0.1)
 
 
-def _register_worker(testbed: Testbed, index: int) -> None:
+async def resize_worker(testbed: Testbed, rng: random.Random) -> None:
+    """Shrink a worker's capacity for some seconds."""
+    index = rng.randrange(len(testbed.cell.workers))
     worker = testbed.cell.workers[index]
-    address = testbed.cell.worker_addresses[index]
-    entry = cloud.encode_entry(worker, address)
-    cloud.put(testbed.cell.store, f"servers/{worker.id}", entry)
+    former = worker.capacity["cpu"]
+    for cpu in (int(former * rng.uniform(0.2, 0.8)), former):
+        testbed.ledger.capacities.append(
+            (time.monotonic(), worker, worker.capacity["cpu"])
+        )
+        worker.capacity["cpu"] = cpu
+        if not worker.silent:
+            node_cell.register_worker(testbed.cell, index)
+        await asyncio.sleep(rng.uniform(2.0, 8.0))
 
 
 async def change_config(testbed: Testbed, rng: random.Random) -> None:
@@ -233,6 +234,8 @@
     partition_worker,
     reset_connections,
     crash_worker,
+    resize_worker,
+    resize_worker,
     change_config,
     change_config,
     partition_advisor,
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -21,6 +21,9 @@
 WORKER_CPU_MILLIS = 8000
 JOBS_PER_S = 4.0
 
+# Time for which a worker is down after a task has crashed it.
+CRASH_DOWN_S = 3.0
+
 # Time after the last fault within which all accepted jobs must end.
 FINISH_LIMIT_S = 40.0
 
@@ -116,6 +119,11 @@
         entry = cloud.encode_entry(worker, address)
         cloud.put(store, f"servers/{worker.id}", entry)
     cloud.put(store, "op/config", node_cell.make_config(1))
+    restarts: set[asyncio.Task[None]] = set()
+    for number, worker in enumerate(workers):
+        worker.on_crash = functools.partial(
+            _restart_after_crash, cell, restarts, number
+        )
     ports = harness.make_harness(folder)
     try:
         for number in range(nodes):
@@ -135,6 +143,8 @@
             await node_cell.wait_until_ready(node)
         yield testbed
     finally:
+        for task in restarts:
+            task.cancel()
         for node in cell.nodes:
             node.process.kill()
             node.process.wait()
@@ -148,6 +158,23 @@
             close()
 
 
+def _restart_after_crash(
+    cell: node_cell.Cell, restarts: set[asyncio.Task[None]], number: int
+) -> None:
+    """Restart a worker that a task has crashed, every other time as new."""
+    life = len(restarts)
+    restarts.add(
+        asyncio.ensure_future(
+            node_cell.restart_worker(
+                cell,
+                number,
+                down_s=CRASH_DOWN_S,
+                new_id=f"i-{number}-{life}" if life % 2 else "",
+            )
+        )
+    )
+
+
 async def _submit_jobs(
     callers: _callers.Callers,
     jobs: set[asyncio.Task[None]],
--- a/standins/cloud/__init__.py
+++ b/standins/cloud/__init__.py
@@ -9,6 +9,7 @@
 Run = _worker.Run
 Store = _store.Store
 Worker = _worker.Worker
+crash = _worker.crash
 encode_entry = _worker.encode_entry
 end_due_runs = _worker.end_due_runs
 expire_leases = _store.expire_leases
@@ -16,6 +17,8 @@
 handle_store_request = _store.handle_store_request
 handle_worker_request = _worker.handle_worker_request
 put = _store.put
+remove = _store.remove
+restart = _worker.restart
 serve = _http.serve
 
 __all__ = [
@@ -23,6 +26,7 @@
     "Run",
     "Store",
     "Worker",
+    "crash",
     "encode_entry",
     "end_due_runs",
     "expire_leases",
@@ -30,5 +34,7 @@
     "handle_store_request",
     "handle_worker_request",
     "put",
+    "remove",
+    "restart",
     "serve",
 ]
--- a/standins/cloud/_store.py
+++ b/standins/cloud/_store.py
@@ -75,6 +75,13 @@
     _notify_watches(store)
 
 
+def remove(store: Store, key: str) -> None:
+    """Remove a key, as it happens to the entry of a dead worker."""
+    store.revision += 1
+    _remove(store, key)
+    _notify_watches(store)
+
+
 def expire_leases(store: Store) -> None:
     """Remove expired leases and the keys attached to them."""
     now = time.monotonic()
--- a/standins/cloud/_worker.py
+++ b/standins/cloud/_worker.py
@@ -11,10 +11,18 @@
 from standins.cloud import _http
 
 
+# A worker crashes this long after it has started a deadly task.
+CRASH_DELAY_S = 0.01
+
+
 def _ignore(*event: object) -> None:
     """Default of the observer callbacks."""
 
 
+def _is_never_deadly(task: str) -> bool:
+    return False
+
+
 @attrs.define(kw_only=True)
 class Run:
     """A run of a task.
@@ -75,6 +83,11 @@
         Highest completion number when the lease was last found expired.
     silent : bool
         Whether requests get no response.
+    is_deadly : function
+        Called with the task of each started run; returns whether the worker
+        crashes under it.
+    on_crash : function
+        Called when it crashes under a task.
     """
 
     id: str
@@ -96,6 +109,28 @@
     on_acknowledged: collections.abc.Callable[[str, int, str], None] = _ignore
     last_expired_completion: int = 0
     silent: bool = False
+    is_deadly: collections.abc.Callable[[str], bool] = _is_never_deadly
+    on_crash: collections.abc.Callable[[], None] = _ignore
+
+
+def crash(worker: Worker) -> None:
+    """Crash a worker; it answers nothing until it is restarted."""
+    if not worker.silent:
+        worker.silent = True
+        worker.runs.clear()
+        worker.on_crash()
+
+
+def restart(worker: Worker) -> None:
+    """Start the next incarnation, which knows nothing of the former one."""
+    worker.runs.clear()
+    worker.highest_ended_runs.clear()
+    worker.completions.clear()
+    worker.next_completion = 1
+    worker.last_expired_completion = 0
+    worker.fencing_token = 0
+    worker.incarnation_ms += 1000
+    worker.silent = False
 
 
 def encode_entry(worker: Worker, address: str) -> bytes:
@@ -198,6 +233,8 @@
         started_at_s=now, due_at_s=now + worker.run_s
     )
     worker.starts.append((task, run))
+    if worker.is_deadly(task):
+        asyncio.get_running_loop().call_later(CRASH_DELAY_S, crash, worker)
     return 200, clock
 
 
@@ -211,6 +248,8 @@
     while not worker.completions and time.monotonic() < deadline_s:
         await asyncio.sleep(0.01)
         end_due_runs(worker)
+    if worker.silent:
+        return None
     now = time.monotonic()
     running = [
         [task, run, "", int(99 * (now - each.started_at_s) / worker.run_s), 0]
--- a/standins/node_cell.py
+++ b/standins/node_cell.py
@@ -22,6 +22,9 @@
 HOST = "dials.example"
 ROOT = pathlib.Path(__file__).parents[1]
 
+# The store removes the entry of a worker after this time of silence.
+ENTRY_EXPIRY_S = 4.5
+
 # Ports for callers, readiness, mesh and metrics.
 PORTS_PER_NODE = 4
 
@@ -299,9 +302,11 @@
     return await call(url(node, job_id), method="POST", body=make_job(**job))
 
 
-async def wait_until_state(node: Node, job_id: str, state: str) -> None:
+async def wait_until_state(
+    node: Node, job_id: str, state: str, *, limit_s: float = 15.0
+) -> None:
     """Wait until a daemon reports a job in the given state."""
-    deadline_s = time.monotonic() + 15
+    deadline_s = time.monotonic() + limit_s
     while True:
         _, document = await fetch(url(node, job_id))
         if document.get("state") == state:
@@ -310,6 +315,31 @@
         await asyncio.sleep(0.05)
 
 
+def register_worker(cell: Cell, number: int) -> None:
+    """Write the entry of a worker's current incarnation."""
+    worker = cell.workers[number]
+    cloud.put(
+        cell.store,
+        f"servers/{worker.id}",
+        cloud.encode_entry(worker, cell.worker_addresses[number]),
+    )
+
+
+async def restart_worker(
+    cell: Cell, number: int, *, down_s: float, new_id: str = ""
+) -> None:
+    """Restart a crashed worker, at times under a new id at its address."""
+    await asyncio.sleep(down_s)
+    worker = cell.workers[number]
+    former_id = worker.id
+    worker.id = new_id or former_id
+    cloud.restart(worker)
+    register_worker(cell, number)
+    if new_id:
+        await asyncio.sleep(max(0.0, ENTRY_EXPIRY_S - down_s))
+        cloud.remove(cell.store, f"servers/{former_id}")
+
+
 def owner_of(cell: Cell) -> Node:
     """Return the daemon that owns the service."""
     value = cell.store.keys[f"cell/owners/{SERVICE}"].value
