Clear sound suspects of a crash in shared trials

What callers saw: when three jobs in ten hold a deadly task, sound jobs that were suspected beside them waited for tens of seconds, and some were shown as failed.

Cause: every suspect, likely cause or not, needed a worker of its own for each trial, likely causes took these workers as often as others, more urgent work that was planned first kept the workers from falling quiet, and five crashes in any role gave a unit up. The class of fault is a recovery that has no bound on its queue.

Change: units that are unlikely to be the cause share a trial, up to an expected 0.75 causes; likely ones are tried alone on half of the trial workers; a worker that a trial waits for stays free over planning rounds; half of the workers may hold trials while the service is not busy. A unit is given up after two crashes as the only suspect, or one after two under suspicion, and after five only if two of them were under suspicion. One that was lost three times though proven stays on trial for 5 s.

The test of what trials leave to others asserted a quarter of the workers; it now asserts a quarter while the service is busy and half otherwise, in both cases with the other work placed at once.

--- a/chestnuttide/workloads/_crashes.py
+++ b/chestnuttide/workloads/_crashes.py
@@ -2,9 +2,9 @@
 
 A task may crash every worker that starts it. All runs of the worker are lost,
 and most of them belong to sound tasks. Those that were only just started are
-suspected. A suspected task next starts on trial: on a worker that has proven
-its other runs, and that starts nothing else until this one is proven too. A
-crash then has one suspect. A task that was the only suspect twice is given up.
+suspected, and next start on trial (see ``_trials``): apart from other work
+and, after a second crash, each alone. A crash then has one suspect. A task
+that was the only suspect twice, or once after two crashes, is given up.
 """
 
 import collections.abc
@@ -17,34 +17,79 @@
 # was on trial.
 MAX_SOLE_CRASHES = 2
 
-# Crashes after which a unit is given up although none of them can be
-# attributed, for example because its owner changed each time. The users allow
-# five starts.
+# Crashes under suspicion after which a unit is given up if it was the only
+# suspect of one of them.
+MAX_SUSPECTED_CRASHES = 3
+
+# Crashes after which a unit that was suspected repeatedly is given up although
+# none of them can be attributed, for example because its owner changed each
+# time. The users allow five starts.
 MAX_CRASHES = 5
 
-# Crashes after which a unit is suspected even if its runs had been proven.
+# Crashes after which a unit is suspected even if its runs had been proven. It
+# may crash workers only after a while, so its trials take longer.
 SUSPICIOUS_CRASHES = 3
+LONG_TRIAL_S = 5.0
+
+# Likelihood that a unit is the cause of so many crashes of workers that had
+# proven it each time.
+BYSTANDER_RISK = 0.2
 
 
 def is_suspect(unit: _state.Unit) -> bool:
     """Return whether a unit's next run is on trial."""
-    return len(unit.crashes) >= SUSPICIOUS_CRASHES or any(
-        crash.suspects for crash in unit.crashes.values()
+    return bool(unit.crashes) and (
+        len(unit.crashes) >= SUSPICIOUS_CRASHES
+        or any(crash.suspects for crash in unit.crashes.values())
     )
 
 
+def trial_s(unit: _state.Unit) -> float:
+    """Return for how long a run has to be listed until it is proven."""
+    if len(unit.crashes) >= SUSPICIOUS_CRASHES:
+        return LONG_TRIAL_S
+    return _state.PROVEN_RUN_S
+
+
+def was_only_suspect(unit: _state.Unit) -> bool:
+    """Return whether a crash of a unit had no other suspect."""
+    return any(crash.suspects == 1 for crash in unit.crashes.values())
+
+
+def risk(unit: _state.Unit) -> float:
+    """Return how likely a suspected unit is the cause of its crashes.
+
+    It is 1 for units that share no trial: after a second crash on trial or
+    under suspicion, and for gangs, which use several workers. It is 0 once all
+    crashes are refuted.
+    """
+    suspects = [
+        crash.suspects for crash in unit.crashes.values() if crash.suspects
+    ]
+    if len(unit.indexes) > 1 or len(suspects) > 1:
+        return 1.0
+    if len(unit.crashes) >= SUSPICIOUS_CRASHES:
+        return 1.0 if suspects else BYSTANDER_RISK
+    return 1.0 / suspects[0] if suspects else 0.0
+
+
 def may_start(unit: _state.Unit) -> bool:
     """Return whether a unit may be started again after its crashes.
 
     A unit with too many of them waits until `settle_crashes` gives it up or
     finds that some of the workers had only been silent.
     """
-    return not _is_given_up(unit.crashes.values())
+    return not unit.crashes or not _is_given_up(unit.crashes.values())
 
 
 def _is_given_up(crashes: collections.abc.Collection[_state.Crash]) -> bool:
     sole = sum(crash.suspects == 1 for crash in crashes)
-    return sole >= MAX_SOLE_CRASHES or len(crashes) >= MAX_CRASHES
+    suspected = sum(crash.suspects > 0 for crash in crashes)
+    return (
+        sole >= MAX_SOLE_CRASHES
+        or (sole > 0 and suspected >= MAX_SUSPECTED_CRASHES)
+        or (suspected > 1 and len(crashes) >= MAX_CRASHES)
+    )
 
 
 def record_crash(pool: _state.Pool, worker: _state.Worker) -> None:
@@ -79,7 +124,7 @@
 ) -> list[_state.Unit]:
     """Return the units that may have crashed the worker of the lost runs.
 
-    Nothing unproven starts beside a run on trial, so only runs on trial are
+    Nothing else starts beside a run on trial, so only runs on trial are
     suspected if there are any.
     """
     unproven = [run for run in lost if not run.proven]
@@ -127,12 +172,13 @@
         clear_crashes(job, unit, lambda crash: crash.worker_key == worker.key)
 
 
-def refute_by_run(run: _state.Run) -> None:
+def refute_by_run(run: _state.Run, *, settled: bool) -> None:
     """Remove crashes that a listed run shows not to be its own fault.
 
     A start that was sent to a worker that crashed may have reached its next
     incarnation instead, and runs there. A long-running task that serves has
-    started without crashing its worker.
+    started without crashing its worker; `settled` is whether it has run for
+    `PROVEN_RUN_S`.
     """
     unit = run.unit
     crash = unit.crashes.get(run.number)
@@ -143,7 +189,7 @@
     ):
         clear_crashes(run.job, unit, lambda each: each is crash)
     lasting = _lifecycle.step_of(unit, run.job).lasting
-    if lasting and run.proven and run.percent >= 100:
+    if lasting and settled and run.percent >= 100:
         clear_crashes(run.job, unit, lambda each: True)
 
 
--- a/chestnuttide/workloads/_free_capacity.py
+++ b/chestnuttide/workloads/_free_capacity.py
@@ -8,6 +8,7 @@
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
+from chestnuttide.workloads import _trials
 
 # Share of the service's processors that is reserved for its most urgent queue
 # while the service is busy, so that its work starts at once at the peak. The
@@ -21,10 +22,6 @@
 # not depend on one worker, while less than this share of it is in use.
 CROWDED_SHARE = 0.2
 
-# Share of the usable workers on which suspected tasks may be on trial at a
-# time. Nothing else starts on these workers meanwhile.
-TRIAL_WORKER_SHARE = 0.25
-
 # Weights of a candidate's score, in units of a worker's whole capacity.
 FILLER_BESIDE_SERVING_WEIGHT = 4.0
 SERVING_BESIDE_FILLER_WEIGHT = 2.0
@@ -90,26 +87,19 @@
         Capacity reserved for more urgent steps of the round, by worker.
     reserving_priorities : set of int
         Priorities of the queues for which full workers are reserved.
-    trial_slots : int
-        Number of further workers on which a trial may start in this round.
-    kept_free : set of str
-        Workers on which nothing starts, so that their runs are proven soon
-        and a trial can start there.
-    opened : set of str
-        Workers that the trial that is being placed may use.
+    trials : TrialView
+        Workers for trials of suspected units.
     """
 
     now: float
     top_priority: int
     workers: dict[str, _state.Worker]
+    trials: _trials.TrialView
     busy: bool = False
     crowded: bool = False
     spare_cpu_millis: float = math.inf
     reserved: dict[str, model.Resources] = attrs.field(factory=dict)
     reserving_priorities: set[int] = attrs.field(factory=set)
-    trial_slots: int = 1
-    kept_free: set[str] = attrs.field(factory=set)
-    opened: set[str] = attrs.field(factory=set)
 
 
 def make_view(
@@ -121,15 +111,14 @@
     used = sum(each.used.cpu_millis for each in listed)
     busy = used >= BUSY_SHARE * capacity
     spare = (1.0 - URGENT_RESERVE_SHARE) * capacity - used
-    trials = sum(each.trials > 0 for each in workers)
     return CapacityView(
         now=now,
         top_priority=pool.top_priority,
         workers={each.key: each for each in workers},
+        trials=_trials.make_trial_view(workers, busy=busy, now=now),
         busy=busy,
         crowded=used >= CROWDED_SHARE * capacity,
         spare_cpu_millis=spare if busy else math.inf,
-        trial_slots=max(1, int(TRIAL_WORKER_SHARE * len(workers))) - trials,
     )
 
 
@@ -203,9 +192,7 @@
     view: CapacityView, worker: _state.Worker, demand: Demand
 ) -> int:
     """Return how many more tasks of a step fit on a worker now."""
-    if (
-        worker.trials or worker.key in view.kept_free
-    ) and worker.key not in view.opened:
+    if _trials.is_closed(view.trials, worker):
         return 0
     capacity, used = worker.report.capacity, worker.used
     cpu = capacity.cpu_millis - used.cpu_millis
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -17,6 +17,7 @@
 from chestnuttide.workloads import _free_capacity
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _state
+from chestnuttide.workloads import _trials
 
 # A ticket must stay valid for the store write and the call of a start.
 TICKET_MARGIN_S = 0.15
@@ -143,7 +144,7 @@
                 for unit in _lifecycle.step_units(job, *key)
                 if unit.state == _state.UnitState.WAITING
                 and view.now >= unit.not_before
-                and (not unit.crashes or _crashes.may_start(unit))
+                and _crashes.may_start(unit)
             ]
             if waiting:
                 yield _WaitingStep(
@@ -172,7 +173,9 @@
     runs, unplaced = _place_units(view, step, candidates, advice)
     if not unplaced:
         return runs, None
-    return runs, _reserve_and_query(view, step, advice, unplaced)
+    query = _reserve_and_query(view, step, advice, unplaced)
+    view.trials.opened.clear()
+    return runs, query
 
 
 def _eligible_workers(
@@ -306,6 +309,8 @@
         for key, allowed in advice.allowed.items()
         if allowed and key in view.workers
     ]
+    if any(_crashes.is_suspect(unit) for unit in step.waiting):
+        view.trials.opened.update(_trials.kept_free(allowed_workers, view.now))
     fitting = sum(
         fitting for _, fitting in _fitting_workers(view, step, allowed_workers)
     )
@@ -416,8 +421,12 @@
     runs: list[_state.Run] = []
     unplaced = 0
     for unit in step.waiting:
-        if unit.crashes and _crashes.is_suspect(unit):
-            placed, waits = _place_on_trial(view, step, scored, unit, advice)
+        if _crashes.is_suspect(unit):
+            placed, waits = _place_on_trial(
+                view, step, candidates, unit, advice
+            )
+            for run in placed:
+                _update_score(view, step, scored, run.worker_key)
         else:
             placed = _place_unit(view, step, scored, unit, advice)
             waits = False
@@ -429,58 +438,42 @@
 def _place_on_trial(
     view: _free_capacity.CapacityView,
     step: _WaitingStep,
-    scored: _ScoredWorkers,
+    candidates: list[_state.Worker],
     unit: _state.Unit,
     advice: _state.StepAdvice | None,
 ) -> tuple[list[_state.Run], bool]:
-    """Place a suspected unit where a crash would have no other suspect.
-
-    Workers with few runs come first, because they lose the least.
+    """Place a suspected unit where only trials can be blamed for a crash.
 
     Returns
     -------
     list of Run, bool
         The planned runs, and whether the unit waits for a worker that has
-        capacity for it.
+        capacity for it. It then needs no reservation.
     """
-    if view.trial_slots <= 0:
-        return [], bool(scored)
-    quiet = {
-        key: (float(len(worker.runs)), worker)
-        for key, (_, worker) in scored.items()
-        if not worker.unproven_runs
+    view.trials.opened.update(worker.key for worker in candidates)
+    fitting = [
+        worker for worker, _ in _fitting_workers(view, step, candidates)
+    ]
+    hosts = {
+        worker.key: (_trials.score(view.trials, worker), worker)
+        for worker in fitting
+        if _trials.may_host(view.trials, worker, unit)
     }
-    view.opened.update(quiet)
-    placed = _place_unit(view, step, quiet, unit, advice)
-    view.opened.clear()
-    used = {run.worker_key for run in placed}
-    for key in used:
-        _update_score(view, step, scored, key)
-    view.trial_slots -= len(used)
-    if placed or not scored:
+    free = {
+        key
+        for key, (_, worker) in hosts.items()
+        if not _trials.is_taken(worker, view.now)
+    }
+    placed = _place_unit(view, step, hosts, unit, advice)
+    view.trials.opened.clear()
+    if placed:
+        used = {run.worker_key for run in placed}
+        _trials.record_trial(view.trials, unit, used & free)
+        for key in used:
+            view.workers[key].kept_free_until = 0.0
         return placed, False
-    _keep_workers_free(view, step, scored, len(unit.indexes))
-    return [], True
-
-
-def _keep_workers_free(
-    view: _free_capacity.CapacityView,
-    step: _WaitingStep,
-    scored: _ScoredWorkers,
-    wanted: int,
-) -> None:
-    """Start nothing on workers that a trial needs, so that they fall quiet."""
-    workers = sorted(
-        (worker for _, worker in scored.values()),
-        key=lambda worker: worker.unproven_runs,
-    )
-    for worker in workers:
-        if wanted <= 0:
-            return
-        wanted -= _free_capacity.count_fitting_tasks(view, worker, step.demand)
-        view.kept_free.add(worker.key)
-        view.trial_slots -= 1
-        scored.pop(worker.key)
+    _trials.keep_worker_free(view.trials, unit, fitting)
+    return [], bool(fitting)
 
 
 def _place_unit(
@@ -541,7 +534,7 @@
             ticket=advice.tickets[best.key][0] if advice is not None else "",
             checkpoint=unit.checkpoint,
             planned_at=view.now,
-            on_trial=bool(unit.crashes) and _crashes.is_suspect(unit),
+            on_trial=_crashes.is_suspect(unit),
         )
         _free_capacity.allocate(view, best, run)
         _update_score(view, step, scored, best.key)
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -217,10 +217,11 @@
         run.percent = row.percent
         run.progress_at = now
     run.latency_ms_or_cpu = row.latency_ms_or_cpu
-    if now - run.confirmed_at >= _state.PROVEN_RUN_S:
-        _state.prove_run(worker, run)
+    listed_s = now - run.confirmed_at
     if run.unit.crashes:
-        _crashes.refute_by_run(run)
+        _crashes.refute_by_run(run, settled=listed_s >= _state.PROVEN_RUN_S)
+    if listed_s >= _crashes.trial_s(run.unit):
+        _state.prove_run(worker, run)
     if row.checkpoint and row.checkpoint != run.checkpoint:
         run.checkpoint = row.checkpoint
 
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -88,10 +88,11 @@
     listed : bool
         Whether a poll reply of its worker incarnation has listed it.
     proven : bool
-        Whether a poll reply has listed it `PROVEN_RUN_S` after its start.
+        Whether a poll reply has listed it `PROVEN_RUN_S` after its start,
+        and its unit has not been lost in too many crashes.
     on_trial : bool
         Whether its unit was suspected of crashing workers when it was
-        planned. Nothing else starts beside it until it is proven.
+        planned. Only other trials start beside it until it is proven.
     deadline_ms : int
         Expiry of the start's lease on the worker's clock; 0 before it is
         sent.
@@ -365,6 +366,8 @@
     unproven_runs, trials : int
         Number of runs that are not proven, and of those among them that are
         on trial.
+    kept_free_until : float
+        Monotonic time until which only trials start on it.
     last_reply_at : float
         Monotonic time of the last poll reply to this owner; 0 before the
         first.
@@ -411,6 +414,7 @@
     step_runs: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
     unproven_runs: int = 0
     trials: int = 0
+    kept_free_until: float = 0.0
     last_reply_at: float = 0.0
     clock_ms: int = 0
     clock_at: float | None = None
--- a/chestnuttide/workloads/tests/test_crashes.py
+++ b/chestnuttide/workloads/tests/test_crashes.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+import random
 
 import attrs
 import cbor2
@@ -256,7 +257,13 @@
     assert keys
 
 
-def test_trials_leave_most_workers_to_other_work() -> None:
+@pytest.mark.parametrize(
+    ("busy", "trial_workers"),
+    [pytest.param(True, 4, id="busy"), pytest.param(False, 8, id="idle")],
+)
+def test_trials_leave_most_workers_to_other_work(
+    busy: bool, trial_workers: int
+) -> None:
     """Guards against a wave of suspected tasks that stops all other work."""
     pool = _pool_fixtures.make_pool(16)
     _pool_fixtures.submit(pool, _pool_fixtures.make_step(count=40))
@@ -264,14 +271,207 @@
     _crash_under_all(pool, now=0.2)
     for worker in pool.workers.values():
         worker.listed = False
+    need = model.Resources(cpu_millis=2000 if busy else 0, memory_mb=100)
     for number in range(16):
         _pool_fixtures.add_worker(pool, f"x{number}")
-    trials = workloads.make_plan(pool, now=1.0).runs
-    assert len(trials) == 4
     _pool_fixtures.submit(
-        pool, _pool_fixtures.make_step(count=40), job_id="00000000000000b1"
+        pool,
+        _pool_fixtures.make_step(count=16, need=need, spread_limit=1),
+        job_id="00000000000000b0",
+        priority=-1,
+    )
+    for key in {run.worker_key for run in _start_sound(pool, now=0.5)}:
+        _prove_runs(pool, key, now=0.9)
+    trials = workloads.make_plan(pool, now=1.5).runs
+    assert {run.on_trial for run in trials} == {True}
+    assert len({run.worker_key for run in trials}) == trial_workers
+    _pool_fixtures.submit(
+        pool, _pool_fixtures.make_step(count=24), job_id="00000000000000b1"
+    )
+    others = workloads.make_plan(pool, now=1.6).runs
+    assert len(others) == 24
+
+
+def _start_sound(pool: workloads.Pool, *, now: float) -> list[workloads.Run]:
+    """Start only the work that is not suspected."""
+    for _, unit in pool.crashed_units.values():
+        unit.not_before = now + 0.5
+    return _pool_fixtures.start_all(pool, now=now)
+
+
+def _prove_runs(pool: workloads.Pool, key: str, *, now: float) -> None:
+    """Have a worker list all its runs."""
+    _pool_fixtures.apply_reply(
+        pool,
+        key,
+        running=tuple(
+            _pool_fixtures.RunReport(task=run.task, run=run.number)
+            for run in pool.workers[key].runs.values()
+        ),
+        sent_at=now,
+    )
+
+
+def _submit_suspects(
+    pool: workloads.Pool,
+    suspects: list[int],
+    *,
+    job_id: str = "00000000000000aa",
+    **queue: int,
+) -> workloads.Job:
+    """Submit tasks, each after crashes with so many suspects."""
+    job = _pool_fixtures.submit(
+        pool,
+        _pool_fixtures.make_step(count=len(suspects)),
+        job_id=job_id,
+        **queue,
+    )
+    for unit, count in zip(job.units.values(), suspects, strict=True):
+        unit.last_run = 1
+        unit.crashes[1] = workloads.Crash(
+            worker_key="gone@1", index=unit.key[2], suspects=count
+        )
+    return job
+
+
+@pytest.mark.parametrize(
+    ("suspects", "groups"),
+    [
+        pytest.param([1, 1], [1, 1], id="only-suspects"),
+        pytest.param([2, 2], [1, 1], id="one-of-two"),
+        pytest.param([4, 4, 4, 4], [3, 1], id="one-of-four"),
+        pytest.param([8] * 8, [6, 2], id="one-of-eight"),
+    ],
+)
+def test_unlikely_causes_share_a_trial(
+    suspects: list[int], groups: list[int]
+) -> None:
+    """Guards against sound work that waits for a worker of its own each."""
+    pool = _pool_fixtures.make_pool(8, cpu=16000)
+    _submit_suspects(pool, suspects)
+    counts = collections.Counter(
+        run.worker_key for run in workloads.make_plan(pool, now=1.0).runs
     )
-    assert len(workloads.make_plan(pool, now=1.1).runs) == 40
+    assert sorted(counts.values(), reverse=True) == groups
+
+
+def test_likely_causes_leave_trials_to_the_other_suspects() -> None:
+    """Guards against sound suspects that wait behind deadly tasks."""
+    pool = _pool_fixtures.make_pool(8)
+    _submit_suspects(pool, [1] * 20, priority=0)
+    _submit_suspects(pool, [3] * 4, job_id="00000000000000b1", priority=2)
+    trials = collections.Counter(
+        run.job.spec.id for run in workloads.make_plan(pool, now=1.0).runs
+    )
+    assert trials == {"00000000000000aa": 2, "00000000000000b1": 4}
+
+
+def test_urgent_work_does_not_keep_a_suspected_task_from_a_trial() -> None:
+    """Guards against a suspect that waits while others keep starting."""
+    pool = _pool_fixtures.make_pool(4)
+    suspect = _submit_suspects(pool, [3], priority=2)
+    (unit,) = suspect.units.values()
+    unit.not_before = 0.25
+    for number in range(20):
+        now = 0.1 * (number + 1)
+        _pool_fixtures.submit(
+            pool,
+            _pool_fixtures.make_step(count=4),
+            job_id=f"{number:016x}",
+            now=now,
+            priority=0,
+        )
+        _pool_fixtures.start_all(pool, now=now)
+        for worker in pool.workers.values():
+            _prove_runs(pool, worker.key, now=now)
+            for run in list(worker.runs.values()):
+                if run.proven and run.unit is not unit:
+                    workloads.end_run(
+                        pool,
+                        run,
+                        "done",
+                        "",
+                        now=now,
+                        now_unix_s=_pool_fixtures.UNIX_S,
+                    )
+    assert unit.state != "waiting"
+
+
+def test_suspects_wait_for_no_worker_that_holds_a_long_trial() -> None:
+    """Guards against a suspect that waits for one worker until the day ends.
+
+    Advice named only the worker of a long trial, over and over.
+    """
+    pool = _pool_fixtures.make_pool(4)
+    _submit_suspects(pool, [1])
+    (long_trial,) = _pool_fixtures.start_all(pool)
+    held = pool.workers[long_trial.worker_key]
+    advice = workloads.Advice(decide_s=0.02, per_worker_s=0.001, validity_s=60)
+    suspect = _submit_suspects(
+        pool, [2], job_id="00000000000000b1", advice=advice
+    )
+    step = suspect.advice.setdefault((0, 0), workloads.StepAdvice())
+    step.allowed = dict.fromkeys(pool.workers, True)
+    step.tickets = {held.key: ("t", 1.5)}
+    assert not workloads.make_plan(pool, now=1.0).runs
+    (query,) = workloads.make_plan(pool, now=1.6).queries
+    assert held not in query.workers
+
+
+def test_work_that_is_lost_beside_causes_each_time_is_not_given_up() -> None:
+    """Guards against sound work that fails because it was there each time."""
+    pool = _pool_fixtures.make_pool(9)
+    job = _pool_fixtures.submit(pool, _pool_fixtures.make_step())
+    (unit,) = job.units.values()
+    for number in range(1, 4):
+        now = 10.0 * number
+        (run,) = _pool_fixtures.start_all(pool, now=now)
+        _prove_runs(pool, run.worker_key, now=now + 1.0)
+        _crash_under_all(pool, now=now + 2.0)
+    assert [crash.suspects for crash in unit.crashes.values()] == [0, 0, 0]
+    (run,) = _pool_fixtures.start_all(pool, now=40.0)
+    _prove_runs(pool, run.worker_key, now=41.0)
+    cause = _pool_fixtures.submit(
+        pool, _pool_fixtures.make_step(count=8), job_id="00000000000000b1"
+    )
+    runs = _pool_fixtures.start_all(pool, now=42.0)
+    assert run.worker_key not in {each.worker_key for each in runs}
+    assert len(runs) == len(cause.units)
+    assert _settle(pool, now=43.0) == 0
+
+
+def test_sound_work_is_finished_soon_after_a_wave_of_deadly_tasks() -> None:
+    """Guards against suspects that wait for trials long after the wave.
+
+    A quarter of the jobs of 10 s has a deadly task. The users expect all work
+    to be done 14 s after the end of the traffic.
+    """
+    for seed in range(4):
+        simulation = _crash_simulation.make_simulation(machines=16, seed=seed)
+        rng = random.Random(seed)
+        due = 0.0
+        while simulation.now < 10.0:
+            while due <= simulation.now:
+                deadly = rng.randrange(6) if rng.random() < 0.25 else None
+                _crash_simulation.submit(
+                    simulation,
+                    f"{len(simulation.states) + 1:016x}",
+                    _pool_fixtures.make_step(
+                        count=6,
+                        need=model.Resources(cpu_millis=1500, memory_mb=500),
+                    ),
+                    deadly_index=deadly,
+                )
+                due += rng.expovariate(6.0)
+            _crash_simulation.advance(simulation, 0.1)
+        _crash_simulation.advance(simulation, 14.0)
+        deadly_jobs = {task.split(".")[0] for task in simulation.deadly}
+        states = {
+            state
+            for job_id, state in simulation.states.items()
+            if job_id not in deadly_jobs
+        }
+        assert states == {workloads.JobState.COMPLETE}, seed
 
 
 def test_crashes_survive_a_change_of_owner() -> None:
