Keep trials that wait for a worker from occupying the advisor

Cause: the advisor. The owner's waiting tasks by reason (trial with debug output) show that all of them were unassessed and that all nine instances always had a query under way. Steps that waited for a trial renewed their tickets every 2 s and asked about each new worker: 1,681 of 1,935 queries of the queue were spent on steps that were asked about four times or more. And the next query of an instance was sent by the next planning round only, which takes 80 ms with its pause when 1,100 tasks wait; a query takes 12 ms. The class of fault is a shared resource that is used up by retries that cannot succeed.

Change: a step whose trial cannot start on any worker now asks nothing, and one that can asks about these workers only. Queries of the last plan wait for an instance and are sent as soon as one is free. Short queries use the instances for long ones while no long one waits.

--- a/chestnuttide/node/_advisor_queries.py
+++ b/chestnuttide/node/_advisor_queries.py
@@ -35,33 +35,62 @@
     owner: _ownership.Ownership,
     queries: tuple[workloads.AdvisorQuery, ...],
 ) -> None:
-    """Start the queries for which an instance is free, in the given order."""
+    """Start the queries for which an instance is free, in the given order.
+
+    The others wait for an instance, and are forgotten at the next call. With
+    many waiting jobs, a planning round takes longer than most queries.
+    """
+    owner.waiting_queries = queries
+    _start_waiting_queries(owner)
+
+
+def _start_waiting_queries(owner: _ownership.Ownership) -> None:
+    queries = [
+        query
+        for query in owner.waiting_queries
+        if query.job.spec.id in owner.pool.active
+    ]
+    waiting = []
+    short, long = _free_instances(owner)
+    any_long = any(map(_is_long, queries))
     for query in queries:
-        name = _choose_instance(owner, query)
-        if name is None:
+        names = long if _is_long(query) else short
+        if not names and not any_long:
+            names = long
+        if not names:
+            waiting.append(query)
             continue
+        name = names.pop(0)
         workloads.record_query(query)
-        owner.advisor_queries[name] = owner.advisor_queries.get(name, 0) + 1
+        owner.advisor_queries.add(name)
         _ownership.start_command(owner, _send_query(owner, query, name))
+    owner.waiting_queries = tuple(waiting)
 
 
-def _choose_instance(
-    owner: _ownership.Ownership, query: workloads.AdvisorQuery
-) -> str | None:
+def _is_long(query: workloads.AdvisorQuery) -> bool:
+    return query.duration_s > LONG_QUERY_S
+
+
+def _free_instances(
+    owner: _ownership.Ownership,
+) -> tuple[list[str], list[str]]:
+    """Return the instances that are free for short and for long queries.
+
+    Short ones may use an instance of either kind while no long query waits.
+    """
     own = owner.session.settings.instance
-    candidates = sorted({own, *_peers.connected_names(owner.session.peers)})
-    reserved = max(1, round(SHORT_QUERY_INSTANCE_SHARE * len(candidates)))
-    if query.duration_s <= LONG_QUERY_S or len(candidates) == 1:
-        candidates = candidates[:reserved]
-    else:
-        candidates = candidates[reserved:]
+    names = sorted({own, *_peers.connected_names(owner.session.peers)})
+    reserved = max(1, round(SHORT_QUERY_INSTANCE_SHARE * len(names)))
+    short, long = (
+        [name for name in kind if name not in owner.advisor_queries]
+        for kind in (names[:reserved], names[reserved:])
+    )
     if stable_hash(owner.service) % 2:
         # Owners that start from opposite ends seldom choose the same one.
-        candidates.reverse()
-    name = min(candidates, key=lambda each: owner.advisor_queries.get(each, 0))
-    if owner.advisor_queries.get(name, 0):
-        return None
-    return name
+        short.reverse()
+        long.reverse()
+    # An instance without peers serves both kinds.
+    return short, long if len(names) > 1 else short
 
 
 def stable_hash(text: str) -> int:
@@ -104,7 +133,7 @@
             error=str(error),
         )
     finally:
-        owner.advisor_queries[name] -= 1
+        owner.advisor_queries.discard(name)
     LOG.info(
         "Advisor query has ended.",
         job=query.job.spec.id,
@@ -117,6 +146,7 @@
         query, tickets, now=_clock.now() - age_s, retry_s=RETRY_S
     )
     owner.plan_requested.set()
+    _start_waiting_queries(owner)
 
 
 async def answer_query(
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -64,8 +64,10 @@
         Poll loop of each worker incarnation.
     commands : set of Task
         Commands in progress.
-    advisor_queries : dict of str to int
-        Number of advisor queries in progress, by instance.
+    advisor_queries : set of str
+        Instances that have an advisor query in progress.
+    waiting_queries : tuple of AdvisorQuery
+        Queries of the last planning round that wait for an instance.
     obsolete_keys : list of str
         Keys of records that can be removed from the store.
     ready : bool
@@ -98,7 +100,8 @@
     plan_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
     poll_loops: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     commands: set[asyncio.Task[None]] = attrs.field(factory=set)
-    advisor_queries: dict[str, int] = attrs.field(factory=dict)
+    advisor_queries: set[str] = attrs.field(factory=set)
+    waiting_queries: tuple[workloads.AdvisorQuery, ...] = ()
     obsolete_keys: list[str] = attrs.field(factory=list)
     ready: bool = False
     releasing: bool = False
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import functools
 import math
 import operator
 import typing
@@ -173,9 +174,14 @@
     runs, unplaced = _place_units(view, step, candidates, advice)
     if not unplaced:
         return runs, None
-    query = _reserve_and_query(view, step, advice, unplaced)
-    view.trials.opened.clear()
-    return runs, query
+    suspects = [
+        unit
+        for unit in step.waiting
+        if unit.state == _state.UnitState.WAITING and _crashes.is_suspect(unit)
+    ]
+    if sum(len(unit.indexes) for unit in suspects) >= unplaced:
+        return runs, _query_for_trial(view, step, advice, suspects)
+    return runs, _reserve_and_query(view, step, advice, unplaced)
 
 
 def _eligible_workers(
@@ -309,17 +315,10 @@
         for key, allowed in advice.allowed.items()
         if allowed and key in view.workers
     ]
-    if any(_crashes.is_suspect(unit) for unit in step.waiting):
-        view.trials.opened.update(_trials.kept_free(allowed_workers, view.now))
     fitting = sum(
         fitting for _, fitting in _fitting_workers(view, step, allowed_workers)
     )
     chosen = _reserve_workers(view, step, allowed_workers, wanted)
-    if advice.in_flight or view.now < advice.retry_at:
-        return None
-    limit = max(
-        1, int(QUERY_TIME_SHARE * policy.decide_s / policy.per_worker_s)
-    )
     # Query only workers that are expected to have free capacity by the time
     # of the answer.
     duration_s = _advisor_queries.call_duration_s(policy, len(chosen))
@@ -331,14 +330,58 @@
     ]
     if not allowed_workers or fitting < wanted:
         named += _choose_unassessed(view, step, advice, wanted - fitting)
-    named = named[:limit]
-    if not named:
+    return _make_query(view, step, advice, named)
+
+
+def _query_for_trial(
+    view: _free_capacity.CapacityView,
+    step: _WaitingStep,
+    advice: _state.StepAdvice,
+    suspects: list[_state.Unit],
+) -> _advisor_queries.AdvisorQuery | None:
+    """Return a query about the workers on which a trial may start now.
+
+    A step may wait long for such a worker. Queries about others would keep
+    the advisor from steps that could start.
+    """
+    unit = min(suspects, key=_crashes.risk)
+    workers = [
+        worker
+        for worker in view.workers.values()
+        if advice.allowed.get(worker.key, True)
+        and _trials.may_host(view.trials, worker, unit)
+        and not _has_ticket(advice, worker, view.now)
+    ]
+    view.trials.opened.update(worker.key for worker in workers)
+    hosts = [
+        worker
+        for worker, _ in _fitting_workers(
+            view, step, _eligible_workers(view, step, workers)
+        )
+    ]
+    view.trials.opened.clear()
+    hosts.sort(key=functools.partial(_trials.score, view.trials))
+    return _make_query(view, step, advice, hosts)
+
+
+def _make_query(
+    view: _free_capacity.CapacityView,
+    step: _WaitingStep,
+    advice: _state.StepAdvice,
+    workers: list[_state.Worker],
+) -> _advisor_queries.AdvisorQuery | None:
+    """Return a query about workers, best first, or None for none."""
+    if not workers or advice.in_flight or view.now < advice.retry_at:
         return None
+    policy = step.job.spec.queue.advice
+    limit = max(
+        1, int(QUERY_TIME_SHARE * policy.decide_s / policy.per_worker_s)
+    )
     return _advisor_queries.AdvisorQuery(
         job=step.job,
         occurrence=step.key[0],
         step=step.key[1],
-        workers=tuple(named),
+        workers=tuple(workers[:limit]),
     )
 
 
--- a/chestnuttide/workloads/_trials.py
+++ b/chestnuttide/workloads/_trials.py
@@ -78,15 +78,6 @@
     return worker.trials > 0 or worker.kept_free_until > now
 
 
-def kept_free(workers: list[_state.Worker], now: float) -> list[str]:
-    """Return the keys of workers that are kept free and hold no trial."""
-    return [
-        each.key
-        for each in workers
-        if each.kept_free_until > now and not each.trials
-    ]
-
-
 def is_closed(view: TrialView, worker: _state.Worker) -> bool:
     """Return whether a worker takes no new runs because of trials."""
     return is_taken(worker, view.now) and worker.key not in view.opened
--- a/chestnuttide/workloads/tests/test_crashes.py
+++ b/chestnuttide/workloads/tests/test_crashes.py
@@ -418,6 +418,31 @@
     assert held not in query.workers
 
 
+def test_a_step_whose_trial_cannot_start_does_not_query_the_advisor() -> None:
+    """Guards against suspects that keep the advisor from all other steps.
+
+    They renewed their tickets every 2 s while they waited for a worker, and
+    570 tasks of another queue were never assessed.
+    """
+    pool = _pool_fixtures.make_pool(3)
+    _pool_fixtures.submit(pool, _pool_fixtures.make_step(count=2))
+    runs = _pool_fixtures.start_all(pool)
+    advice = workloads.Advice(decide_s=0.02, per_worker_s=0.001, validity_s=2)
+    _submit_suspects(pool, [2], job_id="00000000000000b1", advice=advice)
+    (query,) = workloads.make_plan(pool, now=0.2).queries
+    workloads.record_query(query)
+    workloads.record_query_result(query, {}, now=0.25, retry_s=0.2)
+    # The other workers have unproven runs and may not host a trial.
+    assert {worker.key for worker in query.workers} == (
+        pool.workers.keys() - {run.worker_key for run in runs}
+    )
+    assert not workloads.make_plan(pool, now=0.3).queries
+    for run in runs:
+        _prove_runs(pool, run.worker_key, now=0.5)
+    (query,) = workloads.make_plan(pool, now=0.6).queries
+    assert len(query.workers) == len({run.worker_key for run in runs})
+
+
 def test_work_that_is_lost_beside_causes_each_time_is_not_given_up() -> None:
     """Guards against sound work that fails because it was there each time."""
     pool = _pool_fixtures.make_pool(9)
