Query the advisor for sound tasks of a step whose suspects wait

The suspects of such a step wait for a worker that they keep free, so they count as placed, and a sound task that may not use that worker was taken for one of them.

Change: as long as a sound task of the step waits, the query is about workers for it.

Evidence: read in the code; the test builds the case and fails without the change.

--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -174,14 +174,18 @@
     runs, unplaced = _place_units(view, step, candidates, advice)
     if not unplaced:
         return runs, None
-    suspects = [
-        unit
-        for unit in step.waiting
-        if unit.state == _state.UnitState.WAITING and _crashes.is_suspect(unit)
-    ]
-    if sum(len(unit.indexes) for unit in suspects) >= unplaced:
-        return runs, _query_for_trial(view, step, advice, suspects)
-    return runs, _reserve_and_query(view, step, advice, unplaced)
+    suspects: list[_state.Unit] = []
+    others = 0
+    for unit in step.waiting:
+        if unit.state != _state.UnitState.WAITING:
+            continue
+        if _crashes.is_suspect(unit):
+            suspects.append(unit)
+        else:
+            others += len(unit.indexes)
+    if others:
+        return runs, _reserve_and_query(view, step, advice, others)
+    return runs, _query_for_trial(view, step, advice, suspects)
 
 
 def _eligible_workers(
--- a/chestnuttide/workloads/tests/test_crashes.py
+++ b/chestnuttide/workloads/tests/test_crashes.py
@@ -443,6 +443,26 @@
     assert len(query.workers) == len({run.worker_key for run in runs})
 
 
+def test_a_step_queries_for_its_other_tasks_while_some_wait_for_trials() -> (
+    None
+):
+    """Guards against a task that never starts beside suspects of its step."""
+    pool = _pool_fixtures.make_pool(2)
+    _pool_fixtures.submit(pool, _pool_fixtures.make_step(count=2))
+    _pool_fixtures.start_all(pool)
+    advice = workloads.Advice(decide_s=0.02, per_worker_s=0.001, validity_s=2)
+    job = _submit_suspects(pool, [2, 2, 2, 0], advice=advice, job_id="b" * 16)
+    kept, other = pool.workers.values()
+    step = job.advice.setdefault((0, 0), workloads.StepAdvice())
+    step.allowed = {kept.key: True}
+    step.tickets = {kept.key: ("t", 2.0)}
+    job.units[(0, 0, 3)].not_before = 0.3
+    # The suspects wait until the worker has proven its run.
+    assert not workloads.make_plan(pool, now=0.2).runs
+    (query,) = workloads.make_plan(pool, now=0.4).queries
+    assert query.workers == (other,)
+
+
 def test_work_that_is_lost_beside_causes_each_time_is_not_given_up() -> None:
     """Guards against sound work that fails because it was there each time."""
     pool = _pool_fixtures.make_pool(9)
