Suspect the runs that were started just before a crash

What callers saw: sound jobs late, because up to ten tasks beside a deadly one were suspected and waited for a trial each time.

Cause: every run that was not proven within 0.3 s was held as likely the cause as any other, although the time of the crash tells more.

Change: the time at which a poll's connection breaks is kept, and runs that were started up to 0.1 s before it are the suspects. The other unproven runs are marked as unlikely ones; they are on trial only after a second crash, so that tasks that crash their worker late are found as well. A worker that falls silent without a broken connection is treated as before. Jobs with an only suspect are planned last, since most of them fail, with a quarter of the trial workers reserved for them while sound suspects go first. The test of the order in which trials start now builds its suspects as a pool has them; its numbers are unchanged.

--- a/chestnuttide/node/_polls.py
+++ b/chestnuttide/node/_polls.py
@@ -122,6 +122,10 @@
         )
     except errors.PlatformError as error:
         LOG.debug("Poll failed.", worker=worker.key, error=str(error))
+        now = _clock.now()
+        timed_out = now - sent_at >= wait_s + POLL_TIMEOUT_S
+        if not timed_out and _ownership.may_send_commands(owner):
+            workloads.record_broken_connection(worker, now=now)
         return False
     if owner.deposed.is_set():
         return False
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -58,6 +58,7 @@
 make_plan = _planning.make_plan
 may_send_start = _starts.may_send_start
 poll_lease_deadline_ms = _poll_replies.poll_lease_deadline_ms
+record_broken_connection = _poll_replies.record_broken_connection
 record_clock = _poll_replies.record_clock
 record_lease = _poll_replies.record_lease
 record_query = _advisor_queries.record_query
@@ -121,6 +122,7 @@
     "make_plan",
     "may_send_start",
     "poll_lease_deadline_ms",
+    "record_broken_connection",
     "record_clock",
     "record_lease",
     "record_query",
--- a/chestnuttide/workloads/_crashes.py
+++ b/chestnuttide/workloads/_crashes.py
@@ -8,10 +8,21 @@
 """
 
 import collections.abc
+import math
 
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _state
 
+# A task that crashes its worker as it starts does so within this time of the
+# start, as the owner sees both. If the time of a crash is known, runs that
+# were started so shortly before it are much more likely causes than others.
+STARTUP_CRASH_S = 0.1
+
+# Risk up to which a unit is started like any other. A unit that was suspected
+# once beside more likely causes is about as often sound as one never started;
+# one that was there twice is not.
+NEGLIGIBLE_RISK = 1.5 / _state.UNLIKELY_SUSPECTS
+
 # Crashes with a unit as their only suspect after which it is given up. A sound
 # unit could get there only if its worker crashed for another reason while it
 # was on trial.
@@ -38,10 +49,7 @@
 
 def is_suspect(unit: _state.Unit) -> bool:
     """Return whether a unit's next run is on trial."""
-    return bool(unit.crashes) and (
-        len(unit.crashes) >= SUSPICIOUS_CRASHES
-        or any(crash.suspects for crash in unit.crashes.values())
-    )
+    return bool(unit.crashes) and risk(unit) > NEGLIGIBLE_RISK
 
 
 def trial_s(unit: _state.Unit) -> float:
@@ -59,18 +67,29 @@
 def risk(unit: _state.Unit) -> float:
     """Return how likely a suspected unit is the cause of its crashes.
 
-    It is 1 for units that share no trial: after a second crash on trial or
-    under suspicion, and for gangs, which use several workers. It is 0 once all
+    It is 1 for units that share no trial: after a second crash under
+    suspicion, and for gangs, which use several workers. It is 0 once all
     crashes are refuted.
     """
-    suspects = [
-        crash.suspects for crash in unit.crashes.values() if crash.suspects
-    ]
-    if len(unit.indexes) > 1 or len(suspects) > 1:
+    suspected = _count_suspected(unit.crashes.values())
+    many = len(unit.crashes) >= SUSPICIOUS_CRASHES
+    if suspected and (many or suspected > 1 or len(unit.indexes) > 1):
         return 1.0
-    if len(unit.crashes) >= SUSPICIOUS_CRASHES:
-        return 1.0 if suspects else BYSTANDER_RISK
-    return 1.0 / suspects[0] if suspects else 0.0
+    innocence = math.prod(
+        1.0 - 1.0 / crash.suspects
+        for crash in unit.crashes.values()
+        if crash.suspects
+    )
+    return max(1.0 - innocence, BYSTANDER_RISK if many else 0.0)
+
+
+def _count_suspected(
+    crashes: collections.abc.Iterable[_state.Crash],
+) -> int:
+    """Return the number of crashes for which no other cause was likelier."""
+    return sum(
+        0 < crash.suspects < _state.UNLIKELY_SUSPECTS for crash in crashes
+    )
 
 
 def may_start(unit: _state.Unit) -> bool:
@@ -84,7 +103,7 @@
 
 def _is_given_up(crashes: collections.abc.Collection[_state.Crash]) -> bool:
     sole = sum(crash.suspects == 1 for crash in crashes)
-    suspected = sum(crash.suspects > 0 for crash in crashes)
+    suspected = _count_suspected(crashes)
     return (
         sole >= MAX_SOLE_CRASHES
         or (sole > 0 and suspected >= MAX_SUSPECTED_CRASHES)
@@ -105,7 +124,7 @@
         for run in worker.runs.values()
         if run.phase != _state.Phase.PLANNED
     ]
-    suspects = _find_suspects(lost)
+    suspects = _count_suspects(worker, lost)
     for run in lost:
         unit = run.unit
         if run.number in unit.crashes:
@@ -113,27 +132,40 @@
         unit.crashes[run.number] = _state.Crash(
             worker_key=worker.key,
             index=run.index,
-            suspects=len(suspects) if unit in suspects else 0,
+            suspects=suspects.get(unit, 0),
         )
         _state.mark_changed(run.job)
         index_unit(pool, run.job, unit)
 
 
-def _find_suspects(
-    lost: collections.abc.Iterable[_state.Run],
-) -> list[_state.Unit]:
-    """Return the units that may have crashed the worker of the lost runs.
+def _count_suspects(
+    worker: _state.Worker, lost: collections.abc.Iterable[_state.Run]
+) -> dict[_state.Unit, int]:
+    """Return the suspects of a crash, and how many are as likely as each.
 
     Nothing else starts beside a run on trial, so only runs on trial are
     suspected if there are any.
     """
     unproven = [run for run in lost if not run.proven]
     on_trial = [run for run in unproven if run.on_trial]
-    suspects = [run.unit for run in on_trial or unproven]
-    suspects += [
+    possible = on_trial or unproven
+    likely = possible
+    if worker.broken_at:
+        sent_s = {
+            run: worker.broken_at - run.start_sent_at for run in possible
+        }
+        before = [run for run in possible if sent_s[run] >= 0.0] or possible
+        likely = [
+            run for run in before if sent_s[run] <= STARTUP_CRASH_S
+        ] or before
+    units = {run.unit for run in likely}
+    units.update(
         run.unit for run in lost if len(run.unit.crashes) >= SUSPICIOUS_CRASHES
-    ]
-    return list(dict.fromkeys(suspects))
+    )
+    unlikely = {run.unit for run in possible} - units
+    return dict.fromkeys(units, len(units)) | dict.fromkeys(
+        unlikely, _state.UNLIKELY_SUSPECTS
+    )
 
 
 def index_unit(pool: _state.Pool, job: _state.Job, unit: _state.Unit) -> None:
--- a/chestnuttide/workloads/_free_capacity.py
+++ b/chestnuttide/workloads/_free_capacity.py
@@ -115,7 +115,7 @@
         now=now,
         top_priority=pool.top_priority,
         workers={each.key: each for each in workers},
-        trials=_trials.make_trial_view(workers, busy=busy, now=now),
+        trials=_trials.make_trial_view(pool, workers, busy=busy, now=now),
         busy=busy,
         crowded=used >= CROWDED_SHARE * capacity,
         spare_cpu_millis=spare if busy else math.inf,
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -117,14 +117,18 @@
     )
 
 
-def _urgency(job: _state.Job) -> tuple[bool, int, float]:
+def _urgency(
+    view: _free_capacity.CapacityView, job: _state.Job
+) -> tuple[bool, bool, int, float]:
     """Return a job's sort key; jobs with long-running tasks come first.
 
     They are few, and a long-running task is unavailable for as long as it
-    waits, however busy the service is.
+    waits, however busy the service is. Jobs with a likely cause of a crash
+    come last, because they will probably fail.
     """
     queue = job.spec.queue
     return (
+        job.spec.id in view.trials.likely_causes,
         not job.is_long_running,
         queue.priority,
         job.accepted_at + queue.latency_objective_s,
@@ -134,7 +138,8 @@
 def _waiting_steps(
     pool: _state.Pool, view: _free_capacity.CapacityView
 ) -> collections.abc.Iterator[_WaitingStep]:
-    for job in sorted(pool.active.values(), key=_urgency):
+    jobs = sorted(pool.active.values(), key=functools.partial(_urgency, view))
+    for job in jobs:
         for key, progress in job.steps.items():
             if not progress.waiting:
                 continue
@@ -580,7 +585,6 @@
             need=_state.allocated_need(step.demand.spec),
             ticket=advice.tickets[best.key][0] if advice is not None else "",
             checkpoint=unit.checkpoint,
-            planned_at=view.now,
             on_trial=_crashes.is_suspect(unit),
         )
         _free_capacity.allocate(view, best, run)
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -141,6 +141,15 @@
     worker.lease_until = max(worker.lease_until, until, now)
 
 
+def record_broken_connection(worker: _state.Worker, *, now: float) -> None:
+    """Record that a worker's connection broke, as it does in a crash.
+
+    The time shows which runs had only just started. Only the first time since
+    the worker's last reply counts.
+    """
+    worker.broken_at = worker.broken_at or now
+
+
 def apply_poll_reply(
     pool: _state.Pool,
     worker: _state.Worker,
@@ -161,6 +170,7 @@
         _crashes.refute_crash(pool, worker)
         worker.lost_at = 0.0
     worker.last_reply_at = now
+    worker.broken_at = 0.0
     completions: list[tuple[_state.Run, str]] = []
 
     def complete(run: _state.Run, result: str, checkpoint: str) -> None:
--- a/chestnuttide/workloads/_records.py
+++ b/chestnuttide/workloads/_records.py
@@ -103,7 +103,6 @@
                 # A worker that has seen this owner's fencing token rejects
                 # starts of former owners, so any poll reply is conclusive.
                 deadline_ms=-1,
-                planned_at=now,
                 on_trial=_crashes.is_suspect(unit),
                 stopping=unit.state == _state.UnitState.DONE,
             )
--- a/chestnuttide/workloads/_starts.py
+++ b/chestnuttide/workloads/_starts.py
@@ -35,6 +35,7 @@
     )
     _poll_replies.record_lease(worker, run.deadline_ms, now=now)
     run.phase = _state.Phase.START_SENT
+    run.start_sent_at = now
     return worker
 
 
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -53,6 +53,10 @@
 # started.
 PROVEN_RUN_S: typing.Final = 0.3
 
+# Stands for the number of suspects of a crash for a unit that may have caused
+# it although others are much more likely.
+UNLIKELY_SUSPECTS: typing.Final = 20
+
 UnitKey: typing.TypeAlias = tuple[int, int, int]
 RunKey: typing.TypeAlias = tuple[str, int]
 
@@ -81,8 +85,8 @@
         The advisor's ticket for the start.
     checkpoint : str
         Newest known checkpoint.
-    planned_at, confirmed_at : float
-        Monotonic times in seconds.
+    start_sent_at, confirmed_at : float
+        Monotonic times in seconds; 0 if not known.
     recorded : bool
         Whether a stored record contains the run.
     listed : bool
@@ -123,7 +127,7 @@
     phase: Phase = Phase.PLANNED
     ticket: str = ""
     checkpoint: str = ""
-    planned_at: float = 0.0
+    start_sent_at: float = 0.0
     recorded: bool = False
     listed: bool = False
     proven: bool = False
@@ -162,8 +166,9 @@
     index : int
         Number of the run's task in its step.
     suspects : int
-        Number of units on the worker that may have caused the crash, with
-        this one; 0 if this one is not among them.
+        Number of units on the worker that are as likely to have caused the
+        crash, with this one; `UNLIKELY_SUSPECTS` if others are much more
+        likely, 0 if its run had been proven.
     """
 
     worker_key: str
@@ -399,6 +404,9 @@
         Failed polls since the last reply.
     known_since : float
         Monotonic time at which this owner learned of it.
+    broken_at : float
+        Monotonic time at which its connection broke; 0 while it answers, and
+        if it only fell silent.
     lost_at : float
         Monotonic time at which its runs were ended because it was silent; 0
         while it answers.
@@ -432,6 +440,7 @@
     draining_since: float = 0.0
     failed_polls: int = 0
     known_since: float = 0.0
+    broken_at: float = 0.0
     lost_at: float = 0.0
 
 
--- a/chestnuttide/workloads/_trials.py
+++ b/chestnuttide/workloads/_trials.py
@@ -17,9 +17,9 @@
 TRIAL_WORKER_SHARE = 0.25
 IDLE_TRIAL_WORKER_SHARE = 0.5
 
-# Share of these workers for units that were the only suspect of a crash. They
-# are most likely the cause, and sound suspects must not wait behind them.
-REPEATED_TRIAL_SHARE = 0.5
+# Share of these workers that is reserved for likely causes while other
+# suspects wait, most of which are sound and go first.
+LIKELY_CAUSE_SHARE = 0.25
 
 # Highest expected number of causes among the units that share a trial.
 MAX_TRIAL_RISK = 0.75
@@ -37,10 +37,12 @@
     ----------
     now : float
         Time of the round.
+    likely_causes : set of str
+        Ids of the jobs with a unit that was the only suspect of a crash.
     slots : int
         Number of further workers that may hold trials or be kept free.
-    repeated_slots : int
-        Number of further trials of units that were an only suspect.
+    reserved_slots : int
+        Number of these that are reserved for likely causes.
     claims : dict of str to float
         Risk of the units that wait for a worker, by worker.
     opened : set of str
@@ -49,27 +51,48 @@
     """
 
     now: float
+    likely_causes: set[str]
     slots: int
-    repeated_slots: int
+    reserved_slots: int
     claims: dict[str, float] = attrs.field(factory=dict)
     opened: set[str] = attrs.field(factory=set)
 
 
 def make_trial_view(
-    workers: list[_state.Worker], *, busy: bool, now: float
+    pool: _state.Pool,
+    workers: list[_state.Worker],
+    *,
+    busy: bool,
+    now: float,
 ) -> TrialView:
-    """Return the state of trials at the start of a planning round."""
+    """Return the state of trials at the start of a planning round.
+
+    `workers` are the usable ones.
+    """
     share = TRIAL_WORKER_SHARE if busy else IDLE_TRIAL_WORKER_SHARE
     limit = max(1, int(share * len(workers)))
-    repeated = sum(
-        any(_crashes.was_only_suspect(run.unit) for run in _trial_runs(each))
-        for each in workers
-        if each.trials
-    )
+    likely = [
+        (job, unit)
+        for job, unit in pool.crashed_units.values()
+        if _is_likely_cause(unit)
+    ]
+    on_trial = sum(bool(unit.runs) for _, unit in likely)
+    reserved = 0
+    if limit > 1 and on_trial < len(likely):
+        reserved = max(1, int(LIKELY_CAUSE_SHARE * limit)) - on_trial
     return TrialView(
         now=now,
+        likely_causes={job.spec.id for job, _ in likely},
         slots=limit - sum(is_taken(each, now) for each in workers),
-        repeated_slots=max(1, int(REPEATED_TRIAL_SHARE * limit)) - repeated,
+        reserved_slots=max(0, reserved),
+    )
+
+
+def _is_likely_cause(unit: _state.Unit) -> bool:
+    """Return whether a unit was an only suspect and is not proven since."""
+    return _crashes.was_only_suspect(unit) and (
+        unit.state == _state.UnitState.WAITING
+        or any(not run.proven for run in unit.runs)
     )
 
 
@@ -89,14 +112,18 @@
     """Return whether a suspected unit may start on a worker now."""
     if worker.unproven_runs > worker.trials:
         return False
-    if _crashes.was_only_suspect(unit) and view.repeated_slots <= 0:
-        return False
     if not is_taken(worker, view.now):
-        return view.slots > 0
+        return _may_take_worker(view, unit)
     risk = sum(_crashes.risk(run.unit) for run in _trial_runs(worker))
     return _may_share(risk, unit)
 
 
+def _may_take_worker(view: TrialView, unit: _state.Unit) -> bool:
+    if _crashes.was_only_suspect(unit):
+        return view.slots > 0
+    return view.slots > view.reserved_slots
+
+
 def _may_share(risk: float, unit: _state.Unit) -> bool:
     return not risk or risk + _crashes.risk(unit) <= MAX_TRIAL_RISK
 
@@ -123,9 +150,10 @@
 def record_trial(
     view: TrialView, unit: _state.Unit, new_workers: set[str]
 ) -> None:
-    """Count a new trial and the workers that held none before."""
+    """Count a new trial on workers that were not taken before."""
     view.slots -= len(new_workers)
-    view.repeated_slots -= _crashes.was_only_suspect(unit)
+    if _crashes.was_only_suspect(unit):
+        view.reserved_slots = max(0, view.reserved_slots - 1)
 
 
 def keep_worker_free(
@@ -136,8 +164,6 @@
     `workers` have capacity for the unit. Units that may share a trial wait
     for the same worker.
     """
-    if _crashes.was_only_suspect(unit) and view.repeated_slots <= 0:
-        return
     wanted = len(unit.indexes)
     workers = sorted(
         (worker for worker in workers if not worker.trials),
@@ -149,7 +175,9 @@
     for worker in workers:
         taken = is_taken(worker, view.now)
         claimed = view.claims.get(worker.key, 0.0)
-        if not _may_share(claimed, unit) or (not taken and view.slots <= 0):
+        if not _may_share(claimed, unit):
+            continue
+        if not taken and not _may_take_worker(view, unit):
             continue
         view.slots -= not taken
         view.claims[worker.key] = claimed + _crashes.risk(unit)
--- a/chestnuttide/workloads/tests/_crash_simulation.py
+++ b/chestnuttide/workloads/tests/_crash_simulation.py
@@ -117,6 +117,7 @@
     *,
     deadly_index: int | None = None,
     crash_delay_s: float = 0.01,
+    **queue: object,
 ) -> workloads.Job:
     """Submit a job; one of its tasks may crash each worker that starts it."""
     if deadly_index is not None:
@@ -127,6 +128,7 @@
         job_id=job_id,
         now=simulation.now,
         attempt_limit=3,
+        **queue,
     )
     simulation.states[job_id] = job.state
     return job
@@ -289,6 +291,10 @@
         down = machine.crashed_at is not None
         if not same or down or simulation.now < machine.cut_until:
             worker.failed_polls += 1
+            if down:
+                workloads.record_broken_connection(
+                    worker, now=machine.crashed_at
+                )
             silent_s = simulation.now - (machine.crashed_at or 0.0)
             if not same or (down and silent_s > ENTRY_EXPIRY_S):
                 worker.listed = False
--- a/chestnuttide/workloads/tests/_pool_fixtures.py
+++ b/chestnuttide/workloads/tests/_pool_fixtures.py
@@ -87,12 +87,12 @@
 ) -> workloads.Job:
     """Add an accepted job."""
     queue.setdefault("attempt_limit", 2)
+    queue.setdefault("name", "q")
     job = workloads.add_job(
         pool,
         workloads.JobSpec(
             id=job_id,
             queue=workloads.Queue(
-                name="q",
                 host="h",
                 prefix="/p/",
                 service="workshop",
--- a/chestnuttide/workloads/tests/test_crashes.py
+++ b/chestnuttide/workloads/tests/test_crashes.py
@@ -331,6 +331,7 @@
         unit.crashes[1] = workloads.Crash(
             worker_key="gone@1", index=unit.key[2], suspects=count
         )
+        pool.crashed_units[(job_id, unit.key)] = (job, unit)
     return job
 
 
@@ -463,6 +464,79 @@
     assert query.workers == (other,)
 
 
+@pytest.mark.parametrize(
+    ("broken_at", "starts", "suspects"),
+    [
+        pytest.param(0.0, [0.1, 0.3, 0.31], [3, 3, 3], id="silent"),
+        pytest.param(0.35, [0.1, 0.3, 0.31], [20, 2, 2], id="just-started"),
+        pytest.param(0.35, [0.1, 0.15, 0.33], [20, 20, 1], id="one-of-them"),
+        pytest.param(0.35, [0.1, 0.11, 0.36], [2, 2, 20], id="sent-too-late"),
+        pytest.param(0.45, [0.1, 0.2, 0.3], [3, 3, 3], id="none-of-them"),
+    ],
+)
+def test_the_time_of_a_crash_shows_the_likely_causes(
+    broken_at: float, starts: list[float], suspects: list[int]
+) -> None:
+    """Guards against trials of all the work that a deadly task took down.
+
+    Nearly all deadly tasks of the plays crashed their workers within 50 ms of
+    the start, and up to ten sound ones beside them were suspected.
+    """
+    pool = _pool_fixtures.make_pool(1)
+    for number, start_s in enumerate(starts):
+        _pool_fixtures.submit(
+            pool, _pool_fixtures.make_step(), job_id=f"{number:016x}"
+        )
+        (run,) = workloads.make_plan(pool, now=start_s).runs
+        workloads.begin_start(pool, run, now=start_s)
+    (worker,) = pool.workers.values()
+    if broken_at:
+        workloads.record_broken_connection(worker, now=broken_at)
+        workloads.record_broken_connection(worker, now=broken_at + 0.3)
+    _crash_under_all(pool, now=3.0)
+    assert [
+        job.units[(0, 0, 0)].crashes[1].suspects for job in pool.jobs.values()
+    ] == suspects
+
+
+@pytest.mark.parametrize(
+    ("marks", "on_trial"),
+    [
+        pytest.param([20], False, id="once"),
+        pytest.param([20, 20], True, id="twice"),
+        pytest.param([20, 0], False, id="once-and-proven-once"),
+        pytest.param([8], True, id="one-of-eight"),
+    ],
+)
+def test_a_unit_beside_a_likely_cause_is_on_trial_after_the_second_crash(
+    marks: list[int], on_trial: bool
+) -> None:
+    """Guards against sound work that waits for trials, and late crashes."""
+    pool = _pool_fixtures.make_pool(2)
+    job = _submit_suspects(pool, marks[:1])
+    (unit,) = job.units.values()
+    for number, suspects in enumerate(marks, start=1):
+        unit.crashes[number] = workloads.Crash(
+            worker_key=f"gone@{number}", index=0, suspects=suspects
+        )
+    (run,) = workloads.make_plan(pool, now=1.0).runs
+    assert run.on_trial == on_trial
+
+
+def test_jobs_with_a_likely_cause_start_last() -> None:
+    """Guards against sound work that waits behind tasks that will fail."""
+    pool = _pool_fixtures.make_pool(1)
+    _submit_suspects(pool, [1], priority=0)
+    _pool_fixtures.submit(
+        pool,
+        _pool_fixtures.make_step(count=4),
+        job_id="00000000000000b1",
+        priority=2,
+    )
+    runs = workloads.make_plan(pool, now=1.0).runs
+    assert {run.job.spec.id for run in runs} == {"00000000000000b1"}
+
+
 def test_work_that_is_lost_beside_causes_each_time_is_not_given_up() -> None:
     """Guards against sound work that fails because it was there each time."""
     pool = _pool_fixtures.make_pool(9)
