Do not count a crash before an unanswered start as proof

Cause: a crash was counted against each run whose start might have been sent. If the worker crashes under another task while a start is on its way, that start may never take effect. Two such crashes and a real one gave the task up. The class of fault is an unknown outcome that is taken for a known one.

Change: a crash records whether the run is known to have started. Only such crashes count towards giving a task up. As a task that crashes its worker before the start is answered must be given up as well, three crashes with it as the only suspect do, answered or not.

Evidence: the cases once-unanswered, unanswered-twice and started-once fail without the change, which the record of a job's progress keeps.

--- a/chestnuttide/workloads/_crashes.py
+++ b/chestnuttide/workloads/_crashes.py
@@ -28,6 +28,10 @@
 # was on trial.
 MAX_SOLE_CRASHES = 2
 
+# The same for crashes before the worker has answered the start, which may not
+# have taken effect.
+MAX_UNCONFIRMED = 3
+
 # Crashes under suspicion after which a unit is given up if it was the only
 # suspect of one of them.
 MAX_SUSPECTED_CRASHES = 3
@@ -102,12 +106,15 @@
 
 
 def _is_given_up(crashes: collections.abc.Collection[_state.Crash]) -> bool:
-    sole = sum(crash.suspects == 1 for crash in crashes)
-    suspected = _count_suspected(crashes)
+    if sum(crash.suspects == 1 for crash in crashes) >= MAX_UNCONFIRMED:
+        return True
+    started = [crash for crash in crashes if crash.started]
+    sole = sum(crash.suspects == 1 for crash in started)
+    suspected = _count_suspected(started)
     return (
         sole >= MAX_SOLE_CRASHES
         or (sole > 0 and suspected >= MAX_SUSPECTED_CRASHES)
-        or (suspected > 1 and len(crashes) >= MAX_CRASHES)
+        or (suspected > 1 and len(started) >= MAX_CRASHES)
     )
 
 
@@ -133,6 +140,7 @@
             worker_key=worker.key,
             index=run.index,
             suspects=suspects.get(unit, 0),
+            started=run.confirmed_at > 0.0,
         )
         _state.mark_changed(run.job)
         index_unit(pool, run.job, unit)
--- a/chestnuttide/workloads/_records.py
+++ b/chestnuttide/workloads/_records.py
@@ -39,20 +39,29 @@
         return []
     return [
         [
-            [number, crash.worker_key, crash.index, crash.suspects]
+            [
+                number,
+                crash.worker_key,
+                crash.index,
+                crash.suspects,
+                crash.started,
+            ]
             for number, crash in unit.crashes.items()
         ]
     ]
 
 
 def _decode_crashes(
-    rows: list[tuple[int, str, int, int]],
+    rows: list[tuple[int, str, int, int, bool]],
 ) -> dict[int, _state.Crash]:
     return {
         number: _state.Crash(
-            worker_key=worker_key, index=index, suspects=suspects
+            worker_key=worker_key,
+            index=index,
+            suspects=suspects,
+            started=started,
         )
-        for number, worker_key, index, suspects in rows
+        for number, worker_key, index, suspects, started in rows
     }
 
 
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -169,11 +169,14 @@
         Number of units on the worker that are as likely to have caused the
         crash, with this one; `UNLIKELY_SUSPECTS` if others are much more
         likely, 0 if its run had been proven.
+    started : bool
+        Whether the run is known to have started before the crash.
     """
 
     worker_key: str
     index: int
     suspects: int
+    started: bool = True
 
 
 @attrs.define(kw_only=True, slots=True, eq=False)
--- a/chestnuttide/workloads/tests/test_crashes.py
+++ b/chestnuttide/workloads/tests/test_crashes.py
@@ -464,6 +464,48 @@
     assert query.workers == (other,)
 
 
+@pytest.mark.parametrize(
+    ("crashes", "given_up"),
+    [
+        pytest.param([(1, True), (1, True)], 1, id="alone-twice"),
+        pytest.param([(1, True), (1, False)], 0, id="once-unanswered"),
+        pytest.param([(1, False), (1, False)], 0, id="unanswered-twice"),
+        pytest.param([(1, False)] * 3, 1, id="unanswered-thrice"),
+        pytest.param([(1, True), (2, True), (2, True)], 1, id="thrice"),
+        pytest.param(
+            [(1, True), (2, False), (2, False)], 0, id="started-once"
+        ),
+        pytest.param([(1, True), (20, True), (20, True)], 0, id="unlikely"),
+    ],
+)
+def test_a_crash_before_the_start_is_answered_is_no_proof(
+    crashes: list[tuple[int, bool]], given_up: int
+) -> None:
+    """Guards against a job that fails though its task ran at most once."""
+    pool = _pool_fixtures.make_pool(1)
+    job = _submit_suspects(pool, [1])
+    (unit,) = job.units.values()
+    for number, (suspects, started) in enumerate(crashes, start=1):
+        unit.crashes[number] = workloads.Crash(
+            worker_key=f"gone@{number}",
+            index=0,
+            suspects=suspects,
+            started=started,
+        )
+    successor = _pool_fixtures.make_pool(1)
+    restored = _pool_fixtures.submit(successor, _pool_fixtures.make_step())
+    workloads.apply_progress(
+        successor,
+        restored,
+        workloads.encode_progress(job),
+        lease_until=3.0,
+        now=0.5,
+        now_unix_s=_pool_fixtures.UNIX_S,
+    )
+    for each in (pool, successor):
+        assert _settle(each, now=20.0) == given_up
+
+
 @pytest.mark.parametrize(
     ("broken_at", "starts", "suspects"),
     [
