Report why tasks wait to start

Cause: the owner's logs did not tell why hundreds of tasks waited beside idle workers.

Change: a gauge by queue and reason (advice, trial, verdict, capacity), and one log line every 5 s while tasks wait, with the workers, the trials and the queries to the advisor. No decision depends on them.

--- a/chestnuttide/node/_metrics.py
+++ b/chestnuttide/node/_metrics.py
@@ -48,6 +48,9 @@
     given_up : Counter
         ``chestnuttide_given_up_total{reason}``, tasks that are not tried
         again.
+    waiting_tasks : Gauge
+        ``chestnuttide_waiting_tasks{queue,reason}``, tasks that are ready to
+        start; see ``workloads.WaitReason``.
     commands : Counter
         ``chestnuttide_orders_total{kind,outcome}``.
     start_wait_seconds : Histogram
@@ -68,6 +71,7 @@
     run_ends: aioprometheus.Counter
     lost_runs: aioprometheus.Counter
     given_up: aioprometheus.Counter
+    waiting_tasks: aioprometheus.Gauge
     commands: aioprometheus.Counter
     start_wait_seconds: aioprometheus.Histogram
     job_seconds: aioprometheus.Histogram
@@ -102,6 +106,11 @@
             "lost_runs", "Runs lost with their worker, by suspicion."
         ),
         given_up=counter("given_up", "Tasks not tried again, by reason."),
+        waiting_tasks=aioprometheus.Gauge(
+            "chestnuttide_waiting_tasks",
+            "Tasks that are ready to start, by queue and reason.",
+            registry=registry,
+        ),
         commands=counter("orders", "Orders to workers, by outcome."),
         start_wait_seconds=histogram(
             "start_wait_seconds", "Seconds until a job's first start."
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -1,6 +1,7 @@
 """Ownership of a service: its takeover and the owner's loops."""
 
 import asyncio
+import collections
 
 from chestnuttide import errors
 from chestnuttide.node import _advisor_queries
@@ -29,6 +30,9 @@
 
 TAKEOVER_RETRY_S = 0.1
 
+# Period of the report of waiting tasks, which is one log line for a service.
+WAITING_REPORT_PERIOD_S = 5.0
+
 # Ended jobs are kept for this long after callers may no longer query them.
 STATUS_MARGIN_S = 30.0
 
@@ -92,6 +96,7 @@
         for task in loops:
             task.cancel()
         await asyncio.gather(*loops, return_exceptions=True)
+        _set_waiting_tasks(owner, collections.Counter())
         LOG.info(
             "Ownership has ended.",
             service=owner.service,
@@ -236,6 +241,8 @@
         )
     for worker in owner.pool.workers.values():
         _commands.send_due_stops(owner, worker)
+    if now - owner.waiting_reported_at >= WAITING_REPORT_PERIOD_S:
+        _report_waiting_tasks(owner, now)
     _drop_unstored_jobs(owner, now)
     _drop_ended_jobs(owner, unix_time)
     owner.plan_requested.set()
@@ -263,6 +270,35 @@
         _ownership.request_commit(owner, urgent=True)
 
 
+def _report_waiting_tasks(owner: _ownership.Ownership, now: float) -> None:
+    owner.waiting_reported_at = now
+    counts = workloads.count_waiting_tasks(owner.pool, now=now)
+    _set_waiting_tasks(owner, counts)
+    if counts:
+        workers = owner.pool.workers.values()
+        LOG.info(
+            "Tasks wait to start.",
+            service=owner.service,
+            tasks=[[*key, count] for key, count in sorted(counts.items())],
+            workers=sum(worker.listed for worker in workers),
+            usable=sum(workloads.is_usable(worker, now) for worker in workers),
+            trial_workers=sum(worker.trials > 0 for worker in workers),
+            queries=len(owner.advisor_queries),
+            waiting_queries=len(owner.waiting_queries),
+        )
+
+
+def _set_waiting_tasks(
+    owner: _ownership.Ownership,
+    counts: collections.Counter[tuple[str, workloads.WaitReason]],
+) -> None:
+    for queue in {job.spec.queue.name for job in owner.pool.jobs.values()}:
+        for reason in workloads.WaitReason:
+            owner.metrics.waiting_tasks.set(
+                {"queue": queue, "reason": reason}, counts[(queue, reason)]
+            )
+
+
 def _drop_unstored_jobs(owner: _ownership.Ownership, now: float) -> None:
     for job in list(owner.pool.active.values()):
         if not job.accepted and now - job.accepted_at > ANNOUNCED_JOB_LIMIT_S:
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -70,6 +70,8 @@
         Queries of the last planning round that wait for an instance.
     obsolete_keys : list of str
         Keys of records that can be removed from the store.
+    waiting_reported_at : float
+        Monotonic time at which waiting tasks were last reported.
     ready : bool
         Whether the takeover is complete.
     releasing : bool
@@ -103,6 +105,7 @@
     advisor_queries: set[str] = attrs.field(factory=set)
     waiting_queries: tuple[workloads.AdvisorQuery, ...] = ()
     obsolete_keys: list[str] = attrs.field(factory=list)
+    waiting_reported_at: float = 0.0
     ready: bool = False
     releasing: bool = False
     former_owner_stopped: bool = False
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -12,6 +12,7 @@
 from chestnuttide.workloads import _state
 from chestnuttide.workloads import _stops
 from chestnuttide.workloads import _supervision
+from chestnuttide.workloads import _waiting
 
 Advice = _specs.Advice
 AdvisorQuery = _advisor_queries.AdvisorQuery
@@ -33,6 +34,7 @@
 TimeLimits = _state.TimeLimits
 Unit = _state.Unit
 UnitState = _state.UnitState
+WaitReason = _waiting.WaitReason
 Worker = _state.Worker
 WorkerReport = _specs.WorkerReport
 acknowledged_completion = _poll_replies.acknowledged_completion
@@ -42,6 +44,7 @@
 begin_start = _starts.begin_start
 cancel_job = _lifecycle.cancel_job
 confirm_start = _poll_replies.confirm_start
+count_waiting_tasks = _waiting.count_waiting_tasks
 decode_job = _records.decode_job
 encode_ended_job = _records.encode_ended_job
 encode_job = _records.encode_job
@@ -97,6 +100,7 @@
     "TimeLimits",
     "Unit",
     "UnitState",
+    "WaitReason",
     "Worker",
     "WorkerReport",
     "acknowledged_completion",
@@ -106,6 +110,7 @@
     "begin_start",
     "cancel_job",
     "confirm_start",
+    "count_waiting_tasks",
     "decode_job",
     "encode_ended_job",
     "encode_job",
--- /dev/null
+++ b/chestnuttide/workloads/_waiting.py
@@ -0,0 +1,68 @@
+"""Why tasks that are ready to start wait, for operators."""
+
+import collections
+import enum
+
+from chestnuttide.workloads import _crashes
+from chestnuttide.workloads import _lifecycle
+from chestnuttide.workloads import _planning
+from chestnuttide.workloads import _state
+
+
+class WaitReason(enum.StrEnum):
+    """What a task that is ready to start waits for.
+
+    ADVICE is a ticket of a usable worker, TRIAL a worker on which a suspected
+    task may start, VERDICT the confirmation that its workers have crashed, and
+    CAPACITY free capacity or its turn in the next planning round.
+    """
+
+    ADVICE = "advice"
+    TRIAL = "trial"
+    VERDICT = "verdict"
+    CAPACITY = "capacity"
+
+
+def count_waiting_tasks(
+    pool: _state.Pool, *, now: float
+) -> collections.Counter[tuple[str, WaitReason]]:
+    """Return how many tasks wait, by the queue's name and the reason."""
+    usable = {
+        key
+        for key, worker in pool.workers.items()
+        if _planning.is_usable(worker, now)
+    }
+    counts: collections.Counter[tuple[str, WaitReason]] = collections.Counter()
+    for job in pool.active.values():
+        for key, progress in job.steps.items():
+            if not progress.waiting:
+                continue
+            if not _lifecycle.is_step_ready(job, *key):
+                continue
+            other = WaitReason.CAPACITY
+            if not _has_ticket(job, key, usable, now):
+                other = WaitReason.ADVICE
+            for unit in _lifecycle.step_units(job, *key):
+                if unit.state == _state.UnitState.WAITING:
+                    reason = _crash_reason(unit) or other
+                    counts[(job.spec.queue.name, reason)] += len(unit.indexes)
+    return counts
+
+
+def _crash_reason(unit: _state.Unit) -> WaitReason | None:
+    if not _crashes.may_start(unit):
+        return WaitReason.VERDICT
+    return WaitReason.TRIAL if _crashes.is_suspect(unit) else None
+
+
+def _has_ticket(
+    job: _state.Job, key: tuple[int, int], usable: set[str], now: float
+) -> bool:
+    """Return whether a usable worker may run a step's tasks now."""
+    if job.spec.queue.advice is None:
+        return True
+    advice = job.advice.get(key)
+    return advice is not None and any(
+        worker in usable and until > now
+        for worker, (_, until) in advice.tickets.items()
+    )
