Find deadly tasks beside owners that change and sound work

And proven work that had been lost three times was always a suspect, also beside a trial, so the task that crashed alone on trial was not the only suspect.

Change: two crashes after an answered start are needed to give a task up, and then all its crashes count. While units on trial run on a worker, a crash is blamed on them alone.

Evidence: the cases owner-changed-once and test_proven_work_beside_a_trial_is_no_suspect fail without the change.

--- a/chestnuttide/workloads/_crashes.py
+++ b/chestnuttide/workloads/_crashes.py
@@ -28,9 +28,11 @@
 # was on trial.
 MAX_SOLE_CRASHES = 2
 
-# The same for crashes before the worker has answered the start, which may not
-# have taken effect.
-MAX_UNCONFIRMED = 3
+# Crashes after which a unit may be given up if its run is known to have
+# started before each. A start that was not answered may not have taken effect,
+# so without these the unit has to be the only suspect once more.
+MIN_STARTED_CRASHES = 2
+MAX_UNANSWERED_CRASHES = 3
 
 # Crashes under suspicion after which a unit is given up if it was the only
 # suspect of one of them.
@@ -106,15 +108,14 @@
 
 
 def _is_given_up(crashes: collections.abc.Collection[_state.Crash]) -> bool:
-    if sum(crash.suspects == 1 for crash in crashes) >= MAX_UNCONFIRMED:
-        return True
-    started = [crash for crash in crashes if crash.started]
-    sole = sum(crash.suspects == 1 for crash in started)
-    suspected = _count_suspected(started)
+    sole = sum(crash.suspects == 1 for crash in crashes)
+    if sum(crash.started for crash in crashes) < MIN_STARTED_CRASHES:
+        return sole >= MAX_UNANSWERED_CRASHES
+    suspected = _count_suspected(crashes)
     return (
         sole >= MAX_SOLE_CRASHES
         or (sole > 0 and suspected >= MAX_SUSPECTED_CRASHES)
-        or (suspected > 1 and len(started) >= MAX_CRASHES)
+        or (suspected > 1 and len(crashes) >= MAX_CRASHES)
     )
 
 
@@ -168,7 +169,9 @@
         ] or before
     units = {run.unit for run in likely}
     units.update(
-        run.unit for run in lost if len(run.unit.crashes) >= SUSPICIOUS_CRASHES
+        run.unit
+        for run in on_trial or lost
+        if len(run.unit.crashes) >= SUSPICIOUS_CRASHES
     )
     unlikely = {run.unit for run in possible} - units
     return dict.fromkeys(units, len(units)) | dict.fromkeys(
--- a/chestnuttide/workloads/tests/test_crashes.py
+++ b/chestnuttide/workloads/tests/test_crashes.py
@@ -476,6 +476,9 @@
             [(1, True), (2, False), (2, False)], 0, id="started-once"
         ),
         pytest.param([(1, True), (20, True), (20, True)], 0, id="unlikely"),
+        pytest.param(
+            [(9, False), (2, True), (1, True)], 1, id="owner-changed-once"
+        ),
     ],
 )
 def test_a_crash_before_the_start_is_answered_is_no_proof(
@@ -565,6 +568,29 @@
     assert run.on_trial == on_trial
 
 
+def test_proven_work_beside_a_trial_is_no_suspect() -> None:
+    """Guards against a deadly task that is never the only suspect.
+
+    Sound work that had been lost three times was always suspected, so a task
+    that crashed its workers alone on trial was started six times.
+    """
+    pool = _pool_fixtures.make_pool(1)
+    bystander = _submit_suspects(pool, [0], job_id="00000000000000b1")
+    (unit,) = bystander.units.values()
+    for number in (2, 3):
+        unit.crashes[number] = workloads.Crash(
+            worker_key=f"gone@{number}", index=0, suspects=0
+        )
+    unit.last_run = 3
+    (run,) = _pool_fixtures.start_all(pool)
+    _prove_runs(pool, run.worker_key, now=9.0)
+    suspect = _submit_suspects(pool, [2])
+    (trial,) = _pool_fixtures.start_all(pool, now=9.1)
+    _crash_under_all(pool, now=9.2)
+    (unit,) = suspect.units.values()
+    assert unit.crashes[trial.number].suspects == 1
+
+
 def test_jobs_with_a_likely_cause_start_last() -> None:
     """Guards against sound work that waits behind tasks that will fail."""
     pool = _pool_fixtures.make_pool(1)
