Start shared trials first, and select no more queries than can be sent

Cause: while a service is busy, a quarter of its workers hold trials. A trial with debug output showed that all of them were held by units that share no trial, one each, with 12 to 18 of 18 workers ready for trials. With a backlog a service is always busy. The class of fault is head-of-line blocking of short work behind long work.

Change: units that share a trial are planned first, because a worker clears several of them at a time; a quarter of the trial workers is reserved for the others, as it was for likely causes.

Evidence: the test of the order fails without the change, and so does the one of the limit.

--- a/chestnuttide/node/_advisor_queries.py
+++ b/chestnuttide/node/_advisor_queries.py
@@ -30,6 +30,16 @@
 LONG_QUERY_S = 0.15
 SHORT_QUERY_INSTANCE_SHARE: typing.Final = 0.375
 
+# Queries that an instance sends between two planning rounds at most: a long
+# round with its pause takes 50 ms, and a short query 12 ms.
+QUERIES_PER_ROUND: typing.Final = 4
+
+
+def max_queries(owner: _ownership.Ownership) -> int:
+    """Return how many queries can be sent before the next planning round."""
+    instances = 1 + len(_peers.connected_names(owner.session.peers))
+    return QUERIES_PER_ROUND * instances
+
 
 def start_queries(
     owner: _ownership.Ownership,
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -187,7 +187,11 @@
             await asyncio.sleep(SUPERVISION_PERIOD_S)
             continue
         started_at = _clock.now()
-        plan = workloads.make_plan(owner.pool, now=started_at)
+        plan = workloads.make_plan(
+            owner.pool,
+            now=started_at,
+            max_queries=_advisor_queries.max_queries(owner),
+        )
         if plan.runs:
             _ownership.request_commit(owner, urgent=True)
         _advisor_queries.start_queries(owner, plan.queries)
--- a/chestnuttide/workloads/_crashes.py
+++ b/chestnuttide/workloads/_crashes.py
@@ -55,7 +55,13 @@
 
 def is_suspect(unit: _state.Unit) -> bool:
     """Return whether a unit's next run is on trial."""
-    return bool(unit.crashes) and risk(unit) > NEGLIGIBLE_RISK
+    return trial_risk(unit) > 0.0
+
+
+def trial_risk(unit: _state.Unit) -> float:
+    """Return the risk of a unit whose next run is on trial, else 0."""
+    unit_risk = risk(unit) if unit.crashes else 0.0
+    return unit_risk if unit_risk > NEGLIGIBLE_RISK else 0.0
 
 
 def trial_s(unit: _state.Unit) -> float:
@@ -65,11 +71,6 @@
     return _state.PROVEN_RUN_S
 
 
-def was_only_suspect(unit: _state.Unit) -> bool:
-    """Return whether a crash of a unit had no other suspect."""
-    return any(crash.suspects == 1 for crash in unit.crashes.values())
-
-
 def risk(unit: _state.Unit) -> float:
     """Return how likely a suspected unit is the cause of its crashes.
 
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -78,16 +78,32 @@
         Requirements of each of its tasks.
     waiting : list of Unit
         Units that are ready to start.
+    risks : dict of Unit to float
+        Risks of those that start on trial.
     """
 
     job: _state.Job
     key: tuple[int, int]
     demand: _free_capacity.Demand
     waiting: list[_state.Unit]
+    risks: dict[_state.Unit, float]
 
 
-def make_plan(pool: _state.Pool, *, now: float) -> Plan:
-    """Place waiting units on workers and select advisor queries."""
+def make_plan(
+    pool: _state.Pool, *, now: float, max_queries: int | None = None
+) -> Plan:
+    """Place waiting units on workers and select advisor queries.
+
+    Parameters
+    ----------
+    pool : Pool
+        The pool.
+    now : float
+        Monotonic time.
+    max_queries : int or None
+        How many queries can be sent before the next plan; None for no limit.
+        Selecting them takes about half of the time of a round.
+    """
     runs: list[_state.Run] = []
     queries: list[_advisor_queries.AdvisorQuery] = []
     usable = [
@@ -99,7 +115,8 @@
         return Plan(runs=(), queries=())
     view = _free_capacity.make_view(pool, usable, now=now)
     for step in _waiting_steps(pool, view):
-        planned, query = _plan_step(view, step)
+        may_query = max_queries is None or len(queries) < max_queries
+        planned, query = _plan_step(view, step, may_query=may_query)
         runs.extend(planned)
         if query is not None:
             queries.append(query)
@@ -123,12 +140,12 @@
     """Return a job's sort key; jobs with long-running tasks come first.
 
     They are few, and a long-running task is unavailable for as long as it
-    waits, however busy the service is. Jobs with a likely cause of a crash
-    come last, because they will probably fail.
+    waits, however busy the service is. Jobs with a unit that needs a trial
+    of its own come last: most of them fail, and each holds a worker.
     """
     queue = job.spec.queue
     return (
-        job.spec.id in view.trials.likely_causes,
+        job.spec.id in view.trials.lone_jobs,
         not job.is_long_running,
         queue.priority,
         job.accepted_at + queue.latency_objective_s,
@@ -158,11 +175,16 @@
                     key=key,
                     demand=_free_capacity.make_demand(view, job, key),
                     waiting=waiting,
+                    risks={
+                        unit: risk
+                        for unit in waiting
+                        if unit.crashes and (risk := _crashes.trial_risk(unit))
+                    },
                 )
 
 
 def _plan_step(
-    view: _free_capacity.CapacityView, step: _WaitingStep
+    view: _free_capacity.CapacityView, step: _WaitingStep, *, may_query: bool
 ) -> tuple[list[_state.Run], _advisor_queries.AdvisorQuery | None]:
     if step.job.spec.queue.advice is None:
         eligible = _eligible_workers(view, step, view.workers.values())
@@ -179,18 +201,24 @@
     runs, unplaced = _place_units(view, step, candidates, advice)
     if not unplaced:
         return runs, None
-    suspects: list[_state.Unit] = []
-    others = 0
-    for unit in step.waiting:
-        if unit.state != _state.UnitState.WAITING:
-            continue
-        if _crashes.is_suspect(unit):
-            suspects.append(unit)
-        else:
-            others += len(unit.indexes)
+    suspects = {
+        unit: risk
+        for unit, risk in step.risks.items()
+        if unit.state == _state.UnitState.WAITING
+    }
+    others = sum(
+        len(unit.indexes)
+        for unit in step.waiting
+        if unit.state == _state.UnitState.WAITING and unit not in suspects
+    )
+    query = None
     if others:
-        return runs, _reserve_and_query(view, step, advice, others)
-    return runs, _query_for_trial(view, step, advice, suspects)
+        allowed = _reserve_allowed_workers(view, step, advice, others)
+        if may_query:
+            query = _query_for_tasks(view, step, advice, others, allowed)
+    elif may_query:
+        query = _query_for_trial(view, step, advice, suspects)
+    return runs, query
 
 
 def _eligible_workers(
@@ -312,33 +340,67 @@
     ]
 
 
-def _reserve_and_query(
+@attrs.frozen(kw_only=True, slots=True, eq=False)
+class _AllowedWorkers:
+    """The workers that the advisor has allowed for a step.
+
+    Attributes
+    ----------
+    workers : list of Worker
+        All of them that are usable.
+    fitting : int
+        Number of tasks for which they have free capacity.
+    chosen : list of (Worker, float)
+        Those that are reserved, and the expected seconds until each has free
+        capacity.
+    """
+
+    workers: list[_state.Worker]
+    fitting: int
+    chosen: list[tuple[_state.Worker, float]]
+
+
+def _reserve_allowed_workers(
     view: _free_capacity.CapacityView,
     step: _WaitingStep,
     advice: _state.StepAdvice,
     wanted: int,
-) -> _advisor_queries.AdvisorQuery | None:
-    policy = step.job.spec.queue.advice
-    allowed_workers = [
+) -> _AllowedWorkers:
+    workers = [
         view.workers[key]
         for key, allowed in advice.allowed.items()
         if allowed and key in view.workers
     ]
     fitting = sum(
-        fitting for _, fitting in _fitting_workers(view, step, allowed_workers)
+        fitting for _, fitting in _fitting_workers(view, step, workers)
+    )
+    return _AllowedWorkers(
+        workers=workers,
+        fitting=fitting,
+        chosen=_reserve_workers(view, step, workers, wanted),
     )
-    chosen = _reserve_workers(view, step, allowed_workers, wanted)
+
+
+def _query_for_tasks(
+    view: _free_capacity.CapacityView,
+    step: _WaitingStep,
+    advice: _state.StepAdvice,
+    wanted: int,
+    allowed: _AllowedWorkers,
+) -> _advisor_queries.AdvisorQuery | None:
+    policy = step.job.spec.queue.advice
     # Query only workers that are expected to have free capacity by the time
     # of the answer.
-    duration_s = _advisor_queries.call_duration_s(policy, len(chosen))
+    duration_s = _advisor_queries.call_duration_s(policy, len(allowed.chosen))
     named = [
         worker
-        for worker, wait_s in chosen
+        for worker, wait_s in allowed.chosen
         if wait_s <= duration_s
         and not _has_ticket(advice, worker, view.now + duration_s)
     ]
-    if not allowed_workers or fitting < wanted:
-        named += _choose_unassessed(view, step, advice, wanted - fitting)
+    if not allowed.workers or allowed.fitting < wanted:
+        missing = wanted - allowed.fitting
+        named += _choose_unassessed(view, step, advice, missing)
     return _make_query(view, step, advice, named)
 
 
@@ -346,19 +408,19 @@
     view: _free_capacity.CapacityView,
     step: _WaitingStep,
     advice: _state.StepAdvice,
-    suspects: list[_state.Unit],
+    suspects: dict[_state.Unit, float],
 ) -> _advisor_queries.AdvisorQuery | None:
     """Return a query about the workers on which a trial may start now.
 
     A step may wait long for such a worker. Queries about others would keep
     the advisor from steps that could start.
     """
-    unit = min(suspects, key=_crashes.risk)
+    risk = min(suspects.values())
     workers = [
         worker
         for worker in view.workers.values()
         if advice.allowed.get(worker.key, True)
-        and _trials.may_host(view.trials, worker, unit)
+        and _trials.may_host(view.trials, worker, risk)
         and not _has_ticket(advice, worker, view.now)
     ]
     view.trials.opened.update(worker.key for worker in workers)
@@ -473,7 +535,7 @@
     runs: list[_state.Run] = []
     unplaced = 0
     for unit in step.waiting:
-        if _crashes.is_suspect(unit):
+        if unit in step.risks:
             placed, waits = _place_on_trial(
                 view, step, candidates, unit, advice
             )
@@ -502,6 +564,7 @@
         The planned runs, and whether the unit waits for a worker that has
         capacity for it. It then needs no reservation.
     """
+    risk = step.risks[unit]
     view.trials.opened.update(worker.key for worker in candidates)
     fitting = [
         worker for worker, _ in _fitting_workers(view, step, candidates)
@@ -509,7 +572,7 @@
     hosts = {
         worker.key: (_trials.score(view.trials, worker), worker)
         for worker in fitting
-        if _trials.may_host(view.trials, worker, unit)
+        if _trials.may_host(view.trials, worker, risk)
     }
     free = {
         key
@@ -520,11 +583,11 @@
     view.trials.opened.clear()
     if placed:
         used = {run.worker_key for run in placed}
-        _trials.record_trial(view.trials, unit, used & free)
+        _trials.record_trial(view.trials, risk, used & free)
         for key in used:
             view.workers[key].kept_free_until = 0.0
         return placed, False
-    _trials.keep_worker_free(view.trials, unit, fitting)
+    _trials.keep_worker_free(view.trials, unit, risk, fitting)
     return [], bool(fitting)
 
 
@@ -585,7 +648,7 @@
             need=_state.allocated_need(step.demand.spec),
             ticket=advice.tickets[best.key][0] if advice is not None else "",
             checkpoint=unit.checkpoint,
-            on_trial=_crashes.is_suspect(unit),
+            on_trial=unit in step.risks,
         )
         _free_capacity.allocate(view, best, run)
         _update_score(view, step, scored, best.key)
--- a/chestnuttide/workloads/_trials.py
+++ b/chestnuttide/workloads/_trials.py
@@ -17,9 +17,9 @@
 TRIAL_WORKER_SHARE = 0.25
 IDLE_TRIAL_WORKER_SHARE = 0.5
 
-# Share of these workers that is reserved for likely causes while other
-# suspects wait, most of which are sound and go first.
-LIKELY_CAUSE_SHARE = 0.25
+# Share of these workers that is reserved for units that share no trial. The
+# others go first, because one worker clears several of them at a time.
+LONE_TRIAL_SHARE = 0.25
 
 # Highest expected number of causes among the units that share a trial.
 MAX_TRIAL_RISK = 0.75
@@ -37,12 +37,12 @@
     ----------
     now : float
         Time of the round.
-    likely_causes : set of str
-        Ids of the jobs with a unit that was the only suspect of a crash.
+    lone_jobs : set of str
+        Ids of the jobs with a unit that shares no trial and is not proven.
     slots : int
         Number of further workers that may hold trials or be kept free.
     reserved_slots : int
-        Number of these that are reserved for likely causes.
+        Number of these that are reserved for units that share no trial.
     claims : dict of str to float
         Risk of the units that wait for a worker, by worker.
     opened : set of str
@@ -51,7 +51,7 @@
     """
 
     now: float
-    likely_causes: set[str]
+    lone_jobs: set[str]
     slots: int
     reserved_slots: int
     claims: dict[str, float] = attrs.field(factory=dict)
@@ -71,26 +71,26 @@
     """
     share = TRIAL_WORKER_SHARE if busy else IDLE_TRIAL_WORKER_SHARE
     limit = max(1, int(share * len(workers)))
-    likely = [
+    lone = [
         (job, unit)
         for job, unit in pool.crashed_units.values()
-        if _is_likely_cause(unit)
+        if _needs_lone_trial(unit)
     ]
-    on_trial = sum(bool(unit.runs) for _, unit in likely)
+    on_trial = sum(bool(unit.runs) for _, unit in lone)
     reserved = 0
-    if limit > 1 and on_trial < len(likely):
-        reserved = max(1, int(LIKELY_CAUSE_SHARE * limit)) - on_trial
+    if limit > 1 and on_trial < len(lone):
+        reserved = max(1, int(LONE_TRIAL_SHARE * limit)) - on_trial
     return TrialView(
         now=now,
-        likely_causes={job.spec.id for job, _ in likely},
+        lone_jobs={job.spec.id for job, _ in lone},
         slots=limit - sum(is_taken(each, now) for each in workers),
         reserved_slots=max(0, reserved),
     )
 
 
-def _is_likely_cause(unit: _state.Unit) -> bool:
-    """Return whether a unit was an only suspect and is not proven since."""
-    return _crashes.was_only_suspect(unit) and (
+def _needs_lone_trial(unit: _state.Unit) -> bool:
+    """Return whether a unit shares no trial and is not proven since."""
+    return _crashes.risk(unit) >= 1.0 and (
         unit.state == _state.UnitState.WAITING
         or any(not run.proven for run in unit.runs)
     )
@@ -106,26 +106,23 @@
     return is_taken(worker, view.now) and worker.key not in view.opened
 
 
-def may_host(
-    view: TrialView, worker: _state.Worker, unit: _state.Unit
-) -> bool:
-    """Return whether a suspected unit may start on a worker now."""
+def may_host(view: TrialView, worker: _state.Worker, risk: float) -> bool:
+    """Return whether a unit with a risk may start on a worker now."""
     if worker.unproven_runs > worker.trials:
         return False
     if not is_taken(worker, view.now):
-        return _may_take_worker(view, unit)
-    risk = sum(_crashes.risk(run.unit) for run in _trial_runs(worker))
-    return _may_share(risk, unit)
+        return _may_take_worker(view, risk)
+    others_risk = sum(_crashes.risk(run.unit) for run in _trial_runs(worker))
+    return _may_share(others_risk, risk)
 
 
-def _may_take_worker(view: TrialView, unit: _state.Unit) -> bool:
-    if _crashes.was_only_suspect(unit):
-        return view.slots > 0
-    return view.slots > view.reserved_slots
+def _may_take_worker(view: TrialView, risk: float) -> bool:
+    reserved = 0 if risk >= 1.0 else view.reserved_slots
+    return view.slots > reserved
 
 
-def _may_share(risk: float, unit: _state.Unit) -> bool:
-    return not risk or risk + _crashes.risk(unit) <= MAX_TRIAL_RISK
+def _may_share(others_risk: float, risk: float) -> bool:
+    return not others_risk or others_risk + risk <= MAX_TRIAL_RISK
 
 
 def _trial_runs(worker: _state.Worker) -> list[_state.Run]:
@@ -147,17 +144,18 @@
     return float(len(worker.runs))
 
 
-def record_trial(
-    view: TrialView, unit: _state.Unit, new_workers: set[str]
-) -> None:
+def record_trial(view: TrialView, risk: float, new_workers: set[str]) -> None:
     """Count a new trial on workers that were not taken before."""
     view.slots -= len(new_workers)
-    if _crashes.was_only_suspect(unit):
+    if risk >= 1.0:
         view.reserved_slots = max(0, view.reserved_slots - 1)
 
 
 def keep_worker_free(
-    view: TrialView, unit: _state.Unit, workers: list[_state.Worker]
+    view: TrialView,
+    unit: _state.Unit,
+    risk: float,
+    workers: list[_state.Worker],
 ) -> None:
     """Start nothing else on a worker that a waiting unit needs.
 
@@ -175,12 +173,12 @@
     for worker in workers:
         taken = is_taken(worker, view.now)
         claimed = view.claims.get(worker.key, 0.0)
-        if not _may_share(claimed, unit):
+        if not _may_share(claimed, risk):
             continue
-        if not taken and not _may_take_worker(view, unit):
+        if not taken and not _may_take_worker(view, risk):
             continue
         view.slots -= not taken
-        view.claims[worker.key] = claimed + _crashes.risk(unit)
+        view.claims[worker.key] = claimed + risk
         worker.kept_free_until = view.now + KEPT_FREE_S
         wanted -= 1
         if not wanted:
--- a/chestnuttide/workloads/tests/test_crashes.py
+++ b/chestnuttide/workloads/tests/test_crashes.py
@@ -591,6 +591,44 @@
     assert unit.crashes[trial.number].suspects == 1
 
 
+@pytest.mark.parametrize("limit", [1, 2])
+def test_shared_trials_come_before_units_that_need_one_alone(
+    limit: int,
+) -> None:
+    """Guards against 200 sound suspects that wait behind deadly tasks.
+
+    All trial workers of a busy service were held by units that had been
+    suspected twice, one each.
+    """
+    pool = _pool_fixtures.make_pool(4 * limit)
+    _pool_fixtures.submit(
+        pool,
+        _pool_fixtures.make_step(
+            count=4 * limit,
+            need=model.Resources(cpu_millis=2000, memory_mb=100),
+            spread_limit=1,
+        ),
+        job_id="00000000000000b0",
+    )
+    for run in _pool_fixtures.start_all(pool):
+        _prove_runs(pool, run.worker_key, now=0.5)
+    alone = _submit_suspects(pool, [2] * 4, priority=0)
+    for unit in alone.units.values():
+        unit.last_run = 2
+        unit.crashes[2] = workloads.Crash(
+            worker_key="gone@2", index=unit.key[2], suspects=3
+        )
+    _submit_suspects(pool, [4] * 4, job_id="00000000000000b1", priority=2)
+    trials = collections.Counter(
+        run.job.spec.id for run in workloads.make_plan(pool, now=1.0).runs
+    )
+    assert trials == (
+        {"00000000000000b1": 2}
+        if limit == 1
+        else {"00000000000000b1": 2, "00000000000000aa": 1}
+    )
+
+
 def test_jobs_with_a_likely_cause_start_last() -> None:
     """Guards against sound work that waits behind tasks that will fail."""
     pool = _pool_fixtures.make_pool(1)
--- a/chestnuttide/workloads/tests/test_planning.py
+++ b/chestnuttide/workloads/tests/test_planning.py
@@ -314,3 +314,35 @@
     )
     workloads.make_plan(pool, now=0.9)
     assert len(workloads.make_plan(pool, now=now).runs) == placed
+
+
+@pytest.mark.parametrize(
+    ("max_queries", "queried"),
+    [
+        pytest.param(None, [2, 3, 4], id="no-limit"),
+        pytest.param(2, [2, 3], id="most-urgent-first"),
+        pytest.param(0, [], id="none"),
+    ],
+)
+def test_a_plan_selects_as_many_queries_as_can_be_sent(
+    max_queries: int | None, queried: list[int]
+) -> None:
+    """Guards against rounds that spend their time on queries never sent.
+
+    With 1,100 waiting tasks a round took 45 ms, and the owner's commands and
+    queries waited for it.
+    """
+    pool = _pool_fixtures.make_pool(2)
+    advice = workloads.Advice(decide_s=0.02, per_worker_s=0.001, validity_s=2)
+    for priority in (4, 2, 3):
+        _pool_fixtures.submit(
+            pool,
+            _pool_fixtures.make_step(),
+            job_id=f"{priority:016x}",
+            priority=priority,
+            advice=advice,
+        )
+    _pool_fixtures.submit(pool, _pool_fixtures.make_step(), priority=5)
+    plan = workloads.make_plan(pool, now=1.0, max_queries=max_queries)
+    assert [query.job.spec.queue.priority for query in plan.queries] == queried
+    assert len(plan.runs) == 1
