Decode each input once, within bounds, and leave out what cannot be read

Cause: decode_worker listed the errors that it expected of the parser. json.loads raises RecursionError for deep nesting and int() OverflowError for 1e999. These left the callback of the watch and ended the ownership; the next owner's takeover read the same entry. The same held for poll replies, replies to commands, the configuration, items of the cell and stored records.

Change: errors.decoding turns every failure of a decoder into one error, and platform/_documents.py reads each field with its type and bounds. An item that cannot be read is logged, counted in chestnuttide_unreadable_total and left out. A job whose progress cannot be read starts nothing, as its tasks may still run.

--- a/chestnuttide/cli/_commands.py
+++ b/chestnuttide/cli/_commands.py
@@ -20,7 +20,7 @@
 from chestnuttide.cli import _client
 from chestnuttide.cli import _exits
 from chestnuttide import config
-from chestnuttide import settings
+from chestnuttide import model
 
 ENTRY_VARIABLE: typing.Final = "CHESTNUTTIDE_ENTRY"
 AUTHOR_VARIABLE: typing.Final = "USER"
@@ -84,7 +84,7 @@
             part.strip() for part in text.split(",") if part.strip()
         )
         for address in addresses:
-            if not settings.is_address(address):
+            if not model.is_address(address):
                 raise _exits.usage_error(
                     f"{address!r} is not an address.",
                     "Give --entry as ip:port, for example 10.0.0.7:8080.",
--- a/chestnuttide/errors/__init__.py
+++ b/chestnuttide/errors/__init__.py
@@ -1,5 +1,6 @@
 """Errors with stable codes, and the reasons for refusals and retries."""
 
+from chestnuttide.errors import _decoding
 from chestnuttide.errors import _exceptions
 
 DeposedError = _exceptions.DeposedError
@@ -17,6 +18,7 @@
 SchedulerError = _exceptions.SchedulerError
 SettingsError = _exceptions.SettingsError
 StoreUnavailableError = _exceptions.StoreUnavailableError
+decoding = _decoding.decoding
 
 __all__ = [
     "DeposedError",
@@ -34,4 +36,5 @@
     "SchedulerError",
     "SettingsError",
     "StoreUnavailableError",
+    "decoding",
 ]
--- a/chestnuttide/mesh/_codec.py
+++ b/chestnuttide/mesh/_codec.py
@@ -87,18 +87,10 @@
     errors.ProtocolError
         If the frame is not an array of known messages.
     """
-    try:
+    with errors.decoding(
+        "A mesh frame", "Run the same release on all instances."
+    ):
         return [_decode_message(codec, item) for item in cbor2.loads(frame)]
-    except (
-        cbor2.CBORDecodeError,
-        IndexError,
-        TypeError,
-        ValueError,
-    ) as error:
-        raise errors.ProtocolError(
-            message=f"A mesh frame cannot be decoded: {error}.",
-            remedy="Run the same release on all instances.",
-        ) from error
 
 
 def _make_message_type(message_class: type) -> _MessageType:
--- a/chestnuttide/model/__init__.py
+++ b/chestnuttide/model/__init__.py
@@ -1,5 +1,6 @@
 """Value types shared by all packages of the scheduler."""
 
+from chestnuttide.model import _addresses
 from chestnuttide.model import _instances
 from chestnuttide.model import _jobs
 from chestnuttide.model import _requests
@@ -16,6 +17,7 @@
 Job = _jobs.Job
 JobKind = _jobs.JobKind
 JobState = _jobs.JobState
+MAX_PORT = _addresses.MAX_PORT
 Request = _requests.Request
 Resources = _resources.Resources
 START_VALID_S = _jobs.START_VALID_S
@@ -23,6 +25,8 @@
 ZERO = _resources.ZERO
 add = _resources.add
 fits = _resources.fits
+is_address = _addresses.is_address
+is_ip = _addresses.is_ip
 is_pool = _shards.is_pool
 pool_shard = _shards.pool_shard
 pool_shards = _shards.pool_shards
@@ -43,6 +47,7 @@
     "Job",
     "JobKind",
     "JobState",
+    "MAX_PORT",
     "Request",
     "Resources",
     "START_VALID_S",
@@ -50,6 +55,8 @@
     "ZERO",
     "add",
     "fits",
+    "is_address",
+    "is_ip",
     "is_pool",
     "pool_shard",
     "pool_shards",
--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -141,6 +141,7 @@
         settings=settings,
         store=store,
         peers=peers,
+        count_unreadable=_metrics.unreadable_counter(metrics),
         incarnation=secrets.token_hex(8),
     )
     owned: dict[str, _ownership.Ownership] = {}
--- a/chestnuttide/node/_metrics.py
+++ b/chestnuttide/node/_metrics.py
@@ -51,6 +51,10 @@
     waiting_tasks : Gauge
         ``chestnuttide_waiting_tasks{queue,reason}``, tasks that are ready to
         start; see ``workloads.WaitReason``.
+    unreadable : Counter
+        ``chestnuttide_unreadable_total{kind}``, items of the store that were
+        left out because they cannot be read; ``kind`` is ``worker``,
+        ``record``, ``cell`` or ``config``.
     commands : Counter
         ``chestnuttide_orders_total{kind,outcome}``.
     start_wait_seconds : Histogram
@@ -72,6 +76,7 @@
     lost_runs: aioprometheus.Counter
     given_up: aioprometheus.Counter
     waiting_tasks: aioprometheus.Gauge
+    unreadable: aioprometheus.Counter
     commands: aioprometheus.Counter
     start_wait_seconds: aioprometheus.Histogram
     job_seconds: aioprometheus.Histogram
@@ -111,6 +116,9 @@
             "Tasks that are ready to start, by queue and reason.",
             registry=registry,
         ),
+        unreadable=counter(
+            "unreadable", "Items left out as unreadable, by kind."
+        ),
         commands=counter("orders", "Orders to workers, by outcome."),
         start_wait_seconds=histogram(
             "start_wait_seconds", "Seconds until a job's first start."
@@ -133,3 +141,14 @@
         metrics.store_calls.inc({"kind": kind, "outcome": outcome})
 
     return count
+
+
+def unreadable_counter(
+    metrics: NodeMetrics,
+) -> collections.abc.Callable[[str], None]:
+    """Return a function that counts items left out, by kind."""
+
+    def count(kind: str) -> None:
+        metrics.unreadable.inc({"kind": kind})
+
+    return count
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -70,6 +70,9 @@
         Queries of the last planning round that wait for an instance.
     obsolete_keys : list of str
         Keys of records that can be removed from the store.
+    unreadable_keys : set of str
+        Keys of the jobs that are left out, because one of their records
+        cannot be read.
     waiting_reported_at : float
         Monotonic time at which waiting tasks were last reported.
     ready : bool
@@ -105,6 +108,7 @@
     advisor_queries: set[str] = attrs.field(factory=set)
     waiting_queries: tuple[workloads.AdvisorQuery, ...] = ()
     obsolete_keys: list[str] = attrs.field(factory=list)
+    unreadable_keys: set[str] = attrs.field(factory=set)
     waiting_reported_at: float = 0.0
     ready: bool = False
     releasing: bool = False
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -7,6 +7,7 @@
 import cbor2
 
 from chestnuttide import errors
+from chestnuttide import model
 from chestnuttide.node import _clock
 from chestnuttide.node import _keys
 from chestnuttide.node import _messages
@@ -89,6 +90,9 @@
         The store.
     peers : Peers
         The other instances.
+    count_unreadable : function
+        ``count_unreadable(kind)`` counts an item that is left out because it
+        cannot be read.
     address : str
         ``ip:port`` for the other instances.
     incarnation : str
@@ -129,6 +133,7 @@
     settings: _settings.NodeSettings
     store: platform.KvStore
     peers: _peers.Peers
+    count_unreadable: collections.abc.Callable[[str], None]
     address: str = ""
     incarnation: str = ""
     lease: int = 0
@@ -286,40 +291,59 @@
 
 
 def apply_cell_item(session: Session, item: platform.Item) -> None:
-    """Apply a change of a member, an owner or a released ownership."""
+    """Apply a change of a member, an owner or a released ownership.
+
+    An item that cannot be read is left out.
+    """
+    try:
+        with errors.decoding(
+            f"The item {item.key!r}", "Run the same release on all instances."
+        ):
+            value = None if item.removed else _decode_cell_item(item)
+    except errors.ProtocolError as error:
+        LOG.error("Item of the cell is ignored.", error=str(error))
+        session.count_unreadable("cell")
+        return
     if item.key.startswith(_keys.MEMBERS):
         name = item.key.removeprefix(_keys.MEMBERS)
-        if item.removed:
+        if value is None:
             _end_membership(session, name)
         else:
-            address, _, cores, link_mbps = cbor2.loads(item.value)
-            session.members[name] = Member(
-                address=address, cores=cores, link_mbps=link_mbps
-            )
+            session.members[name] = value
             session.former_members.pop(name, None)
         return
     if item.key.startswith(_keys.RELEASED):
-        if not item.removed:
+        if value is not None:
             service = item.key.removeprefix(_keys.RELEASED)
-            session.released[service] = int(item.value)
+            session.released[service] = value
         return
     service = item.key.removeprefix(_keys.OWNERS)
-    former = session.owners.get(service)
-    if item.removed:
-        if former is not None and former.fencing_token < item.revision:
-            del session.owners[service]
-            session.former_owners[service] = former
-            LOG.info("Service lost its owner.", service=service)
+    if value is not None:
+        _adopt_owner(session, service, value)
         return
+    former = session.owners.get(service)
+    if former is not None and former.fencing_token < item.revision:
+        del session.owners[service]
+        session.former_owners[service] = former
+        LOG.info("Service lost its owner.", service=service)
+
+
+def _decode_cell_item(item: platform.Item) -> Member | Owner | int:
+    """Return the member, owner or released fencing token of an item."""
+    if item.key.startswith(_keys.RELEASED):
+        return int(item.value)
+    if item.key.startswith(_keys.MEMBERS):
+        address, _, cores, link_mbps = cbor2.loads(item.value)
+        if not model.is_address(address):
+            raise ValueError("the address is not of the form ip:port")
+        return Member(
+            address=address, cores=float(cores), link_mbps=float(link_mbps)
+        )
     instance, incarnation = cbor2.loads(item.value)
-    _adopt_owner(
-        session,
-        service,
-        Owner(
-            instance=instance,
-            incarnation=incarnation,
-            fencing_token=item.revision,
-        ),
+    return Owner(
+        instance=str(instance),
+        incarnation=str(incarnation),
+        fencing_token=item.revision,
     )
 
 
@@ -375,6 +399,7 @@
         LOG.error(
             "Invalid config is ignored.", source=source, error=str(error)
         )
+        session.count_unreadable("config")
         return
     if session.config is not None and config.version <= session.config.version:
         return
--- a/chestnuttide/node/_submission.py
+++ b/chestnuttide/node/_submission.py
@@ -23,6 +23,8 @@
 # response.
 STORE_DEADLINE_SHARE = 0.7
 DEFAULT_DEADLINE_S = 3.0
+MAX_DEADLINE_S = 3600.0
+MAX_DEADLINE_DIGITS = 12
 
 # Number of peers that are asked to write for an instance without access to the
 # store. Peers without access refuse within a round trip.
@@ -100,7 +102,10 @@
 
 def _deadline_s(request: httputil.HTTPServerRequest) -> float:
     text = request.headers.get("Deadline-Ms", "")
-    return int(text) / 1000 if text.isdigit() else DEFAULT_DEADLINE_S
+    if not (text.isascii() and text.isdigit()):
+        return DEFAULT_DEADLINE_S
+    # A text of many digits is too long to convert.
+    return min(int(text[:MAX_DEADLINE_DIGITS]) / 1000, MAX_DEADLINE_S)
 
 
 def _notify_owner(
--- a/chestnuttide/node/_updates.py
+++ b/chestnuttide/node/_updates.py
@@ -53,6 +53,7 @@
         report = platform.decode_worker(worker_id, item.value)
     except errors.ProtocolError as error:
         LOG.warning("Worker entry is ignored.", error=str(error))
+        owner.metrics.unreadable.inc({"kind": "worker"})
         for worker in current:
             worker.listed = False
         return None
@@ -111,7 +112,13 @@
         if not known.accepted:
             _accept(owner, known)
         return
-    record = workloads.decode_job(item.value)
+    if item.key in owner.unreadable_keys:
+        return
+    try:
+        record = workloads.decode_job(item.value)
+    except errors.ProtocolError as error:
+        _leave_out_record(owner, item.key, job_id, error)
+        return
     if isinstance(record, workloads.EndedJob):
         job = _make_ended_job(job_id, owner.service, record)
         owner.pool.jobs[job_id] = job
@@ -119,6 +126,28 @@
     _accept(owner, _add_job(owner, record))
 
 
+def _leave_out_record(
+    owner: _ownership.Ownership,
+    key: str,
+    job_id: str,
+    error: errors.ProtocolError,
+) -> None:
+    """Leave out a job, one of whose records cannot be read.
+
+    Without its progress, its tasks might be started beside former runs.
+    """
+    LOG.error(
+        "Job is left out: a record cannot be read.",
+        job=job_id,
+        key=key,
+        error=str(error),
+    )
+    owner.metrics.unreadable.inc({"kind": "record"})
+    owner.unreadable_keys.add(_keys.job(owner.service, job_id))
+    owner.pool.active.pop(job_id, None)
+    owner.pool.jobs.pop(job_id, None)
+
+
 def _add_job(
     owner: _ownership.Ownership, record: workloads.JobSpec
 ) -> workloads.Job:
@@ -180,11 +209,10 @@
         name=record.queue, host="", prefix="", service=service
     )
     spec = workloads.JobSpec(id=job_id, queue=queue, payload="", steps=())
-    state = workloads.JobState(record.state)
     return workloads.Job(
         spec=spec,
-        state=state,
-        shown_state=state,
+        state=record.state,
+        shown_state=record.state,
         accepted=True,
         ended_unix_s=record.ended_unix_s,
     )
@@ -197,14 +225,17 @@
         LOG.warning("Progress record without a job is ignored.", job=job_id)
         return
     job.progress_revision = item.revision
-    workloads.apply_progress(
-        owner.pool,
-        job,
-        item.value,
-        lease_until=_former_lease_expiry(owner),
-        now=_clock.now(),
-        now_unix_s=_clock.unix_time(),
-    )
+    try:
+        workloads.apply_progress(
+            owner.pool,
+            job,
+            item.value,
+            lease_until=_former_lease_expiry(owner),
+            now=_clock.now(),
+            now_unix_s=_clock.unix_time(),
+        )
+    except errors.ProtocolError as error:
+        _leave_out_record(owner, item.key, job_id, error)
 
 
 def _apply_cancel(owner: _ownership.Ownership, item: platform.Item) -> None:
--- a/chestnuttide/node/tests/test_claims.py
+++ b/chestnuttide/node/tests/test_claims.py
@@ -25,6 +25,7 @@
         ),
         store=None,
         peers=None,
+        count_unreadable=lambda kind: None,
         lease=1,
         cell_known=True,
     )
--- a/chestnuttide/node/tests/test_release.py
+++ b/chestnuttide/node/tests/test_release.py
@@ -23,7 +23,12 @@
     return _ownership.Ownership(
         service="s",
         fencing_token=7,
-        session=_session.Session(settings=None, store=None, peers=None),
+        session=_session.Session(
+            settings=None,
+            store=None,
+            peers=None,
+            count_unreadable=lambda kind: None,
+        ),
         store=None,
         workers_http=None,
         pool=_pool_fixtures.make_pool(1),
--- a/chestnuttide/node/tests/test_submission.py
+++ b/chestnuttide/node/tests/test_submission.py
@@ -52,6 +52,7 @@
                 count=_metrics.store_counter(metrics),
             ),
             peers=_peers.make_peers(instance="a", data_centre="d"),
+            count_unreadable=lambda kind: None,
         )
         context = _responses.ApiContext(
             session=session,
--- a/chestnuttide/platform/_advisor.py
+++ b/chestnuttide/platform/_advisor.py
@@ -1,10 +1,12 @@
 """Client of the policy advisor, which decides where a step may run."""
 
+import functools
 import json
 
 import attrs
 
 from chestnuttide import errors
+from chestnuttide.platform import _documents
 from chestnuttide.platform import _http
 
 # The advisor accepts at most this many workers in one query.
@@ -52,12 +54,17 @@
             remedy="Retry later or from another instance.",
             sent=True,
         )
-    try:
-        rows = json.loads(reply.body)["good"]
-        return Tickets(by_worker={row[0]: row[1] for row in rows})
-    except (KeyError, IndexError, TypeError, ValueError) as error:
-        raise errors.PlatformError(
-            message=f"The advisor's response is malformed: {error!r}.",
-            remedy="Compare the response with the advisor's specification.",
-            sent=True,
-        ) from error
+    with errors.decoding(
+        "The advisor's response",
+        "Compare the response with the advisor's specification.",
+        functools.partial(errors.PlatformError, sent=True),
+    ):
+        document = _documents.parse_object(reply.body)
+        by_worker = {}
+        for worker, ticket in _documents.read_list(document, "good"):
+            for value in (worker, ticket):
+                _documents.check_text(
+                    value, "a row", max_length=_documents.MAX_TEXT
+                )
+            by_worker[worker] = ticket
+        return Tickets(by_worker=by_worker)
--- a/chestnuttide/platform/_formats.py
+++ b/chestnuttide/platform/_formats.py
@@ -1,12 +1,13 @@
 """Decoding of the JSON documents of callers, operators and workers."""
 
-import json
+import functools
 import re
 
 import attrs
 
 from chestnuttide import errors
 from chestnuttide import model
+from chestnuttide.platform import _documents
 from chestnuttide import workloads
 
 # The rack of a worker is one of its labels, for example "r1-2".
@@ -17,6 +18,9 @@
 _MAX_STEPS = 256
 _MAX_TASKS = 20_000
 
+# A worker's id is sent as a header, so it has no spaces or control characters.
+_WORKER_ID = re.compile(r"[!-~]{1,200}")
+
 
 @attrs.frozen(kw_only=True, slots=True)
 class ClusterConfig:
@@ -48,44 +52,76 @@
     errors.ProtocolError
         If the document is invalid.
     """
-    try:
-        document = json.loads(value)
-        limits = document.get("limits", {})
-        queues = [_decode_queue(route) for route in document.get("routes", [])]
-        services = document.get("services", [])
+    with errors.decoding(
+        "The configuration",
+        "Compare op/config with the operator documentation.",
+    ):
+        document = _documents.parse_object(value)
+        limits = _documents.as_object(document.get("limits") or {}, "limits")
+        queues = [
+            _decode_queue(_documents.as_object(route, "a route"))
+            for route in _documents.read_list(document, "routes")
+        ]
         return ClusterConfig(
-            version=int(document["version"]),
+            version=_documents.read_integer(
+                document, "version", low=0, high=_documents.MAX_COUNTER
+            ),
             queues=tuple(sorted(queues, key=lambda queue: -len(queue.prefix))),
-            services=tuple(service["name"] for service in services),
-            max_body_bytes=int(limits.get("maxBodyBytes", 262_144)),
+            services=tuple(
+                _documents.read_text(
+                    _documents.as_object(service, "a service"), "name"
+                )
+                for service in _documents.read_list(document, "services")
+            ),
+            max_body_bytes=_documents.read_integer(
+                limits,
+                "maxBodyBytes",
+                low=0,
+                high=_documents.MAX_AMOUNT,
+                default=262_144,
+            ),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise errors.ProtocolError(
-            message=f"The configuration is invalid: {error!r}.",
-            remedy="Compare op/config with the operator documentation.",
-        ) from error
 
 
-def _decode_queue(document: dict[str, object]) -> workloads.Queue:
+def _decode_queue(document: _documents.Document) -> workloads.Queue:
     advice = document.get("advice")
     return workloads.Queue(
-        name=document["name"],
-        host=document["host"],
-        prefix=document["prefix"],
-        service=document["service"],
-        priority=int(document.get("priority", 0)),
-        attempt_limit=int(document.get("maxAttempts", 1)),
-        stretch=float(document.get("stretch", 1.0)),
+        name=_documents.read_text(document, "name"),
+        host=_documents.read_text(document, "host"),
+        prefix=_documents.read_text(document, "prefix"),
+        service=_documents.read_text(document, "service"),
+        priority=_documents.read_integer(
+            document,
+            "priority",
+            low=-_documents.MAX_AMOUNT,
+            high=_documents.MAX_AMOUNT,
+            default=0,
+        ),
+        attempt_limit=_documents.read_integer(
+            document,
+            "maxAttempts",
+            low=0,
+            high=_documents.MAX_AMOUNT,
+            default=1,
+        ),
+        stretch=_documents.read_number(document, "stretch", default=1.0),
         # The document calls it a target latency. The scheduler uses it as the
         # time that a job's objective allows in addition to its work.
-        latency_objective_s=float(document.get("targetLatencyMs", 0)) / 1000,
-        advice=None
-        if not advice
-        else workloads.Advice(
-            decide_s=float(advice["decideMs"]) / 1000,
-            per_worker_s=float(advice["eachMs"]) / 1000,
-            validity_s=float(advice["validityMs"]) / 1000,
-        ),
+        latency_objective_s=_documents.read_number(
+            document, "targetLatencyMs", default=0
+        )
+        / 1000,
+        advice=_decode_advice(_documents.as_object(advice, "advice"))
+        if advice
+        else None,
+    )
+
+
+def _decode_advice(document: _documents.Document) -> workloads.Advice:
+    return workloads.Advice(
+        decide_s=_documents.read_number(document, "decideMs") / 1000,
+        per_worker_s=_documents.read_number(document, "eachMs") / 1000,
+        validity_s=_documents.read_number(document, "validityMs") / 1000,
     )
 
 
@@ -104,78 +140,104 @@
     errors.RefusedError
         If the body is not a valid job; the message names the field.
     """
-    try:
-        document = json.loads(body)
+    with errors.decoding(
+        "The job",
+        "Correct the named field and submit the job again.",
+        functools.partial(errors.RefusedError, reason=errors.Reason.MALFORMED),
+    ):
+        document = _documents.parse_object(body)
         steps = tuple(
-            _decode_step(step, number)
-            for number, step in enumerate(document["steps"])
+            _decode_step(_documents.as_object(step, f"step {number}"), number)
+            for number, step in enumerate(
+                _documents.read_list(document, "steps")
+            )
         )
-        payload = document.get("spec", "")
-        if not isinstance(payload, str):
-            raise TypeError("spec is not a string")
-        if len(payload.encode()) > _MAX_PAYLOAD_BYTES:
-            raise ValueError(f"spec exceeds {_MAX_PAYLOAD_BYTES} bytes")
         if not 1 <= len(steps) <= _MAX_STEPS:
-            raise ValueError(f"the number of steps must be 1 to {_MAX_STEPS}")
+            raise ValueError(f"the number of steps is not 1 to {_MAX_STEPS}")
         if sum(step.count for step in steps) > _MAX_TASKS:
-            raise ValueError(f"more than {_MAX_TASKS} tasks")
+            raise ValueError(f"there are more than {_MAX_TASKS} tasks")
         return workloads.JobSpec(
             id=job_id,
             queue=queue,
-            payload=payload,
+            payload=_documents.read_text(
+                document, "spec", default="", max_length=_MAX_PAYLOAD_BYTES
+            ),
             steps=steps,
             accepted_unix_s=now_unix_s,
-            occurrences=int(document.get("times", 0)),
-            first_due_unix_s=float(document.get("firstMs", 0)) / 1000,
-            interval_s=float(document.get("intervalMs", 0)) / 1000,
+            occurrences=_documents.read_integer(
+                document,
+                "times",
+                low=0,
+                high=_documents.MAX_AMOUNT,
+                default=0,
+            ),
+            first_due_unix_s=_documents.read_number(
+                document, "firstMs", default=0
+            )
+            / 1000,
+            interval_s=_documents.read_number(
+                document, "intervalMs", default=0
+            )
+            / 1000,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise errors.RefusedError(
-            reason=errors.Reason.MALFORMED,
-            message=f"The job is invalid: {error}.",
-            remedy="Correct the named field and submit the job again.",
-        ) from error
 
 
 def _decode_step(
-    document: dict[str, object], number: int
+    document: _documents.Document, number: int
 ) -> workloads.StepSpec:
-    count = int(document["count"])
-    after = tuple(int(index) for index in document.get("after", ()))
-    if count < 1:
-        raise ValueError(f"count of step {number} is below 1")
-    if any(not 0 <= index < number for index in after):
-        raise ValueError(f"after of step {number} must name earlier steps")
-    need = model.Resources(
-        cpu_millis=int(document.get("cpu", 0)),
-        memory_mb=int(document.get("memMb", 0)),
-        accelerators=int(document.get("gpu", 0)),
-    )
-    if min(need.cpu_millis, need.memory_mb, need.accelerators) < 0:
-        raise ValueError(
-            f"step {number} requests a negative amount of a resource"
-        )
     return workloads.StepSpec(
-        count=count,
-        need=need,
-        estimate_s=float(document.get("estRuntimeMs", 0)) / 1000,
-        after=after,
+        count=_documents.read_integer(
+            document, "count", low=1, high=_MAX_TASKS
+        ),
+        need=_decode_resources(document),
+        estimate_s=_documents.read_number(document, "estRuntimeMs", default=0)
+        / 1000,
+        after=tuple(
+            _documents.check_integer(
+                index, f"after of step {number}", low=0, high=number - 1
+            )
+            for index in _documents.read_list(document, "after")
+        ),
         checkpointable=bool(document.get("checkpointable")),
         gang=bool(document.get("gang")),
         speculative=bool(document.get("speculative")),
         lasting=bool(document.get("longRunning")),
         filler=bool(document.get("fills")),
         same_rack=bool(document.get("sameRack")),
-        label=str(document.get("constraints") or ""),
-        data_rack=str(document.get("affinity") or ""),
-        spread_limit=int(document.get("maxPerServer", 0)),
-        image=str(document.get("image") or ""),
-        latency_target_ms=float(document.get("targetMs", 0)),
+        label=_documents.read_text(document, "constraints", default=""),
+        data_rack=_documents.read_text(document, "affinity", default=""),
+        spread_limit=_documents.read_integer(
+            document, "maxPerServer", low=0, high=_MAX_TASKS, default=0
+        ),
+        image=_documents.read_text(document, "image", default=""),
+        latency_target_ms=_documents.read_number(
+            document, "targetMs", default=0
+        ),
         # Absent means no limit; 0 means that no task may be unavailable.
-        unavailable_limit=int(document.get("mayMiss", -1)),
+        unavailable_limit=_documents.read_integer(
+            document,
+            "mayMiss",
+            low=-1,
+            high=_documents.MAX_AMOUNT,
+            default=-1,
+        ),
     )
 
 
+def _decode_resources(document: _documents.Document) -> model.Resources:
+    amounts = {
+        field: _documents.read_integer(
+            document, name, low=0, high=_documents.MAX_AMOUNT, default=0
+        )
+        for field, name in (
+            ("cpu_millis", "cpu"),
+            ("memory_mb", "memMb"),
+            ("accelerators", "gpu"),
+        )
+    }
+    return model.Resources(**amounts)
+
+
 def decode_worker(worker_id: str, value: bytes) -> workloads.WorkerReport:
     """Return the report that a worker wrote to the store.
 
@@ -185,48 +247,43 @@
         If the entry is malformed or was not written by a worker; it then
         names no usable worker.
     """
-    try:
-        document = json.loads(value)
-        state = document["state"]
+    with errors.decoding(
+        f"The entry of worker {worker_id!r}",
+        "Ignore the entry until the worker writes it again.",
+    ):
+        if not _WORKER_ID.fullmatch(worker_id):
+            raise ValueError("the id has characters that no worker's id has")
+        document = _documents.parse_object(value)
+        state = document.get("state")
         if state not in ("ready", "draining"):
-            raise ValueError(f"unknown state {state!r}")
-        for name in ("service", "addr", "zone"):
-            if not isinstance(document[name], str) or not document[name]:
-                raise TypeError(f"{name} is not a non-empty string")
-        host, _, port = document["addr"].rpartition(":")
-        if not host or not 0 < int(port) < 65536:
-            raise ValueError("addr is not of the form host:port")
-        capacity = document["capacity"]
-        labels = document.get("labels", [])
-        if not all(isinstance(label, str) for label in labels):
-            raise TypeError("labels are not strings")
+            raise ValueError("state is neither ready nor draining")
+        labels = _documents.read_list(document, "labels")
+        for label in labels:
+            _documents.check_text(
+                label, "a label", max_length=_documents.MAX_TEXT
+            )
         return workloads.WorkerReport(
             id=worker_id,
-            born_ms=int(document.get("born", 0)),
-            service=document["service"],
-            address=document["addr"],
-            data_centre=document["zone"],
-            capacity=model.Resources(
-                cpu_millis=_decode_amount(capacity, "cpu"),
-                memory_mb=_decode_amount(capacity, "memMb"),
-                accelerators=_decode_amount(capacity, "gpu"),
+            born_ms=_documents.read_integer(
+                document,
+                "born",
+                low=0,
+                high=_documents.MAX_MILLISECONDS,
+                default=0,
+            ),
+            service=_documents.read_text(document, "service"),
+            address=_documents.read_address(document, "addr"),
+            data_centre=_documents.read_text(document, "zone"),
+            capacity=_decode_resources(
+                _documents.as_object(document.get("capacity"), "capacity")
             ),
             labels=frozenset(labels),
             rack=next(
                 (label for label in labels if _RACK_LABEL.fullmatch(label)), ""
             ),
             draining=state == "draining",
-            remaining_s=float(document.get("remainingMs", 0)) / 1000,
+            remaining_s=_documents.read_number(
+                document, "remainingMs", default=0
+            )
+            / 1000,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise errors.ProtocolError(
-            message=f"The entry of worker {worker_id} is invalid: {error}.",
-            remedy="Ignore the entry until the worker writes it again.",
-        ) from error
-
-
-def _decode_amount(capacity: dict[str, object], name: str) -> int:
-    amount = capacity.get(name, 0)
-    if isinstance(amount, bool) or not isinstance(amount, int) or amount < 0:
-        raise TypeError(f"capacity {name} is not a non-negative integer")
-    return amount
--- a/chestnuttide/platform/_kv_store.py
+++ b/chestnuttide/platform/_kv_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import collections.abc
+import contextlib
 import json
 import time
 import urllib.parse
@@ -9,6 +10,7 @@
 import attrs
 
 from chestnuttide import errors
+from chestnuttide.platform import _documents
 from chestnuttide.platform import _http
 
 # The store accepts at most 32 entries in one transaction.
@@ -163,9 +165,10 @@
     reply = await _call(
         store, "get", "/v1/kv-key?" + urllib.parse.urlencode({"key": key})
     )
-    return (
-        None if reply.status == 404 else _decode_item(_require_success(reply))
-    )
+    if reply.status == 404:
+        return None
+    with _decoding():
+        return _decode_item(_require_success(reply))
 
 
 async def read_range(store: KvStore, prefix: str, *, after: str = "") -> Page:
@@ -173,16 +176,21 @@
     query = {"prefix": prefix}
     if after:
         query["after"] = after
-    document = _require_success(
-        await _call(
-            store, "range", "/v1/kv-range?" + urllib.parse.urlencode(query)
-        )
-    )
-    return Page(
-        items=tuple(_decode_item(item) for item in document["items"]),
-        more=bool(document.get("hasMore")),
-        store_revision=document["storeRevision"],
+    reply = await _call(
+        store, "range", "/v1/kv-range?" + urllib.parse.urlencode(query)
     )
+    with _decoding():
+        document = _require_success(reply)
+        page = Page(
+            items=tuple(
+                map(_decode_item, _documents.read_list(document, "items"))
+            ),
+            more=bool(document.get("hasMore")),
+            store_revision=_read_counter(document, "storeRevision"),
+        )
+        if page.more and not page.items:
+            raise ValueError("a page without items has a next page")
+        return page
 
 
 async def read_all(store: KvStore, prefix: str) -> Changes:
@@ -195,7 +203,7 @@
     page = await read_range(store, prefix)
     first_revision = page.store_revision
     items = list(page.items)
-    while page.more and page.items:
+    while page.more:
         page = await read_range(store, prefix, after=page.items[-1].key)
         items.extend(page.items)
     return Changes(items=tuple(items), store_revision=first_revision)
@@ -224,11 +232,14 @@
             message=f"The history after {after_revision} has been discarded.",
             remedy="List the prefix again.",
         )
-    document = _require_success(reply)
-    return Changes(
-        items=tuple(_decode_item(item) for item in document["events"]),
-        store_revision=document["storeRevision"],
-    )
+    with _decoding():
+        document = _require_success(reply)
+        return Changes(
+            items=tuple(
+                map(_decode_item, _documents.read_list(document, "events"))
+            ),
+            store_revision=_read_counter(document, "storeRevision"),
+        )
 
 
 async def commit(
@@ -274,25 +285,29 @@
         store, "write", "/v1/kv-txn", body=body, may_send=may_send
     )
     if reply.status == 412:
-        raise ConditionError(
-            tuple(
-                _decode_item(item)
-                for item in _decode_json(reply).get("items", [])
+        with _decoding():
+            document = _documents.parse_object(reply.body)
+            items = tuple(
+                map(_decode_item, _documents.read_list(document, "items"))
             )
-        )
+        raise ConditionError(items)
     if reply.status == 404:
         raise _lease_expired(transaction.lease)
-    return int(_require_success(reply)["rev"])
+    with _decoding():
+        return _read_counter(_require_success(reply), "rev")
 
 
 async def grant_lease(store: KvStore, *, ttl_s: float) -> tuple[int, float]:
     """Create a lease; return its id and its time to live in seconds."""
-    document = _require_success(
-        await _call(
-            store, "lease", "/v1/kv-lease", body={"ttlMs": int(ttl_s * 1000)}
-        )
+    reply = await _call(
+        store, "lease", "/v1/kv-lease", body={"ttlMs": int(ttl_s * 1000)}
     )
-    return int(document["lease"]), document["ttlMs"] / 1000
+    with _decoding():
+        document = _require_success(reply)
+        return (
+            _read_counter(document, "lease"),
+            _documents.read_number(document, "ttlMs") / 1000,
+        )
 
 
 async def renew_lease(store: KvStore, lease: int) -> None:
@@ -306,7 +321,8 @@
     reply = await _call(store, "renew", f"/v1/kv-keep/{lease}", body={})
     if reply.status == 404:
         raise _lease_expired(lease)
-    _require_success(reply)
+    with _decoding():
+        _require_success(reply)
 
 
 async def revoke_lease(store: KvStore, lease: int) -> None:
@@ -364,34 +380,38 @@
     store.unresponsive = unanswered
 
 
-def _decode_json(reply: _http.Reply) -> dict[str, object]:
-    try:
-        return json.loads(reply.body)
-    except ValueError as error:
-        raise errors.StoreUnavailableError(
-            message="The store's response is not valid JSON.",
-            remedy="Read the written keys back before retrying.",
-        ) from error
+def _decoding() -> contextlib.AbstractContextManager[None]:
+    return errors.decoding(
+        "The store's response",
+        "Read the written keys back before retrying.",
+        errors.StoreUnavailableError,
+    )
 
 
-def _require_success(reply: _http.Reply) -> dict[str, object]:
+def _require_success(reply: _http.Reply) -> _documents.Document:
+    """Return the body of a successful reply, for use in `_decoding`."""
     if reply.status != 200:
-        raise errors.StoreUnavailableError(
-            message=f"The store returned status {reply.status}.",
-            remedy="Compare the call with the store's specification.",
-        )
-    return _decode_json(reply)
+        raise ValueError(f"its status is {reply.status}")
+    return _documents.parse_object(reply.body)
 
 
-def _decode_item(document: dict[str, object]) -> Item:
+def _decode_item(document: _documents.Document) -> Item:
     return Item(
-        key=document["key"],
-        value=base64.b64decode(document.get("value", "")),
-        revision=int(document.get("rev", 0)),
+        key=_documents.read_text(document, "key"),
+        value=base64.b64decode(document.get("value") or ""),
+        revision=_read_counter(document, "rev", default=0),
         removed=bool(document.get("deleted", False)),
     )
 
 
+def _read_counter(
+    document: _documents.Document, name: str, **default: int
+) -> int:
+    return _documents.read_integer(
+        document, name, low=0, high=_documents.MAX_COUNTER, **default
+    )
+
+
 def _lease_expired(lease: int) -> errors.LeaseExpiredError:
     return errors.LeaseExpiredError(
         message=f"Lease {lease} no longer exists.",
--- a/chestnuttide/platform/_worker_commands.py
+++ b/chestnuttide/platform/_worker_commands.py
@@ -1,11 +1,13 @@
 """Calls to workers: poll them, and start, stop and throttle runs."""
 
 import collections.abc
+import functools
 import json
 
 import attrs
 
 from chestnuttide import errors
+from chestnuttide.platform import _documents
 from chestnuttide.platform import _http
 
 
@@ -179,30 +181,25 @@
     )
     if reply.status != 200:
         return _decode_command_reply(reply)
-    try:
-        document = json.loads(reply.body)
+    with errors.decoding(
+        f"The poll reply of worker {worker.id}",
+        "Compare the reply with the worker's specification.",
+        functools.partial(errors.PlatformError, sent=True),
+    ):
+        document = _documents.parse_object(reply.body)
         return PollReply(
-            clock_ms=int(document["clockMs"]),
+            clock_ms=_read_milliseconds(document, "clockMs"),
             # Without it, a live worker would seem to have restarted.
-            born_ms=int(document["born"]),
-            running=tuple(_decode_run(row) for row in document["running"]),
+            born_ms=_read_milliseconds(document, "born"),
+            running=tuple(
+                _decode_run(row)
+                for row in _documents.read_list(document, "running")
+            ),
             ended=tuple(
-                Completion(
-                    number=row[0],
-                    task=row[1],
-                    run=row[2],
-                    result=row[3],
-                    checkpoint=row[4] if len(row) > 4 else "",
-                )
-                for row in document["ended"]
+                _decode_completion(row)
+                for row in _documents.read_list(document, "ended")
             ),
         )
-    except (KeyError, TypeError, ValueError, IndexError) as error:
-        raise errors.PlatformError(
-            message=f"The poll reply of worker {worker.id} is malformed.",
-            remedy="Compare the reply with the worker's specification.",
-            sent=True,
-        ) from error
 
 
 async def start_run(
@@ -276,29 +273,61 @@
     )
 
 
+def _read_milliseconds(document: _documents.Document, name: str) -> int:
+    return _documents.read_integer(
+        document, name, low=0, high=_documents.MAX_MILLISECONDS
+    )
+
+
 def _decode_run(row: list[object]) -> RunReport:
+    task, run, checkpoint, percent, *rest = row
     return RunReport(
-        task=row[0],
-        run=row[1],
-        checkpoint=row[2],
-        percent=row[3],
-        latency_ms_or_cpu=row[4] if len(row) > 4 else 0,
+        task=_check_text(task),
+        run=_check_counter(run),
+        checkpoint=_check_text(checkpoint or ""),
+        percent=_documents.check_number(percent, "percent"),
+        latency_ms_or_cpu=_documents.check_number(rest[0], "the fifth entry")
+        if rest
+        else 0,
+    )
+
+
+def _decode_completion(row: list[object]) -> Completion:
+    number, task, run, result, *rest = row
+    return Completion(
+        number=_check_counter(number),
+        task=_check_text(task),
+        run=_check_counter(run),
+        result=_check_text(result),
+        checkpoint=_check_text(rest[0] or "") if rest else "",
+    )
+
+
+def _check_text(value: object) -> str:
+    _documents.check_text(
+        value, "an entry of a row", max_length=_documents.MAX_TEXT
+    )
+    return value
+
+
+def _check_counter(value: object) -> int:
+    return _documents.check_integer(
+        value, "a number of a row", low=0, high=_documents.MAX_COUNTER
     )
 
 
 def _decode_command_reply(reply: _http.Reply) -> CommandReply:
-    # The status decides; a body that is not a JSON object is ignored.
+    # The status decides; a body that cannot be read is left out.
     try:
-        document = json.loads(reply.body) if reply.body else {}
-    except ValueError:
-        document = {}
-    if not isinstance(document, dict):
-        document = {}
-    return CommandReply(
-        status=reply.status,
-        reason=document.get("reason", ""),
-        clock_ms=document.get("clockMs"),
-    )
+        with errors.decoding("The reply to a command", "Use its status."):
+            document = _documents.parse_object(reply.body or b"{}")
+            reason = _documents.read_text(document, "reason", default="")
+            clock_ms = None
+            if document.get("clockMs") is not None:
+                clock_ms = _read_milliseconds(document, "clockMs")
+    except errors.ProtocolError:
+        return CommandReply(status=reply.status)
+    return CommandReply(status=reply.status, reason=reason, clock_ms=clock_ms)
 
 
 async def _post(
--- a/chestnuttide/platform/tests/test_worker_commands.py
+++ b/chestnuttide/platform/tests/test_worker_commands.py
@@ -29,6 +29,36 @@
         pytest.param(
             b'{"clockMs":5,"born":1,"running":[1],"ended":[]}', id="odd-row"
         ),
+        pytest.param(b"[" * 5000, id="too-deep"),
+        pytest.param(
+            b'{"clockMs":1e999,"born":1,"running":[],"ended":[]}',
+            id="infinite-clock",
+        ),
+        *(
+            pytest.param(
+                b'{"clockMs":5,"born":1,"running":[' + row + b'],"ended":[]}',
+                id=name,
+            )
+            for name, row in (
+                ("task-as-list", b'[["t"],1,"",41]'),
+                ("run-as-text", b'["t","1","",41]'),
+                ("percent-as-text", b'["t",1,"","41"]'),
+                ("nan-percent", b'["t",1,"",NaN]'),
+                ("latency-as-object", b'["t",1,"",41,{}]'),
+            )
+        ),
+        *(
+            pytest.param(
+                b'{"clockMs":5,"born":1,"running":[],"ended":[' + row + b"]}",
+                id=name,
+            )
+            for name, row in (
+                ("number-as-text", b'["1","t",1,"done",""]'),
+                ("infinite-number", b'[1e999,"t",1,"done",""]'),
+                ("result-as-list", b'[1,"t",1,["done"],""]'),
+                ("short-row", b'[1,"t"]'),
+            )
+        ),
     ],
 )
 def test_a_malformed_poll_reply_is_no_answer(
@@ -37,7 +67,8 @@
     """Guards against runs of a live worker that are started elsewhere.
 
     A reply without the worker's start time counted as one of another
-    incarnation, and all runs of the worker as lost.
+    incarnation, and all runs of the worker as lost. A percentage of another
+    type ended the supervision of all runs.
     """
     _answer_with(monkeypatch, 200, body)
     with pytest.raises(errors.PlatformError):
@@ -62,6 +93,10 @@
         pytest.param(b"7", id="a-number"),
         pytest.param(b"\xff", id="not-json"),
         pytest.param(b"", id="empty"),
+        pytest.param(b"[" * 5000, id="too-deep"),
+        pytest.param(b'{"clockMs":"soon"}', id="clock-as-text"),
+        pytest.param(b'{"clockMs":1e999}', id="infinite-clock"),
+        pytest.param(b'{"reason":["fence"]}', id="reason-as-list"),
     ],
 )
 def test_the_status_of_a_command_counts_without_a_readable_body(
--- a/chestnuttide/settings/__init__.py
+++ b/chestnuttide/settings/__init__.py
@@ -11,7 +11,6 @@
 PlatformSettings = _fields.PlatformSettings
 SchedulerSettings = _fields.SchedulerSettings
 Settings = _fields.Settings
-is_address = _fields.is_address
 load = _load.load
 parse = _load.parse
 render_reference = _reference.render_reference
@@ -24,7 +23,6 @@
     "PlatformSettings",
     "SchedulerSettings",
     "Settings",
-    "is_address",
     "load",
     "parse",
     "render_reference",
--- a/chestnuttide/settings/_fields.py
+++ b/chestnuttide/settings/_fields.py
@@ -1,13 +1,13 @@
 """Fields of the settings file, with their units and allowed ranges."""
 
 import collections.abc
-import ipaddress
 import re
 import typing
 
 import attrs
 
-MAX_PORT: typing.Final = 65_535
+from chestnuttide import model
+
 LOG_LEVELS: typing.Final = ("debug", "info", "warning", "error")
 
 # Instance ids become segments of store keys, so "/" is not allowed.
@@ -43,25 +43,6 @@
     return validate
 
 
-def _is_ip(value: str) -> bool:
-    try:
-        ipaddress.ip_address(value)
-    except ValueError:
-        return False
-    return True
-
-
-def is_address(value: str) -> bool:
-    """Return whether a value is an address of the form ``ip:port``."""
-    host, _, port = value.rpartition(":")
-    return (
-        _is_ip(host.removeprefix("[").removesuffix("]"))
-        and port.isascii()
-        and port.isdigit()
-        and 1 <= int(port) <= MAX_PORT
-    )
-
-
 def _is_name(value: str) -> bool:
     return _NAME_PATTERN.fullmatch(value) is not None
 
@@ -75,11 +56,12 @@
     is_allowed=lambda value: not value or _is_name(value),
 )
 _IP_VALIDATOR: typing.Final = _make_validator(
-    allowed="that is an IP address, for example 10.0.0.7", is_allowed=_is_ip
+    allowed="that is an IP address, for example 10.0.0.7",
+    is_allowed=model.is_ip,
 )
 _ADDRESS_VALIDATOR: typing.Final = _make_validator(
     allowed="of the form ip:port, for example 10.0.0.7:2379",
-    is_allowed=is_address,
+    is_allowed=model.is_address,
 )
 
 
@@ -88,7 +70,7 @@
 
 
 def _port_field(default: int) -> typing.Any:
-    return attrs.field(default=default, validator=_in_range(1, MAX_PORT))
+    return attrs.field(default=default, validator=_in_range(1, model.MAX_PORT))
 
 
 @attrs.frozen(kw_only=True, slots=True)
--- a/chestnuttide/workloads/_records.py
+++ b/chestnuttide/workloads/_records.py
@@ -4,6 +4,7 @@
 import cattrs
 import cbor2
 
+from chestnuttide import errors
 from chestnuttide import model
 from chestnuttide.workloads import _crashes
 from chestnuttide.workloads import _lifecycle
@@ -12,7 +13,9 @@
 
 _RECORD_VERSION = 1
 
-_CONVERTER = cattrs.Converter()
+_RECORD_REMEDY = "Remove it, or run the release that wrote it."
+
+_CONVERTER = cattrs.Converter(detailed_validation=False)
 
 
 def encode_progress(job: _state.Job) -> bytes:
@@ -51,18 +54,88 @@
     ]
 
 
-def _decode_crashes(
-    rows: list[tuple[int, str, int, int, bool]],
-) -> dict[int, _state.Crash]:
-    return {
-        number: _state.Crash(
-            worker_key=worker_key,
-            index=index,
-            suspects=suspects,
-            started=started,
-        )
-        for number, worker_key, index, suspects, started in rows
-    }
+@attrs.frozen(kw_only=True, slots=True)
+class _UnitRecord:
+    """Stored progress of a unit.
+
+    Attributes
+    ----------
+    key : (int, int, int)
+        Occurrence, step and index.
+    state : UnitState
+        Progress of the unit.
+    last_run : int
+        Highest run number used so far.
+    failed_runs : list of int
+        Numbers of the failed runs.
+    checkpoint : str
+        Checkpoint to resume from; empty if there is none.
+    runs : list of (int, int, str)
+        Index, number and worker incarnation of each run.
+    crashes : list of (int, str, int, int, bool)
+        Run number, worker incarnation, index, suspects and whether the run
+        had started, for each crash.
+    """
+
+    key: tuple[int, int, int]
+    state: _state.UnitState
+    last_run: int
+    failed_runs: list[int]
+    checkpoint: str
+    runs: list[tuple[int, int, str]]
+    crashes: list[tuple[int, str, int, int, bool]]
+
+
+def _decode_progress(
+    spec: _specs.JobSpec, record: bytes
+) -> tuple[bool, list[_UnitRecord]]:
+    """Return whether a job has started, and the progress of its units.
+
+    Raises
+    ------
+    errors.ProtocolError
+        If the record cannot be read or does not fit the job.
+    """
+    with errors.decoding(
+        f"The progress record of job {spec.id}", _RECORD_REMEDY
+    ):
+        _, started, rows = cbor2.loads(record)
+        units = [_decode_unit(spec, row) for row in rows]
+    return bool(started), units
+
+
+def _decode_unit(spec: _specs.JobSpec, row: list[object]) -> _UnitRecord:
+    occurrence, step, index, state, last_run, failed, saved, runs = row[:8]
+    unit = _CONVERTER.structure(
+        {
+            "key": (occurrence, step, index),
+            "state": state,
+            "last_run": last_run,
+            "failed_runs": failed,
+            "checkpoint": saved,
+            "runs": runs,
+            # Few units have this column.
+            "crashes": row[8] if len(row) > 8 else [],
+        },
+        _UnitRecord,
+    )
+    occurrence, step, index = unit.key
+    if not 0 <= occurrence < max(1, spec.occurrences):
+        raise ValueError(f"there is no occurrence {occurrence}")
+    if not 0 <= step < len(spec.steps):
+        raise ValueError(f"there is no step {step}")
+    units = 1 if spec.steps[step].gang else spec.steps[step].count
+    if not 0 <= index < units:
+        raise ValueError(f"there is no unit {index} in step {step}")
+    for _, _, key in unit.runs:
+        _split_worker_key(key)
+    return unit
+
+
+def _split_worker_key(key: str) -> tuple[str, int]:
+    """Return the id of a worker and the start time of its incarnation."""
+    worker_id, _, born_ms = key.rpartition("@")
+    return worker_id, int(born_ms)
 
 
 def apply_progress(
@@ -79,23 +152,37 @@
     Each restored run is uncertain and allocates capacity of its worker until
     a poll reply shows whether it runs. A worker that is not listed gets a
     placeholder, whose lease expires at `lease_until`.
+
+    Raises
+    ------
+    errors.ProtocolError
+        If the record cannot be read; the job is unchanged.
     """
-    _, started, rows = cbor2.loads(record)
+    started, units = _decode_progress(job.spec, record)
     job.started = started
     if started:
         job.state = job.shown_state = _state.JobState.RUNNING
-    _restore_occurrences(pool, job, rows, now_unix_s)
-    for row in rows:
-        occurrence, step, index, state, last_run, failed, saved, runs = row[:8]
-        unit = job.units[(occurrence, step, index)]
-        _state.set_unit_state(job, unit, _state.UnitState(state))
-        unit.last_run = last_run
-        unit.failed_runs = set(failed)
-        unit.failures = len(failed)
-        unit.checkpoint = saved
-        unit.crashes = _decode_crashes(row[8] if len(row) > 8 else [])
+    _restore_occurrences(pool, job, units, now_unix_s)
+    for stored in units:
+        unit = job.units[stored.key]
+        _state.set_unit_state(job, unit, stored.state)
+        unit.last_run = stored.last_run
+        unit.failed_runs = set(stored.failed_runs)
+        unit.failures = len(stored.failed_runs)
+        unit.checkpoint = stored.checkpoint
+        unit.crashes = {
+            number: _state.Crash(
+                worker_key=worker_key,
+                index=index,
+                suspects=suspects,
+                started=crash_started,
+            )
+            for number, worker_key, index, suspects, crash_started in (
+                stored.crashes
+            )
+        }
         _crashes.index_unit(pool, job, unit)
-        for member, number, key in runs:
+        for member, number, key in stored.runs:
             worker = pool.workers.get(key)
             if worker is None:
                 worker = _make_placeholder(key, lease_until)
@@ -106,9 +193,9 @@
                 index=member,
                 number=number,
                 worker_key=key,
-                need=_state.allocated_need(job.spec.steps[step]),
+                need=_state.allocated_need(job.spec.steps[unit.key[1]]),
                 phase=_state.Phase.UNCERTAIN,
-                checkpoint=saved,
+                checkpoint=unit.checkpoint,
                 # A worker that has seen this owner's fencing token rejects
                 # starts of former owners, so any poll reply is conclusive.
                 deadline_ms=-1,
@@ -122,7 +209,7 @@
 def _restore_occurrences(
     pool: _state.Pool,
     job: _state.Job,
-    rows: list[list[object]],
+    units: list[_UnitRecord],
     now_unix_s: float,
 ) -> None:
     """Create the units of all occurrences that the record contains.
@@ -130,19 +217,19 @@
     The former owner's clock may have been ahead, so an occurrence in the
     record may not be due by this owner's clock yet.
     """
-    released = max((row[0] + 1 for row in rows), default=0)
+    released = max((unit.key[0] + 1 for unit in units), default=0)
     due_s = job.spec.first_due_unix_s
     due_s += (released - 1) * job.spec.interval_s
     _lifecycle.release_due_occurrences(pool, job, max(now_unix_s, due_s))
 
 
 def _make_placeholder(key: str, lease_until: float) -> _state.Worker:
-    worker_id, _, born = key.rpartition("@")
+    worker_id, born_ms = _split_worker_key(key)
     return _state.Worker(
         key=key,
         report=_specs.WorkerReport(
             id=worker_id,
-            born_ms=int(born),
+            born_ms=born_ms,
             service="",
             address="",
             data_centre="",
@@ -161,14 +248,14 @@
     ----------
     queue : str
         Name of its queue.
-    state : str
+    state : JobState
         Final state.
     ended_unix_s : float
         End time.
     """
 
     queue: str
-    state: str
+    state: _state.JobState
     ended_unix_s: float
 
 
@@ -181,14 +268,21 @@
     """Encode the record of a job that has ended."""
     ended = EndedJob(
         queue=job.spec.queue.name,
-        state=str(job.state),
+        state=job.state,
         ended_unix_s=job.ended_unix_s,
     )
     return cbor2.dumps([_RECORD_VERSION, _CONVERTER.unstructure(ended)])
 
 
 def decode_job(record: bytes) -> _specs.JobSpec | EndedJob:
-    """Decode the record of an accepted or an ended job."""
-    _, document = cbor2.loads(record)
-    kind = EndedJob if "ended_unix_s" in document else _specs.JobSpec
-    return _CONVERTER.structure(document, kind)
+    """Decode the record of an accepted or an ended job.
+
+    Raises
+    ------
+    errors.ProtocolError
+        If the record cannot be read.
+    """
+    with errors.decoding("The record of a job", _RECORD_REMEDY):
+        _, document = cbor2.loads(record)
+        kind = EndedJob if "ended_unix_s" in document else _specs.JobSpec
+        return _CONVERTER.structure(document, kind)
