Bound an advisor query without dividing by the time per worker

Cause: the planner divided by the configured time per worker. The ZeroDivisionError ended the planning loop and the ownership, on each instance in turn. Reading the other divisions found two more faults of this one: a quotient too large for an integer, and queries of more than the 100 workers that the advisor takes. The sender cut these, and the workers left out counted as rejected.

Change: max_workers compares products, and limits a query to 100 workers where it is planned.

--- a/chestnuttide/node/_advisor_queries.py
+++ b/chestnuttide/node/_advisor_queries.py
@@ -115,7 +115,7 @@
     workers = tuple(worker.report.id for worker in query.workers)
     message = {
         "step": step,
-        "workers": workers[: platform.MAX_WORKERS_PER_CALL],
+        "workers": workers,
         "timeout_s": query.duration_s + TIMEOUT_MARGIN_S,
     }
     tickets = None
--- a/chestnuttide/platform/__init__.py
+++ b/chestnuttide/platform/__init__.py
@@ -23,7 +23,6 @@
 Item = _kv_store.Item
 KvStore = _kv_store.KvStore
 MAX_TRANSACTION_ENTRIES = _kv_store.MAX_TRANSACTION_ENTRIES
-MAX_WORKERS_PER_CALL = _advisor.MAX_WORKERS_PER_CALL
 PollReply = _worker_commands.PollReply
 RunReport = _worker_commands.RunReport
 StartOutcome = _ports.StartOutcome
@@ -73,7 +72,6 @@
     "Item",
     "KvStore",
     "MAX_TRANSACTION_ENTRIES",
-    "MAX_WORKERS_PER_CALL",
     "PollReply",
     "RunReport",
     "StartOutcome",
--- a/chestnuttide/platform/_advisor.py
+++ b/chestnuttide/platform/_advisor.py
@@ -9,9 +9,6 @@
 from chestnuttide.platform import _documents
 from chestnuttide.platform import _http
 
-# The advisor accepts at most this many workers in one query.
-MAX_WORKERS_PER_CALL = 100
-
 
 @attrs.frozen(kw_only=True, slots=True)
 class Tickets:
--- a/chestnuttide/workloads/_advisor_queries.py
+++ b/chestnuttide/workloads/_advisor_queries.py
@@ -1,12 +1,21 @@
 """Advisor queries that are needed, and the results of answered ones."""
 
 import collections.abc
+import typing
 
 import attrs
 
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
 
+# The advisor assesses at most this many workers in one query.
+MAX_QUERY_WORKERS: typing.Final = 100
+
+# A query names so many workers that they lengthen the call by this share at
+# most. Whether a worker may run a step never changes, so naming many at once
+# saves later calls.
+QUERY_TIME_SHARE: typing.Final = 0.5
+
 
 @attrs.frozen(kw_only=True, slots=True, eq=False)
 class AdvisorQuery:
@@ -46,6 +55,17 @@
     return advice.decide_s + advice.per_worker_s * workers
 
 
+def max_workers(advice: _specs.Advice) -> int:
+    """Return how many workers a query names at most, at least one.
+
+    Workers may add no time to a query: `per_worker_s` may be 0.
+    """
+    extra_s = QUERY_TIME_SHARE * advice.decide_s
+    if extra_s >= MAX_QUERY_WORKERS * advice.per_worker_s:
+        return MAX_QUERY_WORKERS
+    return max(1, int(extra_s / advice.per_worker_s))
+
+
 def record_query(query: AdvisorQuery) -> None:
     """Record that an advisor query is in flight."""
     advice = query.job.advice[(query.occurrence, query.step)]
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -23,11 +23,6 @@
 # A ticket must stay valid for the store write and the call of a start.
 TICKET_MARGIN_S = 0.15
 
-# A query names so many workers that they lengthen the call by this share at
-# most. Whether a worker may run a step never changes, so naming many at once
-# saves later calls.
-QUERY_TIME_SHARE = 0.5
-
 # Least share of the named workers that the advisor is expected to allow. A
 # higher share in earlier answers about the step takes its place.
 EXPECTED_ALLOWED_SHARE = 0.3
@@ -444,10 +439,7 @@
     """Return a query about workers, best first, or None for none."""
     if not workers or advice.in_flight or view.now < advice.retry_at:
         return None
-    policy = step.job.spec.queue.advice
-    limit = max(
-        1, int(QUERY_TIME_SHARE * policy.decide_s / policy.per_worker_s)
-    )
+    limit = _advisor_queries.max_workers(step.job.spec.queue.advice)
     return _advisor_queries.AdvisorQuery(
         job=step.job,
         occurrence=step.key[0],
--- a/chestnuttide/workloads/tests/test_planning.py
+++ b/chestnuttide/workloads/tests/test_planning.py
@@ -89,6 +89,56 @@
     assert (run.worker_key, run.ticket) == ("w1@1", "t")
 
 
+@pytest.mark.parametrize(
+    ("decide_s", "per_worker_s", "named"),
+    [
+        pytest.param(0.9, 0.01, 45, id="half-of-the-call"),
+        pytest.param(0.02, 0.0, 100, id="no-time-per-worker"),
+        pytest.param(0.0, 0.0, 100, id="no-time-at-all"),
+        pytest.param(0.0, 0.01, 1, id="no-time-for-the-call"),
+        pytest.param(0.02, 5e-324, 100, id="least-time-per-worker"),
+        pytest.param(9e12, 1e-3, 100, id="longest-call"),
+        pytest.param(0.02, 9e12, 1, id="longest-time-per-worker"),
+    ],
+)
+def test_a_query_names_as_many_workers_as_the_policy_allows(
+    decide_s: float, per_worker_s: float, named: int
+) -> None:
+    """Guards against a configured time of 0 that ends the planning loop.
+
+    The planner divided by the time per worker. The division ended the
+    ownership of the service, on each instance in turn.
+    """
+    pool = _pool_fixtures.make_pool(120)
+    advice = workloads.Advice(
+        decide_s=decide_s, per_worker_s=per_worker_s, validity_s=2.0
+    )
+    _pool_fixtures.submit(pool, _pool_fixtures.make_step(), advice=advice)
+    (query,) = workloads.make_plan(pool, now=1.0).queries
+    assert len(query.workers) == named
+
+
+def test_workers_beyond_the_longest_query_are_queried_next() -> None:
+    """Guards against workers that count as rejected without being named.
+
+    A query named all workers that the policy had time for. The advisor takes
+    100, and the others counted as not allowed for as long as the job lasted.
+    """
+    pool = _pool_fixtures.make_pool(120)
+    advice = workloads.Advice(
+        decide_s=20.0, per_worker_s=0.001, validity_s=2.0
+    )
+    _pool_fixtures.submit(pool, _pool_fixtures.make_step(), advice=advice)
+    named: set[str] = set()
+    for now in (1.0, 2.0):
+        (query,) = workloads.make_plan(pool, now=now).queries
+        assert len(query.workers) <= 100
+        named.update(worker.key for worker in query.workers)
+        workloads.record_query(query)
+        workloads.record_query_result(query, {}, now=now, retry_s=0.1)
+    assert named == pool.workers.keys()
+
+
 def test_an_expired_ticket_is_not_used() -> None:
     """Guards against starts that workers reject for an expired ticket."""
     pool = _pool_fixtures.make_pool(1)
