Infer no end of a run from a reply whose list of completions is full

Cause: a worker lists 500 completions at a time. A run that a reply listed neither as running nor as ended counted as never started, or as lost, although its completion was on the next page.

Change: the adapter marks a full list, and apply_poll_reply infers nothing about unlisted runs from it. Acknowledging these completions brings the rest.

--- a/chestnuttide/node/_polls.py
+++ b/chestnuttide/node/_polls.py
@@ -139,6 +139,7 @@
         clock_ms=reply.clock_ms,
         running=reply.running,
         ended=reply.ended,
+        more_ended=reply.more_ended,
         sent_at=sent_at,
         received_at=_clock.now(),
     )
--- a/chestnuttide/platform/_worker_commands.py
+++ b/chestnuttide/platform/_worker_commands.py
@@ -3,6 +3,7 @@
 import collections.abc
 import functools
 import json
+import typing
 
 import attrs
 
@@ -10,6 +11,9 @@
 from chestnuttide.platform import _documents
 from chestnuttide.platform import _http
 
+# A worker lists at most this many completions in one reply, oldest first.
+MAX_LISTED_COMPLETIONS: typing.Final = 500
+
 
 @attrs.frozen(kw_only=True, slots=True)
 class RunReport:
@@ -77,13 +81,17 @@
     running : tuple of RunReport
         All runs that are running.
     ended : tuple of Completion
-        Completions that have not been acknowledged yet.
+        Completions that have not been acknowledged yet, oldest first.
+    more_ended : bool
+        Whether there may be further completions, which are listed once these
+        are acknowledged.
     """
 
     clock_ms: int
     born_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[Completion, ...]
+    more_ended: bool = False
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -187,6 +195,10 @@
         functools.partial(errors.PlatformError, sent=True),
     ):
         document = _documents.parse_object(reply.body)
+        ended = tuple(
+            _decode_completion(row)
+            for row in _documents.read_list(document, "ended")
+        )
         return PollReply(
             clock_ms=_read_milliseconds(document, "clockMs"),
             # Without it, a live worker would seem to have restarted.
@@ -195,10 +207,8 @@
                 _decode_run(row)
                 for row in _documents.read_list(document, "running")
             ),
-            ended=tuple(
-                _decode_completion(row)
-                for row in _documents.read_list(document, "ended")
-            ),
+            ended=ended,
+            more_ended=len(ended) >= MAX_LISTED_COMPLETIONS,
         )
 
 
--- a/chestnuttide/platform/tests/test_worker_commands.py
+++ b/chestnuttide/platform/tests/test_worker_commands.py
@@ -1,6 +1,7 @@
 """Replies of workers that do not have the specified form."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -20,6 +21,21 @@
     monkeypatch.setattr(_http, "fetch", fetch)
 
 
+def _poll() -> platform.PollReply:
+    return asyncio.run(
+        platform.poll_worker(
+            None,
+            WORKER,
+            fencing_token=1,
+            acknowledged_completion=0,
+            deadline_ms=None,
+            wait_s=0.0,
+            timeout_s=1.0,
+            may_send=lambda: True,
+        )
+    )
+
+
 @pytest.mark.parametrize(
     "body",
     [
@@ -72,18 +88,26 @@
     """
     _answer_with(monkeypatch, 200, body)
     with pytest.raises(errors.PlatformError):
-        asyncio.run(
-            platform.poll_worker(
-                None,
-                WORKER,
-                fencing_token=1,
-                acknowledged_completion=0,
-                deadline_ms=None,
-                wait_s=0.0,
-                timeout_s=1.0,
-                may_send=lambda: True,
-            )
-        )
+        _poll()
+
+
+@pytest.mark.parametrize(
+    ("count", "more"),
+    [
+        pytest.param(0, False, id="none"),
+        pytest.param(499, False, id="room-for-one"),
+        pytest.param(500, True, id="full"),
+    ],
+)
+def test_a_full_list_of_completions_may_go_on(
+    monkeypatch: pytest.MonkeyPatch, count: int, more: bool
+) -> None:
+    """Guards against a part of a worker's completions taken for all."""
+    ended = [[number + 1, "t", 1, "done", ""] for number in range(count)]
+    document = {"clockMs": 5, "born": 1, "running": [], "ended": ended}
+    _answer_with(monkeypatch, 200, json.dumps(document).encode())
+    reply = _poll()
+    assert (len(reply.ended), reply.more_ended) == (count, more)
 
 
 @pytest.mark.parametrize(
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -48,9 +48,11 @@
     running : tuple of RunReport
         All runs that the worker is executing.
     ended : tuple of Completion
-        Completions that are not yet acknowledged.
+        Completions that are not yet acknowledged, oldest first.
     sent_at, received_at : float
         Monotonic times of the request and the reply.
+    more_ended : bool
+        Whether there may be further completions than those in `ended`.
     """
 
     clock_ms: int
@@ -58,6 +60,7 @@
     ended: tuple[Completion, ...]
     sent_at: float
     received_at: float
+    more_ended: bool = False
 
 
 def record_clock(
@@ -239,11 +242,15 @@
 def _infer_completion(run: _state.Run, reply: PollReply) -> str:
     """Return how a run that the reply does not list ended, or "".
 
-    A reply to a poll that was sent after the start was confirmed would list
-    the run. An unanswered start can no longer take effect once the worker's
-    clock has passed the start's lease, or once the worker has seen a new
-    owner's fencing token.
+    Nothing can be inferred while the worker has completions that the reply
+    had no room for: the run's may be among them. Otherwise, a reply to a poll
+    that was sent after the start was confirmed would list the run. An
+    unanswered start can no longer take effect once the worker's clock has
+    passed the start's lease, or once the worker has seen a new owner's
+    fencing token.
     """
+    if reply.more_ended:
+        return ""
     if run.phase == _state.Phase.RUNNING:
         return "lost" if reply.sent_at > run.confirmed_at else ""
     if run.phase == _state.Phase.UNCERTAIN:
--- a/chestnuttide/workloads/tests/_pool_fixtures.py
+++ b/chestnuttide/workloads/tests/_pool_fixtures.py
@@ -131,6 +131,7 @@
     ended: tuple[Completion, ...] = (),
     sent_at: float = 1.0,
     clock_ms: int = 2000,
+    more_ended: bool = False,
 ) -> list[tuple[workloads.Run, str]]:
     """Apply a poll reply of a worker."""
     return workloads.apply_poll_reply(
@@ -140,6 +141,7 @@
             clock_ms=clock_ms,
             running=running,
             ended=ended,
+            more_ended=more_ended,
             sent_at=sent_at,
             received_at=sent_at + 0.01,
         ),
--- a/chestnuttide/workloads/tests/test_poll_replies.py
+++ b/chestnuttide/workloads/tests/test_poll_replies.py
@@ -67,6 +67,46 @@
     assert bool(ended) == lost
 
 
+@pytest.mark.parametrize(
+    "phase",
+    [
+        pytest.param(workloads.Phase.RUNNING, id="known-to-run"),
+        pytest.param(workloads.Phase.UNCERTAIN, id="after-a-takeover"),
+    ],
+)
+def test_a_run_whose_completion_is_on_a_later_page(
+    phase: workloads.Phase,
+) -> None:
+    """Guards against a second run of a task that has ended as done.
+
+    A worker lists 500 completions at a time. A run whose completion was among
+    the rest was neither listed as running nor as ended, and counted as lost
+    or as never started.
+    """
+    pool = _pool_fixtures.make_pool(1)
+    _pool_fixtures.submit(pool, _pool_fixtures.make_step(count=2))
+    first, second = _pool_fixtures.start_all(pool, now=0.1)
+    for run in (first, second):
+        run.phase = phase
+        run.deadline_ms = -1
+    key = first.worker_key
+    completions = [
+        _pool_fixtures.Completion(
+            number=number, task=run.task, run=1, result="done"
+        )
+        for number, run in enumerate((first, second), start=1)
+    ]
+    ended = _pool_fixtures.apply_reply(
+        pool, key, ended=(completions[0],), more_ended=True
+    )
+    assert ended == [(first, "done")]
+    assert not workloads.make_plan(pool, now=1.5).runs
+    ended = _pool_fixtures.apply_reply(
+        pool, key, ended=tuple(completions), sent_at=2.0
+    )
+    assert ended == [(second, "done")]
+
+
 @pytest.mark.parametrize(
     ("now", "expired"),
     [
--- a/standins/cloud/_worker.py
+++ b/standins/cloud/_worker.py
@@ -14,6 +14,9 @@
 # A worker crashes this long after it has started a deadly task.
 CRASH_DELAY_S = 0.01
 
+# Completions in one reply; the others follow once these are acknowledged.
+MAX_LISTED_COMPLETIONS = 500
+
 
 def _ignore(*event: object) -> None:
     """Default of the observer callbacks."""
@@ -259,5 +262,5 @@
         "clockMs": _clock_ms(worker),
         "born": worker.incarnation_ms,
         "running": running,
-        "ended": worker.completions[:500],
+        "ended": worker.completions[:MAX_LISTED_COMPLETIONS],
     }
