Judge a run's progress by its task's estimate and its slowest percent

Cause: workers list whole percents, and before the first one a run was given 2 s whatever its task's estimate. Percents from before a checkpoint or a takeover counted as progress within 0.1 s, with the same result.

Change: a run counts as hung after 2 s, 15% of its estimate, and six times its slowest percent so far, whichever is longest. The limit doubles with each stop of the unit, and only a unit's first stall counts against the worker. Gangs are measured from the start of their last member, fillers from the end of their throttling.

--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -227,8 +227,15 @@
         if run.job.state == _state.JobState.QUEUED:
             run.job.state = _state.JobState.RUNNING
     if row.percent != run.percent:
+        percent_s = (now - run.progress_at) / max(
+            1.0, row.percent - run.percent
+        )
+        run.slowest_percent_s = max(run.slowest_percent_s, percent_s)
         run.percent = row.percent
         run.progress_at = now
+    if run.speed_percent < 100:
+        # A throttled run may not get to its next percent for long.
+        run.progress_at = now
     run.latency_ms_or_cpu = row.latency_ms_or_cpu
     listed_s = now - run.confirmed_at
     if run.unit.crashes:
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -104,7 +104,11 @@
         Progress and the measured latency or processor use, as the worker
         last listed them.
     progress_at : float
-        Monotonic time at which `percent` last changed.
+        Monotonic time at which `percent` last changed, or the run was last
+        seen throttled.
+    slowest_percent_s : float
+        Longest time that one percent has taken so far, in seconds; 0 before
+        the first.
     stopping : bool
         Whether it has to be stopped.
     stop_sent_at : float
@@ -137,6 +141,7 @@
     percent: float = 0.0
     latency_ms_or_cpu: float = 0.0
     progress_at: float = 0.0
+    slowest_percent_s: float = 0.0
     stopping: bool = False
     stop_sent_at: float = 0.0
     stop_acknowledged_at: float = 0.0
@@ -206,6 +211,8 @@
     avoided : set of str
         Worker incarnations that it should not run on again, for example
         because it failed there.
+    stalls : int
+        Number of its attempts that this owner has stopped as stalled.
     not_before : float
         Monotonic time before which it is not planned again.
     first_started_at : float
@@ -222,6 +229,7 @@
     checkpoint: str = ""
     runs: list[Run] = attrs.field(factory=list)
     avoided: set[str] = attrs.field(factory=set)
+    stalls: int = 0
     not_before: float = 0.0
     first_started_at: float = 0.0
 
@@ -400,7 +408,8 @@
     quarantined_until : float
         Monotonic time before which no new run is placed on it.
     stalls : int
-        Stalled runs since the last success.
+        Stalled runs of units that had not stalled before, since the last
+        success.
     draining_since : float
         Monotonic time at which it was first seen draining; 0 before.
     failed_polls : int
--- a/chestnuttide/workloads/_supervision.py
+++ b/chestnuttide/workloads/_supervision.py
@@ -1,19 +1,30 @@
 """Handles stalled runs, draining workers and interference by fillers."""
 
+import math
+
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
 
-# A run counts as hung if it has made no progress for this many seconds, and
-# for this multiple of its average time per percent of progress.
+# A run counts as hung if it has made no progress for this many seconds, for
+# this share of its task's estimate, and for this multiple of the time that a
+# percent of it has taken. Workers list whole percents, and a task may take 13
+# times its estimate: 6.5 times on a slow worker, and twice that far from its
+# data.
 STALL_S = 2.0
+STALL_ESTIMATE_SHARE = 0.15
 STALL_FACTOR = 6.0
 
+# The limit doubles with each run of the unit that was stopped, as estimates
+# may be wrong by any factor. This is the highest power of two.
+MAX_STALL_DOUBLINGS = 12
+
 # Longest time that a long-running task takes to start serving.
 STARTUP_S = 4.0
 
 # Stalled runs after which a worker is quarantined, and the duration of the
-# quarantine.
+# quarantine. A unit that has stalled on one worker may be slow by itself, so
+# its further stalls do not count.
 QUARANTINE_STALLS = 2
 STALL_QUARANTINE_S = 6.0
 
@@ -45,28 +56,49 @@
     if run.stopping or run.phase != _state.Phase.RUNNING:
         return False
     step = _lifecycle.step_of(run.unit, run.job)
-    # Progress is only known up to the last poll reply.
-    stalled_s = worker.last_reply_at - run.progress_at
-    if step.lasting:
-        # A throttled or slowed task is not hung; only one that never served.
-        return run.percent < 100 and stalled_s > STARTUP_S
-    if step.filler and run.speed_percent < 100:
-        return False
     if any(each.phase != _state.Phase.RUNNING for each in run.unit.runs):
         return False
-    elapsed_s = max(0.1, run.progress_at - run.confirmed_at)
-    per_percent_s = elapsed_s / max(run.percent, 1.0)
-    return stalled_s > max(STALL_S, STALL_FACTOR * per_percent_s)
+    # A gang works only once its last member has started. Progress is only
+    # known up to the last poll reply.
+    since = max(
+        run.progress_at, *(each.confirmed_at for each in run.unit.runs)
+    )
+    stalled_s = worker.last_reply_at - since
+    if step.lasting:
+        # A throttled or slowed task is not hung; only one that never served.
+        limit_s = STARTUP_S if run.percent < 100 else math.inf
+    elif step.filler and run.speed_percent < 100:
+        limit_s = math.inf
+    else:
+        limit_s = _stall_limit_s(run, step)
+    doublings = min(run.unit.stalls, MAX_STALL_DOUBLINGS)
+    return stalled_s > limit_s * 2**doublings
+
+
+def _stall_limit_s(run: _state.Run, step: _specs.StepSpec) -> float:
+    """Return for how long a run may make no progress, in seconds."""
+    elapsed_s = run.progress_at - run.confirmed_at
+    average_percent_s = elapsed_s / max(run.percent, 1.0)
+    return max(
+        STALL_S,
+        STALL_ESTIMATE_SHARE * step.estimate_s,
+        STALL_FACTOR * max(average_percent_s, run.slowest_percent_s),
+    )
 
 
 def stop_stalled(pool: _state.Pool, run: _state.Run, *, now: float) -> None:
     """Stop a hung run, and quarantine its worker if it had several."""
-    run.unit.avoided.add(run.worker_key)
+    unit = run.unit
+    unit.avoided.add(run.worker_key)
     worker = pool.workers[run.worker_key]
-    worker.stalls += 1
-    if worker.stalls >= QUARANTINE_STALLS:
-        worker.quarantined_until = now + STALL_QUARANTINE_S
-    _lifecycle.stop_runs(pool, run.unit)
+    if not unit.stalls:
+        worker.stalls += 1
+        if worker.stalls >= QUARANTINE_STALLS:
+            worker.quarantined_until = now + STALL_QUARANTINE_S
+    if not run.stopping:
+        # Several members of a gang may stall at once.
+        unit.stalls += 1
+    _lifecycle.stop_runs(pool, unit)
 
 
 def evacuate(
