Set an item aside after a fault instead of ending the ownership

Callers' jobs of a whole service stayed queued when handling one item failed: the fault left the owner's loop, ended the ownership, and the next owner met the same item.

A job whose record or progress cannot be applied waits for the next owner, as its tasks could run twice. A worker whose poll reply cannot be applied counts as silent. A loop that fails elsewhere is started again. Jobs of a transaction that cannot be built are stored one by one; the others lost their change until the next one before.

--- a/chestnuttide/node/_commits.py
+++ b/chestnuttide/node/_commits.py
@@ -9,6 +9,7 @@
 from chestnuttide.node import _clock
 from chestnuttide.node import _keys
 from chestnuttide.node import _ownership
+from chestnuttide.node import _set_aside
 from chestnuttide.node import _starts
 from chestnuttide import platform
 from chestnuttide import telemetry
@@ -104,6 +105,9 @@
         for job in owner.pool.jobs.values()
         if job.dirty
         and (_has_ended(job) or job.spec.id not in owner.jobs_in_commit)
+        and not _set_aside.is_set_aside(
+            owner.set_aside, _set_aside.Kind.JOB, job.spec.id
+        )
     ]
     live = [job for job in dirty if not _has_ended(job)]
     ended = [job for job in dirty if _has_ended(job)]
@@ -141,6 +145,14 @@
     """
     try:
         await _commit_until_stored(owner, jobs, ended=ended)
+    except Exception as error:
+        if len(jobs) == 1:
+            jobs[0].dirty = True
+            _ownership.set_job_aside(owner, jobs[0], error)
+        else:
+            # Stored one by one, the job at fault costs no other.
+            for job in jobs:
+                await _commit_jobs(owner, [job], ended=ended)
     finally:
         if not ended:
             owner.jobs_in_commit.difference_update(job.spec.id for job in jobs)
--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -4,6 +4,7 @@
 import collections.abc
 import functools
 import gc
+import json
 import secrets
 import signal
 
@@ -25,6 +26,7 @@
 from chestnuttide.node import _release
 from chestnuttide.node import _responses
 from chestnuttide.node import _session
+from chestnuttide.node import _set_aside
 from chestnuttide.node import _settings
 from chestnuttide.node import _submission
 from chestnuttide.node import _updates
@@ -48,6 +50,9 @@
 # silence. The fourth covers the watch and a store that is slow.
 ENTRY_EXPIRY_HEARTBEATS = 4
 
+# Path on the metrics port that lists what this instance's owners leave out.
+SET_ASIDE_PATH = "/set-aside"
+
 CLAIM_PERIOD_S = 0.1
 RESTART_PAUSE_S = 0.2
 
@@ -227,6 +232,15 @@
         )
 
     def show_metrics(request: httputil.HTTPServerRequest) -> None:
+        if request.path == SET_ASIDE_PATH:
+            items = [
+                item
+                for owner in daemon.owned.values()
+                for item in _set_aside.list_items(owner.set_aside)
+            ]
+            body = json.dumps(items).encode()
+            _write_response(request, 200, body, "application/json")
+            return
         body, content_type = telemetry.render(daemon.metrics.registry)
         _write_response(request, 200, body, content_type)
 
--- a/chestnuttide/node/_metrics.py
+++ b/chestnuttide/node/_metrics.py
@@ -55,6 +55,11 @@
         ``chestnuttide_unreadable_total{kind}``, items of the store that were
         left out because they cannot be read; ``kind`` is ``worker``,
         ``record``, ``cell`` or ``config``.
+    set_aside : Counter
+        ``chestnuttide_set_aside_total{kind}``, items that were set aside
+        because handling them failed, loops of owners that were started again
+        (``loop``) and poll replies that could not be applied (``poll``); see
+        ``_set_aside.Kind``.
     commands : Counter
         ``chestnuttide_orders_total{kind,outcome}``.
     start_wait_seconds : Histogram
@@ -77,6 +82,7 @@
     given_up: aioprometheus.Counter
     waiting_tasks: aioprometheus.Gauge
     unreadable: aioprometheus.Counter
+    set_aside: aioprometheus.Counter
     commands: aioprometheus.Counter
     start_wait_seconds: aioprometheus.Histogram
     job_seconds: aioprometheus.Histogram
@@ -119,6 +125,9 @@
         unreadable=counter(
             "unreadable", "Items left out as unreadable, by kind."
         ),
+        set_aside=counter(
+            "set_aside", "Items set aside after a fault, by kind."
+        ),
         commands=counter("orders", "Orders to workers, by outcome."),
         start_wait_seconds=histogram(
             "start_wait_seconds", "Seconds until a job's first start."
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+import collections.abc
+import functools
 
 from chestnuttide import errors
 from chestnuttide.node import _advisor_queries
@@ -13,6 +15,7 @@
 from chestnuttide.node import _polls
 from chestnuttide.node import _release
 from chestnuttide.node import _session
+from chestnuttide.node import _set_aside
 from chestnuttide.node import _updates
 from chestnuttide import platform
 from chestnuttide import telemetry
@@ -66,28 +69,25 @@
             seconds=round(_clock.now() - started_at, 3),
         )
         loops = [
-            asyncio.ensure_future(each)
-            for each in (
-                _commits.commit_loop(owner),
-                _plan_loop(owner),
-                _supervision_loop(owner),
-                _watch_work(owner),
-                _watch_workers(owner),
-                _release.confirm_loop(owner),
+            asyncio.ensure_future(
+                _set_aside.run_loop(
+                    owner.set_aside,
+                    make_loop.__name__.removeprefix("_"),
+                    functools.partial(make_loop, owner),
+                )
+            )
+            for make_loop in (
+                _commits.commit_loop,
+                _plan_loop,
+                _supervision_loop,
+                _watch_work,
+                _watch_workers,
+                _release.confirm_loop,
             )
         ]
         deposed = asyncio.ensure_future(owner.deposed.wait())
         loops.append(deposed)
-        done, _ = await asyncio.wait(
-            loops, return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in done:
-            if task.exception() is not None:
-                LOG.error(
-                    "Owner's loop has failed.",
-                    service=owner.service,
-                    exc_info=task.exception(),
-                )
+        await asyncio.wait(loops, return_when=asyncio.FIRST_COMPLETED)
     except Exception:
         LOG.exception("Ownership has failed.", service=owner.service)
     finally:
@@ -136,7 +136,14 @@
         for worker in list(owner.pool.workers.values()):
             if worker.listed:
                 # Records may name incarnations that ended before the takeover.
-                _updates.end_former_incarnations(owner, worker)
+                _set_aside.attempt(
+                    owner.set_aside,
+                    _set_aside.Kind.WORKER,
+                    worker.report.id,
+                    functools.partial(
+                        _updates.end_former_incarnations, owner, worker
+                    ),
+                )
         for worker in list(owner.pool.workers.values()):
             _polls.ensure_poll_loop(owner, worker)
         owner.plan_requested.set()
@@ -157,24 +164,19 @@
 
 
 async def _watch_workers(owner: _ownership.Ownership) -> None:
-    def on_item(item: platform.Item) -> None:
-        worker = _updates.apply_worker_entry(owner, item)
-        if worker is not None:
-            _polls.ensure_poll_loop(owner, worker)
-
     def on_list(items: tuple[platform.Item, ...]) -> None:
         names = {item.key.removeprefix(_keys.WORKERS) for item in items}
         for worker in owner.pool.workers.values():
             if worker.report.id not in names:
                 worker.listed = False
         for item in items:
-            on_item(item)
+            _updates.apply_worker_entry(owner, item)
 
     await _session.watch_prefix(
         owner.session,
         _keys.WORKERS,
         on_list=on_list,
-        on_item=on_item,
+        on_item=functools.partial(_updates.apply_worker_entry, owner),
         on_working=lambda working: None,
     )
 
@@ -192,6 +194,8 @@
             now=started_at,
             max_queries=_advisor_queries.max_queries(owner),
         )
+        for job, error in plan.failed:
+            _ownership.set_job_aside(owner, job, error)
         if plan.runs:
             _ownership.request_commit(owner, urgent=True)
         _advisor_queries.start_queries(owner, plan.queries)
@@ -207,22 +211,52 @@
 
 
 def _supervise(owner: _ownership.Ownership) -> None:
+    """Run each part of the supervision; one that fails pauses alone."""
     now = _clock.now()
-    config = owner.session.config
+    unix_time = _clock.unix_time()
+    parts: dict[str, collections.abc.Callable[[], None]] = {
+        "priorities": lambda: _update_top_priority(owner),
+        "occurrences": lambda: _release_occurrences(owner, unix_time),
+        "stalled runs": lambda: _stop_stalled_runs(owner, now),
+        "deadly tasks": lambda: _give_up_deadly_tasks(owner, now, unix_time),
+        "draining workers": lambda: _evacuate(owner, now),
+        "stops": lambda: _send_due_stops(owner),
+        "waiting tasks": lambda: _report_waiting_tasks(owner, now),
+        "unstored jobs": lambda: _drop_unstored_jobs(owner, now),
+        "ended jobs": lambda: _drop_ended_jobs(owner, unix_time),
+    }
+    kind = _set_aside.Kind.PART
+    for name, action in parts.items():
+        if not _set_aside.is_set_aside(owner.set_aside, kind, name):
+            _set_aside.attempt(owner.set_aside, kind, name, action)
+    _set_aside.retry_due(owner.set_aside)
+    owner.plan_requested.set()
+
+
+def _update_top_priority(owner: _ownership.Ownership) -> None:
     owner.pool.top_priority = min(
         (
             queue.priority
-            for queue in config.queues
+            for queue in owner.session.config.queues
             if queue.service == owner.service
         ),
         default=0,
     )
-    unix_time = _clock.unix_time()
-    limits = owner.pool.limits
+
+
+def _release_occurrences(
+    owner: _ownership.Ownership, unix_time: float
+) -> None:
     for job in list(owner.pool.active.values()):
-        workloads.release_due_occurrences(
-            owner.pool, job, unix_time + limits.early_s
-        )
+        try:
+            workloads.release_due_occurrences(
+                owner.pool, job, unix_time + owner.pool.limits.early_s
+            )
+        except Exception as error:
+            _ownership.set_job_aside(owner, job, error)
+
+
+def _stop_stalled_runs(owner: _ownership.Ownership, now: float) -> None:
     for run in workloads.find_stalled(owner.pool, now=now):
         LOG.warning(
             "Run makes no progress; stopping it.",
@@ -234,8 +268,12 @@
             silent_s=round(now - run.progress_at, 2),
         )
         workloads.stop_stalled(owner.pool, run, now=now)
-    _give_up_deadly_tasks(owner, now, unix_time)
-    moved = workloads.evacuate(owner.pool, now=now, stop_s=limits.stop_s)
+
+
+def _evacuate(owner: _ownership.Ownership, now: float) -> None:
+    moved = workloads.evacuate(
+        owner.pool, now=now, stop_s=owner.pool.limits.stop_s
+    )
     for run in moved:
         LOG.info(
             "Run is moved off a draining worker.",
@@ -243,13 +281,11 @@
             task=run.task,
             worker=run.worker_key,
         )
+
+
+def _send_due_stops(owner: _ownership.Ownership) -> None:
     for worker in owner.pool.workers.values():
         _commands.send_due_stops(owner, worker)
-    if now - owner.waiting_reported_at >= WAITING_REPORT_PERIOD_S:
-        _report_waiting_tasks(owner, now)
-    _drop_unstored_jobs(owner, now)
-    _drop_ended_jobs(owner, unix_time)
-    owner.plan_requested.set()
 
 
 def _give_up_deadly_tasks(
@@ -275,6 +311,8 @@
 
 
 def _report_waiting_tasks(owner: _ownership.Ownership, now: float) -> None:
+    if now - owner.waiting_reported_at < WAITING_REPORT_PERIOD_S:
+        return
     owner.waiting_reported_at = now
     counts = workloads.count_waiting_tasks(owner.pool, now=now)
     _set_waiting_tasks(owner, counts)
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -8,9 +8,13 @@
 from chestnuttide.node import _clock
 from chestnuttide.node import _metrics
 from chestnuttide.node import _session
+from chestnuttide.node import _set_aside
 from chestnuttide import platform
+from chestnuttide import telemetry
 from chestnuttide import workloads
 
+LOG = telemetry.make_logger("owner")
+
 # An owner that has had no confirmation from the store for this long sends no
 # more commands. Until then it renews the leases of its runs, so that work
 # continues through a short outage of the store.
@@ -22,6 +26,13 @@
 RUN_LEASE_S = 2.5
 
 
+def _make_register(owner: "Ownership") -> _set_aside.Register:
+    return _set_aside.Register(
+        service=owner.service,
+        count=lambda kind: owner.metrics.set_aside.inc({"kind": kind}),
+    )
+
+
 @attrs.define(kw_only=True, slots=True, eq=False)
 class Ownership:
     """State of the owner of a service.
@@ -70,9 +81,6 @@
         Queries of the last planning round that wait for an instance.
     obsolete_keys : list of str
         Keys of records that can be removed from the store.
-    unreadable_keys : set of str
-        Keys of the jobs that are left out, because one of their records
-        cannot be read.
     waiting_reported_at : float
         Monotonic time at which waiting tasks were last reported.
     ready : bool
@@ -85,6 +93,8 @@
         started.
     stopping : bool
         Whether no new run is planned because the instance is shutting down.
+    set_aside : Register
+        Items that are left out, because handling them has failed.
     """
 
     service: str
@@ -108,12 +118,14 @@
     advisor_queries: set[str] = attrs.field(factory=set)
     waiting_queries: tuple[workloads.AdvisorQuery, ...] = ()
     obsolete_keys: list[str] = attrs.field(factory=list)
-    unreadable_keys: set[str] = attrs.field(factory=set)
     waiting_reported_at: float = 0.0
     ready: bool = False
     releasing: bool = False
     former_owner_stopped: bool = False
     stopping: bool = False
+    set_aside: _set_aside.Register = attrs.field(
+        default=attrs.Factory(_make_register, takes_self=True)
+    )
 
 
 def may_send_commands(owner: Ownership) -> bool:
@@ -141,4 +153,44 @@
     """Run a command in the background and keep a reference to its task."""
     task = asyncio.ensure_future(command)
     owner.commands.add(task)
-    task.add_done_callback(owner.commands.discard)
+
+    def end(task: asyncio.Task[None]) -> None:
+        owner.commands.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            LOG.error(
+                "Command has failed.",
+                service=owner.service,
+                exc_info=task.exception(),
+            )
+
+    task.add_done_callback(end)
+
+
+def find_live_job(owner: Ownership, job_id: str) -> workloads.Job | None:
+    """Return a job that has not ended, also one that is set aside."""
+    job = owner.pool.jobs.get(job_id)
+    if job is None or job.state in workloads.TERMINAL_STATES:
+        return None
+    return job
+
+
+def set_job_aside(
+    owner: Ownership, job: workloads.Job, error: Exception
+) -> None:
+    """Neither plan nor store a job for a time, after either has failed.
+
+    Its runs go on, and polls apply their completions.
+    """
+    job_id = job.spec.id
+
+    def readmit() -> None:
+        if find_live_job(owner, job_id) is job:
+            owner.pool.active[job_id] = job
+            owner.plan_requested.set()
+        if job.dirty:
+            request_commit(owner, urgent=False)
+
+    owner.pool.active.pop(job_id, None)
+    _set_aside.add(
+        owner.set_aside, _set_aside.Kind.JOB, job_id, error, readmit
+    )
--- a/chestnuttide/node/_peers.py
+++ b/chestnuttide/node/_peers.py
@@ -198,3 +198,9 @@
             kind=type(message).__name__,
             error=str(error),
         )
+    except Exception:
+        LOG.exception(
+            "Handler of a peer's message has failed.",
+            peer=connection.peer.sender,
+            kind=type(message).__name__,
+        )
--- a/chestnuttide/node/_polls.py
+++ b/chestnuttide/node/_polls.py
@@ -1,11 +1,13 @@
 """Poll loops of an owner: worker leases, run lists and restarts."""
 
 import asyncio
+import functools
 
 from chestnuttide import errors
 from chestnuttide.node import _clock
 from chestnuttide.node import _commands
 from chestnuttide.node import _ownership
+from chestnuttide.node import _set_aside
 from chestnuttide import platform
 from chestnuttide import telemetry
 from chestnuttide import workloads
@@ -33,23 +35,14 @@
     task = owner.poll_loops.get(worker.key)
     if task is None or task.done():
         owner.poll_loops[worker.key] = asyncio.ensure_future(
-            _run_poll_loop(owner, worker)
+            _set_aside.run_loop(
+                owner.set_aside,
+                f"poll {worker.key}",
+                functools.partial(_poll_loop, owner, worker),
+            )
         )
 
 
-async def _run_poll_loop(
-    owner: _ownership.Ownership, worker: workloads.Worker
-) -> None:
-    """Poll a worker and restart the loop after an unexpected error."""
-    while not owner.deposed.is_set():
-        try:
-            await _poll_loop(owner, worker)
-            return
-        except Exception:
-            LOG.exception("Poll loop has failed.", worker=worker.key)
-            await asyncio.sleep(_commands.WORKER_RETRY_PAUSE_S)
-
-
 async def _poll_loop(
     owner: _ownership.Ownership, worker: workloads.Worker
 ) -> None:
@@ -62,7 +55,7 @@
             owner
         ):
             await asyncio.sleep(_commands.WORKER_RETRY_PAUSE_S)
-        elif not await poll_worker(owner, worker, wait_s=_poll_wait_s(worker)):
+        elif not await _try_poll(owner, worker):
             worker.failed_polls += 1
             if worker.failed_polls == 1:
                 LOG.warning(
@@ -81,6 +74,22 @@
     LOG.info("Worker is no longer polled.", worker=worker.key)
 
 
+async def _try_poll(
+    owner: _ownership.Ownership, worker: workloads.Worker
+) -> bool:
+    """Poll a worker; one whose reply cannot be applied counts as silent.
+
+    It then gets no new runs, and those that it has are started elsewhere
+    once its lease has expired.
+    """
+    try:
+        return await poll_worker(owner, worker, wait_s=_poll_wait_s(worker))
+    except Exception:
+        owner.set_aside.count("poll")
+        LOG.exception("Poll has failed.", worker=worker.key)
+        return False
+
+
 async def _wait_for_commit(owner: _ownership.Ownership) -> None:
     try:
         async with asyncio.timeout(COMPLETION_COMMIT_WAIT_S):
--- a/chestnuttide/node/_starts.py
+++ b/chestnuttide/node/_starts.py
@@ -36,7 +36,21 @@
         if worker is None:
             _commands.end_run(owner, run, "never")
         else:
-            _ownership.start_command(owner, _send_start(owner, worker, run))
+            _ownership.start_command(owner, _start(owner, worker, run))
+
+
+async def _start(
+    owner: _ownership.Ownership,
+    worker: workloads.Worker,
+    run: workloads.Run,
+) -> None:
+    try:
+        await _send_start(owner, worker, run)
+    except Exception:
+        # Polls find out whether the start took effect.
+        if run.phase == workloads.Phase.START_SENT:
+            run.phase = workloads.Phase.UNCERTAIN
+        raise
 
 
 async def _send_start(
--- a/chestnuttide/node/_updates.py
+++ b/chestnuttide/node/_updates.py
@@ -1,6 +1,7 @@
 """Updates of an owner's workers and jobs from the store and from peers."""
 
 import collections.abc
+import functools
 
 from chestnuttide import errors
 from chestnuttide.node import _clock
@@ -9,6 +10,7 @@
 from chestnuttide.node import _messages
 from chestnuttide.node import _ownership
 from chestnuttide.node import _polls
+from chestnuttide.node import _set_aside
 from chestnuttide.node import _starts
 from chestnuttide import platform
 from chestnuttide import telemetry
@@ -37,36 +39,60 @@
 
 def apply_worker_entry(
     owner: _ownership.Ownership, item: platform.Item
-) -> workloads.Worker | None:
-    """Apply a worker's entry; return the worker if it may be used."""
+) -> None:
+    """Apply a worker's entry, and poll the worker if it may be used.
+
+    An entry that cannot be read or applied costs this worker only.
+    """
     worker_id = item.key.removeprefix(_keys.WORKERS)
-    current = [
-        worker
-        for worker in owner.pool.workers.values()
-        if worker.report.id == worker_id
-    ]
-    if item.removed:
-        for worker in current:
+    applied = _set_aside.attempt(
+        owner.set_aside,
+        _set_aside.Kind.WORKER,
+        worker_id,
+        lambda: _apply_worker_entry(owner, worker_id, item),
+    )
+    if not applied:
+        _unlist(owner, worker_id)
+
+
+def _unlist(owner: _ownership.Ownership, worker_id: str) -> None:
+    for worker in owner.pool.workers.values():
+        if worker.report.id == worker_id:
             worker.listed = False
-        return None
+
+
+def _apply_worker_entry(
+    owner: _ownership.Ownership, worker_id: str, item: platform.Item
+) -> None:
+    if item.removed:
+        _set_aside.remove(owner.set_aside, _set_aside.Kind.ENTRY, worker_id)
+        _unlist(owner, worker_id)
+        return
     try:
         report = platform.decode_worker(worker_id, item.value)
     except errors.ProtocolError as error:
         LOG.warning("Worker entry is ignored.", error=str(error))
         owner.metrics.unreadable.inc({"kind": "worker"})
-        for worker in current:
-            worker.listed = False
-        return None
+        _set_aside.add_unreadable(
+            owner.set_aside, _set_aside.Kind.ENTRY, worker_id, error
+        )
+        _unlist(owner, worker_id)
+        return
+    _set_aside.remove(owner.set_aside, _set_aside.Kind.ENTRY, worker_id)
     if report.service != owner.service:
-        for worker in current:
-            worker.listed = False
-        return None
+        _unlist(owner, worker_id)
+        return
+    current = [
+        worker
+        for worker in owner.pool.workers.values()
+        if worker.report.id == worker_id
+    ]
     if any(each.report.born_ms > report.born_ms for each in current):
         LOG.info(
             "Worker entry is older than the worker's incarnation.",
             worker=worker_id,
         )
-        return None
+        return
     key = workloads.worker_key(report)
     known = owner.pool.workers.get(key)
     draining = known is not None and known.report.draining
@@ -91,7 +117,8 @@
             ],
         )
     owner.plan_requested.set()
-    return worker
+    if owner.ready:
+        _polls.ensure_poll_loop(owner, worker)
 
 
 def end_former_incarnations(
@@ -112,40 +139,57 @@
         if not known.accepted:
             _accept(owner, known)
         return
-    if item.key in owner.unreadable_keys:
+    if _set_aside.is_set_aside(
+        owner.set_aside, _set_aside.Kind.RECORD, job_id
+    ):
         return
     try:
-        record = workloads.decode_job(item.value)
-    except errors.ProtocolError as error:
+        _apply_record(owner, job_id, workloads.decode_job(item.value))
+    except Exception as error:
         _leave_out_record(owner, item.key, job_id, error)
-        return
+
+
+def _apply_record(
+    owner: _ownership.Ownership,
+    job_id: str,
+    record: workloads.JobSpec | workloads.EndedJob,
+) -> None:
     if isinstance(record, workloads.EndedJob):
         job = _make_ended_job(job_id, owner.service, record)
         owner.pool.jobs[job_id] = job
-        return
-    _accept(owner, _add_job(owner, record))
+    else:
+        _accept(owner, _add_job(owner, record))
 
 
 def _leave_out_record(
     owner: _ownership.Ownership,
     key: str,
     job_id: str,
-    error: errors.ProtocolError,
+    error: Exception,
 ) -> None:
-    """Leave out a job, one of whose records cannot be read.
+    """Leave out a job, one of whose records cannot be used.
 
-    Without its progress, its tasks might be started beside former runs.
+    Without its progress, its tasks might be started beside former runs, so
+    it waits for the next owner.
     """
     LOG.error(
-        "Job is left out: a record cannot be read.",
+        "Job is left out: a record cannot be used.",
         job=job_id,
         key=key,
         error=str(error),
+        # A decoder's error names the field; of others, the place helps.
+        exc_info=None if isinstance(error, errors.ProtocolError) else error,
     )
     owner.metrics.unreadable.inc({"kind": "record"})
-    owner.unreadable_keys.add(_keys.job(owner.service, job_id))
+    _set_aside.add_unreadable(
+        owner.set_aside, _set_aside.Kind.RECORD, job_id, error
+    )
     owner.pool.active.pop(job_id, None)
-    owner.pool.jobs.pop(job_id, None)
+    job = owner.pool.jobs.pop(job_id, None)
+    if job is not None:
+        for unit in job.units.values():
+            for run in list(unit.runs):
+                workloads.drop_run(owner.pool, run)
 
 
 def _add_job(
@@ -169,13 +213,23 @@
     """
     if owner is None or not owner.ready or owner.deposed.is_set():
         return
+    job_id = message.job_id
     if not message.value:
-        _cancel(owner, message.job_id)
+        _try_cancel(owner, job_id)
         return
-    record = workloads.decode_job(message.value)
-    job = owner.pool.jobs.get(record.id) or _add_job(owner, record)
-    if message.stored and not job.accepted:
-        _accept(owner, job)
+    if _set_aside.is_set_aside(
+        owner.set_aside, _set_aside.Kind.RECORD, job_id
+    ):
+        return
+    try:
+        record = workloads.decode_job(message.value)
+        job = owner.pool.jobs.get(job_id) or _add_job(owner, record)
+        if message.stored and not job.accepted:
+            _accept(owner, job)
+    except Exception as error:
+        _leave_out_record(
+            owner, _keys.job(owner.service, job_id), job_id, error
+        )
     owner.plan_requested.set()
 
 
@@ -234,7 +288,7 @@
             now=_clock.now(),
             now_unix_s=_clock.unix_time(),
         )
-    except errors.ProtocolError as error:
+    except Exception as error:
         _leave_out_record(owner, item.key, job_id, error)
 
 
@@ -242,11 +296,20 @@
     prefix = _keys.cancel(owner.service, "")
     if not item.key.startswith(prefix) or item.removed:
         return
-    _cancel(owner, item.key.removeprefix(prefix))
+    _try_cancel(owner, item.key.removeprefix(prefix))
+
+
+def _try_cancel(owner: _ownership.Ownership, job_id: str) -> None:
+    _set_aside.attempt(
+        owner.set_aside,
+        _set_aside.Kind.CANCELLATION,
+        job_id,
+        functools.partial(_cancel, owner, job_id),
+    )
 
 
 def _cancel(owner: _ownership.Ownership, job_id: str) -> None:
-    job = owner.pool.active.get(job_id)
+    job = _ownership.find_live_job(owner, job_id)
     if job is None:
         return
     job.accepted = True
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -49,6 +49,7 @@
 encode_ended_job = _records.encode_ended_job
 encode_job = _records.encode_job
 encode_progress = _records.encode_progress
+drop_run = _lifecycle.drop_run
 end_incarnation = _incarnations.end_incarnation
 end_run = _lifecycle.end_run
 evacuate = _supervision.evacuate
@@ -115,6 +116,7 @@
     "encode_ended_job",
     "encode_job",
     "encode_progress",
+    "drop_run",
     "end_incarnation",
     "end_run",
     "evacuate",
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -50,10 +50,13 @@
         Planned runs; each starts once its job's record is stored.
     queries : tuple of AdvisorQuery
         Advisor queries, most urgent first.
+    failed : tuple of (Job, Exception)
+        Jobs that could not be planned, and why.
     """
 
     runs: tuple[_state.Run, ...]
     queries: tuple[_advisor_queries.AdvisorQuery, ...]
+    failed: tuple[tuple[_state.Job, Exception], ...] = ()
 
 
 @attrs.frozen(kw_only=True, slots=True, eq=False)
@@ -106,13 +109,21 @@
     if not usable:
         return Plan(runs=(), queries=())
     view = _free_capacity.make_view(pool, usable, now=now)
-    for step in _waiting_steps(pool, view):
-        may_query = max_queries is None or len(queries) < max_queries
-        planned, query = _plan_step(view, step, may_query=may_query)
-        runs.extend(planned)
-        if query is not None:
-            queries.append(query)
-    return Plan(runs=tuple(runs), queries=tuple(queries))
+    failed: list[tuple[_state.Job, Exception]] = []
+    for job in sorted(
+        pool.active.values(), key=functools.partial(_urgency, view)
+    ):
+        try:
+            for step in _waiting_steps(job, view):
+                may_query = max_queries is None or len(queries) < max_queries
+                planned, query = _plan_step(view, step, may_query=may_query)
+                runs.extend(planned)
+                if query is not None:
+                    queries.append(query)
+        except Exception as error:
+            # The caller sets the job aside; the others are planned.
+            failed.append((job, error))
+    return Plan(runs=tuple(runs), queries=tuple(queries), failed=tuple(failed))
 
 
 def is_usable(worker: _state.Worker, now: float) -> bool:
@@ -145,34 +156,32 @@
 
 
 def _waiting_steps(
-    pool: _state.Pool, view: _free_capacity.CapacityView
+    job: _state.Job, view: _free_capacity.CapacityView
 ) -> collections.abc.Iterator[_WaitingStep]:
-    jobs = sorted(pool.active.values(), key=functools.partial(_urgency, view))
-    for job in jobs:
-        for key, progress in job.steps.items():
-            if not progress.waiting:
-                continue
-            if not _lifecycle.is_step_ready(job, *key):
-                continue
-            waiting = [
-                unit
-                for unit in _lifecycle.step_units(job, *key)
-                if unit.state == _state.UnitState.WAITING
-                and view.now >= unit.not_before
-                and _crashes.may_start(unit)
-            ]
-            if waiting:
-                yield _WaitingStep(
-                    job=job,
-                    key=key,
-                    demand=_free_capacity.make_demand(view, job, key),
-                    waiting=waiting,
-                    risks={
-                        unit: risk
-                        for unit in waiting
-                        if unit.crashes and (risk := _crashes.trial_risk(unit))
-                    },
-                )
+    for key, progress in job.steps.items():
+        if not progress.waiting:
+            continue
+        if not _lifecycle.is_step_ready(job, *key):
+            continue
+        waiting = [
+            unit
+            for unit in _lifecycle.step_units(job, *key)
+            if unit.state == _state.UnitState.WAITING
+            and view.now >= unit.not_before
+            and _crashes.may_start(unit)
+        ]
+        if waiting:
+            yield _WaitingStep(
+                job=job,
+                key=key,
+                demand=_free_capacity.make_demand(view, job, key),
+                waiting=waiting,
+                risks={
+                    unit: risk
+                    for unit in waiting
+                    if unit.crashes and (risk := _crashes.trial_risk(unit))
+                },
+            )
 
 
 def _plan_step(
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -189,7 +189,6 @@
         completed_keys.add((row.task, row.run))
         if row.number <= worker.last_completion:
             continue
-        worker.last_completion = row.number
         run = worker.runs.get((row.task, row.run))
         if run is not None:
             complete(run, row.result, row.checkpoint)
@@ -198,6 +197,8 @@
                     number=row.number, job=run.job, change=run.job.change
                 )
             )
+        # Last, so that a completion whose handling fails is not skipped.
+        worker.last_completion = row.number
     listed = {(row.task, row.run): row for row in reply.running}
     for key, row in listed.items():
         run = worker.runs.get(key)
