Ask all services that may hold a queue's jobs for its length and states

With the store away, the state of such a job was answered 503.

Cause: a job stays with the service that its queue named when it was accepted, and the lookups asked the owner of the service that the queue names now. The owner of the former service logged `Job is queued.` for each job and had them all.

Change: the lookups go through the services that may hold the queue's jobs, the current one first. The length is the sum over them; without an answer, or one of at most 2 s ago, from one of them, callers get 503, because a sum without it may be far too low. For a state the other owners are asked only if the first does not know the job.

--- a/chestnuttide/node/_lookups.py
+++ b/chestnuttide/node/_lookups.py
@@ -1,5 +1,10 @@
 """Lookups of job states and queue lengths, in their owner or the store."""
 
+import asyncio
+import collections.abc
+import math
+import typing
+
 import attrs
 
 from chestnuttide import errors
@@ -15,15 +20,20 @@
 
 LOG = telemetry.make_logger("front")
 
-# Lifetime of a cached queue length. Callers may be shown one 2 s old.
+# Lifetime of a cached queue length, and the age up to which it is used if the
+# owner does not answer. Callers may be shown one 2 s old.
 PENDING_CACHE_S = 1.0
+MAX_PENDING_AGE_S = 2.0
+
+_Read = typing.TypeVar("_Read", _messages.StateRead, _messages.PendingRead)
+_Reply = typing.TypeVar("_Reply", _messages.StateReply, _messages.PendingReply)
 
 
 async def get_state(
     context: _responses.ApiContext, queue: workloads.Queue, job_id: str
 ) -> _responses.Response:
-    reply = await _fetch_owner_state(context, queue.service, job_id)
-    if reply is not None and reply.state:
+    reply = await _fetch_owners_state(context, queue, job_id)
+    if reply is not None:
         if reply.queue != queue.name:
             return _responses.unknown_job("state", job_id)
         return _responses.Response(
@@ -55,16 +65,53 @@
     )
 
 
-async def _fetch_owner_state(
-    context: _responses.ApiContext, service: str, job_id: str
+def _list_services(
+    context: _responses.ApiContext, queue: workloads.Queue
+) -> list[str]:
+    """Return the services that may hold jobs of a queue, likeliest first.
+
+    A job stays with the service that its queue named when it was accepted,
+    and a later configuration may name another one.
+    """
+    others = set(context.session.config.services) - {queue.service}
+    return [queue.service, *sorted(others)]
+
+
+async def _fetch_owners_state(
+    context: _responses.ApiContext, queue: workloads.Queue, job_id: str
 ) -> _messages.StateReply | None:
-    """Return the state of a job from its service's owner, or None."""
-    owner = context.session.owners.get(service)
+    """Return a job's state from the owner that knows it, or None.
+
+    The owners of other services are asked only if the first does not know
+    the job.
+    """
+
+    async def fetch(service: str) -> _messages.StateReply | None:
+        message = _messages.StateRead(
+            call_id=0, service=service, job_id=job_id
+        )
+        reply = await _ask_owner(context, message, answer_state)
+        return reply if reply is not None and reply.state else None
+
+    first, *others = _list_services(context, queue)
+    reply = await fetch(first)
+    if reply is not None:
+        return reply
+    replies = await asyncio.gather(*map(fetch, others))
+    return next((reply for reply in replies if reply is not None), None)
+
+
+async def _ask_owner(
+    context: _responses.ApiContext,
+    message: _Read,
+    answer: collections.abc.Callable[[_responses.ApiContext, _Read], _Reply],
+) -> _Reply | None:
+    """Return the reply of the owner of a message's service, or None."""
+    owner = context.session.owners.get(message.service)
     if owner is None:
         return None
-    message = _messages.StateRead(call_id=0, service=service, job_id=job_id)
     if owner.incarnation == context.session.incarnation:
-        reply = answer_state(context, message)
+        reply = answer(context, message)
     else:
         try:
             reply = await _peers.call(
@@ -73,7 +120,11 @@
                 lambda call_id: attrs.evolve(message, call_id=call_id),
             )
         except errors.MeshError as error:
-            LOG.info("Owner did not answer.", job=job_id, error=str(error))
+            LOG.info(
+                "Owner did not answer.",
+                service=message.service,
+                error=str(error),
+            )
             return None
     return reply if reply.owned else None
 
@@ -113,13 +164,7 @@
     context: _responses.ApiContext, queue: workloads.Queue, job_id: str
 ) -> str:
     """Return a job's state from the store; empty if there is no such job."""
-    services = [queue.service]
-    services += [
-        each
-        for each in context.session.config.services
-        if each != queue.service
-    ]
-    for service in services:
+    for service in _list_services(context, queue):
         item = await platform.read_key(
             context.session.store, _keys.job(service, job_id)
         )
@@ -140,47 +185,41 @@
 async def count_pending(
     context: _responses.ApiContext, queue: workloads.Queue
 ) -> _responses.Response:
-    key = (queue.service, queue.name)
-    counted_at, count = context.pending.get(key, (-1e9, 0))
-    if _clock.now() - counted_at > PENDING_CACHE_S:
-        fresh = await _fetch_owner_pending(context, queue)
-        if fresh is None:
-            return _responses.make_refusal(
-                "pending",
-                503,
-                "no_owner",
-                "The queue's owner does not answer. Come back later.",
-                retry_after_s=_responses.RETRY_AFTER_S,
-            )
-        count = fresh
-        context.pending[key] = (_clock.now(), count)
+    services = _list_services(context, queue)
+    counts = await asyncio.gather(
+        *(_count_in_service(context, service, queue) for service in services)
+    )
+    if None in counts:
+        return _responses.make_refusal(
+            "pending",
+            503,
+            "no_owner",
+            "An owner of the queue's jobs does not answer. Come back later.",
+            retry_after_s=_responses.RETRY_AFTER_S,
+        )
     return _responses.Response(
-        status=200, body={"pending": count}, call="pending"
+        status=200, body={"pending": sum(counts)}, call="pending"
     )
 
 
-async def _fetch_owner_pending(
-    context: _responses.ApiContext, queue: workloads.Queue
+async def _count_in_service(
+    context: _responses.ApiContext, service: str, queue: workloads.Queue
 ) -> int | None:
-    owner = context.session.owners.get(queue.service)
-    if owner is None:
-        return None
+    """Return how many jobs of a queue wait in a service, or None."""
+    key = (service, queue.name)
+    counted_at, count = context.pending.get(key, (-math.inf, 0))
+    if _clock.now() - counted_at <= PENDING_CACHE_S:
+        return count
     message = _messages.PendingRead(
-        call_id=0, service=queue.service, queue=queue.name
+        call_id=0, service=service, queue=queue.name
     )
-    if owner.incarnation == context.session.incarnation:
-        reply = answer_pending(context, message)
-    else:
-        try:
-            reply = await _peers.call(
-                context.session.peers,
-                owner.instance,
-                lambda call_id: attrs.evolve(message, call_id=call_id),
-            )
-        except errors.MeshError as error:
-            LOG.info("Owner did not answer.", error=str(error))
-            return None
-    return reply.count if reply.owned else None
+    reply = await _ask_owner(context, message, answer_pending)
+    if reply is not None:
+        context.pending[key] = (_clock.now(), reply.count)
+        return reply.count
+    if _clock.now() - counted_at <= MAX_PENDING_AGE_S:
+        return count
+    return None
 
 
 def answer_pending(
--- a/standins/node_cell.py
+++ b/standins/node_cell.py
@@ -75,11 +75,28 @@
     nodes: list[Node] = attrs.field(factory=list)
 
 
-def make_config(version: int, *, prefix: str = "/layout/") -> bytes:
+def make_config(
+    version: int,
+    *,
+    prefix: str = "/layout/",
+    service: str = SERVICE,
+    services: tuple[str, ...] = (SERVICE,),
+) -> bytes:
     """Return a configuration with a queue and a version probe.
 
     The second route has the version in its path, so a request to it shows
     whether a daemon has applied this version.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration.
+    prefix : str
+        Path prefix of the queue.
+    service : str
+        Service that runs the jobs of both routes.
+    services : tuple of str
+        All services.
     """
     return json.dumps(
         {
@@ -89,7 +106,7 @@
                     "name": name,
                     "host": HOST,
                     "prefix": path,
-                    "service": SERVICE,
+                    "service": service,
                     "priority": 0,
                     "maxAttempts": 2,
                     "stretch": 1.5,
@@ -102,7 +119,7 @@
                 }
                 for name, path in (("q1", prefix), ("v", f"/v{version}/"))
             ],
-            "services": [{"name": SERVICE}],
+            "services": [{"name": each} for each in services],
             "limits": {"maxBodyBytes": 65536},
         }
     ).encode()
