Count waiting jobs in the priority that the reserve is kept for

While a service is busy, 15% of its processors are kept for its most urgent queue. The priority of that queue was read from the queues that name the service now. Once a version sent them elsewhere, the jobs that still waited there either all counted as urgent, or none did: without a queue the priority fell to 0, and jobs of priority 1 and up waited beside processors that nothing could use any more.

Change: the priority is the lowest among the queues that name the service and the jobs that wait there. Running jobs don't count, because a task that lasts for hours would keep the reserve from all others.

--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -234,13 +234,13 @@
 
 
 def _update_top_priority(owner: _ownership.Ownership) -> None:
-    owner.pool.top_priority = min(
+    workloads.update_top_priority(
+        owner.pool,
         (
             queue.priority
             for queue in owner.session.config.queues
             if queue.service == owner.service
         ),
-        default=0,
     )
 
 
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -77,6 +77,7 @@
 take_due_stops = _stops.take_due_stops
 throttle_fillers = _supervision.throttle_fillers
 update_stored_completion = _poll_replies.update_stored_completion
+update_top_priority = _supervision.update_top_priority
 update_worker = _poll_replies.update_worker
 worker_key = _state.worker_key
 
@@ -144,6 +145,7 @@
     "take_due_stops",
     "throttle_fillers",
     "update_stored_completion",
+    "update_top_priority",
     "update_worker",
     "worker_key",
 ]
--- a/chestnuttide/workloads/_supervision.py
+++ b/chestnuttide/workloads/_supervision.py
@@ -1,5 +1,6 @@
-"""Handles stalled runs, draining workers and interference by fillers."""
+"""Handles priorities, stalled runs, draining workers and fillers."""
 
+import collections.abc
 import math
 
 from chestnuttide.workloads import _lifecycle
@@ -40,6 +41,29 @@
 EVACUATION_MARGIN_S = 0.3
 
 
+def update_top_priority(
+    pool: _state.Pool, configured: collections.abc.Iterable[int]
+) -> None:
+    """Update the priority that the reserve for urgent work is kept for.
+
+    A waiting job counts with the priority it was accepted with: its queue may
+    since have moved to another service or have left the configuration.
+
+    Parameters
+    ----------
+    pool : Pool
+        The pool.
+    configured : iterable of int
+        Priorities of the queues that name the pool's service.
+    """
+    waiting = (
+        job.spec.queue.priority
+        for job in pool.active.values()
+        if any(progress.waiting for progress in job.steps.values())
+    )
+    pool.top_priority = min((*configured, *waiting), default=0)
+
+
 def find_stalled(pool: _state.Pool, *, now: float) -> list[_state.Run]:
     """Return runs without progress on workers that answer."""
     stalled = []
--- a/chestnuttide/workloads/tests/test_supervision.py
+++ b/chestnuttide/workloads/tests/test_supervision.py
@@ -233,3 +233,38 @@
     serving.percent, serving.latency_ms_or_cpu = 100, tail_ms
     workloads.throttle_fillers(pool.workers["w0@1"])
     assert filler.speed_percent == speed_percent
+
+
+@pytest.mark.parametrize(
+    ("configured", "accepted", "priority"),
+    [
+        pytest.param((0, 2), (), 0, id="configured-queues"),
+        pytest.param((), (2, 1), 1, id="no-queue-names-the-service-any-more"),
+        pytest.param((3,), (2, 1), 1, id="the-urgent-queue-has-moved"),
+        pytest.param((1,), (2, 3), 1, id="configured-queue-without-jobs"),
+        pytest.param((), (), 0, id="neither-queues-nor-jobs"),
+    ],
+)
+def test_urgent_work_is_what_is_most_urgent_among_queues_and_waiting_jobs(
+    configured: tuple[int, ...], accepted: tuple[int, ...], priority: int
+) -> None:
+    """Guards against a reserve that no job of a moved queue may use."""
+    pool = _pool_fixtures.make_pool(1)
+    for number, each in enumerate(accepted):
+        _pool_fixtures.submit(
+            pool,
+            _pool_fixtures.make_step(),
+            job_id=f"{number:016x}",
+            priority=each,
+        )
+    workloads.update_top_priority(pool, configured)
+    assert pool.top_priority == priority
+
+
+def test_running_jobs_of_a_moved_queue_hold_no_reserve() -> None:
+    """Guards against processors that stay reserved while nothing waits."""
+    pool = _pool_fixtures.make_pool(1)
+    _pool_fixtures.submit(pool, _pool_fixtures.make_step(), priority=0)
+    _pool_fixtures.start_all(pool)
+    workloads.update_top_priority(pool, (2,))
+    assert pool.top_priority == 2
