Keep a directory of the services that may hold jobs of each queue

Callers whose queue moved to another service, and whose former service left the configuration, got 410 for accepted jobs, `pending` 0, and a second run of jobs that they handed in again; what waited never ended.

Cause: accepted jobs were found, owned and protected from a repeat only under the services that the configuration lists. An instance with an older configuration than the one that accepted a job looked into other services than that one, too.

Change: `cell/directory` lists the services that may hold jobs of each queue. A submission expects its revision and adds its entry if that is missing, in the one transaction that stores the job, and checks the id in all services that are listed or configured. Owners are kept for all of these; lookups ask those that are listed for the queue. A service without entries that the configuration lacks loses its owner. The metrics port lists the directory under /directory.

--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -50,8 +50,10 @@
 # silence. The fourth covers the watch and a store that is slow.
 ENTRY_EXPIRY_HEARTBEATS = 4
 
-# Path on the metrics port that lists what this instance's owners leave out.
+# Paths on the metrics port. The first lists what this instance's owners leave
+# out, the second which services may hold jobs of which queue.
 SET_ASIDE_PATH = "/set-aside"
+DIRECTORY_PATH = "/directory"
 
 CLAIM_PERIOD_S = 0.1
 RESTART_PAUSE_S = 0.2
@@ -232,18 +234,25 @@
         )
 
     def show_metrics(request: httputil.HTTPServerRequest) -> None:
-        if request.path == SET_ASIDE_PATH:
-            items = [
-                item
-                for owner in daemon.owned.values()
-                for item in _set_aside.list_items(owner.set_aside)
-            ]
-            body = json.dumps(items).encode()
+        if request.path in pages:
+            body = json.dumps(pages[request.path]()).encode()
             _write_response(request, 200, body, "application/json")
             return
         body, content_type = telemetry.render(daemon.metrics.registry)
         _write_response(request, 200, body, content_type)
 
+    def list_set_aside() -> list[dict[str, object]]:
+        return [
+            item
+            for owner in daemon.owned.values()
+            for item in _set_aside.list_items(owner.set_aside)
+        ]
+
+    pages = {
+        SET_ASIDE_PATH: list_set_aside,
+        DIRECTORY_PATH: lambda: _session.list_directory(daemon.session),
+    }
+
     readiness = httpserver.HTTPServer(is_ready)
     ip, port = _settings.split_address(settings.listen.readiness)
     readiness.listen(port, address=ip)
@@ -297,10 +306,13 @@
     running: dict[str, asyncio.Task[None]] = {}
     while True:
         session.changed.clear()
-        for service in _services(session):
+        wanted = _services(session)
+        for service in sorted(wanted):
             if _claims.should_claim(session, service, _clock.now()):
                 await _claims.claim(session, service)
             _update_ownership(daemon, running, service)
+        for service in running.keys() - wanted:
+            _forget_retired_service(daemon, running, service)
         try:
             async with asyncio.timeout(CLAIM_PERIOD_S):
                 await session.changed.wait()
@@ -308,10 +320,24 @@
             continue
 
 
-def _services(session: _session.Session) -> tuple[str, ...]:
+def _services(session: _session.Session) -> set[str]:
+    """Return the services that need an owner."""
     if session.config is None:
-        return ()
-    return session.config.services
+        return set()
+    return _session.known_services(session)
+
+
+def _forget_retired_service(
+    daemon: Daemon, running: dict[str, asyncio.Task[None]], service: str
+) -> None:
+    """Drop the state of an ownership that its owner has released."""
+    if not running[service].done():
+        return
+    del running[service]
+    owned = daemon.owned.pop(service, None)
+    if owned is not None:
+        # If its key is still there, the service is claimed anew.
+        daemon.session.failed_fencing_tokens[service] = owned.fencing_token
 
 
 def _update_ownership(
--- a/chestnuttide/node/_keys.py
+++ b/chestnuttide/node/_keys.py
@@ -4,6 +4,7 @@
 MEMBERS = "cell/members/"
 OWNERS = "cell/owners/"
 RELEASED = "cell/released/"
+DIRECTORY = "cell/directory"
 
 # Written by the platform and never by an instance.
 OPERATOR = "op/"
--- a/chestnuttide/node/_lookups.py
+++ b/chestnuttide/node/_lookups.py
@@ -9,11 +9,13 @@
 
 from chestnuttide import errors
 from chestnuttide.node import _clock
+from chestnuttide.node import _directory
 from chestnuttide.node import _keys
 from chestnuttide.node import _messages
 from chestnuttide.node import _ownership
 from chestnuttide.node import _peers
 from chestnuttide.node import _responses
+from chestnuttide.node import _session
 from chestnuttide import platform
 from chestnuttide import telemetry
 from chestnuttide import workloads
@@ -73,8 +75,20 @@
     A job stays with the service that its queue named when it was accepted,
     and a later configuration may name another one.
     """
-    others = set(context.session.config.services) - {queue.service}
-    return [queue.service, *sorted(others)]
+    listed = _directory.list_services_of(context.session.directory, queue.name)
+    return [queue.service, *sorted(listed - {queue.service})]
+
+
+def list_all_services(
+    context: _responses.ApiContext, queue: workloads.Queue
+) -> list[str]:
+    """Return all services whose records may have a job, likeliest first.
+
+    A former release may have stored jobs that the directory does not list.
+    """
+    likeliest = _list_services(context, queue)
+    others = _session.known_services(context.session) - set(likeliest)
+    return [*likeliest, *sorted(others)]
 
 
 async def _fetch_owners_state(
@@ -164,7 +178,7 @@
     context: _responses.ApiContext, queue: workloads.Queue, job_id: str
 ) -> str:
     """Return a job's state from the store; empty if there is no such job."""
-    for service in _list_services(context, queue):
+    for service in list_all_services(context, queue):
         item = await platform.read_key(
             context.session.store, _keys.job(service, job_id)
         )
--- a/chestnuttide/node/_messages.py
+++ b/chestnuttide/node/_messages.py
@@ -158,11 +158,18 @@
         The operator's configuration; empty if it is not newer.
     owners : tuple of (str, str, str, int)
         Service, instance, incarnation and fencing token of each owner.
+    directory : bytes
+        The directory of the services that may hold jobs; empty if the sender
+        does not know it.
+    directory_revision : int
+        Store revision of the directory.
     """
 
     call_id: int
     document: bytes
     owners: tuple[tuple[str, str, str, int], ...]
+    directory: bytes = b""
+    directory_revision: int = 0
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -201,12 +208,16 @@
         Key to write.
     value : bytes
         Its value.
+    service, queue : str
+        Service and queue of the job; empty from a former release.
     """
 
     call_id: int
     absent_keys: tuple[str, ...]
     key: str
     value: bytes
+    service: str = ""
+    queue: str = ""
 
 
 @attrs.frozen(kw_only=True, slots=True)
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -10,6 +10,7 @@
 from chestnuttide.node import _clock
 from chestnuttide.node import _commands
 from chestnuttide.node import _commits
+from chestnuttide.node import _directory_sync
 from chestnuttide.node import _keys
 from chestnuttide.node import _ownership
 from chestnuttide.node import _polls
@@ -83,6 +84,7 @@
                 _watch_work,
                 _watch_workers,
                 _release.confirm_loop,
+                _directory_sync.sync_loop,
             )
         ]
         deposed = asyncio.ensure_future(owner.deposed.wait())
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -9,6 +9,7 @@
 from chestnuttide import errors
 from chestnuttide import model
 from chestnuttide.node import _clock
+from chestnuttide.node import _directory
 from chestnuttide.node import _keys
 from chestnuttide.node import _messages
 from chestnuttide.node import _peers
@@ -124,6 +125,8 @@
         The configuration as the operator wrote it.
     config_watched : bool
         Whether the watch of the configuration works.
+    directory : Directory
+        Services that may hold jobs of each queue.
     changed : asyncio.Event
         Set when members, owners or config have changed.
     stopping : bool
@@ -149,6 +152,7 @@
     config: platform.ClusterConfig | None = None
     config_document: bytes = b""
     config_watched: bool = False
+    directory: _directory.Directory = _directory.Directory()
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     stopping: bool = False
 
@@ -291,7 +295,7 @@
 
 
 def apply_cell_item(session: Session, item: platform.Item) -> None:
-    """Apply a change of a member, an owner or a released ownership.
+    """Apply a change of a member, an owner, a release or the directory.
 
     An item that cannot be read is left out.
     """
@@ -304,6 +308,10 @@
         LOG.error("Item of the cell is ignored.", error=str(error))
         session.count_unreadable("cell")
         return
+    if item.key == _keys.DIRECTORY:
+        if value is not None:
+            adopt_directory(session, value)
+        return
     if item.key.startswith(_keys.MEMBERS):
         name = item.key.removeprefix(_keys.MEMBERS)
         if value is None:
@@ -328,8 +336,12 @@
         LOG.info("Service lost its owner.", service=service)
 
 
-def _decode_cell_item(item: platform.Item) -> Member | Owner | int:
-    """Return the member, owner or released fencing token of an item."""
+def _decode_cell_item(
+    item: platform.Item,
+) -> Member | Owner | _directory.Directory | int:
+    """Return the decoded value of an item; an int is a fencing token."""
+    if item.key == _keys.DIRECTORY:
+        return _directory.decode(item.value, item.revision)
     if item.key.startswith(_keys.RELEASED):
         return int(item.value)
     if item.key.startswith(_keys.MEMBERS):
@@ -347,6 +359,64 @@
     )
 
 
+def adopt_directory(session: Session, directory: _directory.Directory) -> None:
+    """Put a directory in force if it is newer than the known one."""
+    known = session.directory
+    if directory.revision <= known.revision:
+        return
+    session.directory = directory
+    LOG.info(
+        "Directory has changed.",
+        revision=directory.revision,
+        entries=len(directory.entries),
+        added=sorted(directory.entries - known.entries),
+        removed=sorted(known.entries - directory.entries),
+        closing=sorted(directory.closing),
+    )
+    session.changed.set()
+
+
+def adopt_conflicting_directory(
+    session: Session, items: tuple[platform.Item, ...]
+) -> None:
+    """Adopt the directory from the items of a failed condition.
+
+    They hold each expected key that exists, so without it there is none.
+    """
+    for item in items:
+        if item.key == _keys.DIRECTORY:
+            apply_cell_item(session, item)
+            return
+    if session.directory.revision:
+        LOG.error("Directory is gone from the store; starting a new one.")
+        session.directory = _directory.Directory()
+
+
+def known_services(session: Session) -> set[str]:
+    """Return the configured services and those that may hold jobs."""
+    services = _directory.list_services(session.directory)
+    if session.config is not None:
+        services.update(session.config.services)
+    return services
+
+
+def list_directory(session: Session) -> list[dict[str, object]]:
+    """Return the directory for operators."""
+    queues = session.config.queues if session.config is not None else ()
+    configured = {(queue.service, queue.name) for queue in queues}
+    return [
+        {
+            "service": service,
+            "queue": queue,
+            "configured": (service, queue) in configured,
+            "owner": session.owners[service].instance
+            if service in session.owners
+            else None,
+        }
+        for service, queue in sorted(session.directory.entries)
+    ]
+
+
 def _end_membership(session: Session, name: str) -> None:
     member = session.members.pop(name, None)
     if member is not None:
@@ -448,6 +518,15 @@
                     fencing_token=fencing_token,
                 ),
             )
+        if reply.directory:
+            apply_cell_item(
+                session,
+                platform.Item(
+                    key=_keys.DIRECTORY,
+                    value=reply.directory,
+                    revision=reply.directory_revision,
+                ),
+            )
 
 
 def _adopt_owner(session: Session, service: str, owner: Owner) -> None:
@@ -468,7 +547,8 @@
 def answer_cell(
     session: Session, message: _messages.CellRead
 ) -> _messages.CellReply:
-    """Return the owners, and the configuration if it is newer."""
+    """Return owners, the directory, and the configuration if it is newer."""
+    directory = session.directory
     newer = (
         session.config is not None
         and session.config.version > message.known_version
@@ -480,6 +560,8 @@
             (service, owner.instance, owner.incarnation, owner.fencing_token)
             for service, owner in session.owners.items()
         ),
+        directory=_directory.encode(directory) if directory.revision else b"",
+        directory_revision=directory.revision,
     )
 
 
--- a/chestnuttide/node/_submission.py
+++ b/chestnuttide/node/_submission.py
@@ -8,10 +8,13 @@
 
 from chestnuttide import errors
 from chestnuttide.node import _clock
+from chestnuttide.node import _directory
 from chestnuttide.node import _keys
+from chestnuttide.node import _lookups
 from chestnuttide.node import _messages
 from chestnuttide.node import _peers
 from chestnuttide.node import _responses
+from chestnuttide.node import _session
 from chestnuttide.node import _updates
 from chestnuttide import platform
 from chestnuttide import telemetry
@@ -31,6 +34,10 @@
 MAX_PEERS_TRIED = 8
 WRITE_PAUSE_S = 0.05
 
+# Attempts of a write that finds another directory than it was built from. One
+# changes when a queue gets its first job in a service, and seldom otherwise.
+MAX_DIRECTORY_ATTEMPTS = 8
+
 
 async def submit(
     context: _responses.ApiContext,
@@ -60,12 +67,11 @@
         )
     write = _messages.JobWrite(
         call_id=0,
-        absent_keys=tuple(
-            _keys.job(service, job_id)
-            for service in sorted({queue.service, *config.services})
-        ),
+        absent_keys=_list_job_keys(context.session, job_id),
         key=_keys.job(queue.service, job_id),
         value=workloads.encode_job(spec),
+        service=queue.service,
+        queue=queue.name,
     )
     _notify_owner(context, queue.service, job_id, write.value, stored=False)
     outcome = await store_job(context, write, _deadline_s(request))
@@ -100,6 +106,12 @@
     return attrs.evolve(response, inputs=inputs)
 
 
+def _list_job_keys(session: _session.Session, job_id: str) -> tuple[str, ...]:
+    """Return the keys under which the id of a job may be taken."""
+    services = sorted(_session.known_services(session))
+    return tuple(_keys.job(service, job_id) for service in services)
+
+
 def _deadline_s(request: httputil.HTTPServerRequest) -> float:
     text = request.headers.get("Deadline-Ms", "")
     if not (text.isascii() and text.isdigit()):
@@ -186,27 +198,67 @@
     Nothing is sent while the store is unresponsive. An unanswered write may
     still take effect, so its job could not be refused.
     """
-    if context.session.store.unresponsive:
-        return "refused"
-    try:
-        await platform.commit(
-            context.session.store,
-            platform.Transaction(
-                expect=dict.fromkeys(write.absent_keys, 0),
-                put={write.key: write.value},
-            ),
-        )
-    except platform.ConditionError:
-        return "exists"
-    except platform.StoreRefusedError as error:
-        LOG.info("Job was not written.", key=write.key, error=str(error))
+    session = context.session
+    if session.store.unresponsive:
         return "refused"
-    except errors.SchedulerError as error:
-        LOG.info(
-            "Outcome of a write is unknown.", key=write.key, error=str(error)
-        )
-        return "unknown"
-    return "stored"
+    for _ in range(MAX_DIRECTORY_ATTEMPTS):
+        try:
+            transaction, directory = _make_job_transaction(session, write)
+            revision = await platform.commit(session.store, transaction)
+        except platform.ConditionError as error:
+            taken = {item.key for item in error.items} - {_keys.DIRECTORY}
+            if taken:
+                return "exists"
+            _session.adopt_conflicting_directory(session, error.items)
+            context.metrics.retries.inc({"reason": "directory_changed"})
+        except (platform.StoreRefusedError, errors.ProtocolError) as error:
+            LOG.info("Job was not written.", key=write.key, error=str(error))
+            return "refused"
+        except errors.SchedulerError as error:
+            LOG.info(
+                "Outcome of a write is unknown.",
+                key=write.key,
+                error=str(error),
+            )
+            return "unknown"
+        else:
+            if _keys.DIRECTORY in transaction.put:
+                _session.adopt_directory(
+                    session, attrs.evolve(directory, revision=revision)
+                )
+            return "stored"
+    LOG.warning("Directory keeps changing; job is refused.", key=write.key)
+    return "refused"
+
+
+def _make_job_transaction(
+    session: _session.Session, write: _messages.JobWrite
+) -> tuple[platform.Transaction, _directory.Directory]:
+    """Return the transaction that stores a job, and the directory after it.
+
+    The id may be taken in services that only this instance or only the sender
+    knows, so both lists of keys are checked.
+    """
+    directory = session.directory
+    job_id = write.key.rpartition("/")[2]
+    expect = dict.fromkeys(
+        (*write.absent_keys, write.key, *_list_job_keys(session, job_id)), 0
+    )
+    expect[_keys.DIRECTORY] = directory.revision
+    put = {write.key: write.value}
+    entry = _entry_of(write)
+    if not _directory.is_open(directory, entry):
+        directory = _directory.open_entries(directory, {entry})
+        put[_keys.DIRECTORY] = _directory.encode(directory)
+    return platform.Transaction(expect=expect, put=put), directory
+
+
+def _entry_of(write: _messages.JobWrite) -> _directory.Entry:
+    if write.service:
+        return write.service, write.queue
+    # A former release sends the record only.
+    queue = workloads.decode_job(write.value).queue
+    return queue.service, queue.name
 
 
 async def _write_through_peer(
@@ -233,9 +285,7 @@
     context: _responses.ApiContext, queue: workloads.Queue, job_id: str
 ) -> _responses.Response:
     try:
-        for service in sorted(
-            {queue.service, *context.session.config.services}
-        ):
+        for service in _lookups.list_all_services(context, queue):
             item = await platform.read_key(
                 context.session.store, _keys.job(service, job_id)
             )
--- a/chestnuttide/node/tests/test_submission.py
+++ b/chestnuttide/node/tests/test_submission.py
@@ -61,7 +61,12 @@
             response_deadline=_clock.now() + stops_in_s,
         )
         write = _messages.JobWrite(
-            call_id=0, absent_keys=("k",), key="k", value=b""
+            call_id=0,
+            absent_keys=("k",),
+            key="k",
+            value=b"",
+            service="s",
+            queue="q",
         )
         started_at = time.monotonic()
         outcome = await _submission.store_job(context, write, 2.0)
