Replace an unreadable directory, and bound the keys of a submission

An unreadable value of cell/directory left its former revision in force, and every submission was refused for ever. With over 29 configured services, a submission had more entries than the store takes in one transaction (31 before the directory).

Change: an unreadable directory counts as an empty one at its revision, so the next submission replaces it and owners list their jobs anew. A submission checks the services that are listed first, and as many configured ones as fit. The stand-in for the store rejects transactions of over 32 entries, as the users' page says.

--- a/chestnuttide/node/_directory.py
+++ b/chestnuttide/node/_directory.py
@@ -103,8 +103,11 @@
 
 
 def decode(value: bytes, revision: int) -> Directory:
-    """Decode the value of the directory's key, for use in `decoding`."""
-    _, entries, closing = cbor2.loads(value)
+    """Decode the value of the directory's key, for use in `decoding`.
+
+    A later release may append fields.
+    """
+    _, entries, closing, *_ = cbor2.loads(value)
     return Directory(
         revision=revision,
         entries=frozenset(map(_decode_entry, entries)),
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -297,7 +297,8 @@
 def apply_cell_item(session: Session, item: platform.Item) -> None:
     """Apply a change of a member, an owner, a release or the directory.
 
-    An item that cannot be read is left out.
+    An item that cannot be read is left out. An unreadable directory is
+    replaced: submissions expect its revision, and owners list their jobs anew.
     """
     try:
         with errors.decoding(
@@ -307,6 +308,10 @@
     except errors.ProtocolError as error:
         LOG.error("Item of the cell is ignored.", error=str(error))
         session.count_unreadable("cell")
+        if item.key == _keys.DIRECTORY:
+            adopt_directory(
+                session, _directory.Directory(revision=item.revision)
+            )
         return
     if item.key == _keys.DIRECTORY:
         if value is not None:
--- a/chestnuttide/node/_submission.py
+++ b/chestnuttide/node/_submission.py
@@ -1,6 +1,7 @@
 """Submission and cancellation of jobs."""
 
 import asyncio
+import itertools
 import random
 
 import attrs
@@ -34,6 +35,10 @@
 MAX_PEERS_TRIED = 8
 WRITE_PAUSE_S = 0.05
 
+# Keys that a write of a job expects to be absent at most. The other entries of
+# its transaction are the job, and the directory, expected and maybe written.
+MAX_ABSENT_KEYS = platform.MAX_TRANSACTION_ENTRIES - 3
+
 # Attempts of a write that finds another directory than it was built from. One
 # changes when a queue gets its first job in a service, and seldom otherwise.
 MAX_DIRECTORY_ATTEMPTS = 8
@@ -67,7 +72,7 @@
         )
     write = _messages.JobWrite(
         call_id=0,
-        absent_keys=_list_job_keys(context.session, job_id),
+        absent_keys=tuple(_list_job_keys(context.session, job_id)),
         key=_keys.job(queue.service, job_id),
         value=workloads.encode_job(spec),
         service=queue.service,
@@ -106,10 +111,17 @@
     return attrs.evolve(response, inputs=inputs)
 
 
-def _list_job_keys(session: _session.Session, job_id: str) -> tuple[str, ...]:
-    """Return the keys under which the id of a job may be taken."""
-    services = sorted(_session.known_services(session))
-    return tuple(_keys.job(service, job_id) for service in services)
+def _list_job_keys(session: _session.Session, job_id: str) -> list[str]:
+    """Return the keys under which a job's id may be taken, likeliest first.
+
+    A former release may have stored jobs that the directory does not list.
+    """
+    listed = _directory.list_services(session.directory)
+    others = _session.known_services(session) - listed
+    return [
+        _keys.job(service, job_id)
+        for service in (*sorted(listed), *sorted(others))
+    ]
 
 
 def _deadline_s(request: httputil.HTTPServerRequest) -> float:
@@ -237,13 +249,15 @@
     """Return the transaction that stores a job, and the directory after it.
 
     The id may be taken in services that only this instance or only the sender
-    knows, so both lists of keys are checked.
+    knows, so both lists of keys are checked. If there are too many, those of
+    services without jobs are left out first.
     """
     directory = session.directory
     job_id = write.key.rpartition("/")[2]
-    expect = dict.fromkeys(
-        (*write.absent_keys, write.key, *_list_job_keys(session, job_id)), 0
+    absent_keys = dict.fromkeys(
+        (write.key, *_list_job_keys(session, job_id), *write.absent_keys)
     )
+    expect = dict.fromkeys(itertools.islice(absent_keys, MAX_ABSENT_KEYS), 0)
     expect[_keys.DIRECTORY] = directory.revision
     put = {write.key: write.value}
     entry = _entry_of(write)
--- a/chestnuttide/node/tests/test_directory.py
+++ b/chestnuttide/node/tests/test_directory.py
@@ -27,7 +27,7 @@
 from standins import node_cell
 
 FORMER, NOW = "layout", "render"
-JOB = "00000000000000aa"
+JOB, OTHER = "00000000000000aa", "00000000000000bb"
 FORMER_ENTRY, ENTRY = (FORMER, "q1"), (NOW, "q1")
 
 
@@ -302,6 +302,40 @@
     asyncio.run(main())
 
 
+def test_an_unreadable_directory_is_replaced() -> None:
+    """Guards against an item that refuses all submissions for ever."""
+
+    async def main() -> None:
+        async with _open_bed(ENTRY) as bed:
+            owner = _make_owner(bed, FORMER)
+            _hold_job(owner)
+            cloud.put(bed.store, _keys.DIRECTORY, b"\xff")
+            write = attrs.evolve(_make_write(NOW), key=_keys.job(NOW, OTHER))
+            assert await _submission.write_job(bed.context, write) == "stored"
+            await _directory_sync.sync(owner)
+            assert _stored(bed).entries == {ENTRY, FORMER_ENTRY}
+
+    asyncio.run(main())
+
+
+def test_a_job_is_stored_beside_any_number_of_configured_services() -> None:
+    """Guards against a transaction with more entries than the store takes."""
+
+    async def main() -> None:
+        async with _open_bed(FORMER_ENTRY) as bed:
+            services = tuple(f"a{number}" for number in range(40))
+            bed.context.session.config = platform.decode_config(
+                node_cell.make_config(2, service=NOW, services=services)
+            )
+            cloud.put(bed.store, _keys.job(FORMER, JOB), b"record")
+            write = _make_write(NOW)
+            assert await _submission.write_job(bed.context, write) == "exists"
+            write = attrs.evolve(write, key=_keys.job(NOW, OTHER))
+            assert await _submission.write_job(bed.context, write) == "stored"
+
+    asyncio.run(main())
+
+
 def test_older_releases_do_not_take_the_directory_for_an_owner() -> None:
     """Guards against a rollback in which the directory names an owner."""
     with pytest.raises(ValueError):
--- a/chestnuttide/node/tests/test_queue_moves.py
+++ b/chestnuttide/node/tests/test_queue_moves.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 import pathlib
+import time
 
 import pytest
 
@@ -16,6 +17,9 @@
 WAITING = [CANCELLED, *OTHERS]
 JOBS = [f"{number:016x}" for number in range(12)]
 
+# An owner goes on for 5 s without the store.
+OUTAGE_S = 3.0
+
 # A configuration is in force 2 s after its acknowledgement.
 APPLY_S = 2.0
 
@@ -50,8 +54,20 @@
 
 
 async def _check_state_without_store(cell: node_cell.Cell) -> None:
+    """Ask until the owner answers, which it does while its lease holds.
+
+    It shows no states in the milliseconds in which it asks peers to release
+    it, which it does every 0.1 s of an outage.
+    """
     cell.store.refusal_status = 503
-    await _check_state(cell)
+    deadline_s = time.monotonic() + OUTAGE_S
+    for node in cell.nodes:
+        status = 503
+        while status == 503 and time.monotonic() < deadline_s:
+            status, answer = await node_cell.fetch(
+                node_cell.url(node, WAITING[0])
+            )
+        assert (status, answer) == (200, {"state": "queued"})
     cell.store.refusal_status = 0
 
 
--- a/standins/cloud/_store.py
+++ b/standins/cloud/_store.py
@@ -9,6 +9,8 @@
 
 from standins.cloud import _http
 
+MAX_TRANSACTION_ENTRIES = 32
+
 
 @attrs.define(kw_only=True)
 class Key:
@@ -227,6 +229,8 @@
 
 
 def _transact(store: Store, body: dict[str, object]) -> _http.Answer:
+    if sum(map(len, body.values())) > MAX_TRANSACTION_ENTRIES:
+        return 400, {}
     for row in body["expect"]:
         item = store.keys.get(row["key"])
         if (item.revision if item else 0) != row["rev"]:
