Move watches and the operators' listing out of the session

Watches of a prefix are their own module now and need only the store, and the rows for operators are made by _directory. A submission decodes the record of a former release before it builds a transaction, and refuses one that cannot be read; two cases of test_directory.py say so.

--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -16,6 +16,7 @@
 from chestnuttide.node import _advisor_queries
 from chestnuttide.node import _claims
 from chestnuttide.node import _clock
+from chestnuttide.node import _directory
 from chestnuttide.node import _dispatch
 from chestnuttide.node import _lookups
 from chestnuttide.node import _messages
@@ -248,9 +249,18 @@
             for item in _set_aside.list_items(owner.set_aside)
         ]
 
+    def list_directory() -> list[dict[str, object]]:
+        session = daemon.session
+        queues = session.config.queues if session.config is not None else ()
+        return _directory.list_rows(
+            session.directory,
+            {(queue.service, queue.name) for queue in queues},
+            {name: owner.instance for name, owner in session.owners.items()},
+        )
+
     pages = {
         SET_ASIDE_PATH: list_set_aside,
-        DIRECTORY_PATH: lambda: _session.list_directory(daemon.session),
+        DIRECTORY_PATH: list_directory,
     }
 
     readiness = httpserver.HTTPServer(is_ready)
--- a/chestnuttide/node/_directory.py
+++ b/chestnuttide/node/_directory.py
@@ -62,6 +62,33 @@
     return {entry for entry in directory.entries if entry[0] == service}
 
 
+def list_rows(
+    directory: Directory,
+    configured: collections.abc.Set[Entry],
+    owners: collections.abc.Mapping[str, str],
+) -> list[dict[str, object]]:
+    """Return the entries for operators.
+
+    Parameters
+    ----------
+    directory : Directory
+        The directory.
+    configured : set of (str, str)
+        Service and name of each configured queue.
+    owners : mapping of str to str
+        Instance that owns each service, by service.
+    """
+    return [
+        {
+            "service": service,
+            "queue": queue,
+            "configured": (service, queue) in configured,
+            "owner": owners.get(service),
+        }
+        for service, queue in sorted(directory.entries)
+    ]
+
+
 def open_entries(
     directory: Directory, entries: collections.abc.Set[Entry]
 ) -> Directory:
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -15,9 +15,9 @@
 from chestnuttide.node import _ownership
 from chestnuttide.node import _polls
 from chestnuttide.node import _release
-from chestnuttide.node import _session
 from chestnuttide.node import _set_aside
 from chestnuttide.node import _updates
+from chestnuttide.node import _watches
 from chestnuttide import platform
 from chestnuttide import telemetry
 from chestnuttide import workloads
@@ -155,8 +155,8 @@
 
 
 async def _watch_work(owner: _ownership.Ownership) -> None:
-    await _session.watch_prefix(
-        owner.session,
+    await _watches.watch_prefix(
+        owner.session.store,
         _keys.work(owner.service),
         on_list=lambda items: _updates.apply_work_items(owner, items),
         on_item=lambda item: _updates.apply_work_items(owner, (item,)),
@@ -174,8 +174,8 @@
         for item in items:
             _updates.apply_worker_entry(owner, item)
 
-    await _session.watch_prefix(
-        owner.session,
+    await _watches.watch_prefix(
+        owner.session.store,
         _keys.WORKERS,
         on_list=on_list,
         on_item=functools.partial(_updates.apply_worker_entry, owner),
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -14,6 +14,7 @@
 from chestnuttide.node import _messages
 from chestnuttide.node import _peers
 from chestnuttide.node import _settings
+from chestnuttide.node import _watches
 from chestnuttide import platform
 from chestnuttide import telemetry
 
@@ -24,15 +25,6 @@
 LEASE_TTL_S = 1.2
 RENEWALS_PER_TTL = 4
 
-# A watch without changes returns after this time. A dead connection is only
-# detected then, and a config has to be in force within 2 s of its
-# acknowledgement.
-WATCH_WAIT_S = 1.2
-
-# Pauses after a failed call to the store.
-RETRY_MINIMUM_S = 0.1
-RETRY_MAXIMUM_S = 0.5
-
 # An instance that cannot use the store queries a peer for config and owners
 # at this rate. A config has to be in force within 2 s of its acknowledgement,
 # and callers keep sending requests to the instance meanwhile.
@@ -203,68 +195,6 @@
     session.changed.set()
 
 
-async def watch_prefix(
-    session: Session,
-    prefix: str,
-    *,
-    on_list: collections.abc.Callable[[tuple[platform.Item, ...]], None],
-    on_item: collections.abc.Callable[[platform.Item], None],
-    on_working: collections.abc.Callable[[bool], None],
-    pause_s: float = 0.0,
-) -> None:
-    """Report the items under a prefix and all later changes until cancelled.
-
-    Parameters
-    ----------
-    session : Session
-        The session.
-    prefix : str
-        Prefix of the keys.
-    on_list : function
-        Called with all items after each listing.
-    on_item : function
-        Called with each change.
-    on_working : function
-        Called after each call to the store with whether it succeeded.
-    pause_s : float
-        Pause before the next watch, in which changes accumulate.
-    """
-    revision = -1
-    retry_s = RETRY_MINIMUM_S
-    while True:
-        try:
-            if revision < 0:
-                listed = await platform.read_all(session.store, prefix)
-                on_list(listed.items)
-                revision = listed.store_revision
-            else:
-                changes = await platform.watch_keys(
-                    session.store,
-                    prefix,
-                    after_revision=revision,
-                    wait_s=WATCH_WAIT_S,
-                )
-                for item in changes.items:
-                    on_item(item)
-                revision = max(revision, changes.store_revision)
-                await asyncio.sleep(pause_s)
-            retry_s = RETRY_MINIMUM_S
-            on_working(True)
-        except platform.HistoryLostError:
-            LOG.info(
-                "Store no longer has the watched revision; listing again.",
-                prefix=prefix,
-            )
-            revision = -1
-        except errors.SchedulerError as error:
-            on_working(False)
-            LOG.debug("Watch failed.", prefix=prefix, error=str(error))
-            # A new listing also shows changes that a broken watch has missed.
-            revision = -1
-            await asyncio.sleep(retry_s)
-            retry_s = min(RETRY_MAXIMUM_S, retry_s * 2)
-
-
 async def follow_cell(session: Session) -> None:
     """Keep members and owners up to date until cancelled."""
 
@@ -285,8 +215,8 @@
             LOG.info("Cell watch changed.", working=working)
         session.cell_known = working
 
-    await watch_prefix(
-        session,
+    await _watches.watch_prefix(
+        session.store,
         _keys.CELL,
         on_list=on_list,
         on_item=on_item,
@@ -405,23 +335,6 @@
     return services
 
 
-def list_directory(session: Session) -> list[dict[str, object]]:
-    """Return the directory for operators."""
-    queues = session.config.queues if session.config is not None else ()
-    configured = {(queue.service, queue.name) for queue in queues}
-    return [
-        {
-            "service": service,
-            "queue": queue,
-            "configured": (service, queue) in configured,
-            "owner": session.owners[service].instance
-            if service in session.owners
-            else None,
-        }
-        for service, queue in sorted(session.directory.entries)
-    ]
-
-
 def _end_membership(session: Session, name: str) -> None:
     member = session.members.pop(name, None)
     if member is not None:
@@ -457,8 +370,8 @@
             LOG.info("Config watch changed.", working=working)
         session.config_watched = working
 
-    await watch_prefix(
-        session,
+    await _watches.watch_prefix(
+        session.store,
         _keys.OPERATOR,
         on_list=on_list,
         on_item=on_item,
--- a/chestnuttide/node/_submission.py
+++ b/chestnuttide/node/_submission.py
@@ -213,9 +213,14 @@
     session = context.session
     if session.store.unresponsive:
         return "refused"
+    try:
+        entry = _entry_of(write)
+    except errors.ProtocolError as error:
+        LOG.error("Record of a job is refused.", error=str(error))
+        return "refused"
     for _ in range(MAX_DIRECTORY_ATTEMPTS):
+        transaction, directory = _make_job_transaction(session, write, entry)
         try:
-            transaction, directory = _make_job_transaction(session, write)
             revision = await platform.commit(session.store, transaction)
         except platform.ConditionError as error:
             taken = {item.key for item in error.items} - {_keys.DIRECTORY}
@@ -223,7 +228,7 @@
                 return "exists"
             _session.adopt_conflicting_directory(session, error.items)
             context.metrics.retries.inc({"reason": "directory_changed"})
-        except (platform.StoreRefusedError, errors.ProtocolError) as error:
+        except platform.StoreRefusedError as error:
             LOG.info("Job was not written.", key=write.key, error=str(error))
             return "refused"
         except errors.SchedulerError as error:
@@ -243,8 +248,18 @@
     return "refused"
 
 
+def _entry_of(write: _messages.JobWrite) -> _directory.Entry:
+    if write.service:
+        return write.service, write.queue
+    # A former release sends the record only.
+    queue = workloads.decode_job(write.value).queue
+    return queue.service, queue.name
+
+
 def _make_job_transaction(
-    session: _session.Session, write: _messages.JobWrite
+    session: _session.Session,
+    write: _messages.JobWrite,
+    entry: _directory.Entry,
 ) -> tuple[platform.Transaction, _directory.Directory]:
     """Return the transaction that stores a job, and the directory after it.
 
@@ -260,21 +275,12 @@
     expect = dict.fromkeys(itertools.islice(absent_keys, MAX_ABSENT_KEYS), 0)
     expect[_keys.DIRECTORY] = directory.revision
     put = {write.key: write.value}
-    entry = _entry_of(write)
     if not _directory.is_open(directory, entry):
         directory = _directory.open_entries(directory, {entry})
         put[_keys.DIRECTORY] = _directory.encode(directory)
     return platform.Transaction(expect=expect, put=put), directory
 
 
-def _entry_of(write: _messages.JobWrite) -> _directory.Entry:
-    if write.service:
-        return write.service, write.queue
-    # A former release sends the record only.
-    queue = workloads.decode_job(write.value).queue
-    return queue.service, queue.name
-
-
 async def _write_through_peer(
     context: _responses.ApiContext, name: str, write: _messages.JobWrite
 ) -> str:
--- /dev/null
+++ b/chestnuttide/node/_watches.py
@@ -0,0 +1,81 @@
+"""Watches of prefixes of the metadata store."""
+
+import asyncio
+import collections.abc
+
+from chestnuttide import errors
+from chestnuttide import platform
+from chestnuttide import telemetry
+
+LOG = telemetry.make_logger("session")
+
+# A watch without changes returns after this time. A dead connection is only
+# detected then, and a config has to be in force within 2 s of its
+# acknowledgement.
+WATCH_WAIT_S = 1.2
+
+# Pauses after a failed call to the store.
+RETRY_MINIMUM_S = 0.1
+RETRY_MAXIMUM_S = 0.5
+
+
+async def watch_prefix(
+    store: platform.KvStore,
+    prefix: str,
+    *,
+    on_list: collections.abc.Callable[[tuple[platform.Item, ...]], None],
+    on_item: collections.abc.Callable[[platform.Item], None],
+    on_working: collections.abc.Callable[[bool], None],
+    pause_s: float = 0.0,
+) -> None:
+    """Report the items under a prefix and all later changes until cancelled.
+
+    Parameters
+    ----------
+    store : KvStore
+        The store.
+    prefix : str
+        Prefix of the keys.
+    on_list : function
+        Called with all items after each listing.
+    on_item : function
+        Called with each change.
+    on_working : function
+        Called after each call to the store with whether it succeeded.
+    pause_s : float
+        Pause before the next watch, in which changes accumulate.
+    """
+    revision = -1
+    retry_s = RETRY_MINIMUM_S
+    while True:
+        try:
+            if revision < 0:
+                listed = await platform.read_all(store, prefix)
+                on_list(listed.items)
+                revision = listed.store_revision
+            else:
+                changes = await platform.watch_keys(
+                    store,
+                    prefix,
+                    after_revision=revision,
+                    wait_s=WATCH_WAIT_S,
+                )
+                for item in changes.items:
+                    on_item(item)
+                revision = max(revision, changes.store_revision)
+                await asyncio.sleep(pause_s)
+            retry_s = RETRY_MINIMUM_S
+            on_working(True)
+        except platform.HistoryLostError:
+            LOG.info(
+                "Store no longer has the watched revision; listing again.",
+                prefix=prefix,
+            )
+            revision = -1
+        except errors.SchedulerError as error:
+            on_working(False)
+            LOG.debug("Watch failed.", prefix=prefix, error=str(error))
+            # A new listing also shows changes that a broken watch has missed.
+            revision = -1
+            await asyncio.sleep(retry_s)
+            retry_s = min(RETRY_MAXIMUM_S, retry_s * 2)
--- a/chestnuttide/node/tests/test_directory.py
+++ b/chestnuttide/node/tests/test_directory.py
@@ -302,6 +302,42 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ("readable", "outcome"),
+    [
+        pytest.param(True, "stored", id="record"),
+        pytest.param(False, "refused", id="unreadable-record"),
+    ],
+)
+def test_a_former_release_may_have_a_peer_store_its_job(
+    readable: bool, outcome: str
+) -> None:
+    """Guards against a job without an entry while releases are mixed."""
+
+    async def main() -> None:
+        async with _open_bed() as bed:
+            owner = _make_owner(bed, NOW)
+            spec = _pool_fixtures.submit(
+                owner.pool, _pool_fixtures.make_step(), name="q1"
+            ).spec
+            spec = attrs.evolve(
+                spec, queue=attrs.evolve(spec.queue, service=NOW)
+            )
+            write = attrs.evolve(
+                _make_write(NOW),
+                value=workloads.encode_job(spec) if readable else b"",
+                service="",
+                queue="",
+            )
+            assert await _submission.write_job(bed.context, write) == outcome
+            stored = _keys.job(NOW, JOB) in bed.store.keys
+            assert stored is readable
+            if readable:
+                assert _stored(bed).entries == {ENTRY}
+
+    asyncio.run(main())
+
+
 def test_an_unreadable_directory_is_replaced() -> None:
     """Guards against an item that refuses all submissions for ever."""
 
