Count jobs that are set aside among those that wait

A job whose planning or storing has failed is set aside for a time and tried again. Until then a GET of its queue left it out of `pending`, because the count went through the jobs that are planned. It goes through the jobs that have not ended now.

--- a/chestnuttide/node/_lookups.py
+++ b/chestnuttide/node/_lookups.py
@@ -250,7 +250,7 @@
     if owned:
         count = sum(
             1
-            for job in owner.pool.active.values()
+            for job in _ownership.list_live_jobs(owner)
             if job.spec.queue.name == message.queue
             and job.accepted
             and not job.started
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -174,6 +174,23 @@
     return job
 
 
+def list_live_jobs(owner: Ownership) -> list[workloads.Job]:
+    """Return the jobs that have not ended, also those that are set aside."""
+    set_aside = (
+        find_live_job(owner, name)
+        for kind, name in owner.set_aside.items
+        if kind == _set_aside.Kind.JOB
+    )
+    return [
+        *owner.pool.active.values(),
+        *(
+            job
+            for job in set_aside
+            if job is not None and job.spec.id not in owner.pool.active
+        ),
+    ]
+
+
 def set_job_aside(
     owner: Ownership, job: workloads.Job, error: Exception
 ) -> None:
--- a/chestnuttide/node/tests/test_containment.py
+++ b/chestnuttide/node/tests/test_containment.py
@@ -283,6 +283,8 @@
                 (item,) = await _fetch_set_aside(node)
                 assert item["item"] == BAD
                 assert "ZeroDivisionError" in item["cause"]
+                answer = await node_cell.fetch(node_cell.url(node))
+                assert answer == (200, {"pending": 1})
             await node_cell.wait_until_state(node, BAD, "complete")
             assert await _fetch_set_aside(node) == []
             node_cell.check_runs(cell)
