Move the queue between services in the soak, and keep its list of faults

The soak wrote configurations that differed in their version only. Each may now send the queue to another of two services and leave its former one out; four more workers serve the second one. ledger.json of a seed held the number of faults in place of their list, because the report has a field of the same name; a test says so.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -13,6 +13,9 @@
 from standins import cloud
 from standins import node_cell
 
+# Services between which configurations move the queue.
+SERVICES = (node_cell.SERVICE, "render")
+
 
 @attrs.define(kw_only=True)
 class Testbed:
@@ -197,13 +200,24 @@
 
 
 async def change_config(testbed: Testbed, rng: random.Random) -> None:
-    """Write several configurations in quick succession."""
+    """Write several configurations in quick succession.
+
+    Each may send the queue to another service and leave its former one out.
+    """
     for _ in range(rng.randint(1, 4)):
         testbed.version += rng.randint(1, 5)
+        service = rng.choice(SERVICES)
+        services = rng.choice((SERVICES, (service,)))
+        testbed.ledger.faults.append(
+            f"{time.monotonic():.3f} version {testbed.version} sends the "
+            f"queue to {service} of {services}"
+        )
         cloud.put(
             testbed.cell.store,
             "op/config",
-            node_cell.make_config(testbed.version),
+            node_cell.make_config(
+                testbed.version, service=service, services=services
+            ),
         )
         await asyncio.sleep(rng.uniform(0.0, 0.3))
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -17,7 +17,7 @@
 from standins import harness
 from standins import node_cell
 
-WORKER_COUNT = 4
+WORKERS_PER_SERVICE = 4
 WORKER_CPU_MILLIS = 8000
 JOBS_PER_S = 4.0
 
@@ -81,11 +81,13 @@
     workers = [
         cloud.Worker(
             id=f"i-{number}",
-            service=node_cell.SERVICE,
+            service=service,
             capacity={"cpu": WORKER_CPU_MILLIS, "memMb": 8000, "gpu": 0},
             clock_rate=CLOCK_RATES[number % len(CLOCK_RATES)],
         )
-        for number in range(WORKER_COUNT)
+        for number, service in enumerate(
+            _faults.SERVICES * WORKERS_PER_SERVICE
+        )
     ]
 
     async def serve(handler: object, state: object) -> _proxy.Proxy:
@@ -253,5 +255,5 @@
 
 def write_ledger(folder: pathlib.Path, ledger: _checks.Ledger) -> None:
     """Write faults and violations beside the daemons' logs."""
-    text = json.dumps({"faults": ledger.faults, **report(ledger)}, indent=1)
+    text = json.dumps({**report(ledger), "faults": ledger.faults}, indent=1)
     (folder / "ledger.json").write_text(text, encoding="utf-8")
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -1,6 +1,7 @@
 """A short seeded run of the soak, and tests of its checks."""
 
 import asyncio
+import json
 import pathlib
 
 import pytest
@@ -25,6 +26,14 @@
     assert ledger.violations == []
 
 
+def test_the_ledger_lists_the_faults(tmp_path: pathlib.Path) -> None:
+    """Guards against a failed seed whose faults are not known afterwards."""
+    ledger = _checks.Ledger(faults=["1.0 kill"])
+    _run.write_ledger(tmp_path, ledger)
+    written = json.loads((tmp_path / "ledger.json").read_text("utf-8"))
+    assert written["faults"] == ["1.0 kill"]
+
+
 def _make_ledger() -> tuple[_checks.Ledger, list[cloud.Worker]]:
     ledger = _checks.Ledger()
     workers = [
