--- a/chestnuttide/node/tests/test_directory.py
+++ b/chestnuttide/node/tests/test_directory.py
@@ -15,11 +15,11 @@
 from chestnuttide.node import _messages
 from chestnuttide.node import _metrics
 from chestnuttide.node import _ownership
-from chestnuttide.node import _peers
 from chestnuttide.node import _responses
 from chestnuttide.node import _session
 from chestnuttide.node import _set_aside
 from chestnuttide.node import _submission
+from chestnuttide.node.tests import _session_fixtures
 from chestnuttide import platform
 from chestnuttide import workloads
 from chestnuttide.workloads.tests import _pool_fixtures
@@ -60,19 +60,13 @@
     address, server = cloud.serve(
         functools.partial(cloud.handle_store_request, store)
     )
-    session = _session.Session(
-        settings=None,
-        store=platform.KvStore(
-            http=platform.make_client(max_clients=10),
-            address=address,
-            timeout_s=5.0,
-            count=lambda kind, outcome: calls.append(kind),
-        ),
-        peers=_peers.make_peers(instance="a", data_centre="d"),
-        count_unreadable=lambda kind: None,
-        config=platform.decode_config(
-            node_cell.make_config(1, service=NOW, services=(NOW,))
-        ),
+    session = _session_fixtures.make_session(
+        address,
+        timeout_s=5.0,
+        count=lambda kind, outcome: calls.append(kind),
+    )
+    session.config = platform.decode_config(
+        node_cell.make_config(1, service=NOW, services=(NOW,))
     )
     bed = Bed(
         store=store,
--- a/chestnuttide/node/tests/test_submission.py
+++ b/chestnuttide/node/tests/test_submission.py
@@ -9,11 +9,9 @@
 from chestnuttide.node import _clock
 from chestnuttide.node import _messages
 from chestnuttide.node import _metrics
-from chestnuttide.node import _peers
 from chestnuttide.node import _responses
-from chestnuttide.node import _session
 from chestnuttide.node import _submission
-from chestnuttide import platform
+from chestnuttide.node.tests import _session_fixtures
 from standins import cloud
 
 STORE_TIMEOUT_S = 0.7
@@ -43,16 +41,10 @@
         address, server = cloud.serve(
             functools.partial(cloud.handle_store_request, store)
         )
-        session = _session.Session(
-            settings=None,
-            store=platform.KvStore(
-                http=platform.make_client(max_clients=10),
-                address=address,
-                timeout_s=STORE_TIMEOUT_S,
-                count=_metrics.store_counter(metrics),
-            ),
-            peers=_peers.make_peers(instance="a", data_centre="d"),
-            count_unreadable=lambda kind: None,
+        session = _session_fixtures.make_session(
+            address,
+            timeout_s=STORE_TIMEOUT_S,
+            count=_metrics.store_counter(metrics),
         )
         context = _responses.ApiContext(
             session=session,
