Prepare the interfaces of the parts for hard load

Two customers ask for workspaces, admission and learned run times. Nothing is decided differently yet.

--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -37,6 +37,7 @@
 WaitReason = _waiting.WaitReason
 Worker = _state.Worker
 WorkerReport = _specs.WorkerReport
+Workspace = _specs.Workspace
 acknowledged_completion = _poll_replies.acknowledged_completion
 add_job = _lifecycle.add_job
 apply_poll_reply = _poll_replies.apply_poll_reply
@@ -105,6 +106,7 @@
     "WaitReason",
     "Worker",
     "WorkerReport",
+    "Workspace",
     "acknowledged_completion",
     "add_job",
     "apply_poll_reply",
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -17,6 +17,7 @@
 from chestnuttide.workloads import _crashes
 from chestnuttide.workloads import _free_capacity
 from chestnuttide.workloads import _lifecycle
+from chestnuttide.workloads import _ordering
 from chestnuttide.workloads import _state
 from chestnuttide.workloads import _trials
 
@@ -111,7 +112,7 @@
     view = _free_capacity.make_view(pool, usable, now=now)
     failed: list[tuple[_state.Job, Exception]] = []
     for job in sorted(
-        pool.active.values(), key=functools.partial(_urgency, view)
+        pool.active.values(), key=functools.partial(_ordering.urgency, view)
     ):
         try:
             for step in _waiting_steps(job, view):
@@ -137,24 +138,6 @@
     )
 
 
-def _urgency(
-    view: _free_capacity.CapacityView, job: _state.Job
-) -> tuple[bool, bool, int, float]:
-    """Return a job's sort key; jobs with long-running tasks come first.
-
-    They are few, and a long-running task is unavailable for as long as it
-    waits, however busy the service is. Jobs with a unit that needs a trial
-    of its own come last: most of them fail, and each holds a worker.
-    """
-    queue = job.spec.queue
-    return (
-        job.spec.id in view.trials.lone_jobs,
-        not job.is_long_running,
-        queue.priority,
-        job.accepted_at + queue.latency_objective_s,
-    )
-
-
 def _waiting_steps(
     job: _state.Job, view: _free_capacity.CapacityView
 ) -> collections.abc.Iterator[_WaitingStep]:
--- a/chestnuttide/workloads/_specs.py
+++ b/chestnuttide/workloads/_specs.py
@@ -23,6 +23,26 @@
     validity_s: float
 
 
+@attrs.frozen(kw_only=True, slots=True)
+class Workspace:
+    """A configured workspace: a customer whose jobs share one allowance.
+
+    Attributes
+    ----------
+    name : str
+        Name of the workspace.
+    weight : float
+        Its share relative to other workspaces when all capacity is in use.
+    cap : Resources
+        What it may have running over all services; 0 in a dimension means
+        no limit.
+    """
+
+    name: str
+    weight: float = 1.0
+    cap: model.Resources = model.ZERO
+
+
 @attrs.frozen(kw_only=True, slots=True)
 class Queue:
     """A configured queue and its policy.
@@ -45,6 +65,8 @@
         Constant part of the latency objective, in seconds.
     advice : Advice or None
         Advisor policy; None if starts need no ticket of the advisor.
+    public : bool
+        Whether its calls need no key and its jobs belong to no workspace.
     """
 
     name: str
@@ -56,6 +78,7 @@
     stretch: float = 1.0
     latency_objective_s: float = 0.0
     advice: Advice | None = None
+    public: bool = False
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -133,6 +156,9 @@
     first_due_unix_s, interval_s : float
         Due time of the first occurrence, and the interval between
         occurrences.
+    workspace : str
+        Workspace whose key submitted it; empty for a public queue and for a
+        deployment without workspaces.
     """
 
     id: str
@@ -143,6 +169,7 @@
     occurrences: int = 0
     first_due_unix_s: float = 0.0
     interval_s: float = 0.0
+    workspace: str = ""
 
 
 @attrs.frozen(kw_only=True, slots=True)
