--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -13,6 +13,7 @@
 from tornado import httputil
 
 from chestnuttide import errors
+from chestnuttide.node import _access
 from chestnuttide.node import _advisor_queries
 from chestnuttide.node import _claims
 from chestnuttide.node import _clock
@@ -52,9 +53,11 @@
 ENTRY_EXPIRY_HEARTBEATS = 4
 
 # Paths on the metrics port. The first lists what this instance's owners leave
-# out, the second which services may hold jobs of which queue.
+# out, the second which services may hold jobs of which queue, the third the
+# workspaces.
 SET_ASIDE_PATH = "/set-aside"
 DIRECTORY_PATH = "/directory"
+WORKSPACES_PATH = "/workspaces"
 
 CLAIM_PERIOD_S = 0.1
 RESTART_PAUSE_S = 0.2
@@ -151,6 +154,7 @@
         peers=peers,
         count_unreadable=_metrics.unreadable_counter(metrics),
         incarnation=secrets.token_hex(8),
+        confirmation_limit_s=_access.confirmation_limit_s(settings.bounds),
     )
     owned: dict[str, _ownership.Ownership] = {}
     context = _responses.ApiContext(
@@ -227,9 +231,7 @@
     callers.listen(port, address=ip)
 
     def is_ready(request: httputil.HTTPServerRequest) -> None:
-        ready = (
-            daemon.session.config is not None and not daemon.session.stopping
-        )
+        ready = _session.is_ready(daemon.session)
         _write_response(
             request, 200 if ready else 503, b"{}", "application/json"
         )
@@ -261,6 +263,9 @@
     pages = {
         SET_ASIDE_PATH: list_set_aside,
         DIRECTORY_PATH: list_directory,
+        WORKSPACES_PATH: functools.partial(
+            _session.list_workspaces, daemon.session
+        ),
     }
 
     readiness = httpserver.HTTPServer(is_ready)
--- a/chestnuttide/node/_dispatch.py
+++ b/chestnuttide/node/_dispatch.py
@@ -7,13 +7,14 @@
 from tornado import httputil
 
 from chestnuttide import errors
+from chestnuttide.node import _access
 from chestnuttide.node import _clock
 from chestnuttide.node import _lookups
 from chestnuttide.node import _responses
+from chestnuttide.node import _session
 from chestnuttide.node import _submission
 from chestnuttide import platform
 from chestnuttide import telemetry
-from chestnuttide import workloads
 
 LOG = telemetry.make_logger("front")
 
@@ -111,7 +112,7 @@
             "No configuration is known yet. Come back later.",
             retry_after_s=_responses.RETRY_AFTER_S,
         )
-    queue = find_queue(config, request.host, request.path)
+    queue = platform.find_queue(config, request.host, request.path)
     if queue is None:
         return _responses.make_refusal(
             "other",
@@ -120,6 +121,17 @@
             "No queue has this host and path. Check the URL.",
         )
     rest = request.path.removeprefix(queue.prefix)
+    access = _access.decide(
+        config,
+        queue,
+        request.headers.get(platform.KEY_HEADER, ""),
+        confirmed=_session.serves_keys(context.session),
+    )
+    if access.refusal:
+        call = _call_name(request.method, rest)
+        job = rest if platform.is_job_id(rest) else ""
+        return _responses.refuse_access(call, access.refusal, job=job)
+    workspace = access.workspace
     if not rest:
         if request.method == "GET":
             return await _lookups.count_pending(context, queue)
@@ -132,26 +144,27 @@
             "A job's id has 16 hexadecimal digits. Correct it.",
         )
     if request.method == "POST":
-        return await _submission.submit(context, queue, rest, request)
+        return await _submission.submit(
+            context, queue, rest, request, workspace=workspace
+        )
     if request.method == "GET":
-        return await _lookups.get_state(context, queue, rest)
+        return await _lookups.get_state(
+            context, queue, rest, workspace=workspace
+        )
     if request.method == "DELETE":
-        return await _submission.cancel(context, queue, rest)
+        return await _submission.cancel(
+            context, queue, rest, workspace=workspace
+        )
     return _method_not_allowed(request.method)
 
 
+def _call_name(method: str, rest: str) -> str:
+    if method == "GET":
+        return "state" if rest else "pending"
+    return {"POST": "submit", "DELETE": "cancel"}.get(method, "other")
+
+
 def _method_not_allowed(method: str) -> _responses.Response:
     return _responses.make_refusal(
         "other", 405, "method", f"{method} is not supported. Use POST or GET."
     )
-
-
-def find_queue(
-    config: platform.ClusterConfig, host: str, path: str
-) -> workloads.Queue | None:
-    """Return the queue with this host and the longest matching prefix."""
-    name = host.rpartition(":")[0] if ":" in host else host
-    for queue in config.queues:
-        if queue.host == name.lower() and path.startswith(queue.prefix):
-            return queue
-    return None
--- a/chestnuttide/node/_lookups.py
+++ b/chestnuttide/node/_lookups.py
@@ -8,6 +8,7 @@
 import attrs
 
 from chestnuttide import errors
+from chestnuttide.node import _access
 from chestnuttide.node import _clock
 from chestnuttide.node import _directory
 from chestnuttide.node import _keys
@@ -32,12 +33,21 @@
 
 
 async def get_state(
-    context: _responses.ApiContext, queue: workloads.Queue, job_id: str
+    context: _responses.ApiContext,
+    queue: workloads.Queue,
+    job_id: str,
+    *,
+    workspace: str = "",
 ) -> _responses.Response:
+    """Return a job's state if the caller's workspace may see it."""
     reply = await _fetch_owners_state(context, queue, job_id)
     if reply is not None:
         if reply.queue != queue.name:
             return _responses.unknown_job("state", job_id)
+        if not _access.may_see(workspace, reply.workspace):
+            return _responses.refuse_access(
+                "state", "other_workspace", job=job_id
+            )
         return _responses.Response(
             status=200,
             body={"state": _API_STATES[reply.state]},
@@ -46,7 +56,7 @@
             inputs={"state": reply.state},
         )
     try:
-        state = await _read_state(context, queue, job_id)
+        state, holder = await _read_state(context, queue, job_id)
     except errors.SchedulerError as error:
         return _responses.make_refusal(
             "state",
@@ -58,6 +68,8 @@
         )
     if not state:
         return _responses.unknown_job("state", job_id)
+    if not _access.may_see(workspace, holder):
+        return _responses.refuse_access("state", "other_workspace", job=job_id)
     return _responses.Response(
         status=200,
         body={"state": _API_STATES[state]},
@@ -154,14 +166,19 @@
         and _ownership.may_send_commands(owner)
     )
     job = owner.pool.jobs.get(message.job_id) if owned else None
-    state = queue = ""
+    state = queue = workspace = ""
     if job is not None and job.accepted:
         queue = job.spec.queue.name
+        workspace = job.spec.workspace
         state = str(job.shown_state)
         if job.shown_state not in workloads.TERMINAL_STATES:
             state = "running" if job.started else "queued"
     return _messages.StateReply(
-        call_id=message.call_id, owned=owned, state=state, queue=queue
+        call_id=message.call_id,
+        owned=owned,
+        state=state,
+        queue=queue,
+        workspace=workspace,
     )
 
 
@@ -176,8 +193,11 @@
 
 async def _read_state(
     context: _responses.ApiContext, queue: workloads.Queue, job_id: str
-) -> str:
-    """Return a job's state from the store; empty if there is no such job."""
+) -> tuple[str, str]:
+    """Return a job's state and workspace from the store.
+
+    The state is empty if there is no such job.
+    """
     for service in list_all_services(context, queue):
         item = await platform.read_key(
             context.session.store, _keys.job(service, job_id)
@@ -186,14 +206,17 @@
             continue
         record = workloads.decode_job(item.value)
         if isinstance(record, workloads.EndedJob):
-            return record.state if record.queue == queue.name else ""
+            if record.queue != queue.name:
+                return "", ""
+            return record.state, record.workspace
         if record.queue.name != queue.name:
-            return ""
+            return "", ""
         progress = await platform.read_key(
             context.session.store, _keys.progress(service, job_id)
         )
-        return "queued" if progress is None else "running"
-    return ""
+        state = "queued" if progress is None else "running"
+        return state, record.workspace
+    return "", ""
 
 
 async def count_pending(
--- a/chestnuttide/node/_messages.py
+++ b/chestnuttide/node/_messages.py
@@ -40,12 +40,15 @@
         State that callers may be shown; empty if the job is unknown.
     queue : str
         Queue of the job.
+    workspace : str
+        Workspace of the job; empty from a former release.
     """
 
     call_id: int
     owned: bool
     state: str
     queue: str
+    workspace: str = ""
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -140,10 +143,13 @@
         Number of the call.
     known_version : int
         Configuration version of the sender; 0 if it has none.
+    accepts_packed : bool
+        Whether the sender reads ``packed_document``.
     """
 
     call_id: int
     known_version: int
+    accepts_packed: bool = False
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -163,6 +169,14 @@
         does not know it.
     directory_revision : int
         Store revision of the directory.
+    config_version : int
+        Configuration version of the replying instance; 0 if it has none.
+    confirmed_age_s : float
+        Age of the last moment at which it knew that version as the newest, in
+        seconds; -1 if it does not know, and from a former release.
+    packed_document : bytes
+        The operator's configuration in compressed form, instead of
+        ``document``.
     """
 
     call_id: int
@@ -170,6 +184,9 @@
     owners: tuple[tuple[str, str, str, int], ...]
     directory: bytes = b""
     directory_revision: int = 0
+    config_version: int = 0
+    confirmed_age_s: float = -1.0
+    packed_document: bytes = b""
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -229,7 +246,7 @@
     call_id : int
         Number of the call.
     outcome : str
-        ``stored``, ``exists``, ``refused`` or ``unknown``.
+        ``stored``, ``exists``, ``foreign``, ``refused`` or ``unknown``.
     """
 
     call_id: int
--- a/chestnuttide/node/_responses.py
+++ b/chestnuttide/node/_responses.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from chestnuttide.node import _access
 from chestnuttide.node import _metrics
 from chestnuttide.node import _ownership
 from chestnuttide.node import _session
@@ -99,6 +100,19 @@
     )
 
 
+def refuse_access(call: str, reason: str, *, job: str = "") -> Response:
+    """Return the refusal of a call for its key, or for its job's workspace."""
+    status, message = _access.REFUSALS[reason]
+    return make_refusal(
+        call,
+        status,
+        reason,
+        message,
+        job=job,
+        retry_after_s=RETRY_AFTER_S if status == 503 else 0,
+    )
+
+
 def unknown_job(call: str, job_id: str) -> Response:
     return make_refusal(
         call,
--- a/chestnuttide/node/_settings.py
+++ b/chestnuttide/node/_settings.py
@@ -13,6 +13,9 @@
 
 SETTINGS_VARIABLE: typing.Final = "CHESTNUTTIDE_CONFIG"
 
+# A shorter bound could not be kept across one slow answer of the store.
+MIN_REVOKE_MS: typing.Final = 1000.0
+
 
 @attrs.frozen(kw_only=True, slots=True)
 class Listen:
@@ -62,6 +65,12 @@
         Time from SIGTERM to SIGKILL, in seconds.
     worker_heartbeat_ms : float
         Interval at which a worker writes its entry, in milliseconds.
+    strict_revoke : bool
+        Whether an instance that cannot confirm its configuration stops
+        serving calls with keys.
+    revoke_ms : float
+        Time after a withdrawal's acknowledgement in which a key may still be
+        accepted, in milliseconds.
     """
 
     worker_lease_max_ms: float = 6000.0
@@ -69,6 +78,13 @@
     status_s: float = 120.0
     grace_s: float = 6.0
     worker_heartbeat_ms: float = 1500.0
+    # The template gives null where the deployment has no such bound.
+    strict_revoke: bool | None = attrs.field(
+        default=False, converter=attrs.converters.default_if_none(False)
+    )
+    revoke_ms: float | None = attrs.field(
+        default=5000.0, converter=attrs.converters.default_if_none(5000.0)
+    )
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -199,6 +215,7 @@
         "bounds.worker_lease_max_ms": settings.bounds.worker_lease_max_ms
         >= 1000,
         "bounds.grace_s": settings.bounds.grace_s > 0,
+        "bounds.revoke_ms": settings.bounds.revoke_ms >= MIN_REVOKE_MS,
         "bounds.worker_heartbeat_ms": settings.bounds.worker_heartbeat_ms > 0,
         "capacity.core_share": settings.capacity.core_share > 0,
         "capacity.core_speed": settings.capacity.core_speed > 0,
--- a/chestnuttide/node/_submission.py
+++ b/chestnuttide/node/_submission.py
@@ -8,6 +8,7 @@
 from tornado import httputil
 
 from chestnuttide import errors
+from chestnuttide.node import _access
 from chestnuttide.node import _clock
 from chestnuttide.node import _directory
 from chestnuttide.node import _keys
@@ -43,12 +44,17 @@
 # changes when a queue gets its first job in a service, and seldom otherwise.
 MAX_DIRECTORY_ATTEMPTS = 8
 
+# Outcomes of a write after which no other instance is asked.
+CERTAIN_OUTCOMES = ("stored", "exists", "foreign")
+
 
 async def submit(
     context: _responses.ApiContext,
     queue: workloads.Queue,
     job_id: str,
     request: httputil.HTTPServerRequest,
+    *,
+    workspace: str = "",
 ) -> _responses.Response:
     config = context.session.config
     if len(request.body) > config.max_body_bytes:
@@ -65,6 +71,7 @@
             job_id=job_id,
             queue=queue,
             now_unix_s=_clock.unix_time(),
+            workspace=workspace,
         )
     except errors.RefusedError as error:
         return _responses.make_refusal(
@@ -91,7 +98,11 @@
         return _responses.Response(
             status=200, body={}, call="submit", job=job_id, inputs=inputs
         )
-    if outcome == "refused":
+    if outcome == "foreign":
+        response = _responses.refuse_access(
+            "submit", "other_workspace", job=job_id
+        )
+    elif outcome == "refused":
         response = _responses.make_refusal(
             "submit",
             503,
@@ -162,8 +173,8 @@
     Returns
     -------
     str
-        ``stored``, ``exists``, ``refused`` if it certainly never runs, or
-        ``unknown``.
+        ``stored``, ``exists``, ``foreign`` if another workspace has a job of
+        this id, ``refused`` if it certainly never runs, or ``unknown``.
     """
     limit_s = min(
         STORE_DEADLINE_SHARE * deadline_s,
@@ -190,10 +201,10 @@
         outcomes = [await write_job(context, write)]
         names = _peers.connected_names(context.session.peers)
         for name in random.sample(names, min(MAX_PEERS_TRIED, len(names))):
-            if outcomes[-1] in ("stored", "exists"):
+            if outcomes[-1] in CERTAIN_OUTCOMES:
                 break
             outcomes.append(await _write_through_peer(context, name, write))
-        if outcomes[-1] in ("stored", "exists"):
+        if outcomes[-1] in CERTAIN_OUTCOMES:
             return outcomes[-1]
         # A job is not refused while a write of it may still take effect.
         unknown = unknown or "unknown" in outcomes
@@ -223,9 +234,11 @@
         try:
             revision = await platform.commit(session.store, transaction)
         except platform.ConditionError as error:
-            taken = {item.key for item in error.items} - {_keys.DIRECTORY}
+            taken = [
+                item for item in error.items if item.key != _keys.DIRECTORY
+            ]
             if taken:
-                return "exists"
+                return _classify_taken(write, taken)
             _session.adopt_conflicting_directory(session, error.items)
             context.metrics.retries.inc({"reason": "directory_changed"})
         except platform.StoreRefusedError as error:
@@ -248,6 +261,22 @@
     return "refused"
 
 
+def _classify_taken(
+    write: _messages.JobWrite, items: list[platform.Item]
+) -> str:
+    """Return ``exists``, or ``foreign`` for a job of another workspace."""
+    try:
+        workspace = workloads.decode_job(write.value).workspace
+        holders = [workloads.decode_job(item.value) for item in items]
+    except errors.ProtocolError as error:
+        # The id is taken all the same.
+        LOG.info("Record of a job cannot be read.", error=str(error))
+        return "exists"
+    if all(_access.may_see(workspace, each.workspace) for each in holders):
+        return "exists"
+    return "foreign"
+
+
 def _entry_of(write: _messages.JobWrite) -> _directory.Entry:
     if write.service:
         return write.service, write.queue
@@ -302,8 +331,13 @@
 
 
 async def cancel(
-    context: _responses.ApiContext, queue: workloads.Queue, job_id: str
+    context: _responses.ApiContext,
+    queue: workloads.Queue,
+    job_id: str,
+    *,
+    workspace: str = "",
 ) -> _responses.Response:
+    """Cancel a job if the caller's workspace may."""
     try:
         for service in _lookups.list_all_services(context, queue):
             item = await platform.read_key(
@@ -314,6 +348,10 @@
         else:
             return _responses.unknown_job("cancel", job_id)
         record = workloads.decode_job(item.value)
+        if not _access.may_see(workspace, record.workspace):
+            return _responses.refuse_access(
+                "cancel", "other_workspace", job=job_id
+            )
         if not isinstance(record, workloads.EndedJob):
             await platform.commit(
                 context.session.store,
--- a/chestnuttide/node/_watches.py
+++ b/chestnuttide/node/_watches.py
@@ -4,6 +4,7 @@
 import collections.abc
 
 from chestnuttide import errors
+from chestnuttide.node import _clock
 from chestnuttide import platform
 from chestnuttide import telemetry
 
@@ -18,6 +19,8 @@
 RETRY_MINIMUM_S = 0.1
 RETRY_MAXIMUM_S = 0.5
 
+OnAnswer = collections.abc.Callable[[float, bool], None]
+
 
 async def watch_prefix(
     store: platform.KvStore,
@@ -27,6 +30,9 @@
     on_item: collections.abc.Callable[[platform.Item], None],
     on_working: collections.abc.Callable[[bool], None],
     pause_s: float = 0.0,
+    wait_s: float = WATCH_WAIT_S,
+    on_answer: OnAnswer = lambda sent_at, empty: None,
+    slow_listings: bool = False,
 ) -> None:
     """Report the items under a prefix and all later changes until cancelled.
 
@@ -44,27 +50,44 @@
         Called after each call to the store with whether it succeeded.
     pause_s : float
         Pause before the next watch, in which changes accumulate.
+    wait_s : float
+        Time after which a watch without changes returns.
+    on_answer : function
+        ``on_answer(sent_at, empty)`` is called after each answered call and
+        its changes, with when it was sent and whether it was a watch without
+        changes.
+    slow_listings : bool
+        Whether a listing that follows a failed call may take twice as long: a
+        configuration with 1,400 routes fills a link of 5 Mbit/s for longer
+        than the store's timeout.
     """
     revision = -1
+    extra_s = 0.0
     retry_s = RETRY_MINIMUM_S
     while True:
+        sent_at = _clock.now()
         try:
             if revision < 0:
-                listed = await platform.read_all(store, prefix)
+                listed = await platform.read_all(
+                    store, prefix, extra_s=extra_s
+                )
                 on_list(listed.items)
                 revision = listed.store_revision
+                on_answer(sent_at, False)
             else:
                 changes = await platform.watch_keys(
                     store,
                     prefix,
                     after_revision=revision,
-                    wait_s=WATCH_WAIT_S,
+                    wait_s=wait_s,
                 )
                 for item in changes.items:
                     on_item(item)
+                on_answer(sent_at, not changes.items)
                 revision = max(revision, changes.store_revision)
                 await asyncio.sleep(pause_s)
             retry_s = RETRY_MINIMUM_S
+            extra_s = 0.0
             on_working(True)
         except platform.HistoryLostError:
             LOG.info(
@@ -77,5 +100,6 @@
             LOG.debug("Watch failed.", prefix=prefix, error=str(error))
             # A new listing also shows changes that a broken watch has missed.
             revision = -1
+            extra_s = store.timeout_s if slow_listings else 0.0
             await asyncio.sleep(retry_s)
             retry_s = min(RETRY_MAXIMUM_S, retry_s * 2)
--- a/chestnuttide/platform/__init__.py
+++ b/chestnuttide/platform/__init__.py
@@ -21,6 +21,7 @@
 InstanceChanges = _ports.InstanceChanges
 InstanceList = _ports.InstanceList
 Item = _kv_store.Item
+KEY_HEADER = _formats.KEY_HEADER
 KvStore = _kv_store.KvStore
 MAX_TRANSACTION_ENTRIES = _kv_store.MAX_TRANSACTION_ENTRIES
 PollReply = _worker_commands.PollReply
@@ -41,6 +42,8 @@
 decode_config = _formats.decode_config
 decode_job = _formats.decode_job
 decode_worker = _formats.decode_worker
+digest_key = _formats.digest_key
+find_queue = _formats.find_queue
 grant_lease = _kv_store.grant_lease
 is_job_id = _formats.is_job_id
 make_client = _http.make_client
@@ -70,6 +73,7 @@
     "InstanceChanges",
     "InstanceList",
     "Item",
+    "KEY_HEADER",
     "KvStore",
     "MAX_TRANSACTION_ENTRIES",
     "PollReply",
@@ -90,6 +94,8 @@
     "decode_config",
     "decode_job",
     "decode_worker",
+    "digest_key",
+    "find_queue",
     "grant_lease",
     "is_job_id",
     "make_client",
--- a/chestnuttide/platform/_formats.py
+++ b/chestnuttide/platform/_formats.py
@@ -1,7 +1,10 @@
 """Decoding of the JSON documents of callers, operators and workers."""
 
+import collections.abc
 import functools
+import hashlib
 import re
+import typing
 
 import attrs
 
@@ -21,6 +24,15 @@
 # A worker's id is sent as a header, so it has no spaces or control characters.
 _WORKER_ID = re.compile(r"[!-~]{1,200}")
 
+# Header of callers' requests that holds the key of their workspace.
+KEY_HEADER = "X-Api-Key"
+
+# A queue index: by host, the lengths of its prefixes, longest first, and the
+# queue of each prefix.
+_QueueIndex: typing.TypeAlias = dict[
+    str, tuple[tuple[int, ...], dict[str, workloads.Queue]]
+]
+
 
 @attrs.frozen(kw_only=True, slots=True)
 class ClusterConfig:
@@ -36,17 +48,82 @@
         Names of the services whose workers may be used.
     max_body_bytes : int
         Maximum size of the body of a caller's request.
+    workspaces : tuple of Workspace or None
+        The workspaces; None if the deployment has none, and then no call
+        needs a key.
+    keys : dict of bytes to str
+        Workspace of each key in force, by `digest_key`.
+    index : dict
+        The queues by host and prefix, for `find_queue`.
     """
 
     version: int
     queues: tuple[workloads.Queue, ...]
     services: tuple[str, ...]
     max_body_bytes: int = 262_144
+    workspaces: tuple[workloads.Workspace, ...] | None = None
+    keys: dict[bytes, str] = attrs.field(factory=dict, repr=False)
+    index: _QueueIndex = attrs.field(
+        init=False,
+        repr=False,
+        eq=False,
+        default=attrs.Factory(
+            lambda config: _index_queues(config.queues), takes_self=True
+        ),
+    )
+
+
+def _index_queues(
+    queues: collections.abc.Iterable[workloads.Queue],
+) -> _QueueIndex:
+    by_host: dict[str, dict[str, workloads.Queue]] = {}
+    for queue in queues:
+        by_host.setdefault(queue.host, {}).setdefault(queue.prefix, queue)
+    return {
+        host: (tuple(sorted(set(map(len, prefixes)), reverse=True)), prefixes)
+        for host, prefixes in by_host.items()
+    }
 
 
-def decode_config(value: bytes) -> ClusterConfig:
+def find_queue(
+    config: ClusterConfig, host: str, path: str
+) -> workloads.Queue | None:
+    """Return the queue with this host and the longest matching prefix.
+
+    The work grows with the number of different lengths of prefixes, not with
+    the number of queues.
+    """
+    name = host.rpartition(":")[0] if ":" in host else host
+    lengths, prefixes = config.index.get(name.lower(), ((), {}))
+    for length in lengths:
+        queue = prefixes.get(path[:length])
+        if queue is not None:
+            return queue
+    return None
+
+
+def digest_key(key: str) -> bytes:
+    """Return the digest under which a configuration lists a key.
+
+    A table of digests may be searched with ordinary comparisons: how long they
+    take depends on the digest, which a caller can't choose byte by byte.
+    """
+    return hashlib.sha256(key.encode("utf-8", "surrogatepass")).digest()
+
+
+def decode_config(
+    value: bytes, *, known_version: int = -1
+) -> ClusterConfig | None:
     """Return the configuration stored under the key ``op/config``.
 
+    Parameters
+    ----------
+    value : bytes
+        The document.
+    known_version : int
+        Version that is known already; None is returned for a document that
+        is not newer, and the rest of it is not read.
+
     Raises
     ------
     errors.ProtocolError
@@ -57,15 +134,19 @@
         "Compare op/config with the operator documentation.",
     ):
         document = _documents.parse_object(value)
+        version = _documents.read_integer(
+            document, "version", low=0, high=_documents.MAX_COUNTER
+        )
+        if version <= known_version:
+            return None
         limits = _documents.as_object(document.get("limits") or {}, "limits")
+        workspaces, keys = _decode_workspaces(document)
         queues = [
             _decode_queue(_documents.as_object(route, "a route"))
             for route in _documents.read_list(document, "routes")
         ]
         return ClusterConfig(
-            version=_documents.read_integer(
-                document, "version", low=0, high=_documents.MAX_COUNTER
-            ),
+            version=version,
             queues=tuple(sorted(queues, key=lambda queue: -len(queue.prefix))),
             services=tuple(
                 _documents.read_text(
@@ -80,7 +161,42 @@
                 high=_documents.MAX_AMOUNT,
                 default=262_144,
             ),
+            workspaces=workspaces,
+            keys=keys,
+        )
+
+
+def _decode_workspaces(
+    document: _documents.Document,
+) -> tuple[tuple[workloads.Workspace, ...] | None, dict[bytes, str]]:
+    """Return the workspaces and their keys; None for a document without.
+
+    No message of an error contains a key.
+    """
+    if document.get("tenants") is None:
+        return None, {}
+    workspaces: dict[str, workloads.Workspace] = {}
+    keys: dict[bytes, str] = {}
+    for row in _documents.read_list(document, "tenants"):
+        row = _documents.as_object(row, "a tenant")
+        name = _documents.read_text(row, "name")
+        if name in workspaces:
+            raise ValueError(f"two tenants have the name {name!r}")
+        workspaces[name] = workloads.Workspace(
+            name=name,
+            weight=_documents.read_number(row, "weight", default=1.0),
+            cap=_decode_resources(
+                _documents.as_object(row.get("cap") or {}, "cap")
+            ),
         )
+        for key in _documents.read_list(row, "apiKeys"):
+            _documents.check_text(key, "a key", max_length=_documents.MAX_TEXT)
+            if not key:
+                raise ValueError(f"a key of {name!r} is empty")
+            holder = keys.setdefault(digest_key(key), name)
+            if holder != name:
+                raise ValueError(f"{holder!r} and {name!r} have one key")
+    return tuple(workspaces.values()), keys
 
 
 def _decode_queue(document: _documents.Document) -> workloads.Queue:
@@ -114,6 +230,7 @@
         advice=_decode_advice(_documents.as_object(advice, "advice"))
         if advice
         else None,
+        public=bool(document.get("public")),
     )
 
 
@@ -131,7 +248,12 @@
 
 
 def decode_job(
-    body: bytes, *, job_id: str, queue: workloads.Queue, now_unix_s: float
+    body: bytes,
+    *,
+    job_id: str,
+    queue: workloads.Queue,
+    now_unix_s: float,
+    workspace: str = "",
 ) -> workloads.JobSpec:
     """Return the job in a caller's request body.
 
@@ -179,6 +301,7 @@
                 document, "intervalMs", default=0
             )
             / 1000,
+            workspace=workspace,
         )
 
 
--- a/chestnuttide/platform/_kv_store.py
+++ b/chestnuttide/platform/_kv_store.py
@@ -171,13 +171,21 @@
         return _decode_item(_require_success(reply))
 
 
-async def read_range(store: KvStore, prefix: str, *, after: str = "") -> Page:
-    """Return one page of the items whose keys start with a prefix."""
+async def read_range(
+    store: KvStore, prefix: str, *, after: str = "", extra_s: float = 0.0
+) -> Page:
+    """Return one page of the items whose keys start with a prefix.
+
+    The page may take `extra_s` seconds longer than other calls.
+    """
     query = {"prefix": prefix}
     if after:
         query["after"] = after
     reply = await _call(
-        store, "range", "/v1/kv-range?" + urllib.parse.urlencode(query)
+        store,
+        "range",
+        "/v1/kv-range?" + urllib.parse.urlencode(query),
+        wait_s=extra_s,
     )
     with _decoding():
         document = _require_success(reply)
@@ -193,18 +201,22 @@
         return page
 
 
-async def read_all(store: KvStore, prefix: str) -> Changes:
+async def read_all(
+    store: KvStore, prefix: str, *, extra_s: float = 0.0
+) -> Changes:
     """Return all items under a prefix and the revision to watch from.
 
     The pages do not form a snapshot, so the returned revision is that of the
     first page. A watch from there returns all later changes, including some
     that the listing already contains.
     """
-    page = await read_range(store, prefix)
+    page = await read_range(store, prefix, extra_s=extra_s)
     first_revision = page.store_revision
     items = list(page.items)
     while page.more:
-        page = await read_range(store, prefix, after=page.items[-1].key)
+        page = await read_range(
+            store, prefix, after=page.items[-1].key, extra_s=extra_s
+        )
         items.extend(page.items)
     return Changes(items=tuple(items), store_revision=first_revision)
 
--- a/chestnuttide/workloads/_records.py
+++ b/chestnuttide/workloads/_records.py
@@ -252,11 +252,14 @@
         Final state.
     ended_unix_s : float
         End time.
+    workspace : str
+        Its workspace; empty if it has none.
     """
 
     queue: str
     state: _state.JobState
     ended_unix_s: float
+    workspace: str = ""
 
 
 def encode_job(spec: _specs.JobSpec) -> bytes:
@@ -270,6 +273,7 @@
         queue=job.spec.queue.name,
         state=job.state,
         ended_unix_s=job.ended_unix_s,
+        workspace=job.spec.workspace,
     )
     return cbor2.dumps([_RECORD_VERSION, _CONVERTER.unstructure(ended)])
 
