--- a/chestnuttide/node/_access.py
+++ b/chestnuttide/node/_access.py
@@ -102,7 +102,8 @@
     confirms nothing. The age was taken after the call was sent, so the peer's
     confirmation is at least as recent as the returned time.
     """
-    if age_s < 0 or peer_version != known_version:
+    # NaN compares as false.
+    if not age_s >= 0 or peer_version != known_version:
         return -math.inf
     return sent_at - age_s
 
--- a/chestnuttide/node/tests/test_settings.py
+++ b/chestnuttide/node/tests/test_settings.py
@@ -50,6 +50,11 @@
             "bounds.grace_s",
             id="grace-period-range",
         ),
+        pytest.param(
+            {"bounds": {"revoke_ms": 500}},
+            "bounds.revoke_ms",
+            id="revocation-range",
+        ),
     ],
 )
 def test_invalid_settings_are_refused(
@@ -62,6 +67,36 @@
     assert named in str(caught.value)
 
 
+@pytest.mark.parametrize(
+    ("bounds", "strict", "revoke_ms"),
+    [
+        pytest.param({}, False, 5000.0, id="absent"),
+        pytest.param(
+            {"strict_revoke": None, "revoke_ms": None},
+            False,
+            5000.0,
+            id="null",
+        ),
+        pytest.param(
+            {"strict_revoke": True, "revoke_ms": 3000},
+            True,
+            3000.0,
+            id="given",
+        ),
+    ],
+)
+def test_bounds_of_withdrawn_keys_may_be_absent(
+    bounds: dict[str, object],
+    strict: bool,
+    revoke_ms: float,
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a deployment without the bounds that does not start."""
+    text = json.dumps(copy.deepcopy(GOOD) | {"bounds": bounds})
+    loaded = _settings.load_settings(_write(tmp_path, text)).bounds
+    assert (loaded.strict_revoke, loaded.revoke_ms) == (strict, revoke_ms)
+
+
 def test_a_missing_file_names_the_variable(tmp_path: pathlib.Path) -> None:
     """Guards against an error that does not tell where the path comes from."""
     with pytest.raises(errors.SettingsError, match="CHESTNUTTIDE_CONFIG"):
--- a/chestnuttide/platform/tests/test_formats.py
+++ b/chestnuttide/platform/tests/test_formats.py
@@ -5,6 +5,7 @@
 import pytest
 
 from chestnuttide import errors
+from chestnuttide import model
 from chestnuttide import platform
 from chestnuttide import workloads
 
@@ -151,6 +152,123 @@
         platform.decode_config(value)
 
 
+def _encode_tenants(*tenants: object) -> bytes:
+    return json.dumps({"version": 1, "tenants": tenants}).encode()
+
+
+def test_workspaces_and_keys_are_decoded() -> None:
+    """Guards against a key or a cap that is read as another one."""
+    config = platform.decode_config(
+        _encode_tenants(
+            {"name": "a", "apiKeys": ["k1", "k2"], "weight": 2.5},
+            {"name": "b", "cap": {"cpu": 7, "memMb": 0}},
+        )
+    )
+    assert config.workspaces == (
+        workloads.Workspace(name="a", weight=2.5),
+        workloads.Workspace(name="b", cap=model.Resources(cpu_millis=7)),
+    )
+    assert config.keys == {
+        platform.digest_key("k1"): "a",
+        platform.digest_key("k2"): "a",
+    }
+
+
+@pytest.mark.parametrize(
+    ("document", "workspaces"),
+    [
+        pytest.param(b'{"version":1}', None, id="absent"),
+        pytest.param(b'{"version":1,"tenants":null}', None, id="null"),
+        pytest.param(b'{"version":1,"tenants":[]}', (), id="all-removed"),
+    ],
+)
+def test_only_a_document_with_workspaces_asks_for_keys(
+    document: bytes, workspaces: tuple[()] | None
+) -> None:
+    """Guards against calls refused where a deployment has no workspaces.
+
+    A version that removes the last one withdraws its keys.
+    """
+    assert platform.decode_config(document).workspaces == workspaces
+
+
+SECRET = "s3cret-of-a"
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        pytest.param(
+            [
+                {"name": "a", "apiKeys": [SECRET]},
+                {"name": "b", "apiKeys": [SECRET]},
+            ],
+            id="one-key-in-two",
+        ),
+        pytest.param([{"name": "a", "apiKeys": [SECRET, ""]}], id="empty-key"),
+        pytest.param([{"name": "a"}, {"name": "a"}], id="one-name-twice"),
+        pytest.param([{"apiKeys": [SECRET]}], id="no-name"),
+        pytest.param([{"name": "a", "cap": {"cpu": -1}}], id="negative-cap"),
+        pytest.param([{"name": "a", "cap": [SECRET]}], id="cap-as-list"),
+        pytest.param([{"name": "a", "weight": -1}], id="negative-weight"),
+        pytest.param([{"name": "a", "apiKeys": SECRET}], id="keys-as-text"),
+        pytest.param([{"name": "a", "apiKeys": [[SECRET]]}], id="key-as-list"),
+        pytest.param([SECRET], id="tenant-as-text"),
+    ],
+)
+def test_bad_workspaces_spoil_the_configuration(tenants: object) -> None:
+    """Guards against half a configuration in force, and a key in the log."""
+    with pytest.raises(errors.ProtocolError) as caught:
+        platform.decode_config(_encode_tenants(*tenants))
+    assert SECRET not in str(caught.value)
+
+
+def test_a_configuration_does_not_print_its_keys() -> None:
+    """Guards against keys, or what they are found by, in logs."""
+    config = platform.decode_config(
+        _encode_tenants({"name": "a", "apiKeys": [SECRET]})
+    )
+    assert SECRET not in repr(config)
+    assert repr(platform.digest_key(SECRET)) not in repr(config)
+
+
+def test_a_known_version_is_not_decoded_again() -> None:
+    """Guards against an instance that spends its time on old documents."""
+    value = _encode_route({})
+    assert platform.decode_config(value, known_version=1) is None
+    assert platform.decode_config(value, known_version=0).version == 1
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        pytest.param("h", "/q/x", "short", id="prefix"),
+        pytest.param("h", "/q/r/x", "long", id="longest-prefix-wins"),
+        pytest.param("H:80", "/q/x", "short", id="port-and-capitals"),
+        pytest.param("i", "/q/r/x", "other", id="host-decides"),
+        pytest.param("h", "/r/x", None, id="no-prefix"),
+        pytest.param("j", "/q/x", None, id="no-host"),
+        pytest.param("h", "/q", None, id="path-too-short"),
+    ],
+)
+def test_a_queue_is_found(host: str, path: str, name: str | None) -> None:
+    """Guards against a call that reaches another queue through the index."""
+    rows = [("short", "h", "/q/"), ("long", "h", "/q/r/"), ("other", "i", "/")]
+    config = platform.decode_config(
+        json.dumps(
+            {
+                "version": 1,
+                "routes": [
+                    ROUTE | {"name": name, "host": host, "prefix": prefix}
+                    for name, host, prefix in rows
+                ],
+            }
+        ).encode()
+    )
+    queue = platform.find_queue(config, host, path)
+    assert (queue.name if queue else None) == name
+
+
 QUEUE = workloads.Queue(name="q", host="h", prefix="/q/", service="s")
 
 
--- a/standins/node_cell.py
+++ b/standins/node_cell.py
@@ -81,6 +81,8 @@
     prefix: str = "/layout/",
     service: str = SERVICE,
     services: tuple[str, ...] = (SERVICE,),
+    workspaces: dict[str, list[str]] | None = None,
+    open_prefix: str = "",
 ) -> bytes:
     """Return a configuration with a queue and a version probe.
 
@@ -97,9 +99,23 @@
         Service that runs the jobs of both routes.
     services : tuple of str
         All services.
+    workspaces : dict of str to list of str, or None
+        Keys of each workspace; None for a deployment without workspaces.
+    open_prefix : str
+        Path prefix of a queue that needs no key; empty for none.
     """
+    paths = [("q1", prefix), ("v", f"/v{version}/")]
+    if open_prefix:
+        paths.append(("open", open_prefix))
+    tenants = {}
+    if workspaces is not None:
+        tenants["tenants"] = [
+            {"name": name, "apiKeys": keys, "weight": 1.0}
+            for name, keys in workspaces.items()
+        ]
     return json.dumps(
         {
+            **tenants,
             "version": version,
             "routes": [
                 {
@@ -111,13 +127,14 @@
                     "maxAttempts": 2,
                     "stretch": 1.5,
                     "targetLatencyMs": 250,
+                    "public": path == open_prefix,
                     "advice": {
                         "decideMs": 20.0,
                         "eachMs": 0.3,
                         "validityMs": 2000,
                     },
                 }
-                for name, path in (("q1", prefix), ("v", f"/v{version}/"))
+                for name, path in paths
             ],
             "services": [{"name": each} for each in services],
             "limits": {"maxBodyBytes": 65536},
