--- a/chestnuttide/node/tests/test_access.py
+++ b/chestnuttide/node/tests/test_access.py
@@ -107,6 +107,7 @@
     ("answered_at", "empty", "expected"),
     [
         pytest.param(11.25, True, 11.2, id="waited-without-change"),
+        pytest.param(70.0, True, 11.2, id="paused-while-it-waited"),
         pytest.param(11.1, True, 10.0, id="answered-early"),
         pytest.param(11.25, False, 10.0, id="changes-after-the-wait"),
         pytest.param(10.004, False, 10.0, id="listing"),
--- a/chestnuttide/node/tests/test_keys.py
+++ b/chestnuttide/node/tests/test_keys.py
@@ -324,6 +324,7 @@
         assert await _call(bed, "GET", "kold") == (401, "unknown_key")
         assert await _call(bed, "GET", "ka") == (410, "unknown_job")
         follow.cancel()
+        await asyncio.gather(follow, return_exceptions=True)
 
     _run(monkeypatch, scenario)
 
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -9,6 +9,7 @@
 from tornado import httpclient
 
 from soak import _checks
+from soak import _keys
 from standins import node_cell
 
 # Deadline that callers send with each request.
@@ -63,6 +64,7 @@
                 body=body,
                 headers={
                     "Host": node_cell.HOST,
+                    "X-Api-Key": _keys.key_of(job_id),
                     "Deadline-Ms": str(int(DEADLINE_S * 1000)),
                 },
                 request_timeout=RESPONSE_TIMEOUT_S,
@@ -80,6 +82,11 @@
         )
     if response.code == 599:
         return 599, {}
+    if response.code in (401, 403):
+        _checks.record_violation(
+            callers.ledger,
+            f"{method} {job_id} at {node.name}: key in force is refused",
+        )
     return response.code, json.loads(response.body or b"{}")
 
 
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -70,6 +70,8 @@
     capacities : list of (float, Worker, int)
         Times at which capacities ended to be in force, with the worker and
         its processors.
+    key_tries : Counter
+        Answers to calls with withdrawn and unknown keys, by status.
     faults : list of str
         Injected faults, for the report.
     violations : list of str
@@ -86,6 +88,9 @@
     capacities: list[tuple[float, cloud.Worker, int]] = attrs.field(
         factory=list
     )
+    key_tries: collections.Counter[int] = attrs.field(
+        factory=collections.Counter
+    )
     faults: list[str] = attrs.field(factory=list)
     violations: list[str] = attrs.field(factory=list)
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -9,6 +9,7 @@
 import attrs
 
 from soak import _checks
+from soak import _keys
 from soak import _proxy
 from standins import cloud
 from standins import node_cell
@@ -35,6 +36,8 @@
         Proxies between the daemons and each worker.
     advisor_proxy : Proxy
         Proxy between the daemons and the advisor.
+    keys : Keys
+        Keys of the newest configuration, and withdrawn ones.
     version : int
         Version of the newest configuration.
     """
@@ -45,6 +48,7 @@
     store_proxies: dict[str, _proxy.Proxy]
     worker_proxies: list[_proxy.Proxy]
     advisor_proxy: _proxy.Proxy
+    keys: _keys.Keys = attrs.field(factory=_keys.Keys)
     version: int = 1
 
 
@@ -202,7 +206,8 @@
 async def change_config(testbed: Testbed, rng: random.Random) -> None:
     """Write several configurations in quick succession.
 
-    Each may send the queue to another service and leave its former one out.
+    Each may send the queue to another service, leave its former one out, and
+    change the keys.
     """
     for _ in range(rng.randint(1, 4)):
         testbed.version += rng.randint(1, 5)
@@ -212,11 +217,15 @@
             f"{time.monotonic():.3f} version {testbed.version} sends the "
             f"queue to {service} of {services}"
         )
+        _keys.change(testbed.keys, rng, testbed.version)
         cloud.put(
             testbed.cell.store,
             "op/config",
             node_cell.make_config(
-                testbed.version, service=service, services=services
+                testbed.version,
+                service=service,
+                services=services,
+                workspaces=_keys.list_workspaces(testbed.keys),
             ),
         )
         await asyncio.sleep(rng.uniform(0.0, 0.3))
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -12,6 +12,7 @@
 from soak import _callers
 from soak import _checks
 from soak import _faults
+from soak import _keys
 from soak import _proxy
 from standins import cloud
 from standins import harness
@@ -64,10 +65,19 @@
         arrivals = asyncio.ensure_future(
             _submit_jobs(callers, jobs, stop, random.Random(rng.random()))
         )
+        tries = asyncio.ensure_future(
+            _keys.try_keys(
+                testbed.ledger,
+                testbed.keys,
+                testbed.cell.nodes,
+                random.Random(rng.random()),
+            )
+        )
         await _faults.inject(testbed, rng, duration_s=duration_s)
         stop.set()
         await arrivals
         await _finish_jobs(testbed, callers, jobs)
+        tries.cancel()
     return testbed.ledger
 
 
@@ -120,7 +130,13 @@
         cell.worker_addresses.append(address)
         entry = cloud.encode_entry(worker, address)
         cloud.put(store, f"servers/{worker.id}", entry)
-    cloud.put(store, "op/config", node_cell.make_config(1))
+    cloud.put(
+        store,
+        "op/config",
+        node_cell.make_config(
+            1, workspaces=_keys.list_workspaces(testbed.keys)
+        ),
+    )
     restarts: set[asyncio.Task[None]] = set()
     for number, worker in enumerate(workers):
         worker.on_crash = functools.partial(
@@ -139,6 +155,7 @@
                     await listen(proxy),
                     advisor_address,
                     harness.find_ports(ports, node_cell.PORTS_PER_NODE),
+                    bounds=_keys.BOUNDS,
                 )
             )
         for node in cell.nodes:
@@ -248,6 +265,7 @@
             job.state == "complete" for job in ledger.jobs.values()
         ),
         "refused": sum(job.refused for job in ledger.jobs.values()),
+        "key_tries": dict(ledger.key_tries),
         "faults": len(ledger.faults),
         "violations": ledger.violations,
     }
--- a/standins/node_cell.py
+++ b/standins/node_cell.py
@@ -87,7 +87,7 @@
     """Return a configuration with a queue and a version probe.
 
     The second route has the version in its path, so a request to it shows
-    whether a daemon has applied this version.
+    whether a daemon has applied this version. It needs no key.
 
     Parameters
     ----------
@@ -127,7 +127,7 @@
                     "maxAttempts": 2,
                     "stretch": 1.5,
                     "targetLatencyMs": 250,
-                    "public": path == open_prefix,
+                    "public": path != prefix,
                     "advice": {
                         "decideMs": 20.0,
                         "eachMs": 0.3,
@@ -197,7 +197,13 @@
 
 
 def start_node(
-    folder: pathlib.Path, name: str, store: str, advisor: str, caller_port: int
+    folder: pathlib.Path,
+    name: str,
+    store: str,
+    advisor: str,
+    caller_port: int,
+    *,
+    bounds: dict[str, object] | None = None,
 ) -> Node:
     """Write a daemon's settings and start it."""
     readiness_port, mesh_port, metrics_port = (
@@ -220,6 +226,7 @@
                 "store": {"address": store},
                 "advisor": advisor,
                 "metrics_port": metrics_port,
+                "bounds": bounds or {},
             }
         )
     )
