--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -17,6 +17,7 @@
 from chestnuttide.node import _advisor_queries
 from chestnuttide.node import _claims
 from chestnuttide.node import _clock
+from chestnuttide.node import _configuration
 from chestnuttide.node import _directory
 from chestnuttide.node import _dispatch
 from chestnuttide.node import _lookups
@@ -119,8 +120,8 @@
     for make_loop in (
         _session.keep_lease,
         _session.follow_cell,
-        _session.follow_config,
-        _session.ask_peers,
+        _configuration.follow_config,
+        _configuration.ask_peers,
     ):
         _supervise(
             daemon, make_loop.__name__, functools.partial(make_loop, session)
@@ -196,7 +197,7 @@
         )
 
     async def cell(message: _messages.CellRead) -> object:
-        return _session.answer_cell(daemon.session, message)
+        return _configuration.answer_cell(daemon.session, message)
 
     async def write(message: _messages.JobWrite) -> object:
         outcome = "refused"
@@ -231,7 +232,7 @@
     callers.listen(port, address=ip)
 
     def is_ready(request: httputil.HTTPServerRequest) -> None:
-        ready = _session.is_ready(daemon.session)
+        ready = _configuration.is_ready(daemon.session)
         _write_response(
             request, 200 if ready else 503, b"{}", "application/json"
         )
@@ -264,7 +265,7 @@
         SET_ASIDE_PATH: list_set_aside,
         DIRECTORY_PATH: list_directory,
         WORKSPACES_PATH: functools.partial(
-            _session.list_workspaces, daemon.session
+            _configuration.list_workspaces, daemon.session
         ),
     }
 
--- a/chestnuttide/node/_dispatch.py
+++ b/chestnuttide/node/_dispatch.py
@@ -9,9 +9,9 @@
 from chestnuttide import errors
 from chestnuttide.node import _access
 from chestnuttide.node import _clock
+from chestnuttide.node import _configuration
 from chestnuttide.node import _lookups
 from chestnuttide.node import _responses
-from chestnuttide.node import _session
 from chestnuttide.node import _submission
 from chestnuttide import platform
 from chestnuttide import telemetry
@@ -125,7 +125,7 @@
         config,
         queue,
         request.headers.get(platform.KEY_HEADER, ""),
-        confirmed=_session.serves_keys(context.session),
+        confirmed=_configuration.serves_keys(context.session),
     )
     if access.refusal:
         call = _call_name(request.method, rest)
--- a/chestnuttide/node/tests/test_keys.py
+++ b/chestnuttide/node/tests/test_keys.py
@@ -11,6 +11,7 @@
 from tornado import httputil
 
 from chestnuttide.node import _clock
+from chestnuttide.node import _configuration
 from chestnuttide.node import _dispatch
 from chestnuttide.node import _keys
 from chestnuttide.node import _messages
@@ -94,7 +95,7 @@
 
 
 def _adopt(bed: Bed, version: int, **keys: list[str]) -> None:
-    _session.adopt_config(
+    _configuration.adopt_config(
         bed.session, _document(version, **keys), source="store"
     )
 
@@ -155,7 +156,7 @@
 
     async def scenario(bed: Bed) -> None:
         _adopt(bed, 1, a=["ka"], b=["kb"])
-        _session.confirm_config(bed.session, bed.now)
+        _configuration.confirm_config(bed.session, bed.now)
         assert await _call(bed, "POST", "ka") == (200, "")
         stored = dict(bed.store.keys)
         for method, status in (
@@ -191,12 +192,12 @@
     """Guards against jobs that are lost when the workspaces come."""
 
     async def scenario(bed: Bed) -> None:
-        _session.adopt_config(
+        _configuration.adopt_config(
             bed.session, node_cell.make_config(1), source="store"
         )
         assert await _call(bed, "POST") == (200, "")
         _adopt(bed, 2, a=["ka"])
-        _session.confirm_config(bed.session, bed.now)
+        _configuration.confirm_config(bed.session, bed.now)
         assert await _call(bed, "GET", "ka") == (200, "")
         assert await _call(bed, "POST", "ka") == (200, "")
         assert await _call(bed, "GET") == (401, "no_key")
@@ -215,15 +216,15 @@
     async def scenario(bed: Bed) -> None:
         _adopt(bed, 1, a=["ka"])
         assert await _call(bed, "GET", "ka") == (503, "config_unconfirmed")
-        assert not _session.is_ready(bed.session)
-        _session.confirm_config(bed.session, bed.now)
+        assert not _configuration.is_ready(bed.session)
+        _configuration.confirm_config(bed.session, bed.now)
         bed.now += LIMIT_S - 0.01
         assert await _call(bed, "GET", "ka") == (410, "unknown_job")
-        assert _session.is_ready(bed.session)
+        assert _configuration.is_ready(bed.session)
         bed.now += 0.02
         assert await _call(bed, "POST", "ka") == (503, "config_unconfirmed")
         assert not bed.store.keys
-        assert not _session.is_ready(bed.session)
+        assert not _configuration.is_ready(bed.session)
         # A peer in touch knows that nothing is newer.
         _tell(bed, version=1, age_s=0.5)
         assert await _call(bed, "GET", "ka") == (410, "unknown_job")
@@ -238,7 +239,7 @@
 def _tell(
     bed: Bed, *, version: int, age_s: float, document: bytes = b""
 ) -> None:
-    _session.apply_peers_config(
+    _configuration.apply_peers_config(
         bed.session,
         _messages.CellReply(
             call_id=1,
@@ -268,7 +269,7 @@
         assert bed.session.config.version == 3
         assert await _call(bed, "GET", "kold") == (503, "config_unconfirmed")
         _adopt(bed, 4, a=["ka"])
-        _session.confirm_config(bed.session, bed.now)
+        _configuration.confirm_config(bed.session, bed.now)
         _tell(bed, version=3, age_s=0.0, document=former)
         assert bed.session.config.version == 4
         assert await _call(bed, "GET", "kold") == (401, "unknown_key")
@@ -293,7 +294,7 @@
             (5, [], (410, "unknown_job")),
         ):
             _adopt(bed, version, a=keys)
-            _session.confirm_config(bed.session, bed.now)
+            _configuration.confirm_config(bed.session, bed.now)
             assert await _call(bed, "GET", "ka") == expected
             bed.now += 0.3
         assert bed.session.config.version == 9
@@ -311,7 +312,9 @@
 
     async def scenario(bed: Bed) -> None:
         cloud.put(bed.store, _keys.CONFIG, _document(1, a=["ka", "kold"]))
-        follow = asyncio.ensure_future(_session.follow_config(bed.session))
+        follow = asyncio.ensure_future(
+            _configuration.follow_config(bed.session)
+        )
         await _wait(lambda: bed.session.config is not None)
         assert await _call(bed, "GET", "kold") == (410, "unknown_job")
         # The watch is on its way when the process is suspended.
@@ -320,7 +323,7 @@
         assert await _call(bed, "GET", "kold") == (503, "config_unconfirmed")
         cloud.put(bed.store, _keys.CONFIG, _document(2, a=["ka"]))
         await _wait(lambda: bed.session.config.version == 2)
-        await _wait(lambda: _session.serves_keys(bed.session))
+        await _wait(lambda: _configuration.serves_keys(bed.session))
         assert await _call(bed, "GET", "kold") == (401, "unknown_key")
         assert await _call(bed, "GET", "ka") == (410, "unknown_job")
         follow.cancel()
@@ -344,7 +347,7 @@
         counted: list[str] = []
         bed.session.count_unreadable = counted.append
         _adopt(bed, 1, a=["ka"])
-        _session.confirm_config(bed.session, bed.now)
+        _configuration.confirm_config(bed.session, bed.now)
         _adopt(bed, 2, a=["ka"], b=["ka"])
         assert counted == ["config"]
         assert await _call(bed, "GET", "ka") == (410, "unknown_job")
@@ -361,8 +364,8 @@
 
     async def scenario(bed: Bed) -> None:
         _adopt(bed, 4, a=["ka"])
-        _session.confirm_config(bed.session, bed.now - 2.0)
-        reply = _session.answer_cell(
+        _configuration.confirm_config(bed.session, bed.now - 2.0)
+        reply = _configuration.answer_cell(
             bed.session,
             _messages.CellRead(
                 call_id=1, known_version=3, accepts_packed=accepts_packed
@@ -374,7 +377,7 @@
             document = _packing.unpack(reply.packed_document)
         assert platform.decode_config(document).version == 4
         assert (reply.config_version, reply.confirmed_age_s) == (4, 2.0)
-        reply = _session.answer_cell(
+        reply = _configuration.answer_cell(
             bed.session, _messages.CellRead(call_id=1, known_version=4)
         )
         assert not reply.document and not reply.packed_document
@@ -388,9 +391,11 @@
     """Guards against a page that fails on an instance without confirmation."""
 
     async def scenario(bed: Bed) -> None:
-        assert _session.list_workspaces(bed.session) == []
+        assert _configuration.list_workspaces(bed.session) == []
         _adopt(bed, 4, a=["ka"])
-        (row,) = json.loads(json.dumps(_session.list_workspaces(bed.session)))
+        (row,) = json.loads(
+            json.dumps(_configuration.list_workspaces(bed.session))
+        )
         assert (row["workspace"], row["confirmed_age_s"]) == ("a", None)
 
     _run(monkeypatch, scenario)
--- a/chestnuttide/node/tests/test_odd_items.py
+++ b/chestnuttide/node/tests/test_odd_items.py
@@ -9,6 +9,7 @@
 import pytest
 
 from chestnuttide import errors
+from chestnuttide.node import _configuration
 from chestnuttide.node import _keys
 from chestnuttide.node import _metrics
 from chestnuttide.node import _ownership
@@ -160,8 +161,10 @@
     session = _session.Session(
         settings=None, store=None, peers=None, count_unreadable=counted.append
     )
-    _session.adopt_config(session, node_cell.make_config(1), source="store")
-    _session.adopt_config(session, TOO_DEEP, source="store")
+    _configuration.adopt_config(
+        session, node_cell.make_config(1), source="store"
+    )
+    _configuration.adopt_config(session, TOO_DEEP, source="store")
     assert session.config.version == 1
     assert counted == ["config"]
 
