--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -13,9 +13,11 @@
 from tornado import httputil
 
 from chestnuttide import errors
+from chestnuttide.node import _access
 from chestnuttide.node import _advisor_queries
 from chestnuttide.node import _claims
 from chestnuttide.node import _clock
+from chestnuttide.node import _configuration
 from chestnuttide.node import _directory
 from chestnuttide.node import _dispatch
 from chestnuttide.node import _lookups
@@ -52,9 +54,11 @@
 ENTRY_EXPIRY_HEARTBEATS = 4
 
 # Paths on the metrics port. The first lists what this instance's owners leave
-# out, the second which services may hold jobs of which queue.
+# out, the second which services may hold jobs of which queue, the third the
+# workspaces.
 SET_ASIDE_PATH = "/set-aside"
 DIRECTORY_PATH = "/directory"
+WORKSPACES_PATH = "/workspaces"
 
 CLAIM_PERIOD_S = 0.1
 RESTART_PAUSE_S = 0.2
@@ -116,8 +120,8 @@
     for make_loop in (
         _session.keep_lease,
         _session.follow_cell,
-        _session.follow_config,
-        _session.ask_peers,
+        _configuration.follow_config,
+        _configuration.ask_peers,
     ):
         _supervise(
             daemon, make_loop.__name__, functools.partial(make_loop, session)
@@ -151,6 +155,7 @@
         peers=peers,
         count_unreadable=_metrics.unreadable_counter(metrics),
         incarnation=secrets.token_hex(8),
+        confirmation_limit_s=_access.confirmation_limit_s(settings.bounds),
     )
     owned: dict[str, _ownership.Ownership] = {}
     context = _responses.ApiContext(
@@ -192,7 +197,7 @@
         )
 
     async def cell(message: _messages.CellRead) -> object:
-        return _session.answer_cell(daemon.session, message)
+        return _configuration.answer_cell(daemon.session, message)
 
     async def write(message: _messages.JobWrite) -> object:
         outcome = "refused"
@@ -227,9 +232,7 @@
     callers.listen(port, address=ip)
 
     def is_ready(request: httputil.HTTPServerRequest) -> None:
-        ready = (
-            daemon.session.config is not None and not daemon.session.stopping
-        )
+        ready = _configuration.is_ready(daemon.session)
         _write_response(
             request, 200 if ready else 503, b"{}", "application/json"
         )
@@ -261,6 +264,9 @@
     pages = {
         SET_ASIDE_PATH: list_set_aside,
         DIRECTORY_PATH: list_directory,
+        WORKSPACES_PATH: functools.partial(
+            _configuration.list_workspaces, daemon.session
+        ),
     }
 
     readiness = httpserver.HTTPServer(is_ready)
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import math
 
 import attrs
 import cbor2
@@ -11,7 +12,6 @@
 from chestnuttide.node import _clock
 from chestnuttide.node import _directory
 from chestnuttide.node import _keys
-from chestnuttide.node import _messages
 from chestnuttide.node import _peers
 from chestnuttide.node import _settings
 from chestnuttide.node import _watches
@@ -25,11 +25,6 @@
 LEASE_TTL_S = 1.2
 RENEWALS_PER_TTL = 4
 
-# An instance that cannot use the store queries a peer for config and owners
-# at this rate. A config has to be in force within 2 s of its acknowledgement,
-# and callers keep sending requests to the instance meanwhile.
-PEER_QUERY_PERIOD_S = 0.2
-
 # An instance whose membership has ended is still dialled for this long. It may
 # only have lost the store, and then it depends on its peers.
 FORMER_MEMBER_DIAL_S = 60.0
@@ -117,6 +112,16 @@
         The configuration as the operator wrote it.
     config_watched : bool
         Whether the watch of the configuration works.
+    config_confirmed_at : float
+        Latest moment at which the configuration is known to have been the
+        newest.
+    confirmation_limit_s : float
+        Age of the confirmation from which no call with a key is served;
+        infinite in a deployment without a strict bound on withdrawn keys.
+    keys_withdrawn : int
+        Number of keys that the configuration's version has withdrawn.
+    keyed_calls_stopped : bool
+        Whether the last check found the confirmation too old.
     directory : Directory
         Services that may hold jobs of each queue.
     changed : asyncio.Event
@@ -142,8 +147,12 @@
     ownerless_since: dict[str, float] = attrs.field(factory=dict)
     cell_known: bool = False
     config: platform.ClusterConfig | None = None
-    config_document: bytes = b""
+    config_document: bytes = attrs.field(default=b"", repr=False)
     config_watched: bool = False
+    config_confirmed_at: float = -math.inf
+    confirmation_limit_s: float = math.inf
+    keys_withdrawn: int = 0
+    keyed_calls_stopped: bool = False
     directory: _directory.Directory = _directory.Directory()
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     stopping: bool = False
@@ -262,7 +271,7 @@
         return
     service = item.key.removeprefix(_keys.OWNERS)
     if value is not None:
-        _adopt_owner(session, service, value)
+        adopt_owner(session, service, value)
         return
     former = session.owners.get(service)
     if former is not None and former.fencing_token < item.revision:
@@ -354,100 +363,7 @@
     _peers.update_members(session.peers, addresses)
 
 
-async def follow_config(session: Session) -> None:
-    """Adopt each configuration that the operator writes until cancelled."""
-
-    def on_item(item: platform.Item) -> None:
-        if item.key == _keys.CONFIG and not item.removed:
-            adopt_config(session, item.value, source="store")
-
-    def on_list(items: tuple[platform.Item, ...]) -> None:
-        for item in items:
-            on_item(item)
-
-    def on_working(working: bool) -> None:
-        if session.config_watched != working:
-            LOG.info("Config watch changed.", working=working)
-        session.config_watched = working
-
-    await _watches.watch_prefix(
-        session.store,
-        _keys.OPERATOR,
-        on_list=on_list,
-        on_item=on_item,
-        on_working=on_working,
-    )
-
-
-def adopt_config(session: Session, document: bytes, *, source: str) -> None:
-    """Put a configuration in force if it is newer than the current one."""
-    try:
-        config = platform.decode_config(document)
-    except errors.ProtocolError as error:
-        LOG.error(
-            "Invalid config is ignored.", source=source, error=str(error)
-        )
-        session.count_unreadable("config")
-        return
-    if session.config is not None and config.version <= session.config.version:
-        return
-    session.config = config
-    session.config_document = document
-    LOG.info(
-        "Config is in force.",
-        version=config.version,
-        queues=len(config.queues),
-        source=source,
-    )
-    session.changed.set()
-
-
-async def ask_peers(session: Session) -> None:
-    """Query peers for config and owners while the store is unavailable."""
-    turn = 0
-    while True:
-        await asyncio.sleep(PEER_QUERY_PERIOD_S)
-        names = _peers.connected_names(session.peers)
-        if (session.config_watched and session.cell_known) or not names:
-            continue
-        turn += 1
-        name = names[turn % len(names)]
-        version = session.config.version if session.config else 0
-        try:
-            reply = await _peers.call(
-                session.peers,
-                name,
-                lambda call_id, version=version: _messages.CellRead(
-                    call_id=call_id, known_version=version
-                ),
-            )
-        except errors.MeshError as error:
-            LOG.info("Peer did not answer.", peer=name, error=str(error))
-            continue
-        if reply.document:
-            adopt_config(session, reply.document, source=name)
-        for service, instance, incarnation, fencing_token in reply.owners:
-            _adopt_owner(
-                session,
-                service,
-                Owner(
-                    instance=instance,
-                    incarnation=incarnation,
-                    fencing_token=fencing_token,
-                ),
-            )
-        if reply.directory:
-            apply_cell_item(
-                session,
-                platform.Item(
-                    key=_keys.DIRECTORY,
-                    value=reply.directory,
-                    revision=reply.directory_revision,
-                ),
-            )
-
-
-def _adopt_owner(session: Session, service: str, owner: Owner) -> None:
+def adopt_owner(session: Session, service: str, owner: Owner) -> None:
     """Record an owner if its fencing token is higher than the known one."""
     known = session.owners.get(service)
     if known is not None and known.fencing_token >= owner.fencing_token:
@@ -462,27 +378,6 @@
     session.changed.set()
 
 
-def answer_cell(
-    session: Session, message: _messages.CellRead
-) -> _messages.CellReply:
-    """Return owners, the directory, and the configuration if it is newer."""
-    directory = session.directory
-    newer = (
-        session.config is not None
-        and session.config.version > message.known_version
-    )
-    return _messages.CellReply(
-        call_id=message.call_id,
-        document=session.config_document if newer else b"",
-        owners=tuple(
-            (service, owner.instance, owner.incarnation, owner.fencing_token)
-            for service, owner in session.owners.items()
-        ),
-        directory=_directory.encode(directory) if directory.revision else b"",
-        directory_revision=directory.revision,
-    )
-
-
 async def leave(session: Session) -> None:
     """End the lease, so that other instances take over at once."""
     if not session.lease:
