Show that crowds of callers exhaust an instance's memory and descriptors

The settings get capacity.memory_mb and capacity.max_files from the template; they have no effect yet.

--- a/chestnuttide/node/_settings.py
+++ b/chestnuttide/node/_settings.py
@@ -13,6 +13,11 @@
 
 SETTINGS_VARIABLE: typing.Final = "CHESTNUTTIDE_CONFIG"
 
+# The least that a daemon starts with: about twice what one in a small cell
+# uses, and descriptors for the store, some peers and some workers.
+MIN_MEMORY_MB: typing.Final = 96
+MIN_FILES: typing.Final = 400
+
 
 @attrs.frozen(kw_only=True, slots=True)
 class Listen:
@@ -83,11 +88,17 @@
         Speed of the core; 1 is the platform's reference core.
     link_mbps : float
         Bandwidth of the network link, in megabits per second.
+    memory_mb : float
+        Memory, in MiB; a process that exceeds it is killed.
+    max_files : int
+        File descriptors.
     """
 
     core_share: float = 1.0
     core_speed: float = 1.0
     link_mbps: float = 1000.0
+    memory_mb: float = 256.0
+    max_files: int = 2048
 
     @property
     def cores(self) -> float:
@@ -203,6 +214,8 @@
         "capacity.core_share": settings.capacity.core_share > 0,
         "capacity.core_speed": settings.capacity.core_speed > 0,
         "capacity.link_mbps": settings.capacity.link_mbps > 0,
+        "capacity.memory_mb": settings.capacity.memory_mb >= MIN_MEMORY_MB,
+        "capacity.max_files": settings.capacity.max_files >= MIN_FILES,
         "store.min_lease_ms": settings.store.min_lease_ms > 0,
         "log_lines_per_s": settings.log_lines_per_s > 0,
         "log_level": settings.log_level
--- a/standins/node_cell.py
+++ b/standins/node_cell.py
@@ -81,6 +81,7 @@
     prefix: str = "/layout/",
     service: str = SERVICE,
     services: tuple[str, ...] = (SERVICE,),
+    max_body_bytes: int = 65536,
 ) -> bytes:
     """Return a configuration with a queue and a version probe.
 
@@ -97,6 +98,8 @@
         Service that runs the jobs of both routes.
     services : tuple of str
         All services.
+    max_body_bytes : int
+        Largest body of a caller's request.
     """
     return json.dumps(
         {
@@ -120,16 +123,33 @@
                 for name, path in (("q1", prefix), ("v", f"/v{version}/"))
             ],
             "services": [{"name": each} for each in services],
-            "limits": {"maxBodyBytes": 65536},
+            "limits": {"maxBodyBytes": max_body_bytes},
         }
     ).encode()
 
 
 @contextlib.asynccontextmanager
 async def run_cell(
-    folder: pathlib.Path, *, nodes: int = 3, workers: int = 3
+    folder: pathlib.Path,
+    *,
+    nodes: int = 3,
+    workers: int = 3,
+    capacity: dict[str, float] | None = None,
+    max_body_bytes: int = 65536,
 ) -> collections.abc.AsyncIterator[Cell]:
-    """Run a cell until the block ends."""
+    """Run a cell until the block ends.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder for settings and logs.
+    nodes, workers : int
+        Number of daemons and of workers.
+    capacity : dict of str to float or None
+        The daemons' settings of the same name.
+    max_body_bytes : int
+        Largest body of a caller's request.
+    """
     cell = Cell(
         store=cloud.Store(),
         advisor=cloud.Advisor(),
@@ -156,7 +176,8 @@
         cell.worker_addresses.append(address)
         entry = cloud.encode_entry(worker, address)
         cloud.put(cell.store, f"servers/{worker.id}", entry)
-    cloud.put(cell.store, "op/config", make_config(1))
+    config = make_config(1, max_body_bytes=max_body_bytes)
+    cloud.put(cell.store, "op/config", config)
     ports = harness.make_harness(folder)
     try:
         for number in range(nodes):
@@ -164,7 +185,14 @@
             # before the daemon binds it, so the harness picks lower ports.
             caller_port = harness.find_ports(ports, PORTS_PER_NODE)
             cell.nodes.append(
-                start_node(folder, f"n{number}", store, advisor, caller_port)
+                start_node(
+                    folder,
+                    f"n{number}",
+                    store,
+                    advisor,
+                    caller_port,
+                    capacity=capacity,
+                )
             )
         for node in cell.nodes:
             await wait_until_ready(node)
@@ -180,7 +208,13 @@
 
 
 def start_node(
-    folder: pathlib.Path, name: str, store: str, advisor: str, caller_port: int
+    folder: pathlib.Path,
+    name: str,
+    store: str,
+    advisor: str,
+    caller_port: int,
+    *,
+    capacity: dict[str, float] | None = None,
 ) -> Node:
     """Write a daemon's settings and start it."""
     readiness_port, mesh_port, metrics_port = (
@@ -203,6 +237,7 @@
                 "store": {"address": store},
                 "advisor": advisor,
                 "metrics_port": metrics_port,
+                "capacity": capacity or {},
             }
         )
     )
@@ -259,15 +294,23 @@
 
 
 async def call(
-    url: str, *, method: str = "GET", body: bytes | None = None
+    url: str,
+    *,
+    method: str = "GET",
+    body: bytes | None = None,
+    timeout_s: float = 5.0,
 ) -> int:
     """Return the status of a request; 599 if there was no response."""
-    status, _ = await fetch(url, method=method, body=body)
+    status, _ = await fetch(url, method=method, body=body, timeout_s=timeout_s)
     return status
 
 
 async def fetch(
-    url: str, *, method: str = "GET", body: bytes | None = None
+    url: str,
+    *,
+    method: str = "GET",
+    body: bytes | None = None,
+    timeout_s: float = 5.0,
 ) -> tuple[int, dict[str, object]]:
     """Return the status and the decoded body of a response."""
     client = httpclient.AsyncHTTPClient()
@@ -278,7 +321,7 @@
                 method=method,
                 body=body,
                 headers={"Host": HOST},
-                request_timeout=5,
+                request_timeout=timeout_s,
                 allow_nonstandard_methods=True,
             ),
             raise_error=False,
