Bound what callers and unknown peers may make an instance hold

Cause: tornado's default servers buffer up to 100 MB a connection, without a bound for all connections, and the mesh took frames of 64 MB from anybody. Each port has an intake now: a budget of bytes and a number of connections that follow from the machine's memory and descriptors, time limits, and an order in which connections leave when it is full. Bodies over the limit are answered 413 before they are read, and 503 with Retry-After when the budget is full. The mesh bounds connections without a Hello and their frames; large batches of messages are split into several frames.

--- a/chestnuttide/mesh/_connection.py
+++ b/chestnuttide/mesh/_connection.py
@@ -28,6 +28,8 @@
         Messages refused because a send queue was full.
     undecodable : int
         Frames that could not be decoded.
+    unknown_ended : int
+        Connections without a handshake that ended for newer ones.
     """
 
     messages_sent: int = 0
@@ -36,6 +38,7 @@
     bytes_received: int = 0
     queue_full: int = 0
     undecodable: int = 0
+    unknown_ended: int = 0
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -50,11 +53,20 @@
         Maximum number of payload bytes in the send queue.
     frame_bytes : int
         Maximum size of a received frame in bytes.
+    sent_frame_bytes : int
+        Size above which messages are sent in several frames.
+    hello_bytes : int
+        Maximum size of a frame of a peer that has not sent `Hello`.
+    unknown_peers : int
+        Maximum number of such connections; the oldest end for newer ones.
     """
 
     queue_messages: int = 10_000
     queue_bytes: int = 16 * 1024 * 1024
     frame_bytes: int = 64 * 1024 * 1024
+    sent_frame_bytes: int = 1024 * 1024
+    hello_bytes: int = 65_536
+    unknown_peers: int = 64
 
 
 @attrs.define(kw_only=True, slots=True, eq=False)
@@ -155,7 +167,10 @@
     try:
         async with asyncio.timeout(timeout_s):
             await socket.send(_codec.encode(codec, [hello]))
-            first = _codec.decode(codec, await socket.recv())
+            frame = await socket.recv()
+            # A peer that has said who it is may send more.
+            socket.protocol.max_message_size = limits.frame_bytes
+            first = _codec.decode(codec, frame)
     except (
         errors.ProtocolError,
         websockets.ConnectionClosed,
@@ -201,13 +216,34 @@
         messages, connection.queue = connection.queue, []
         connection.queue_bytes = 0
         connection.wake.clear()
-        frame = _codec.encode(connection.codec, messages)
-        connection.traffic.messages_sent += len(messages)
-        connection.traffic.bytes_sent += len(frame)
         try:
-            await connection.socket.send(frame)
+            for frame in split_frames(
+                connection.codec,
+                messages,
+                max_bytes=connection.limits.sent_frame_bytes,
+            ):
+                connection.traffic.bytes_sent += len(frame)
+                await connection.socket.send(frame)
         except websockets.ConnectionClosed:
             return
+        connection.traffic.messages_sent += len(messages)
+
+
+def split_frames(
+    codec: _codec.Codec, messages: list[object], *, max_bytes: int
+) -> collections.abc.Iterator[bytes]:
+    """Yield the frames that carry messages in their order.
+
+    A frame is larger than `max_bytes` only if a single message is.
+    """
+    frame = _codec.encode(codec, messages)
+    if len(frame) <= max_bytes or len(messages) == 1:
+        yield frame
+        return
+    del frame
+    middle = len(messages) // 2
+    yield from split_frames(codec, messages[:middle], max_bytes=max_bytes)
+    yield from split_frames(codec, messages[middle:], max_bytes=max_bytes)
 
 
 async def _receive_loop(connection: Connection, handler: Handler) -> None:
--- a/chestnuttide/mesh/_network.py
+++ b/chestnuttide/mesh/_network.py
@@ -59,6 +59,8 @@
         Tasks that keep a connection open, by address.
     server : websockets server or None
         The server, if this daemon accepts connections.
+    unknown : dict of connection to None
+        Accepted connections without a handshake, the oldest first.
     """
 
     hello: _messages.Hello
@@ -74,6 +76,29 @@
     )
     dial_tasks: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     server: ws_server.Server | None = None
+    unknown: dict[ws_server.ServerConnection, None] = attrs.field(factory=dict)
+
+
+class _Accepted(ws_server.ServerConnection):
+    """An accepted connection, known from its first byte on."""
+
+    network: Network
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection; the oldest unknown one may have to end."""
+        super().connection_made(transport)
+        unknown = self.network.unknown
+        unknown[self] = None
+        if len(unknown) > self.network.limits.unknown_peers:
+            oldest = next(iter(unknown))
+            del unknown[oldest]
+            oldest.transport.abort()
+            self.network.traffic.unknown_ended += 1
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        self.network.unknown.pop(self, None)
+        super().connection_lost(exc)
 
 
 async def listen(network: Network, *, ip: str, port: int) -> int:
@@ -82,12 +107,21 @@
     async def accept(socket: ws_server.ServerConnection) -> None:
         await _run_connection(network, socket)
 
+    def create(
+        *arguments: object, **options: object
+    ) -> ws_server.ServerConnection:
+        connection = _Accepted(*arguments, **options)
+        connection.network = network
+        return connection
+
     network.server = await ws_server.serve(
         accept,
         ip,
         port,
         compression=None,
-        max_size=network.limits.frame_bytes,
+        create_connection=create,
+        open_timeout=HANDSHAKE_TIMEOUT_S,
+        max_size=network.limits.hello_bytes,
         # The mesh sends its own heartbeats in place of websocket pings.
         ping_interval=None,
     )
@@ -189,6 +223,7 @@
     except errors.MeshError:
         await socket.close()
         return
+    network.unknown.pop(socket, None)
     key = (connection.peer.kind, connection.peer.sender)
     stale = network.connections.get(key)
     network.connections[key] = connection
--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -9,7 +9,6 @@
 import signal
 
 import attrs
-from tornado import httpserver
 from tornado import httputil
 
 from chestnuttide import errors
@@ -17,13 +16,14 @@
 from chestnuttide.node import _claims
 from chestnuttide.node import _clock
 from chestnuttide.node import _directory
-from chestnuttide.node import _dispatch
+from chestnuttide.node import _intake_http
 from chestnuttide.node import _lookups
 from chestnuttide.node import _messages
 from chestnuttide.node import _metrics
 from chestnuttide.node import _owner
 from chestnuttide.node import _ownership
 from chestnuttide.node import _peers
+from chestnuttide.node import _ports
 from chestnuttide.node import _release
 from chestnuttide.node import _responses
 from chestnuttide.node import _session
@@ -52,9 +52,11 @@
 ENTRY_EXPIRY_HEARTBEATS = 4
 
 # Paths on the metrics port. The first lists what this instance's owners leave
-# out, the second which services may hold jobs of which queue.
+# out, the second which services may hold jobs of which queue, the third what
+# callers make this instance hold.
 SET_ASIDE_PATH = "/set-aside"
 DIRECTORY_PATH = "/directory"
+INTAKE_PATH = "/intake"
 
 CLAIM_PERIOD_S = 0.1
 RESTART_PAUSE_S = 0.2
@@ -106,7 +108,7 @@
     # Modules and setup objects live until the process exits. Freezing them
     # makes the collector scan only objects that were created later.
     gc.freeze()
-    servers = _listen(daemon, settings)
+    ports = _listen(daemon, settings)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
@@ -123,6 +125,7 @@
             daemon, make_loop.__name__, functools.partial(make_loop, session)
         )
     _supervise(daemon, "claim", functools.partial(_claim_loop, daemon))
+    _supervise(daemon, "sweep", functools.partial(_intake_http.sweep, ports))
     LOG.info(
         "Started.",
         address=session.address,
@@ -130,7 +133,7 @@
         data_centre=settings.data_centre,
     )
     await stop.wait()
-    await _stop(daemon, servers, settings)
+    await _stop(daemon, ports, settings)
 
 
 async def _make_daemon(
@@ -221,26 +224,18 @@
 
 def _listen(
     daemon: Daemon, settings: _settings.NodeSettings
-) -> list[httpserver.HTTPServer]:
-    callers = httpserver.HTTPServer(_dispatch.make_callback(daemon.context))
-    ip, port = _settings.split_address(settings.listen.callers)
-    callers.listen(port, address=ip)
-
-    def is_ready(request: httputil.HTTPServerRequest) -> None:
-        ready = (
-            daemon.session.config is not None and not daemon.session.stopping
-        )
-        _write_response(
-            request, 200 if ready else 503, b"{}", "application/json"
-        )
+) -> list[_intake_http.Port]:
+    callers, readiness, metrics = _ports.make_ports(
+        daemon.context, settings, lambda request: show_metrics(request)
+    )
 
     def show_metrics(request: httputil.HTTPServerRequest) -> None:
         if request.path in pages:
             body = json.dumps(pages[request.path]()).encode()
-            _write_response(request, 200, body, "application/json")
+            _ports.write_response(request, 200, body, "application/json")
             return
         body, content_type = telemetry.render(daemon.metrics.registry)
-        _write_response(request, 200, body, content_type)
+        _ports.write_response(request, 200, body, content_type)
 
     def list_set_aside() -> list[dict[str, object]]:
         return [
@@ -258,36 +253,19 @@
             {name: owner.instance for name, owner in session.owners.items()},
         )
 
+    ports = [callers, readiness, metrics]
     pages = {
         SET_ASIDE_PATH: list_set_aside,
         DIRECTORY_PATH: list_directory,
+        INTAKE_PATH: functools.partial(_ports.list_rows, ports),
     }
-
-    readiness = httpserver.HTTPServer(is_ready)
-    ip, port = _settings.split_address(settings.listen.readiness)
-    readiness.listen(port, address=ip)
-    metrics = httpserver.HTTPServer(show_metrics)
-    metrics.listen(settings.metrics_port, address=settings.ip)
-    return [callers, readiness, metrics]
-
-
-def _write_response(
-    request: httputil.HTTPServerRequest,
-    status: int,
-    body: bytes,
-    content_type: str,
-) -> None:
-    request.connection.write_headers(
-        httputil.ResponseStartLine("HTTP/1.1", status, ""),
-        httputil.HTTPHeaders(
-            {
-                "Content-Type": content_type,
-                "Content-Length": str(len(body)),
-            }
-        ),
-        body,
-    )
-    request.connection.finish()
+    for port, address in (
+        (callers, _settings.split_address(settings.listen.callers)),
+        (readiness, _settings.split_address(settings.listen.readiness)),
+        (metrics, (settings.ip, settings.metrics_port)),
+    ):
+        _intake_http.listen(port, address)
+    return ports
 
 
 def _supervise(
@@ -427,7 +405,7 @@
 
 async def _stop(
     daemon: Daemon,
-    servers: list[httpserver.HTTPServer],
+    ports: list[_intake_http.Port],
     settings: _settings.NodeSettings,
 ) -> None:
     """Hand over the services, finish requests in progress, and leave."""
@@ -444,7 +422,7 @@
     await asyncio.sleep(
         max(0.0, ROTATION_PERIOD_S - (_clock.now() - started_at))
     )
-    servers[0].stop()
+    _intake_http.close(ports[0])
     while daemon.context.in_flight and _clock.now() < limit:
         await asyncio.sleep(CLAIM_PERIOD_S / 2)
     for task in daemon.tasks:
--- a/chestnuttide/node/_dispatch.py
+++ b/chestnuttide/node/_dispatch.py
@@ -8,6 +8,8 @@
 
 from chestnuttide import errors
 from chestnuttide.node import _clock
+from chestnuttide.node import _intake
+from chestnuttide.node import _intake_http
 from chestnuttide.node import _lookups
 from chestnuttide.node import _responses
 from chestnuttide.node import _submission
@@ -50,15 +52,7 @@
     finally:
         context.in_flight -= 1
     _record_response(context, response, _clock.now() - started_at)
-    body = json.dumps(response.body).encode()
-    headers = httputil.HTTPHeaders(
-        {
-            "Content-Type": "application/json",
-            "Content-Length": str(len(body)),
-        }
-    )
-    if response.retry_after_s:
-        headers["Retry-After"] = str(response.retry_after_s)
+    headers, body = _render(response)
     if context.stopping:
         headers["Connection"] = "close"
     try:
@@ -74,6 +68,59 @@
         )
 
 
+def _render(
+    response: _responses.Response,
+) -> tuple[httputil.HTTPHeaders, bytes]:
+    body = json.dumps(response.body).encode()
+    headers = httputil.HTTPHeaders(
+        {
+            "Content-Type": "application/json",
+            "Content-Length": str(len(body)),
+        }
+    )
+    if response.retry_after_s:
+        headers["Retry-After"] = str(response.retry_after_s)
+    return headers, body
+
+
+def refuse_unread(
+    context: _responses.ApiContext, reason: _intake.Reason
+) -> _intake_http.Refusal:
+    """Return the refusal of a request whose body was not read.
+
+    It is counted but not logged, because there may be thousands a second; the
+    intake logs their number.
+    """
+    if reason == _intake.Reason.TOO_LARGE:
+        limit = _body_limit(context)
+        response = _responses.make_refusal(
+            "other",
+            413,
+            "too_large",
+            f"The body exceeds {limit} bytes. Shorten it.",
+        )
+    else:
+        response = _responses.make_refusal(
+            "other",
+            503,
+            "intake_full",
+            "The instance holds too many requests. Send it again later.",
+            retry_after_s=_responses.RETRY_AFTER_S,
+        )
+    context.metrics.answers.inc(
+        {"call": response.call, "status": str(response.status)}
+    )
+    context.metrics.refusals.inc({"reason": response.reason})
+    return response.status, *_render(response)
+
+
+def _body_limit(context: _responses.ApiContext) -> int:
+    config = context.session.config
+    if config is None:
+        return context.session.settings.intake.body_bytes
+    return config.max_body_bytes
+
+
 def _record_response(
     context: _responses.ApiContext,
     response: _responses.Response,
--- a/chestnuttide/node/_metrics.py
+++ b/chestnuttide/node/_metrics.py
@@ -35,6 +35,10 @@
         ``chestnuttide_answers_total{call,status}``.
     refusals : Counter
         ``chestnuttide_refusals_total{reason}``.
+    intake : Counter
+        ``chestnuttide_intake_total{port,reason}``, requests that were refused
+        before they were read and connections that were closed; see
+        ``_intake.Reason``.
     retries : Counter
         ``chestnuttide_retries_total{reason}``.
     store_calls : Counter
@@ -75,6 +79,7 @@
     registry: collectors.Registry
     answers: aioprometheus.Counter
     refusals: aioprometheus.Counter
+    intake: aioprometheus.Counter
     retries: aioprometheus.Counter
     store_calls: aioprometheus.Counter
     run_ends: aioprometheus.Counter
@@ -110,6 +115,9 @@
         registry=registry,
         answers=counter("answers", "Answers to callers."),
         refusals=counter("refusals", "Refused calls, by reason."),
+        intake=counter(
+            "intake", "Requests not read and connections closed, by reason."
+        ),
         retries=counter("retries", "Attempts made again, by reason."),
         store_calls=counter("store_calls", "Calls to the store."),
         run_ends=counter("run_ends", "Ends of runs, by how."),
@@ -161,3 +169,14 @@
         metrics.unreadable.inc({"kind": kind})
 
     return count
+
+
+def intake_counter(
+    metrics: NodeMetrics, port: str
+) -> collections.abc.Callable[[str], None]:
+    """Return a function that counts what a port did not serve, by reason."""
+
+    def count(reason: str) -> None:
+        metrics.intake.inc({"port": port, "reason": str(reason)})
+
+    return count
--- a/chestnuttide/node/_settings.py
+++ b/chestnuttide/node/_settings.py
@@ -106,6 +106,43 @@
         return self.core_share * self.core_speed
 
 
+@attrs.frozen(kw_only=True, slots=True)
+class IntakeSettings:
+    """Bounds on callers' connections and requests.
+
+    The configuration's limits apply where they allow more. Memory and the
+    number of connections follow from `CapacitySettings`.
+
+    Attributes
+    ----------
+    connections_per_peer : int
+        Most connections from one address; 0 sets no bound but that for all.
+    header_bytes : int
+        Largest header of a request.
+    body_bytes : int
+        Largest body of a request while no configuration is known.
+    header_s : float
+        Longest time from a header's first byte to its end, in seconds.
+    idle_s : float
+        Longest time between requests of a connection, in seconds.
+    body_grace_s : float
+        Time in which a body has no minimum rate, in seconds.
+    body_bytes_per_s : float
+        Minimum average rate of a body after that.
+    answer_s : float
+        Longest time in which a caller leaves its answer unread, in seconds.
+    """
+
+    connections_per_peer: int = 0
+    header_bytes: int = 32_768
+    body_bytes: int = 262_144
+    header_s: float = 15.0
+    idle_s: float = 120.0
+    body_grace_s: float = 30.0
+    body_bytes_per_s: float = 4096.0
+    answer_s: float = 30.0
+
+
 @attrs.frozen(kw_only=True, slots=True)
 class NodeSettings:
     """All settings of an instance.
@@ -130,6 +167,8 @@
         Time limits set by the deployment.
     capacity : CapacitySettings
         What the instance may use of its machine.
+    intake : IntakeSettings
+        Bounds on callers' connections and requests.
     metrics_port : int
         Port of the metrics page.
     log_level : str
@@ -147,6 +186,7 @@
     advisor: str | None = None
     bounds: BoundSettings = BoundSettings()
     capacity: CapacitySettings = CapacitySettings()
+    intake: IntakeSettings = IntakeSettings()
     metrics_port: int = 9464
     log_level: str = "info"
     log_lines_per_s: int = 400
@@ -216,6 +256,15 @@
         "capacity.link_mbps": settings.capacity.link_mbps > 0,
         "capacity.memory_mb": settings.capacity.memory_mb >= MIN_MEMORY_MB,
         "capacity.max_files": settings.capacity.max_files >= MIN_FILES,
+        "intake.connections_per_peer": settings.intake.connections_per_peer
+        >= 0,
+        "intake.header_bytes": settings.intake.header_bytes >= 1024,
+        "intake.body_bytes": settings.intake.body_bytes > 0,
+        "intake.header_s": settings.intake.header_s > 0,
+        "intake.idle_s": settings.intake.idle_s > 0,
+        "intake.body_grace_s": settings.intake.body_grace_s > 0,
+        "intake.body_bytes_per_s": settings.intake.body_bytes_per_s > 0,
+        "intake.answer_s": settings.intake.answer_s > 0,
         "store.min_lease_ms": settings.store.min_lease_ms > 0,
         "log_lines_per_s": settings.log_lines_per_s > 0,
         "log_level": settings.log_level
--- a/chestnuttide/platform/_formats.py
+++ b/chestnuttide/platform/_formats.py
@@ -36,12 +36,21 @@
         Names of the services whose workers may be used.
     max_body_bytes : int
         Maximum size of the body of a caller's request.
+    max_header_bytes : int
+        Maximum size of the header of a caller's request.
+    header_timeout_s : float
+        Time that a caller has for a header, in seconds.
+    idle_timeout_s : float
+        Time for which a caller may keep an unused connection, in seconds.
     """
 
     version: int
     queues: tuple[workloads.Queue, ...]
     services: tuple[str, ...]
     max_body_bytes: int = 262_144
+    max_header_bytes: int = 0
+    header_timeout_s: float = 0.0
+    idle_timeout_s: float = 0.0
 
 
 def decode_config(value: bytes) -> ClusterConfig:
@@ -80,6 +89,21 @@
                 high=_documents.MAX_AMOUNT,
                 default=262_144,
             ),
+            max_header_bytes=_documents.read_integer(
+                limits,
+                "maxHeaderBytes",
+                low=0,
+                high=_documents.MAX_AMOUNT,
+                default=0,
+            ),
+            header_timeout_s=_documents.read_number(
+                limits, "headerTimeoutMs", default=0
+            )
+            / 1000,
+            idle_timeout_s=_documents.read_number(
+                limits, "idleTimeoutMs", default=0
+            )
+            / 1000,
         )
 
 
