Read large headers in turns, show the intake on the operators' page

A header of thousands of lines costs as much as tiny chunks do, so its bytes after the first 4 KiB share the same turns.

--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -257,7 +257,9 @@
     pages = {
         SET_ASIDE_PATH: list_set_aside,
         DIRECTORY_PATH: list_directory,
-        INTAKE_PATH: functools.partial(_ports.list_rows, ports),
+        INTAKE_PATH: functools.partial(
+            _ports.list_rows, ports, daemon.session.peers.network
+        ),
     }
     for port, address in (
         (callers, _settings.split_address(settings.listen.callers)),
--- a/chestnuttide/node/_intake_http.py
+++ b/chestnuttide/node/_intake_http.py
@@ -30,11 +30,12 @@
 # Bytes read at once before it is known whether a body is chunked.
 HEADER_READ_BYTES = 4096
 
-# Bytes read in one turn of the loop on all chunked bodies of a port together,
-# and on one. A chunk may be as small as six bytes, and each costs time, so
-# that a crowd could keep the loop from the store's calls.
-CHUNKED_TURN_BYTES = 4096
-CHUNKED_READ_BYTES = 2048
+# Bytes read in one turn of the loop on all chunked bodies and large headers of
+# a port together, and on one. A chunk or header line may be as small as six
+# bytes, and each costs time, so that a crowd could keep the loop from the
+# store's calls.
+COSTLY_TURN_BYTES = 4096
+COSTLY_READ_BYTES = 2048
 
 # A body whose last bytes came in large chunks costs little: this share of
 # them was the body's. Its bytes count for less in a turn.
@@ -82,8 +83,9 @@
         The server.
     streams : dict of Caller to IOStream
         Stream of each connection.
-    chunked_turn : int
-        Bytes that may still be read on chunked bodies in this turn.
+    costly_turn : int
+        Bytes that may still be read on chunked bodies and large headers in
+        this turn.
     turn_planned : bool
         Whether the next turn is planned.
     waiting : deque of Future
@@ -101,7 +103,7 @@
     streams: dict[_intake.Caller, iostream.IOStream] = attrs.field(
         factory=dict
     )
-    chunked_turn: int = CHUNKED_TURN_BYTES
+    costly_turn: int = COSTLY_TURN_BYTES
     turn_planned: bool = False
     waiting: collections.deque[asyncio.Future[None]] = attrs.field(
         factory=collections.deque
@@ -136,13 +138,19 @@
         """Read what this turn allows and count it."""
         size = len(buf)
         weight = 1
-        if self.chunked:
-            if self.port.chunked_turn <= 0:
+        costly = self.chunked or (
+            self.caller.phase == _intake.Phase.HEADERS
+            and self.caller.received >= HEADER_READ_BYTES
+        )
+        if costly:
+            if self.port.costly_turn <= 0:
                 return None
-            if self.last_delivered >= LARGE_CHUNKS_SHARE * self.last_read > 0:
+            if self.chunked and (
+                self.last_delivered >= LARGE_CHUNKS_SHARE * self.last_read > 0
+            ):
                 weight = LARGE_CHUNKS_WEIGHT
             else:
-                size = min(size, CHUNKED_READ_BYTES)
+                size = min(size, COSTLY_READ_BYTES)
         elif self.caller.phase in (
             _intake.Phase.IDLE,
             _intake.Phase.HEADERS,
@@ -152,10 +160,10 @@
             received = super().read_from_fd(part)
         if not received:
             return received
-        if self.chunked:
+        if costly:
             self.last_read = received
             self.last_delivered = 0
-            self.port.chunked_turn -= max(1, received // weight)
+            self.port.costly_turn -= max(1, received // weight)
             _plan_turn(self.port)
         if self.caller.phase == _intake.Phase.REFUSED:
             return received
@@ -358,7 +366,7 @@
 
 def _begin_turn(port: Port) -> None:
     port.turn_planned = False
-    port.chunked_turn = CHUNKED_TURN_BYTES
+    port.costly_turn = COSTLY_TURN_BYTES
     if port.waiting:
         future = port.waiting.popleft()
         if not future.done():
--- a/chestnuttide/node/_ports.py
+++ b/chestnuttide/node/_ports.py
@@ -5,6 +5,7 @@
 import attrs
 from tornado import httputil
 
+from chestnuttide import mesh
 from chestnuttide.node import _dispatch
 from chestnuttide.node import _intake
 from chestnuttide.node import _intake_http
@@ -140,6 +141,17 @@
 
 def list_rows(
     ports: collections.abc.Iterable[_intake_http.Port],
+    network: mesh.Network,
 ) -> list[dict[str, object]]:
     """Return the rows of the operators' page, one a port."""
-    return [_intake.describe(port.name, port.intake) for port in ports]
+    rows = [_intake.describe(port.name, port.intake) for port in ports]
+    rows.append(
+        {
+            "port": "mesh",
+            "connections": len(network.connections),
+            "without_hello": len(network.unknown),
+            "without_hello_limit": network.limits.unknown_peers,
+            "reasons": {"connections": network.traffic.unknown_ended},
+        }
+    )
+    return rows
