Bound all bytes of unknown peers together, split the intake's modules

A frame that follows a peer's Hello may be read together with it, so a tight bound on frames before the Hello could refuse an honest peer; all bytes of such connections are bounded together instead, and their number follows from the machine's descriptors.

--- a/chestnuttide/mesh/_connection.py
+++ b/chestnuttide/mesh/_connection.py
@@ -56,17 +56,22 @@
     sent_frame_bytes : int
         Size above which messages are sent in several frames.
     hello_bytes : int
-        Maximum size of a frame of a peer that has not sent `Hello`.
+        Maximum size of a frame of a peer that has not sent `Hello`. Its next
+        frame may be read together with that, so it is not smaller than most.
     unknown_peers : int
         Maximum number of such connections; the oldest end for newer ones.
+    unknown_bytes : int
+        Maximum number of bytes that they have sent; the one that has sent the
+        most ends first.
     """
 
     queue_messages: int = 10_000
     queue_bytes: int = 16 * 1024 * 1024
     frame_bytes: int = 64 * 1024 * 1024
     sent_frame_bytes: int = 1024 * 1024
-    hello_bytes: int = 65_536
-    unknown_peers: int = 64
+    hello_bytes: int = 2 * 1024 * 1024
+    unknown_peers: int = 500
+    unknown_bytes: int = 8 * 1024 * 1024
 
 
 @attrs.define(kw_only=True, slots=True, eq=False)
--- a/chestnuttide/mesh/_network.py
+++ b/chestnuttide/mesh/_network.py
@@ -59,8 +59,9 @@
         Tasks that keep a connection open, by address.
     server : websockets server or None
         The server, if this daemon accepts connections.
-    unknown : dict of connection to None
-        Accepted connections without a handshake, the oldest first.
+    unknown : dict of connection to int
+        Accepted connections without a handshake, the oldest first, and the
+        bytes that each has sent.
     """
 
     hello: _messages.Hello
@@ -76,7 +77,7 @@
     )
     dial_tasks: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     server: ws_server.Server | None = None
-    unknown: dict[ws_server.ServerConnection, None] = attrs.field(factory=dict)
+    unknown: dict[ws_server.ServerConnection, int] = attrs.field(factory=dict)
 
 
 class _Accepted(ws_server.ServerConnection):
@@ -88,12 +89,19 @@
         """Count the connection; the oldest unknown one may have to end."""
         super().connection_made(transport)
         unknown = self.network.unknown
-        unknown[self] = None
+        unknown[self] = 0
         if len(unknown) > self.network.limits.unknown_peers:
-            oldest = next(iter(unknown))
-            del unknown[oldest]
-            oldest.transport.abort()
-            self.network.traffic.unknown_ended += 1
+            _end_unknown(self.network, next(iter(unknown)))
+
+    def data_received(self, data: bytes) -> None:
+        """Count what the peer sends before its `Hello`."""
+        unknown = self.network.unknown
+        if self in unknown:
+            unknown[self] += len(data)
+            if sum(unknown.values()) > self.network.limits.unknown_bytes:
+                _end_unknown(self.network, max(unknown, key=unknown.get))
+        if not self.transport.is_closing():
+            super().data_received(data)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Forget the connection."""
@@ -101,6 +109,14 @@
         super().connection_lost(exc)
 
 
+def _end_unknown(
+    network: Network, connection: ws_server.ServerConnection
+) -> None:
+    del network.unknown[connection]
+    connection.transport.abort()
+    network.traffic.unknown_ended += 1
+
+
 async def listen(network: Network, *, ip: str, port: int) -> int:
     """Start accepting connections and return the listening port."""
 
--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -17,6 +17,7 @@
 from chestnuttide.node import _clock
 from chestnuttide.node import _directory
 from chestnuttide.node import _intake_http
+from chestnuttide.node import _intake_sweep
 from chestnuttide.node import _lookups
 from chestnuttide.node import _messages
 from chestnuttide.node import _metrics
@@ -125,7 +126,7 @@
             daemon, make_loop.__name__, functools.partial(make_loop, session)
         )
     _supervise(daemon, "claim", functools.partial(_claim_loop, daemon))
-    _supervise(daemon, "sweep", functools.partial(_intake_http.sweep, ports))
+    _supervise(daemon, "sweep", functools.partial(_intake_sweep.sweep, ports))
     LOG.info(
         "Started.",
         address=session.address,
@@ -140,7 +141,9 @@
     settings: _settings.NodeSettings, metrics: _metrics.NodeMetrics
 ) -> Daemon:
     peers = _peers.make_peers(
-        instance=settings.instance, data_centre=settings.data_centre
+        instance=settings.instance,
+        data_centre=settings.data_centre,
+        limits=_ports.make_mesh_limits(settings.capacity),
     )
     store = platform.KvStore(
         http=platform.make_client(max_clients=MAX_STORE_TRANSFERS),
--- a/chestnuttide/node/_peers.py
+++ b/chestnuttide/node/_peers.py
@@ -48,7 +48,9 @@
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
 
-def make_peers(*, instance: str, data_centre: str) -> Peers:
+def make_peers(
+    *, instance: str, data_centre: str, limits: mesh.Limits | None = None
+) -> Peers:
     """Return the connections of an instance, none of which is open yet."""
     calls = mesh.Calls()
     network = mesh.Network(
@@ -59,7 +61,7 @@
             data_centre=data_centre,
         ),
         codec=mesh.make_codec(_messages.MESSAGE_CLASSES),
-        limits=mesh.Limits(),
+        limits=limits or mesh.Limits(),
         rng=random.Random(),
     )
     peers = Peers(instance=instance, network=network, calls=calls)
--- a/chestnuttide/node/_ports.py
+++ b/chestnuttide/node/_ports.py
@@ -9,6 +9,7 @@
 from chestnuttide.node import _dispatch
 from chestnuttide.node import _intake
 from chestnuttide.node import _intake_http
+from chestnuttide.node import _intake_limits
 from chestnuttide.node import _metrics
 from chestnuttide.node import _responses
 from chestnuttide.node import _settings
@@ -20,6 +21,9 @@
 # late, and so may this process.
 TIMEOUT_MARGIN_S = 5.0
 
+# Share of the descriptors for connections that have not said Hello.
+UNKNOWN_PEERS_SHARE = 1 / 8
+
 Handler = collections.abc.Callable[[httputil.HTTPServerRequest], None]
 
 
@@ -32,12 +36,14 @@
 
     None of them listens yet.
     """
-    limits = _intake.make_limits(settings.capacity, settings.intake)
-    side_limits = _intake.make_side_limits(limits, body_bytes=SIDE_BODY_BYTES)
+    limits = _intake_limits.make_limits(settings.capacity, settings.intake)
+    side_limits = _intake_limits.make_side_limits(
+        limits, body_bytes=SIDE_BODY_BYTES
+    )
 
     def make(
         name: str,
-        limits: _intake.Limits,
+        limits: _intake_limits.Limits,
         handle: Handler,
         refuse: collections.abc.Callable[
             [_intake.Reason], _intake_http.Refusal
@@ -76,6 +82,15 @@
     )
 
 
+def make_mesh_limits(capacity: _settings.CapacitySettings) -> mesh.Limits:
+    """Return the bounds of the mesh port.
+
+    All peers may connect at once when instances start.
+    """
+    sockets = capacity.max_files - _intake_limits.FILES_RESERVE
+    return mesh.Limits(unknown_peers=int(sockets * UNKNOWN_PEERS_SHARE))
+
+
 def follow_config(
     port: _intake_http.Port,
     context: _responses.ApiContext,
--- a/chestnuttide/node/tests/test_intake.py
+++ b/chestnuttide/node/tests/test_intake.py
@@ -3,6 +3,7 @@
 import pytest
 
 from chestnuttide.node import _intake
+from chestnuttide.node import _intake_limits
 from chestnuttide.node import _settings
 
 BUDGET = 1000
@@ -21,7 +22,7 @@
         "body_bytes_per_s": 4096.0,
         "answer_s": 30.0,
     }
-    return _intake.Intake(limits=_intake.Limits(**(defaults | limits)))
+    return _intake.Intake(limits=_intake_limits.Limits(**(defaults | limits)))
 
 
 def make_caller(
@@ -262,10 +263,10 @@
     memory_mb: float, max_files: int, budget_mb: int, connections: int
 ) -> None:
     """Guards against bounds that a machine's memory can't hold."""
-    limits = _intake.make_limits(
+    limits = _intake_limits.make_limits(
         _settings.CapacitySettings(memory_mb=memory_mb, max_files=max_files),
         _settings.IntakeSettings(),
     )
-    assert limits.budget_bytes == budget_mb * _intake.MEBIBYTE
+    assert limits.budget_bytes == budget_mb * _intake_limits.MEBIBYTE
     assert limits.connections == connections
     assert limits.connections <= (max_files - 200) / 2
