End a connection after a refusal of a complete body

The refusal says that the connection ends, but it stayed open. A test sends a body that fits the budget, but not together with its job and record.

--- a/chestnuttide/node/_intake_http.py
+++ b/chestnuttide/node/_intake_http.py
@@ -265,8 +265,7 @@
         """Hand a complete request over."""
         stream = self._stream
         if self._written is not None:
-            # The refusal says that the connection ends after it.
-            self._written.add_done_callback(lambda _: stream.close())
+            self._end()
             return
         request = self._request
         request.body = bytes(self._body)
@@ -278,13 +277,19 @@
         size = min(size, intake.limits.budget_bytes // 2)
         if not _intake.charge(intake, stream.caller, size, now):
             _intake.note(intake, _intake.Reason.BUDGET_FULL)
-            self.refuse(_intake.Reason.BUDGET_FULL, linger=False)
+            self.refuse(_intake.Reason.BUDGET_FULL, linger=True)
+            self._end()
             return
         stream.chunked = False
         _intake.begin(stream.caller, _intake.Phase.SERVED, now)
         stream.caller.served += 1
         stream.port.handle(request)
 
+    def _end(self) -> None:
+        """End the connection after the refusal, which says that it ends."""
+        if self._written is not None:
+            self._written.add_done_callback(lambda _: self._stream.close())
+
     def on_connection_close(self) -> None:
         """Drop what was received."""
         self._body = bytearray()
--- a/chestnuttide/node/tests/test_intake_http.py
+++ b/chestnuttide/node/tests/test_intake_http.py
@@ -115,7 +115,21 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    "make_pieces",
+    [
+        pytest.param(
+            lambda: [crowds.head("Content-Length: 90000000")], id="announced"
+        ),
+        pytest.param(
+            # It fits, but not with the job and the record made from it.
+            functools.partial(pieces, b" " * 3_500_000, 65_536),
+            id="complete",
+        ),
+    ],
+)
 def test_a_refusal_for_lack_of_room_says_when_to_come_back(
+    make_pieces: collections.abc.Callable[[], crowds.Pieces],
     tmp_path: pathlib.Path,
 ) -> None:
     """Guards against callers that are cut off without a word.
@@ -131,9 +145,7 @@
             capacity={"memory_mb": 96, "max_files": 400},
             max_body_bytes=100_000_000,
         ) as cell:
-            answer, headers, ended = await ask(
-                cell.nodes[0], [crowds.head("Content-Length: 90000000")]
-            )
+            answer, headers, ended = await ask(cell.nodes[0], make_pieces())
             assert (answer, headers["retry-after"], ended) == (503, "1", True)
 
     asyncio.run(main())
