--- a/chestnuttide/mesh/_network.py
+++ b/chestnuttide/mesh/_network.py
@@ -59,6 +59,9 @@
         Tasks that keep a connection open, by address.
     server : websockets server or None
         The server, if this daemon accepts connections.
+    unknown : dict of connection to int
+        Accepted connections without a handshake, the oldest first, and the
+        bytes that each has sent.
     """
 
     hello: _messages.Hello
@@ -74,6 +77,44 @@
     )
     dial_tasks: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     server: ws_server.Server | None = None
+    unknown: dict[ws_server.ServerConnection, int] = attrs.field(factory=dict)
+
+
+class _Accepted(ws_server.ServerConnection):
+    """An accepted connection, known from its first byte on."""
+
+    network: Network
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection; the oldest unknown one may have to end."""
+        super().connection_made(transport)
+        unknown = self.network.unknown
+        unknown[self] = 0
+        if len(unknown) > self.network.limits.unknown_peers:
+            _end_unknown(self.network, next(iter(unknown)))
+
+    def data_received(self, data: bytes) -> None:
+        """Count what the peer sends before its `Hello`."""
+        unknown = self.network.unknown
+        if self in unknown:
+            unknown[self] += len(data)
+            if sum(unknown.values()) > self.network.limits.unknown_bytes:
+                _end_unknown(self.network, max(unknown, key=unknown.get))
+        if not self.transport.is_closing():
+            super().data_received(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        self.network.unknown.pop(self, None)
+        super().connection_lost(exc)
+
+
+def _end_unknown(
+    network: Network, connection: ws_server.ServerConnection
+) -> None:
+    del network.unknown[connection]
+    connection.transport.abort()
+    network.traffic.unknown_ended += 1
 
 
 async def listen(network: Network, *, ip: str, port: int) -> int:
@@ -82,12 +123,21 @@
     async def accept(socket: ws_server.ServerConnection) -> None:
         await _run_connection(network, socket)
 
+    def create(
+        *arguments: object, **options: object
+    ) -> ws_server.ServerConnection:
+        connection = _Accepted(*arguments, **options)
+        connection.network = network
+        return connection
+
     network.server = await ws_server.serve(
         accept,
         ip,
         port,
         compression=None,
-        max_size=network.limits.frame_bytes,
+        create_connection=create,
+        open_timeout=HANDSHAKE_TIMEOUT_S,
+        max_size=network.limits.hello_bytes,
         # The mesh sends its own heartbeats in place of websocket pings.
         ping_interval=None,
     )
@@ -189,6 +239,7 @@
     except errors.MeshError:
         await socket.close()
         return
+    network.unknown.pop(socket, None)
     key = (connection.peer.kind, connection.peer.sender)
     stale = network.connections.get(key)
     network.connections[key] = connection
--- a/chestnuttide/platform/_formats.py
+++ b/chestnuttide/platform/_formats.py
@@ -55,6 +55,12 @@
         Workspace of each key in force, by `digest_key`.
     index : dict
         The queues by host and prefix, for `find_queue`.
+    max_header_bytes : int
+        Maximum size of the header of a caller's request.
+    header_timeout_s : float
+        Time that a caller has for a header, in seconds.
+    idle_timeout_s : float
+        Time for which a caller may keep an unused connection, in seconds.
     """
 
     version: int
@@ -71,6 +77,9 @@
             lambda config: _index_queues(config.queues), takes_self=True
         ),
     )
+    max_header_bytes: int = 0
+    header_timeout_s: float = 0.0
+    idle_timeout_s: float = 0.0
 
 
 def _index_queues(
@@ -163,6 +172,21 @@
             ),
             workspaces=workspaces,
             keys=keys,
+            max_header_bytes=_documents.read_integer(
+                limits,
+                "maxHeaderBytes",
+                low=0,
+                high=_documents.MAX_AMOUNT,
+                default=0,
+            ),
+            header_timeout_s=_documents.read_number(
+                limits, "headerTimeoutMs", default=0
+            )
+            / 1000,
+            idle_timeout_s=_documents.read_number(
+                limits, "idleTimeoutMs", default=0
+            )
+            / 1000,
         )
 
 
