Learn run times and worker speeds from ended runs

Estimates are off by a factor per job and workers differ in speed, so expected times of runs, reservations and stall limits were wrong. An owner now learns both from ended runs, with runs under way as lower bounds, mixes what it learned with the estimate by recent errors, and finds workers that are slow or fail against their like. It is off unless learning.run_times is set.

--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -52,9 +52,11 @@
 ENTRY_EXPIRY_HEARTBEATS = 4
 
 # Paths on the metrics port. The first lists what this instance's owners leave
-# out, the second which services may hold jobs of which queue.
+# out, the second which services may hold jobs of which queue, the third what
+# they have learned about run times and workers.
 SET_ASIDE_PATH = "/set-aside"
 DIRECTORY_PATH = "/directory"
+RUN_TIMES_PATH = "/run-times"
 
 CLAIM_PERIOD_S = 0.1
 RESTART_PAUSE_S = 0.2
@@ -258,9 +260,17 @@
             {name: owner.instance for name, owner in session.owners.items()},
         )
 
+    def list_run_times() -> list[dict[str, object]]:
+        return [
+            row
+            for owner in daemon.owned.values()
+            for row in workloads.list_run_times(owner.pool, now=_clock.now())
+        ]
+
     pages = {
         SET_ASIDE_PATH: list_set_aside,
         DIRECTORY_PATH: list_directory,
+        RUN_TIMES_PATH: list_run_times,
     }
 
     readiness = httpserver.HTTPServer(is_ready)
@@ -400,6 +410,9 @@
     bounds = settings.bounds
     return workloads.Pool(
         service=service,
+        run_times=workloads.RunTimes()
+        if settings.learning.run_times
+        else None,
         limits=workloads.TimeLimits(
             lease_s=min(
                 _ownership.RUN_LEASE_S, bounds.worker_lease_max_ms / 1000
--- a/chestnuttide/node/_keys.py
+++ b/chestnuttide/node/_keys.py
@@ -42,6 +42,11 @@
     return f"work/{service}/cancel/{job_id}"
 
 
+def run_times(service: str) -> str:
+    """Return the key of the snapshot of a service's learned run times."""
+    return f"learned/{service}"
+
+
 def progress(service: str, job_id: str = "") -> str:
     """Return the key of a job's progress, or the prefix for a service."""
     return f"progress/{service}/{job_id}"
--- a/chestnuttide/node/_metrics.py
+++ b/chestnuttide/node/_metrics.py
@@ -60,6 +60,15 @@
         because handling them failed, loops of owners that were started again
         (``loop``) and poll replies that could not be applied (``poll``); see
         ``_set_aside.Kind``.
+    run_time_samples : Counter
+        ``chestnuttide_run_time_samples_total{outcome}``, ended runs that run
+        times were learned from (``learned``), or why not.
+    run_time_snapshots : Counter
+        ``chestnuttide_run_time_snapshots_total{outcome}``, snapshots of run
+        times that were stored or read, or were not.
+    penalised_workers : Counter
+        ``chestnuttide_penalised_workers_total{cause}``, workers that were
+        found slow or failing against their like.
     commands : Counter
         ``chestnuttide_orders_total{kind,outcome}``.
     start_wait_seconds : Histogram
@@ -83,6 +92,9 @@
     waiting_tasks: aioprometheus.Gauge
     unreadable: aioprometheus.Counter
     set_aside: aioprometheus.Counter
+    run_time_samples: aioprometheus.Counter
+    run_time_snapshots: aioprometheus.Counter
+    penalised_workers: aioprometheus.Counter
     commands: aioprometheus.Counter
     start_wait_seconds: aioprometheus.Histogram
     job_seconds: aioprometheus.Histogram
@@ -128,6 +140,15 @@
         set_aside=counter(
             "set_aside", "Items set aside after a fault, by kind."
         ),
+        run_time_samples=counter(
+            "run_time_samples", "Ended runs, by what was learned."
+        ),
+        run_time_snapshots=counter(
+            "run_time_snapshots", "Snapshots of run times, by outcome."
+        ),
+        penalised_workers=counter(
+            "penalised_workers", "Workers found to differ, by cause."
+        ),
         commands=counter("orders", "Orders to workers, by outcome."),
         start_wait_seconds=histogram(
             "start_wait_seconds", "Seconds until a job's first start."
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -15,6 +15,7 @@
 from chestnuttide.node import _ownership
 from chestnuttide.node import _polls
 from chestnuttide.node import _release
+from chestnuttide.node import _run_time_snapshots
 from chestnuttide.node import _set_aside
 from chestnuttide.node import _updates
 from chestnuttide.node import _watches
@@ -85,6 +86,7 @@
                 _watch_workers,
                 _release.confirm_loop,
                 _directory_sync.sync_loop,
+                _run_time_snapshots.snapshot_loop,
             )
         ]
         deposed = asyncio.ensure_future(owner.deposed.wait())
@@ -221,6 +223,7 @@
         "occurrences": lambda: _release_occurrences(owner, unix_time),
         "stalled runs": lambda: _stop_stalled_runs(owner, now),
         "deadly tasks": lambda: _give_up_deadly_tasks(owner, now, unix_time),
+        "run times": lambda: _run_time_snapshots.supervise(owner, now),
         "draining workers": lambda: _evacuate(owner, now),
         "stops": lambda: _send_due_stops(owner),
         "waiting tasks": lambda: _report_waiting_tasks(owner, now),
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -83,6 +83,10 @@
         Keys of records that can be removed from the store.
     waiting_reported_at : float
         Monotonic time at which waiting tasks were last reported.
+    run_times_at : float
+        Monotonic time at which learned run times were last updated.
+    penalised : set of str
+        Worker incarnations that are used less than their like.
     ready : bool
         Whether the takeover is complete.
     releasing : bool
@@ -119,6 +123,8 @@
     waiting_queries: tuple[workloads.AdvisorQuery, ...] = ()
     obsolete_keys: list[str] = attrs.field(factory=list)
     waiting_reported_at: float = 0.0
+    run_times_at: float = 0.0
+    penalised: set[str] = attrs.field(factory=set)
     ready: bool = False
     releasing: bool = False
     former_owner_stopped: bool = False
--- a/chestnuttide/node/_settings.py
+++ b/chestnuttide/node/_settings.py
@@ -95,6 +95,20 @@
         return self.core_share * self.core_speed
 
 
+@attrs.frozen(kw_only=True, slots=True)
+class LearningSettings:
+    """What is learned from ended runs.
+
+    Attributes
+    ----------
+    run_times : bool
+        Whether run times and worker speeds are learned and used. False takes
+        estimates as they are and workers as equally fast.
+    """
+
+    run_times: bool = False
+
+
 @attrs.frozen(kw_only=True, slots=True)
 class NodeSettings:
     """All settings of an instance.
@@ -119,6 +133,8 @@
         Time limits set by the deployment.
     capacity : CapacitySettings
         What the instance may use of its machine.
+    learning : LearningSettings
+        What is learned from ended runs.
     metrics_port : int
         Port of the metrics page.
     log_level : str
@@ -136,6 +152,7 @@
     advisor: str | None = None
     bounds: BoundSettings = BoundSettings()
     capacity: CapacitySettings = CapacitySettings()
+    learning: LearningSettings = LearningSettings()
     metrics_port: int = 9464
     log_level: str = "info"
     log_lines_per_s: int = 400
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -2,22 +2,29 @@
 
 from chestnuttide.workloads import _advisor_queries
 from chestnuttide.workloads import _crashes
+from chestnuttide.workloads import _expectations
 from chestnuttide.workloads import _incarnations
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _planning
 from chestnuttide.workloads import _poll_replies
 from chestnuttide.workloads import _records
+from chestnuttide.workloads import _run_observations
+from chestnuttide.workloads import _run_time_records
+from chestnuttide.workloads import _run_time_rows
+from chestnuttide.workloads import _run_times
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _starts
 from chestnuttide.workloads import _state
 from chestnuttide.workloads import _stops
 from chestnuttide.workloads import _supervision
 from chestnuttide.workloads import _waiting
+from chestnuttide.workloads import _worker_health
 
 Advice = _specs.Advice
 AdvisorQuery = _advisor_queries.AdvisorQuery
 Crash = _state.Crash
 EndedJob = _records.EndedJob
+Finding = _worker_health.Finding
 Job = _state.Job
 JobSpec = _specs.JobSpec
 JobState = _state.JobState
@@ -28,6 +35,7 @@
 Pool = _state.Pool
 Queue = _specs.Queue
 Run = _state.Run
+RunTimes = _run_times.RunTimes
 StepAdvice = _state.StepAdvice
 StepSpec = _specs.StepSpec
 TERMINAL_STATES = _state.TERMINAL_STATES
@@ -40,6 +48,7 @@
 Workspace = _specs.Workspace
 acknowledged_completion = _poll_replies.acknowledged_completion
 add_job = _lifecycle.add_job
+adopt_snapshot = _run_time_records.adopt_snapshot
 apply_poll_reply = _poll_replies.apply_poll_reply
 apply_progress = _records.apply_progress
 begin_start = _starts.begin_start
@@ -47,19 +56,23 @@
 confirm_start = _poll_replies.confirm_start
 count_waiting_tasks = _waiting.count_waiting_tasks
 decode_job = _records.decode_job
+decode_run_times = _run_time_records.decode_run_times
+drop_run = _lifecycle.drop_run
 encode_ended_job = _records.encode_ended_job
 encode_job = _records.encode_job
 encode_progress = _records.encode_progress
-drop_run = _lifecycle.drop_run
+encode_run_times = _run_time_records.encode_run_times
 end_incarnation = _incarnations.end_incarnation
 end_run = _lifecycle.end_run
 evacuate = _supervision.evacuate
+expected_run_s = _expectations.expected_run_s
 expire_worker_lease = _poll_replies.expire_worker_lease
 find_stalled = _supervision.find_stalled
 former_incarnations = _incarnations.former_incarnations
 is_removable = _poll_replies.is_removable
 is_usable = _planning.is_usable
 lease_deadline_ms = _poll_replies.lease_deadline_ms
+list_run_times = _run_time_rows.list_run_times
 make_plan = _planning.make_plan
 may_send_start = _starts.may_send_start
 poll_lease_deadline_ms = _poll_replies.poll_lease_deadline_ms
@@ -69,6 +82,7 @@
 record_query = _advisor_queries.record_query
 record_query_result = _advisor_queries.record_query_result
 record_stop_answer = _stops.record_stop_answer
+refresh_run_times = _run_observations.refresh
 release_due_occurrences = _lifecycle.release_due_occurrences
 settle_crashes = _crashes.settle_crashes
 start_incarnation = _incarnations.start_incarnation
@@ -87,6 +101,7 @@
     "AdvisorQuery",
     "Crash",
     "EndedJob",
+    "Finding",
     "Job",
     "JobSpec",
     "JobState",
@@ -97,6 +112,7 @@
     "Pool",
     "Queue",
     "Run",
+    "RunTimes",
     "StepAdvice",
     "StepSpec",
     "TERMINAL_STATES",
@@ -109,6 +125,7 @@
     "Workspace",
     "acknowledged_completion",
     "add_job",
+    "adopt_snapshot",
     "apply_poll_reply",
     "apply_progress",
     "begin_start",
@@ -116,19 +133,23 @@
     "confirm_start",
     "count_waiting_tasks",
     "decode_job",
+    "decode_run_times",
+    "drop_run",
     "encode_ended_job",
     "encode_job",
     "encode_progress",
-    "drop_run",
+    "encode_run_times",
     "end_incarnation",
     "end_run",
     "evacuate",
+    "expected_run_s",
     "expire_worker_lease",
     "find_stalled",
     "former_incarnations",
     "is_removable",
     "is_usable",
     "lease_deadline_ms",
+    "list_run_times",
     "make_plan",
     "may_send_start",
     "poll_lease_deadline_ms",
@@ -138,6 +159,7 @@
     "record_query",
     "record_query_result",
     "record_stop_answer",
+    "refresh_run_times",
     "release_due_occurrences",
     "settle_crashes",
     "start_incarnation",
--- a/chestnuttide/workloads/_free_capacity.py
+++ b/chestnuttide/workloads/_free_capacity.py
@@ -5,6 +5,7 @@
 import attrs
 
 from chestnuttide import model
+from chestnuttide.workloads import _expectations
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
@@ -71,6 +72,8 @@
 
     Attributes
     ----------
+    pool : Pool
+        The pool.
     now : float
         Time of the round.
     top_priority : int
@@ -91,6 +94,7 @@
         Workers for trials of suspected units.
     """
 
+    pool: _state.Pool
     now: float
     top_priority: int
     workers: dict[str, _state.Worker]
@@ -112,6 +116,7 @@
     busy = used >= BUSY_SHARE * capacity
     spare = (1.0 - URGENT_RESERVE_SHARE) * capacity - used
     return CapacityView(
+        pool=pool,
         now=now,
         top_priority=pool.top_priority,
         workers={each.key: each for each in workers},
@@ -257,7 +262,7 @@
         return 0.0
     ending_runs = sorted(
         (
-            (expected_remaining_s(run, view.now), run)
+            (expected_remaining_s(view.pool, run, view.now), run)
             for run in worker.runs.values()
         ),
         key=lambda pair: pair[0],
@@ -271,7 +276,9 @@
     return math.inf
 
 
-def expected_remaining_s(run: _state.Run, now: float) -> float:
+def expected_remaining_s(
+    pool: _state.Pool, run: _state.Run, now: float
+) -> float:
     """Return the expected remaining run time in seconds."""
     step = _lifecycle.step_of(run.unit, run.job)
     if run.stopping:
@@ -279,12 +286,26 @@
     if step.lasting:
         return math.inf
     if run.phase != _state.Phase.RUNNING or run.percent <= 0:
-        return max(MIN_RUN_S, step.estimate_s)
+        return max(MIN_RUN_S, _expected_rest_s(pool, run, now))
     elapsed_s = max(0.0, run.progress_at - run.confirmed_at)
     expected_s = elapsed_s * (100.0 - run.percent) / run.percent
     return max(0.0, expected_s - (now - run.progress_at))
 
 
+def _expected_rest_s(pool: _state.Pool, run: _state.Run, now: float) -> float:
+    """Return the expected rest of a run without known progress."""
+    expected_s = _expectations.expected_run_s(
+        pool,
+        run.job.spec,
+        run.unit.key[1],
+        pool.workers.get(run.worker_key),
+        now=now,
+    )
+    if pool.run_times is None or run.phase != _state.Phase.RUNNING:
+        return expected_s
+    return expected_s - (now - run.confirmed_at)
+
+
 def score(worker: _state.Worker, demand: Demand) -> float:
     """Return the placement score of a worker; the lowest score wins."""
     step = demand.spec
@@ -308,7 +329,8 @@
         total += STEP_CROWDING_WEIGHT * taken
     if step.data_rack and step.data_rack != worker.report.rack:
         total += REMOTE_DATA_WEIGHT
-    return total + FAILURE_WEIGHT * worker.consecutive_failures
+    total += FAILURE_WEIGHT * worker.consecutive_failures
+    return total + worker.penalty
 
 
 def _prefers_empty_workers(worker: _state.Worker, demand: Demand) -> bool:
--- a/chestnuttide/workloads/_lifecycle.py
+++ b/chestnuttide/workloads/_lifecycle.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from chestnuttide.workloads import _run_observations
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
 
@@ -164,6 +165,7 @@
     _state.mark_changed(job)
     if unit.state in (_state.UnitState.DONE, _state.UnitState.FAILED):
         return
+    _run_observations.record_end(pool, run, result, now=now)
     checkpoint = checkpoint or run.checkpoint
     if checkpoint and step.checkpointable:
         unit.checkpoint = checkpoint
--- /dev/null
+++ b/chestnuttide/workloads/_run_time_rows.py
@@ -0,0 +1,81 @@
+"""Learned run times as rows for operators."""
+
+import math
+
+from chestnuttide import histograms
+from chestnuttide.workloads import _run_times
+from chestnuttide.workloads import _state
+
+# Rows of a service on the page.
+MAX_ROWS = 500
+
+
+def list_run_times(
+    pool: _state.Pool, *, now: float
+) -> list[dict[str, object]]:
+    """Return what is expected of each kind and of each worker."""
+    times = pool.run_times
+    if times is None:
+        return []
+    rows = [
+        _kind_row(pool.service, key, kind, now)
+        for key, kind in sorted(times.kinds.items())
+        if kind.ratios.weights
+    ]
+    rows += [
+        _worker_row(pool, times, key, now) for key in sorted(times.workers)
+    ]
+    return rows[:MAX_ROWS]
+
+
+def _kind_row(
+    service: str,
+    key: _run_times.KindKey,
+    kind: _run_times.Kind,
+    now: float,
+) -> dict[str, object]:
+    workspace, queue, step = key
+    median, p90 = histograms.quantiles(
+        kind.ratios, (0.5, 0.9), lower_bounds=kind.under_way
+    )
+    weight = sum(
+        _run_times.LOSS_DECAY**number
+        for number in range(int(min(kind.ratios.samples, 500)))
+    )
+    names = ("estimate", "kind", "job")
+    return {
+        "service": service,
+        "workspace": workspace,
+        "queue": queue,
+        "step": None if step == _run_times.ANY_STEP else step,
+        "median_by_estimate": round(median, 3),
+        "p90_by_estimate": round(p90, 3),
+        "runs": kind.runs,
+        "weight": round(_run_times.weight_of(kind, now), 2),
+        "under_way": len(kind.under_way),
+        "age_s": round(max(0.0, now - kind.updated_at), 1),
+        # Mean factor by which each expert is off.
+        "off_by": {
+            name: round(math.exp(loss / max(1.0, weight)), 3)
+            for name, loss in zip(names, kind.losses, strict=True)
+        },
+    }
+
+
+def _worker_row(
+    pool: _state.Pool, times: _run_times.RunTimes, key: str, now: float
+) -> dict[str, object]:
+    pace = times.workers[key]
+    worker = pool.workers.get(key)
+    speed = times.machines.get(pace.machine, _run_times.Speed())
+    ends = [end for end in pace.ends if now - end[0] <= _run_times.WINDOW_S]
+    return {
+        "service": pool.service,
+        "worker": key,
+        "speed": round(math.exp(-pace.log_slowness), 3),
+        "usual_speed": round(math.exp(-speed.log_slowness), 3),
+        "weight": round(speed.weight, 1),
+        "recent_ends": len(ends),
+        "recent_failures": sum(end[2] for end in ends),
+        "penalty": 0.0 if worker is None else round(worker.penalty, 2),
+    }
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -7,6 +7,7 @@
 import attrs
 
 from chestnuttide import model
+from chestnuttide.workloads import _run_times
 from chestnuttide.workloads import _specs
 
 
@@ -423,6 +424,9 @@
     lost_at : float
         Monotonic time at which its runs were ended because it was silent; 0
         while it answers.
+    penalty : float
+        Penalty of its placement score, because it is slower or fails more
+        runs than its like; see ``_worker_health``.
     """
 
     key: str
@@ -455,6 +459,7 @@
     known_since: float = 0.0
     broken_at: float = 0.0
     lost_at: float = 0.0
+    penalty: float = 0.0
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -506,6 +511,9 @@
         worker id. A later incarnation could still execute the start.
     crashed_units : dict of (str, (int, int, int)) to (Job, Unit)
         Units under whose runs workers have crashed, by job and unit.
+    run_times : RunTimes or None
+        Learned run times and worker speeds; None if estimates are used as
+        they are.
     """
 
     service: str
@@ -519,6 +527,7 @@
     crashed_units: dict[tuple[str, UnitKey], tuple[Job, Unit]] = attrs.field(
         factory=dict
     )
+    run_times: _run_times.RunTimes | None = None
 
 
 def worker_key(report: _specs.WorkerReport) -> str:
--- a/chestnuttide/workloads/_supervision.py
+++ b/chestnuttide/workloads/_supervision.py
@@ -3,7 +3,9 @@
 import collections.abc
 import math
 
+from chestnuttide.workloads import _expectations
 from chestnuttide.workloads import _lifecycle
+from chestnuttide.workloads import _run_observations
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
 
@@ -16,6 +18,10 @@
 STALL_ESTIMATE_SHARE = 0.15
 STALL_FACTOR = 6.0
 
+# Share of the runs of a learned kind that take less than the time that stands
+# for the estimate where it is longer.
+STALL_LEARNED_SHARE = 0.9
+
 # The limit doubles with each run of the unit that was stopped, as estimates
 # may be wrong by any factor. This is the highest power of two.
 MAX_STALL_DOUBLINGS = 12
@@ -71,12 +77,14 @@
         if worker.failed_polls or not worker.last_reply_at:
             continue
         for run in worker.runs.values():
-            if _is_stalled(run, worker, now):
+            if _is_stalled(pool, run, worker, now):
                 stalled.append(run)
     return stalled
 
 
-def _is_stalled(run: _state.Run, worker: _state.Worker, now: float) -> bool:
+def _is_stalled(
+    pool: _state.Pool, run: _state.Run, worker: _state.Worker, now: float
+) -> bool:
     if run.stopping or run.phase != _state.Phase.RUNNING:
         return False
     step = _lifecycle.step_of(run.unit, run.job)
@@ -94,18 +102,27 @@
     elif step.filler and run.speed_percent < 100:
         limit_s = math.inf
     else:
-        limit_s = _stall_limit_s(run, step)
+        limit_s = _stall_limit_s(pool, run, step, now)
     doublings = min(run.unit.stalls, MAX_STALL_DOUBLINGS)
     return stalled_s > limit_s * 2**doublings
 
 
-def _stall_limit_s(run: _state.Run, step: _specs.StepSpec) -> float:
-    """Return for how long a run may make no progress, in seconds."""
+def _stall_limit_s(
+    pool: _state.Pool, run: _state.Run, step: _specs.StepSpec, now: float
+) -> float:
+    """Return for how long a run may make no progress, in seconds.
+
+    A learned kind raises the limit of tasks that take longer than estimated.
+    It never lowers it, as a run that is stopped too soon is work lost.
+    """
     elapsed_s = run.progress_at - run.confirmed_at
+    learned_s = _expectations.long_run_s(
+        pool, run, STALL_LEARNED_SHARE, now=now
+    )
     average_percent_s = elapsed_s / max(run.percent, 1.0)
     return max(
         STALL_S,
-        STALL_ESTIMATE_SHARE * step.estimate_s,
+        STALL_ESTIMATE_SHARE * max(step.estimate_s, learned_s or 0.0),
         STALL_FACTOR * max(average_percent_s, run.slowest_percent_s),
     )
 
@@ -117,6 +134,7 @@
     worker = pool.workers[run.worker_key]
     if not unit.stalls:
         worker.stalls += 1
+        _run_observations.record_stall(pool, run, worker, now=now)
         if worker.stalls >= QUARANTINE_STALLS:
             worker.quarantined_until = now + STALL_QUARANTINE_S
     if not run.stopping:
