--- a/chestnuttide/histograms/_decaying.py
+++ b/chestnuttide/histograms/_decaying.py
@@ -113,14 +113,16 @@
     bucket = 0
     buckets = iter(sorted(histogram.weights.keys() | censored.keys()))
     for share in shares:
-        while 1.0 - above < share - 1e-9 and at_risk > 0.0:
+        while 1.0 - above < share - 1e-9:
             next_bucket = next(buckets, None)
             if next_bucket is None:
                 bucket = _open_bucket(histogram, censored, share)
                 break
             bucket = next_bucket
             ended = histogram.weights.get(bucket, 0.0)
-            above *= max(0.0, 1.0 - ended / at_risk)
+            if ended:
+                # Rounding may leave less at risk than ends here.
+                above *= 1.0 - ended / at_risk if at_risk > ended else 0.0
             at_risk -= ended + censored.get(bucket, 0.0)
         values_at.append(math.exp(bucket * _LOG_RATIO))
     return tuple(values_at)
--- a/chestnuttide/node/_run_time_snapshots.py
+++ b/chestnuttide/node/_run_time_snapshots.py
@@ -91,7 +91,7 @@
         "Run times of the former owner are known.",
         service=owner.service,
         kinds=len(stored.kinds),
-        machines=len(stored.machines),
+        machines=len(stored.speeds.machines),
     )
 
 
--- a/chestnuttide/workloads/_expectations.py
+++ b/chestnuttide/workloads/_expectations.py
@@ -42,11 +42,11 @@
     key = (spec.workspace, spec.queue.name, step)
     log = _run_times.predict_log(times, key, spec.id, now=now or 0.0)
     if worker is None:
-        log += times.typical_log_slowness
+        log += times.speeds.typical_log_slowness
     else:
         log += _run_observations.slowness_of(times, worker)
         if _run_observations.is_far(task, worker):
-            log += times.far.log_slowness
+            log += times.speeds.far.log_slowness
     return task.estimate_s * math.exp(log)
 
 
@@ -71,5 +71,5 @@
         return None
     log = _run_observations.slowness_of(times, worker)
     if _run_observations.is_far(step, worker):
-        log += times.far.log_slowness
+        log += times.speeds.far.log_slowness
     return step.estimate_s * ratio * math.exp(log)
--- a/chestnuttide/workloads/_run_observations.py
+++ b/chestnuttide/workloads/_run_observations.py
@@ -10,6 +10,7 @@
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
 from chestnuttide.workloads import _worker_health
+from chestnuttide.workloads import _worker_speeds
 
 # A run under way is a lower bound from this ratio of its time so far by the
 # estimate. Earlier ones say nothing.
@@ -31,11 +32,11 @@
 
 def slowness_of(times: _run_times.RunTimes, worker: _state.Worker) -> float:
     """Return the logarithm of a worker's slowness."""
-    pace = times.workers.get(worker.key)
+    pace = times.speeds.workers.get(worker.key)
     if pace is not None:
         return pace.log_slowness
-    return _run_times.prior_log_slowness(
-        times,
+    return _worker_speeds.prior_log_slowness(
+        times.speeds,
         machine=worker.report.id,
         labels=_kind_labels(worker),
     )
@@ -48,11 +49,11 @@
 
 def _pace_of(
     times: _run_times.RunTimes, worker: _state.Worker
-) -> _run_times.Pace:
-    pace = times.workers.get(worker.key)
+) -> _worker_speeds.Pace:
+    pace = times.speeds.workers.get(worker.key)
     if pace is None:
-        pace = _run_times.add_worker(
-            times, worker.key, worker.report.id, _kind_labels(worker)
+        pace = _worker_speeds.add_worker(
+            times.speeds, worker.key, worker.report.id, _kind_labels(worker)
         )
     return pace
 
@@ -189,8 +190,10 @@
     times = pool.run_times
     if times is None:
         return []
-    for key in [key for key in times.workers if key not in pool.workers]:
-        del times.workers[key]
+    for key in [
+        key for key in times.speeds.workers if key not in pool.workers
+    ]:
+        del times.speeds.workers[key]
     for key in [key for key in times.jobs if key[0] not in pool.active]:
         del times.jobs[key]
     overdue = _refresh_bounds(pool, times, now)
@@ -222,7 +225,7 @@
         job_key = (run.job.spec.id, key[2])
         log = math.log(ratio) - slowness_of(times, worker)
         if is_far(step, worker):
-            log -= times.far.log_slowness
+            log -= times.speeds.far.log_slowness
         for level in _run_times.levels(key):
             bounds[level].append((math.exp(log), 1.0 / step.count))
         steps[job_key].append(log)
--- a/chestnuttide/workloads/_run_time_records.py
+++ b/chestnuttide/workloads/_run_time_records.py
@@ -7,6 +7,7 @@
 from chestnuttide import errors
 from chestnuttide import histograms
 from chestnuttide.workloads import _run_times
+from chestnuttide.workloads import _worker_speeds
 
 _FORMAT_VERSION = 1
 
@@ -40,9 +41,12 @@
     ][-MAX_KINDS:]
     machines = [
         [name, round(speed.log_slowness, 3), round(speed.weight, 1)]
-        for name, speed in times.machines.items()
+        for name, speed in times.speeds.machines.items()
     ][-MAX_MACHINES:]
-    far = [round(times.far.log_slowness, 3), round(times.far.weight, 1)]
+    far = [
+        round(times.speeds.far.log_slowness, 3),
+        round(times.speeds.far.weight, 1),
+    ]
     while True:
         value = cbor2.dumps([_FORMAT_VERSION, kinds, machines, far])
         if len(value) <= MAX_BYTES:
@@ -83,11 +87,13 @@
             raise ValueError("it lists too many kinds or machines")
         return _run_times.RunTimes(
             kinds=dict(_decode_kind(row, now) for row in kinds),
-            machines={
-                _text(name): _decode_speed(log, weight)
-                for name, log, weight, *_ in machines
-            },
-            far=_decode_speed(*far[:2]),
+            speeds=_worker_speeds.Speeds(
+                machines={
+                    _text(name): _decode_speed(log, weight)
+                    for name, log, weight, *_ in machines
+                },
+                far=_decode_speed(*far[:2]),
+            ),
         )
 
 
@@ -123,9 +129,9 @@
     return (_text(workspace), _text(queue), step), kind
 
 
-def _decode_speed(log: object, weight: object) -> _run_times.Speed:
-    limit = math.log(_run_times.MAX_SLOWNESS) + 0.01
-    return _run_times.Speed(
+def _decode_speed(log: object, weight: object) -> _worker_speeds.Speed:
+    limit = math.log(_worker_speeds.MAX_SLOWNESS) + 0.01
+    return _worker_speeds.Speed(
         log_slowness=_number(log, -limit, limit),
         weight=_number(weight, 0.0, _MAX_SAMPLES),
     )
@@ -151,7 +157,7 @@
 ) -> None:
     """Add what a former owner has learned to what this one knows already."""
     times.kinds = stored.kinds | times.kinds
-    times.machines = stored.machines | times.machines
-    if not times.far.weight:
-        times.far = stored.far
+    times.speeds.machines = stored.speeds.machines | times.speeds.machines
+    if not times.speeds.far.weight:
+        times.speeds.far = stored.speeds.far
     _run_times.refresh(times, now=now)
--- a/chestnuttide/workloads/_run_time_rows.py
+++ b/chestnuttide/workloads/_run_time_rows.py
@@ -5,6 +5,7 @@
 from chestnuttide import histograms
 from chestnuttide.workloads import _run_times
 from chestnuttide.workloads import _state
+from chestnuttide.workloads import _worker_speeds
 
 # Rows of a service on the page.
 MAX_ROWS = 500
@@ -23,7 +24,8 @@
         if kind.ratios.weights
     ]
     rows += [
-        _worker_row(pool, times, key, now) for key in sorted(times.workers)
+        _worker_row(pool, times, key, now)
+        for key in sorted(times.speeds.workers)
     ]
     return rows[:MAX_ROWS]
 
@@ -65,10 +67,12 @@
 def _worker_row(
     pool: _state.Pool, times: _run_times.RunTimes, key: str, now: float
 ) -> dict[str, object]:
-    pace = times.workers[key]
+    pace = times.speeds.workers[key]
     worker = pool.workers.get(key)
-    speed = times.machines.get(pace.machine, _run_times.Speed())
-    ends = [end for end in pace.ends if now - end[0] <= _run_times.WINDOW_S]
+    speed = times.speeds.machines.get(pace.machine, _worker_speeds.Speed())
+    ends = [
+        end for end in pace.ends if now - end[0] <= _worker_speeds.WINDOW_S
+    ]
     return {
         "service": pool.service,
         "worker": key,
--- a/chestnuttide/workloads/_run_times.py
+++ b/chestnuttide/workloads/_run_times.py
@@ -15,6 +15,7 @@
 import attrs
 
 from chestnuttide import histograms
+from chestnuttide.workloads import _worker_speeds
 
 # Workspace, queue and number of the step; "" and `ANY_STEP` for all of them.
 KindKey: typing.TypeAlias = tuple[str, str, int]
@@ -23,9 +24,6 @@
 # Limit of a correction of an estimate, as a factor either way.
 MAX_CORRECTION: typing.Final = 16.0
 
-# Limit of a worker's speed, as a factor either way.
-MAX_SLOWNESS: typing.Final = 4.0
-
 # A kind with this many samples weighs as much as the wider kind. Tasks of one
 # step share the weight of one sample, as they depend on each other.
 PRIOR_SAMPLES: typing.Final = 4.0
@@ -44,34 +42,17 @@
 LOSS_DECAY: typing.Final = 0.98
 LOSS_RATE: typing.Final = 1.0
 
+# Weight of a comparison with the kind instead of tasks of the same step.
+KIND_COMPARISON_WEIGHT: typing.Final = 0.15
+
 # Kinds and jobs kept; the ones used longest ago are dropped.
 MAX_KINDS: typing.Final = 512
 MAX_JOBS: typing.Final = 2000
-MAX_MACHINES: typing.Final = 2000
 
-# Ended runs kept for a job's step, and for a worker.
+# Ended runs kept for a job's step.
 JOB_RUNS: typing.Final = 15
-WORKER_RUNS: typing.Final = 24
-
-# Runs within this time show a worker's present speed, in seconds.
-WINDOW_S: typing.Final = 6.0
-
-# Weight of a worker's long-run speed beside its samples in the window.
-SPEED_PRIOR_WEIGHT: typing.Final = 1.5
-
-# Weight of a comparison with the kind instead of tasks of the same step.
-KIND_COMPARISON_WEIGHT: typing.Final = 0.15
-
-# Least rate at which a long-run speed follows a sample, and the largest
-# difference that counts, so that a slow spell of seconds moves it little.
-SPEED_RATE: typing.Final = 0.05
-SPEED_CLIP: typing.Final = 0.7
-
-# Assumed factor of a task off its data's rack until some have been seen.
-FAR_FACTOR: typing.Final = 2.0
 
 _MAX_LOG: typing.Final = math.log(MAX_CORRECTION)
-_MAX_SLOW_LOG: typing.Final = math.log(MAX_SLOWNESS)
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -128,54 +109,6 @@
     log_bound: float | None = None
 
 
-@attrs.define(kw_only=True, slots=True)
-class Speed:
-    """Long-run speed of a machine, as the logarithm of its slowness.
-
-    Attributes
-    ----------
-    log_slowness : float
-        Logarithm of the run time by that on a machine of speed 1.
-    weight : float
-        Sum of the weights of its samples.
-    """
-
-    log_slowness: float = 0.0
-    weight: float = 0.0
-
-
-@attrs.define(kw_only=True, slots=True)
-class Pace:
-    """Recent runs of a worker incarnation.
-
-    Attributes
-    ----------
-    machine : str
-        Id of its machine.
-    labels : frozenset of str
-        Labels that may tell its kind.
-    samples : deque of (float, float, float)
-        Time, log slowness against the tasks it is compared with, and weight.
-    ends : deque of (float, str, bool)
-        Time, job, and whether the run failed.
-    log_slowness : float
-        Slowness at the last refresh.
-    penalty : float
-        Penalty of its placement score; see ``_worker_health``.
-    """
-
-    machine: str
-    labels: frozenset[str] = frozenset()
-    samples: collections.deque[tuple[float, float, float]] = attrs.field(
-        factory=lambda: collections.deque(maxlen=WORKER_RUNS)
-    )
-    ends: collections.deque[tuple[float, str, bool]] = attrs.field(
-        factory=lambda: collections.deque(maxlen=WORKER_RUNS)
-    )
-    log_slowness: float = 0.0
-    penalty: float = 0.0
-
-
 @attrs.define(kw_only=True, slots=True, eq=False)
 class RunTimes:
     """Learned run times of a service.
@@ -186,18 +119,12 @@
         Kinds of tasks, the one used longest ago first.
     jobs : dict of (str, int) to JobRuns
         Ended runs by job and step.
-    machines : dict of str to Speed
-        Long-run speeds by id of the machine.
-    labels : dict of str to float
-        Log slowness of the machines of a label at the last refresh.
-    workers : dict of str to Pace
-        Recent runs by worker incarnation.
-    far : Speed
-        Log slowness of tasks off their data's rack.
+    speeds : Speeds
+        Speeds of the workers.
     predictions : dict of (str, int) to float
         Predictions since the last refresh, by job and step.
-    typical_log_slowness : float
-        Mean over the measured workers at the last refresh.
+    kind_logs : dict of KindKey to float
+        The same for kinds, without the experts' weights.
     samples : int
         Number of ended runs that were learned from, by this owner.
     counts : Counter of str
@@ -206,14 +133,9 @@
 
     kinds: dict[KindKey, Kind] = attrs.field(factory=dict)
     jobs: dict[tuple[str, int], JobRuns] = attrs.field(factory=dict)
-    machines: dict[str, Speed] = attrs.field(factory=dict)
-    labels: dict[str, float] = attrs.field(factory=dict)
-    workers: dict[str, Pace] = attrs.field(factory=dict)
-    far: Speed = attrs.field(
-        factory=lambda: Speed(log_slowness=math.log(FAR_FACTOR))
-    )
+    speeds: _worker_speeds.Speeds = attrs.field(factory=_worker_speeds.Speeds)
     predictions: dict[tuple[str, int], float] = attrs.field(factory=dict)
-    typical_log_slowness: float = 0.0
+    kind_logs: dict[KindKey, float] = attrs.field(factory=dict)
     samples: int = 0
     counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
@@ -260,7 +182,7 @@
     runs = times.jobs.get((job_id, key[2]))
     if runs is not None and runs.log_bound is not None:
         mixed = max(mixed, runs.log_bound)
-    predicted = clamp(mixed, _MAX_LOG)
+    predicted = _worker_speeds.clamp(mixed, _MAX_LOG)
     times.predictions[(job_id, key[2])] = predicted
     _trim(times.predictions, MAX_JOBS)
     return predicted
@@ -269,14 +191,10 @@
 def _experts(
     times: RunTimes, key: KindKey, job_id: str, now: float
 ) -> tuple[float, float, float]:
-    of_kind = 0.0
-    for level in levels(key):
-        kind = times.kinds.get(level)
-        if kind is not None:
-            weight = weight_of(kind, now)
-            of_kind = (weight * kind.log_median + PRIOR_SAMPLES * of_kind) / (
-                weight + PRIOR_SAMPLES
-            )
+    of_kind = times.kind_logs.get(key)
+    if of_kind is None:
+        of_kind = times.kind_logs[key] = _kind_log(times, key, now)
+        _trim(times.kind_logs, MAX_KINDS)
     of_job = of_kind
     runs = times.jobs.get((job_id, key[2]))
     if runs is not None and runs.logs:
@@ -287,6 +205,19 @@
     return (0.0, of_kind, of_job)
 
 
+def _kind_log(times: RunTimes, key: KindKey, now: float) -> float:
+    """Return what a kind has shown, shrunk towards the wider kinds."""
+    log = 0.0
+    for level in levels(key):
+        kind = times.kinds.get(level)
+        if kind is not None:
+            weight = weight_of(kind, now)
+            log = (weight * kind.log_median + PRIOR_SAMPLES * log) / (
+                weight + PRIOR_SAMPLES
+            )
+    return log
+
+
 def _losses(times: RunTimes, key: KindKey) -> list[float]:
     for level in reversed(levels(key)):
         kind = times.kinds.get(level)
@@ -302,21 +233,6 @@
     return sum(w * e for w, e in zip(weights, experts, strict=True)) / total
 
 
-def prior_log_slowness(
-    times: RunTimes, machine: str, labels: frozenset[str]
-) -> float:
-    """Return the slowness of a machine, shrunk towards that of its labels."""
-    known = [times.labels[each] for each in labels if each in times.labels]
-    like = statistics.fmean(known) if known else 0.0
-    speed = times.machines.get(machine)
-    if speed is None:
-        return like
-    total = speed.weight + SPEED_PRIOR_WEIGHT
-    return (
-        speed.weight * speed.log_slowness + SPEED_PRIOR_WEIGHT * like
-    ) / total
-
-
 @attrs.frozen(kw_only=True, slots=True)
 class Sample:
     """An ended run.
@@ -357,12 +273,14 @@
 
 def record_sample(times: RunTimes, sample: Sample) -> None:
     """Learn from an ended run."""
-    far = times.far.log_slowness if sample.far else 0.0
-    ratio_log = clamp(math.log(max(1e-6, sample.ratio)), 2 * _MAX_LOG)
+    far = times.speeds.far.log_slowness if sample.far else 0.0
+    ratio_log = _worker_speeds.clamp(
+        math.log(max(1e-6, sample.ratio)), 2 * _MAX_LOG
+    )
     normal = ratio_log - sample.log_slowness - far
     experts = _experts(times, sample.key, sample.job_id, sample.now)
     weight = 1.0 / max(1, sample.width)
-    _record_pace(times, sample, ratio_log, experts[1])
+    _record_speed(times, sample, ratio_log, experts[1])
     runs = times.jobs.setdefault((sample.job_id, sample.key[2]), JobRuns())
     runs.logs.append(normal)
     runs.log_median = statistics.median(runs.logs)
@@ -387,7 +305,7 @@
     times.counts["learned"] += 1
 
 
-def _record_pace(
+def _record_speed(
     times: RunTimes, sample: Sample, ratio_log: float, of_kind: float
 ) -> None:
     """Compare a run with other tasks of its step, or else with its kind."""
@@ -402,98 +320,37 @@
         if kind is None or kind.ratios.samples < MIN_KIND_SAMPLES:
             return
         expected, weight = of_kind, KIND_COMPARISON_WEIGHT
-    slowness = clamp(ratio_log - expected, 2 * _MAX_SLOW_LOG)
+    slowness = ratio_log - expected
     if sample.far:
-        _follow(times.far, slowness - sample.log_slowness, weight)
-        times.far.log_slowness = max(0.0, times.far.log_slowness)
+        _worker_speeds.record_far_run(
+            times.speeds, slowness - sample.log_slowness, weight=weight
+        )
         return
-    pace = times.workers.get(sample.worker_key)
+    pace = times.speeds.workers.get(sample.worker_key)
     if pace is None:
-        pace = add_worker(
-            times, sample.worker_key, sample.machine, sample.labels
+        pace = _worker_speeds.add_worker(
+            times.speeds, sample.worker_key, sample.machine, sample.labels
         )
-    pace.samples.append((sample.now, slowness, weight))
-    speed = times.machines.pop(sample.machine, None) or Speed()
-    times.machines[sample.machine] = speed
-    _follow(speed, slowness, weight)
-    _trim(times.machines, MAX_MACHINES)
-
-
-def add_worker(
-    times: RunTimes, key: str, machine: str, labels: frozenset[str]
-) -> Pace:
-    """Add a worker incarnation that is not known yet."""
-    pace = times.workers[key] = Pace(
-        machine=machine,
-        labels=labels,
-        log_slowness=prior_log_slowness(times, machine, labels),
-    )
-    return pace
-
-
-def _follow(speed: Speed, slowness: float, weight: float) -> None:
-    rate = weight * max(SPEED_RATE, 1.0 / (1.0 + speed.weight))
-    change = clamp(slowness - speed.log_slowness, SPEED_CLIP)
-    speed.log_slowness = clamp(
-        speed.log_slowness + rate * change, _MAX_SLOW_LOG
+    _worker_speeds.record_run(
+        times.speeds, pace, slowness, weight=weight, now=sample.now
     )
-    speed.weight += weight
 
 
 def refresh(times: RunTimes, *, now: float) -> None:
-    """Update medians, speeds and the means of labels."""
+    """Update the medians of kinds and the speeds of workers."""
     times.predictions.clear()
+    times.kind_logs.clear()
     _trim(times.kinds, MAX_KINDS)
     for kind in times.kinds.values():
         if kind.ratios.weights or kind.under_way:
             (median,) = histograms.quantiles(
                 kind.ratios, (0.5,), lower_bounds=kind.under_way
             )
-            kind.log_median = clamp(math.log(median), _MAX_LOG)
+            kind.log_median = _worker_speeds.clamp(math.log(median), _MAX_LOG)
         kind.overdue_weight = sum(
             weight for ratio, weight in kind.under_way if ratio > 1.0
         )
-    by_label: dict[str, list[float]] = {}
-    for pace in times.workers.values():
-        speed = times.machines.get(pace.machine)
-        if speed is not None:
-            for label in pace.labels:
-                by_label.setdefault(label, []).append(speed.log_slowness)
-    times.labels = {
-        # Few machines of a label say little about the next one.
-        label: sum(logs) / (len(logs) + PRIOR_SAMPLES)
-        for label, logs in by_label.items()
-    }
-    measured = []
-    for pace in times.workers.values():
-        prior = prior_log_slowness(times, pace.machine, pace.labels)
-        median, weight = recent_slowness(pace, now=now)
-        pace.log_slowness = clamp(
-            (weight * median + SPEED_PRIOR_WEIGHT * prior)
-            / (weight + SPEED_PRIOR_WEIGHT),
-            _MAX_SLOW_LOG,
-        )
-        if pace.machine in times.machines:
-            measured.append(pace.log_slowness)
-    times.typical_log_slowness = sum(measured) / (
-        len(measured) + PRIOR_SAMPLES
-    )
-
-
-def recent_slowness(pace: Pace, *, now: float) -> tuple[float, float]:
-    """Return the weighted median of a worker's recent runs, and the weight."""
-    recent = sorted(
-        (slowness, weight)
-        for at, slowness, weight in pace.samples
-        if now - at <= WINDOW_S
-    )
-    total = sum(weight for _, weight in recent)
-    below = 0.0
-    for slowness, weight in recent:
-        below += weight
-        if below >= total / 2:
-            return slowness, total
-    return 0.0, 0.0
+    _worker_speeds.refresh(times.speeds, now=now)
 
 
 def upper_ratio(
@@ -517,11 +374,6 @@
     return None
 
 
-def clamp(value: float, limit: float) -> float:
-    """Return the value within plus or minus a limit."""
-    return max(-limit, min(limit, value))
-
-
 def _trim(items: dict, limit: int) -> None:
     """Drop the items that were added longest ago."""
     while len(items) > limit:
--- a/chestnuttide/workloads/_worker_health.py
+++ b/chestnuttide/workloads/_worker_health.py
@@ -15,6 +15,7 @@
 import attrs
 
 from chestnuttide.workloads import _run_times
+from chestnuttide.workloads import _worker_speeds
 
 # At most this share of a service's workers has a penalty, whatever is
 # measured; a service of fewer than MIN_WORKERS has none with one.
@@ -67,7 +68,7 @@
 
 
 def record_end(
-    pace: _run_times.Pace, job_id: str, *, failed: bool, now: float
+    pace: _worker_speeds.Pace, job_id: str, *, failed: bool, now: float
 ) -> None:
     """Record an ended, failed or stalled run of a worker."""
     pace.ends.append((now, job_id, failed))
@@ -111,8 +112,10 @@
     times: _run_times.RunTimes, now: float
 ) -> collections.abc.Iterator[Finding]:
     windows = {
-        key: [end for end in pace.ends if now - end[0] <= _run_times.WINDOW_S]
-        for key, pace in times.workers.items()
+        key: [
+            end for end in pace.ends if now - end[0] <= _worker_speeds.WINDOW_S
+        ]
+        for key, pace in times.speeds.workers.items()
     }
     runs = sum(map(len, windows.values()))
     failures = sum(end[2] for ends in windows.values() for end in ends)
@@ -138,11 +141,11 @@
     now: float,
 ) -> collections.abc.Iterator[Finding]:
     slowdowns: dict[str, tuple[float, float, float]] = {}
-    for key, pace in times.workers.items():
+    for key, pace in times.speeds.workers.items():
         recent = [
             sample
             for sample in pace.samples
-            if now - sample[0] <= _run_times.WINDOW_S
+            if now - sample[0] <= _worker_speeds.WINDOW_S
         ]
         late = [
             (now, slowness, OVERDUE_WEIGHT)
@@ -153,7 +156,7 @@
         weight = sum(row[2] for row in rows)
         if not rows or weight < MIN_WEIGHT / 2:
             continue
-        speed = times.machines.get(pace.machine)
+        speed = times.speeds.machines.get(pace.machine)
         usual = speed.log_slowness if speed is not None else 0.0
         slowdown = statistics.median(row[1] for row in rows) - usual
         slowdowns[key] = (slowdown, weight, now - rows[-1][0])
@@ -171,7 +174,7 @@
     key: str, cause: str, penalty: float, age_s: float
 ) -> Finding:
     """Return a finding whose penalty fades with the age of its evidence."""
-    left = max(0.0, 1.0 - age_s / _run_times.WINDOW_S)
+    left = max(0.0, 1.0 - age_s / _worker_speeds.WINDOW_S)
     return Finding(
         worker_key=key, cause=cause, penalty=min(MAX_PENALTY, penalty) * left
     )
--- a/chestnuttide/workloads/tests/_run_time_load.py
+++ b/chestnuttide/workloads/tests/_run_time_load.py
@@ -79,7 +79,7 @@
                 )
                 if rng.random() < load.tail_share:
                     ratio *= load.tail_factor
-                pace = times.workers.get(f"w{worker}")
+                pace = times.speeds.workers.get(f"w{worker}")
                 known = 0.0 if pace is None else pace.log_slowness
                 errors.estimate.append(abs(math.log(ratio)))
                 errors.learned.append(abs(math.log(ratio) - log - known))
--- a/chestnuttide/workloads/tests/test_run_times.py
+++ b/chestnuttide/workloads/tests/test_run_times.py
@@ -12,6 +12,7 @@
 from chestnuttide.workloads import _run_times
 from chestnuttide.workloads import _supervision
 from chestnuttide.workloads import _worker_health
+from chestnuttide.workloads import _worker_speeds
 from chestnuttide.workloads.tests import _pool_fixtures
 from chestnuttide.workloads.tests import _run_time_load
 
@@ -97,6 +98,7 @@
     _run_time_load.play(times, load)
     key = ("", "q", 0)
     soon = _run_times.predict_log(times, key, "a", now=60.0)
+    _run_times.refresh(times, now=20_000.0)
     later = _run_times.predict_log(times, key, "b", now=20_000.0)
     assert soon > math.log(6.0)
     assert later < math.log(1.5)
@@ -118,11 +120,13 @@
     times = workloads.RunTimes()
     load = _run_time_load.Load(slowness=UNEVEN, job_spread=0.75)
     _run_time_load.play(times, load)
-    slow = times.workers["w0"].log_slowness
-    fast = times.workers["w1"].log_slowness
+    slow = times.speeds.workers["w0"].log_slowness
+    fast = times.speeds.workers["w1"].log_slowness
     assert math.exp(slow - fast) == pytest.approx(1.82 / 0.83, rel=0.25)
     # A new incarnation starts from its machine's speed.
-    again = _run_times.add_worker(times, "w0@2", "m0", frozenset({"a"}))
+    again = _worker_speeds.add_worker(
+        times.speeds, "w0@2", "m0", frozenset({"a"})
+    )
     assert again.log_slowness == pytest.approx(slow, abs=0.3)
 
 
@@ -135,8 +139,8 @@
     failed: bool = False,
     job: str = "j",
 ) -> None:
-    pace = times.workers.get(f"w{worker}") or _run_times.add_worker(
-        times, f"w{worker}", f"m{worker}", frozenset()
+    pace = times.speeds.workers.get(f"w{worker}") or _worker_speeds.add_worker(
+        times.speeds, f"w{worker}", f"m{worker}", frozenset()
     )
     pace.samples.append((now, slowness, 0.9))
     _worker_health.record_end(pace, job, failed=failed, now=now)
@@ -154,7 +158,7 @@
     failing: frozenset[int] = frozenset(),
     workers: int = 10,
 ) -> _run_times.RunTimes:
-    """Let each worker end six runs in 3 s, of which a failing one fails half."""
+    """Let each worker end six runs; a failing one fails half of them."""
     times = workloads.RunTimes()
     for number in range(6):
         for worker in range(workers):
@@ -339,8 +343,8 @@
     ) == pytest.approx(
         _run_times.predict_log(times, key, "a", now=70.0), abs=0.1
     )
-    assert successor.machines["m0"].log_slowness == pytest.approx(
-        times.machines["m0"].log_slowness, abs=0.01
+    assert successor.speeds.machines["m0"].log_slowness == pytest.approx(
+        times.speeds.machines["m0"].log_slowness, abs=0.01
     )
 
 
@@ -395,7 +399,7 @@
     assert len(runs) == 2
     _pool_fixtures.complete_run(pool, runs[0], "done")
     assert pool.run_times.counts["learned"] == 1
-    assert not pool.run_times.machines
+    assert not pool.run_times.speeds.machines
 
 
 def test_work_off_its_data_is_told_apart_from_a_slow_worker() -> None:
@@ -417,7 +421,10 @@
             )
         workloads.refresh_run_times(pool, now=now + 4.0)
     times = pool.run_times
-    assert math.exp(times.far.log_slowness) == pytest.approx(3.0, rel=0.25)
+    assert math.exp(times.speeds.far.log_slowness) == pytest.approx(
+        3.0, rel=0.25
+    )
     assert all(
-        abs(speed.log_slowness) < 0.3 for speed in times.machines.values()
+        abs(speed.log_slowness) < 0.3
+        for speed in times.speeds.machines.values()
     )
