--- a/chestnuttide/workloads/tests/test_run_times.py
+++ b/chestnuttide/workloads/tests/test_run_times.py
@@ -231,7 +231,7 @@
 ) -> list[workloads.Run]:
     _pool_fixtures.submit(
         pool,
-        _pool_fixtures.make_step(estimate_s=1.0, **fields),
+        _pool_fixtures.make_step(**{"estimate_s": 1.0} | fields),
         job_id=f"{number:016x}",
         now=now,
     )
@@ -259,23 +259,24 @@
     assert workloads.expected_run_s(pool, spec, 0, worker) == 1.0
 
 
-@pytest.mark.parametrize("actual_s", [0.1, 1.0, 40.0])
+@pytest.mark.parametrize("actual_s", [1.0, 40.0, 90.0])
 def test_the_stall_limit_is_never_lowered(actual_s: float) -> None:
     """Guards against runs that are stopped because others were shorter."""
     pool = _learning_pool()
     for number in range(20):
-        now = 100.0 * number + 1.0
-        for run in _start(pool, number, now=now):
+        now = 20.0 * number + 1.0
+        for run in _start(pool, number, now=now, estimate_s=40.0):
             _pool_fixtures.complete_run(
                 pool, run, "done", sent_at=now + actual_s
             )
         workloads.refresh_run_times(pool, now=now + actual_s)
-    (run,) = _start(pool, 99, now=2000.0)
+    (run,) = _start(pool, 99, now=500.0, estimate_s=40.0)
     step = run.job.spec.steps[0]
-    learned = _supervision._stall_limit_s(pool, run, step, 2000.0)
+    learned = _supervision._stall_limit_s(pool, run, step, 500.0)
     pool.run_times = None
-    unlearned = _supervision._stall_limit_s(pool, run, step, 2000.0)
+    unlearned = _supervision._stall_limit_s(pool, run, step, 500.0)
     assert learned >= unlearned
+    assert (learned > unlearned) == (actual_s > 80.0)
 
 
 def test_long_tasks_are_learned_before_the_first_ends() -> None:
