--- a/chestnuttide/workloads/tests/test_run_times.py
+++ b/chestnuttide/workloads/tests/test_run_times.py
@@ -430,3 +430,22 @@
         abs(speed.log_slowness) < 0.3
         for speed in times.speeds.machines.values()
     )
+
+
+def test_operators_see_kinds_and_workers() -> None:
+    """Guards against learning that nobody can check."""
+    pool = _learning_pool()
+    for number in range(12):
+        now = 10.0 * number + 1.0
+        for run in _start(pool, number, now=now, count=3):
+            _pool_fixtures.complete_run(pool, run, "done", sent_at=now + 5.0)
+        workloads.refresh_run_times(pool, now=now + 6.0)
+    rows = workloads.list_run_times(pool, now=130.0)
+    kind = next(row for row in rows if row.get("step") == 0)
+    assert kind["runs"] == 36
+    assert kind["median_by_estimate"] == pytest.approx(5.0, rel=0.1)
+    assert kind["off_by"]["estimate"] > 2 * kind["off_by"]["job"]
+    workers = [row for row in rows if "worker" in row]
+    assert {row["penalty"] for row in workers} == {0.0}
+    pool.run_times = None
+    assert not workloads.list_run_times(pool, now=130.0)
