Keep a fault in learning from the end of a run

An error raised while a sample is taken would have made the poll fail and the worker count as silent. It is counted and costs the sample; tested.

--- a/chestnuttide/workloads/_run_observations.py
+++ b/chestnuttide/workloads/_run_observations.py
@@ -63,12 +63,30 @@
 ) -> None:
     """Learn from the end of a run, before its unit changes.
 
+    A fault in learning is counted and does not keep the run from ending.
+    """
+    if pool.run_times is None:
+        return
+    try:
+        _record_end(pool, pool.run_times, run, result, now)
+    except Exception:
+        pool.run_times.counts["fault"] += 1
+
+
+def _record_end(
+    pool: _state.Pool,
+    times: _run_times.RunTimes,
+    run: _state.Run,
+    result: str,
+    now: float,
+) -> None:
+    """Learn from the end of a run.
+
     A run that resumed from a checkpoint, one whose start this owner did not
     see, and one without an end of its own are no full samples.
     """
-    times = pool.run_times
     worker = pool.workers.get(run.worker_key)
-    if times is None or worker is None:
+    if worker is None:
         return
     step = run.job.spec.steps[run.unit.key[1]]
     if result in ("done", "failed") and not step.lasting:
--- a/chestnuttide/workloads/tests/test_run_times.py
+++ b/chestnuttide/workloads/tests/test_run_times.py
@@ -449,3 +449,19 @@
     assert {row["penalty"] for row in workers} == {0.0}
     pool.run_times = None
     assert not workloads.list_run_times(pool, now=130.0)
+
+
+def test_a_fault_in_learning_costs_no_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a worker that counts as silent for a wrong sample."""
+
+    def fail(*arguments: object) -> None:
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(_run_times, "record_sample", fail)
+    pool = _learning_pool()
+    (run,) = _start(pool, 1, now=0.5)
+    _pool_fixtures.complete_run(pool, run, "done")
+    assert run.job.state == workloads.JobState.COMPLETE
+    assert pool.run_times.counts["fault"] == 1
