--- a/chestnuttide/node/_run_time_snapshots.py
+++ b/chestnuttide/node/_run_time_snapshots.py
@@ -118,6 +118,13 @@
         )
         return False
     owner.metrics.run_time_snapshots.inc({"outcome": "stored"})
+    LOG.info(
+        "Snapshot of run times is stored.",
+        service=owner.service,
+        bytes=len(value),
+        samples=times.samples,
+        off_by=workloads.overall_run_time_errors(times),
+    )
     return True
 
 
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -75,6 +75,7 @@
 list_run_times = _run_time_rows.list_run_times
 make_plan = _planning.make_plan
 may_send_start = _starts.may_send_start
+overall_run_time_errors = _run_time_rows.overall_errors
 poll_lease_deadline_ms = _poll_replies.poll_lease_deadline_ms
 record_broken_connection = _poll_replies.record_broken_connection
 record_clock = _poll_replies.record_clock
@@ -152,6 +153,7 @@
     "list_run_times",
     "make_plan",
     "may_send_start",
+    "overall_run_time_errors",
     "poll_lease_deadline_ms",
     "record_broken_connection",
     "record_clock",
--- a/chestnuttide/workloads/_run_time_rows.py
+++ b/chestnuttide/workloads/_run_time_rows.py
@@ -40,11 +40,6 @@
     median, p90 = histograms.quantiles(
         kind.ratios, (0.5, 0.9), lower_bounds=kind.under_way
     )
-    weight = sum(
-        _run_times.LOSS_DECAY**number
-        for number in range(int(min(kind.ratios.samples, 500)))
-    )
-    names = ("estimate", "kind", "job")
     return {
         "service": service,
         "workspace": workspace,
@@ -56,14 +51,28 @@
         "weight": round(_run_times.weight_of(kind, now), 2),
         "under_way": len(kind.under_way),
         "age_s": round(max(0.0, now - kind.updated_at), 1),
-        # Mean factor by which each expert is off.
-        "off_by": {
-            name: round(math.exp(loss / max(1.0, weight)), 3)
-            for name, loss in zip(names, kind.losses, strict=True)
-        },
+        "off_by": _off_by(kind),
     }
 
 
+def _off_by(kind: _run_times.Kind) -> dict[str, float]:
+    """Return the mean factor by which each expert is off."""
+    decay = _run_times.LOSS_DECAY
+    weight = (1.0 - decay**kind.ratios.samples) / (1.0 - decay)
+    return {
+        name: round(math.exp(loss / max(1.0, weight)), 3)
+        for name, loss in zip(
+            ("estimate", "kind", "job"), kind.losses, strict=True
+        )
+    }
+
+
+def overall_errors(times: _run_times.RunTimes) -> dict[str, float]:
+    """Return the mean factor by which each expert is off for all work."""
+    kind = times.kinds.get(("", "", _run_times.ANY_STEP))
+    return {} if kind is None else _off_by(kind)
+
+
 def _worker_row(
     pool: _state.Pool, times: _run_times.RunTimes, key: str, now: float
 ) -> dict[str, object]:
