--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -54,13 +54,12 @@
 # silence. The fourth covers the watch and a store that is slow.
 ENTRY_EXPIRY_HEARTBEATS = 4
 
-# Paths on the metrics port. The first lists what this instance's owners leave
-# out, the second which services may hold jobs of which queue, the third the
-# workspaces, the fourth what callers make this instance hold.
+# Paths of the operators' pages on the metrics port.
 SET_ASIDE_PATH = "/set-aside"
 DIRECTORY_PATH = "/directory"
 WORKSPACES_PATH = "/workspaces"
 INTAKE_PATH = "/intake"
+RUN_TIMES_PATH = "/run-times"
 
 CLAIM_PERIOD_S = 0.1
 RESTART_PAUSE_S = 0.2
@@ -260,6 +259,13 @@
             {name: owner.instance for name, owner in session.owners.items()},
         )
 
+    def list_run_times() -> list[dict[str, object]]:
+        return [
+            row
+            for owner in daemon.owned.values()
+            for row in workloads.list_run_times(owner.pool, now=_clock.now())
+        ]
+
     ports = [callers, readiness, metrics]
     pages = {
         SET_ASIDE_PATH: list_set_aside,
@@ -267,6 +273,7 @@
         WORKSPACES_PATH: functools.partial(
             _configuration.list_workspaces, daemon.session
         ),
+        RUN_TIMES_PATH: list_run_times,
         INTAKE_PATH: functools.partial(
             _ports.list_rows, ports, daemon.session.peers.network
         ),
@@ -390,6 +397,9 @@
     bounds = settings.bounds
     return workloads.Pool(
         service=service,
+        run_times=workloads.RunTimes()
+        if settings.learning.run_times
+        else None,
         limits=workloads.TimeLimits(
             lease_s=min(
                 _ownership.RUN_LEASE_S, bounds.worker_lease_max_ms / 1000
--- a/chestnuttide/node/_settings.py
+++ b/chestnuttide/node/_settings.py
@@ -158,6 +158,20 @@
     answer_s: float = 30.0
 
 
+@attrs.frozen(kw_only=True, slots=True)
+class LearningSettings:
+    """What is learned from ended runs.
+
+    Attributes
+    ----------
+    run_times : bool
+        Whether run times and worker speeds are learned and used. False takes
+        estimates as they are and workers as equally fast.
+    """
+
+    run_times: bool = False
+
+
 @attrs.frozen(kw_only=True, slots=True)
 class NodeSettings:
     """All settings of an instance.
@@ -184,6 +198,8 @@
         What the instance may use of its machine.
     intake : IntakeSettings
         Bounds on callers' connections and requests.
+    learning : LearningSettings
+        What is learned from ended runs.
     metrics_port : int
         Port of the metrics page.
     log_level : str
@@ -202,6 +218,7 @@
     bounds: BoundSettings = BoundSettings()
     capacity: CapacitySettings = CapacitySettings()
     intake: IntakeSettings = IntakeSettings()
+    learning: LearningSettings = LearningSettings()
     metrics_port: int = 9464
     log_level: str = "info"
     log_lines_per_s: int = 400
