--- a/soak/_keys.py
+++ b/soak/_keys.py
@@ -20,9 +20,13 @@
 BOUNDS = {"strict_revoke": True, "revoke_ms": REVOKE_S * 1000}
 
 # Pause between two tries, which is short against the bound.
-PAUSE_S = 0.05
+PAUSE_S = 0.1
 TRY_TIMEOUT_S = 8.0
 
+# Calls to paused daemons wait for their timeout, so there may be this many at
+# once. The callers of jobs have a client of their own.
+MAX_TRIES = 100
+
 
 @attrs.define(kw_only=True)
 class Keys:
@@ -77,23 +81,30 @@
 
     A call runs when it is answered with success.
     """
+    client = httpclient.AsyncHTTPClient(
+        force_instance=True, max_clients=MAX_TRIES
+    )
     tries: set[asyncio.Task[None]] = set()
     while True:
         await asyncio.sleep(PAUSE_S)
         node = rng.choice(nodes)
         key = rng.choice([UNKNOWN_KEY, *keys.withdrawn])
-        task = asyncio.ensure_future(_try(ledger, keys, node, key))
+        task = asyncio.ensure_future(_try(client, ledger, keys, node, key))
         tries.add(task)
         task.add_done_callback(tries.discard)
 
 
 async def _try(
-    ledger: _checks.Ledger, keys: Keys, node: node_cell.Node, key: str
+    client: httpclient.AsyncHTTPClient,
+    ledger: _checks.Ledger,
+    keys: Keys,
+    node: node_cell.Node,
+    key: str,
 ) -> None:
     withdrawn_at = keys.withdrawn.get(key)
     sent_at = time.monotonic()
     try:
-        response = await httpclient.AsyncHTTPClient().fetch(
+        response = await client.fetch(
             httpclient.HTTPRequest(
                 node_cell.url(node),
                 headers={"Host": node_cell.HOST, "X-Api-Key": key},
