Decide caps and shares of workspaces without I/O

The owner's planning knew no workspace. The new package holds what one round may start under a part of a cap, who gives parts to whom, and the order by weighted dominant share; the former daemons' quotas move there. Nothing calls it yet with caps; the tests of workloads, queueing and placement pass.

--- a/chestnuttide/jobs/_acceptance.py
+++ b/chestnuttide/jobs/_acceptance.py
@@ -12,7 +12,7 @@
 from chestnuttide.jobs import _timers
 from chestnuttide import model
 from chestnuttide import placement
-from chestnuttide import queueing
+from chestnuttide import workspaces
 
 
 def submit(
@@ -256,7 +256,7 @@
         accelerators=need.accelerators * count,
     )
     limits = _state.team_config(state, job.team)
-    if not queueing.could_ever_allow(limits, together):
+    if not workspaces.could_ever_allow(limits, together):
         raise errors.RefusedError(
             reason=errors.Reason.QUOTA_EXCEEDED,
             message=f"The job exceeds the whole quota of team {job.team}.",
--- a/chestnuttide/jobs/_placement_loop.py
+++ b/chestnuttide/jobs/_placement_loop.py
@@ -10,6 +10,7 @@
 from chestnuttide import model
 from chestnuttide import placement
 from chestnuttide import queueing
+from chestnuttide import workspaces
 
 # Tasks of one job that are started before the queue's order is evaluated
 # again.
@@ -180,7 +181,7 @@
     """Return whether a quota allows a need; block the team if it does not."""
     team = record.job.team
     limits = _state.team_config(state, team)
-    if queueing.allows(state.quota, team, limits, need):
+    if workspaces.allows(state.quota, team, limits, need):
         return True
     queueing.block_team(state.queue, team)
     return False
--- a/chestnuttide/jobs/_reservations.py
+++ b/chestnuttide/jobs/_reservations.py
@@ -11,6 +11,7 @@
 from chestnuttide import model
 from chestnuttide import placement
 from chestnuttide import queueing
+from chestnuttide import workspaces
 
 # Seconds after which a stop command is sent again if the worker has not
 # reported the completion.
@@ -242,7 +243,7 @@
         expected_end=now,
         started=attempt_record.started_at,
     )
-    queueing.acquire(state.quota, attempt_record.team, attempt_record.need)
+    workspaces.acquire(state.quota, attempt_record.team, attempt_record.need)
     state.attempts[attempt] = attempt_record
     state.workers[worker_id].attempts[attempt] = None
     state.ending.add(attempt)
@@ -254,7 +255,7 @@
 ) -> None:
     """Charge a quota for tasks that may be running but are unreported."""
     record.assumed = count
-    queueing.acquire(
+    workspaces.acquire(
         state.quota, record.job.team, _scale(record.job.resources, count)
     )
 
@@ -388,7 +389,7 @@
     record.live[attempt.index] = attempt
     state.waiting_tasks -= 1
     _update_spread(record, state.workers[attempt_record.worker_id].instance, 1)
-    queueing.acquire(state.quota, record.job.team, attempt_record.need)
+    workspaces.acquire(state.quota, record.job.team, attempt_record.need)
     if attempt_record.long:
         state.long_reserved = model.add(
             state.long_reserved, attempt_record.need
@@ -399,7 +400,7 @@
     state: _state.PoolState, team: str, amount: model.Resources
 ) -> None:
     """Release part of a team's quota, and unblock the team if possible."""
-    queueing.release(state.quota, team, amount)
+    workspaces.release(state.quota, team, amount)
     if queueing.unblock_team(state.queue, team):
         state.blocked_lanes.clear()
         state.dirty = True
--- a/chestnuttide/jobs/_state.py
+++ b/chestnuttide/jobs/_state.py
@@ -11,6 +11,7 @@
 from chestnuttide import model
 from chestnuttide import placement
 from chestnuttide import queueing
+from chestnuttide import workspaces
 
 # Factor applied to a lease's length before it counts as expired. The extra
 # 10% allows for the drift of the worker's clock.
@@ -350,7 +351,7 @@
     queue: queueing.FairQueue = attrs.field(
         factory=lambda: queueing.FairQueue(limit=1 << 62)
     )
-    quota: queueing.QuotaState = attrs.field(factory=queueing.QuotaState)
+    quota: workspaces.QuotaState = attrs.field(factory=workspaces.QuotaState)
     estimates: queueing.Estimates = attrs.field(factory=queueing.Estimates)
     jobs: dict[str, JobRecord] = attrs.field(factory=dict)
     attempts: dict[model.Attempt, AttemptRecord] = attrs.field(factory=dict)
--- a/chestnuttide/queueing/tests/test_limits.py
+++ b/chestnuttide/queueing/tests/test_limits.py
@@ -5,6 +5,7 @@
 from chestnuttide import config
 from chestnuttide import model
 from chestnuttide import queueing
+from chestnuttide import workspaces
 
 
 @pytest.mark.parametrize(
@@ -29,18 +30,18 @@
 def test_quota(
     limits: dict[str, int], amount: tuple[int, int, int], allowed: bool
 ) -> None:
-    quota = queueing.QuotaState()
+    quota = workspaces.QuotaState()
     used = model.Resources(cpu_millis=5, memory_mb=5, accelerators=5)
     need = model.Resources(
         cpu_millis=amount[0], memory_mb=amount[1], accelerators=amount[2]
     )
     team = config.TeamConfig(**limits)
-    queueing.acquire(quota, "a", used)
-    assert queueing.allows(quota, "a", team, need) == allowed
-    assert queueing.could_ever_allow(team, need)
-    queueing.release(quota, "a", used)
+    workspaces.acquire(quota, "a", used)
+    assert workspaces.allows(quota, "a", team, need) == allowed
+    assert workspaces.could_ever_allow(team, need)
+    workspaces.release(quota, "a", used)
     assert not quota.used
-    assert queueing.allows(quota, "a", team, need)
+    assert workspaces.allows(quota, "a", team, need)
 
 
 @pytest.mark.parametrize(
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -45,6 +45,7 @@
 begin_start = _starts.begin_start
 cancel_job = _lifecycle.cancel_job
 confirm_start = _poll_replies.confirm_start
+count_by_workspace = _waiting.count_by_workspace
 count_waiting_tasks = _waiting.count_waiting_tasks
 decode_job = _records.decode_job
 encode_ended_job = _records.encode_ended_job
@@ -55,6 +56,7 @@
 end_run = _lifecycle.end_run
 evacuate = _supervision.evacuate
 expire_worker_lease = _poll_replies.expire_worker_lease
+explain_wait = _waiting.explain_wait
 find_stalled = _supervision.find_stalled
 former_incarnations = _incarnations.former_incarnations
 is_removable = _poll_replies.is_removable
@@ -70,6 +72,7 @@
 record_query_result = _advisor_queries.record_query_result
 record_stop_answer = _stops.record_stop_answer
 release_due_occurrences = _lifecycle.release_due_occurrences
+requested_by_workspace = _state.requested_by_workspace
 settle_crashes = _crashes.settle_crashes
 start_incarnation = _incarnations.start_incarnation
 step_of = _lifecycle.step_of
@@ -114,6 +117,7 @@
     "begin_start",
     "cancel_job",
     "confirm_start",
+    "count_by_workspace",
     "count_waiting_tasks",
     "decode_job",
     "encode_ended_job",
@@ -124,6 +128,7 @@
     "end_run",
     "evacuate",
     "expire_worker_lease",
+    "explain_wait",
     "find_stalled",
     "former_incarnations",
     "is_removable",
@@ -139,6 +144,7 @@
     "record_query_result",
     "record_stop_answer",
     "release_due_occurrences",
+    "requested_by_workspace",
     "settle_crashes",
     "start_incarnation",
     "step_of",
--- a/chestnuttide/workloads/_free_capacity.py
+++ b/chestnuttide/workloads/_free_capacity.py
@@ -9,6 +9,7 @@
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
 from chestnuttide.workloads import _trials
+from chestnuttide import workspaces
 
 # Share of the service's processors that is reserved for its most urgent queue
 # while the service is busy, so that its work starts at once at the peak. The
@@ -89,6 +90,10 @@
         Priorities of the queues for which full workers are reserved.
     trials : TrialView
         Workers for trials of suspected units.
+    caps : Round or None
+        Caps and shares of workspaces; None if there are no workspaces.
+    capped_units : set of Unit
+        Units that are put off because of a cap.
     """
 
     now: float
@@ -100,10 +105,16 @@
     spare_cpu_millis: float = math.inf
     reserved: dict[str, model.Resources] = attrs.field(factory=dict)
     reserving_priorities: set[int] = attrs.field(factory=set)
+    caps: workspaces.Round | None = None
+    capped_units: set[_state.Unit] = attrs.field(factory=set)
 
 
 def make_view(
-    pool: _state.Pool, workers: list[_state.Worker], *, now: float
+    pool: _state.Pool,
+    workers: list[_state.Worker],
+    *,
+    now: float,
+    caps: workspaces.Round | None = None,
 ) -> CapacityView:
     """Return the free capacity at the start of a planning round."""
     listed = [each for each in pool.workers.values() if each.listed]
@@ -119,6 +130,7 @@
         busy=busy,
         crowded=used >= CROWDED_SHARE * capacity,
         spare_cpu_millis=spare if busy else math.inf,
+        caps=caps,
     )
 
 
@@ -128,6 +140,10 @@
     """Allocate the capacity of a run that is planned in this round."""
     _state.allocate(worker, run)
     view.spare_cpu_millis -= run.need.cpu_millis
+    workspace = run.job.spec.workspace
+    if view.caps is not None and workspace:
+        need = _lifecycle.step_of(run.unit, run.job).need
+        workspaces.acquire(view.caps.usage, workspace, need)
 
 
 def deallocate(
@@ -136,6 +152,10 @@
     """Free the capacity of a run that is dropped again in this round."""
     _state.deallocate(worker, run)
     view.spare_cpu_millis += run.need.cpu_millis
+    workspace = run.job.spec.workspace
+    if view.caps is not None and workspace:
+        need = _lifecycle.step_of(run.unit, run.job).need
+        workspaces.release(view.caps.usage, workspace, need)
 
 
 def may_use_processors(view: CapacityView, demand: Demand) -> bool:
@@ -143,6 +163,27 @@
     return demand.urgent or view.spare_cpu_millis >= demand.cpu_millis
 
 
+def is_within_cap(
+    view: CapacityView, job: _state.Job, unit: _state.Unit, demand: Demand
+) -> bool:
+    """Return whether a unit may start under its workspace's cap.
+
+    One that may not is recorded as put off.
+    """
+    if view.caps is None or not job.spec.workspace:
+        return True
+    if workspaces.may_start(
+        view.caps,
+        job.spec.workspace,
+        demand.spec.need,
+        len(unit.indexes),
+        (job.spec.id, unit.key),
+    ):
+        return True
+    view.capped_units.add(unit)
+    return False
+
+
 def make_demand(
     view: CapacityView, job: _state.Job, step_key: tuple[int, int]
 ) -> Demand:
--- a/chestnuttide/workloads/_ordering.py
+++ b/chestnuttide/workloads/_ordering.py
@@ -1,7 +1,18 @@
 """Order in which a planning round considers waiting jobs."""
 
+import collections
+import collections.abc
+import functools
+import heapq
+
+from chestnuttide import model
 from chestnuttide.workloads import _free_capacity
 from chestnuttide.workloads import _state
+from chestnuttide import workspaces
+
+# Parts of `urgency` that come before the workspace's share: trials come last,
+# and long-running tasks first.
+_BEFORE_SHARE = 2
 
 
 def urgency(
@@ -20,3 +31,64 @@
         queue.priority,
         job.accepted_at + queue.latency_objective_s,
     )
+
+
+def in_turn(
+    view: _free_capacity.CapacityView,
+    jobs: collections.abc.Iterable[_state.Job],
+) -> collections.abc.Iterator[_state.Job]:
+    """Yield jobs in the order in which they are planned.
+
+    On a busy service, jobs of workspaces that are over their share come after
+    those of the others, and among themselves by how far they are over it. The
+    level of a workspace rises while the jobs that were yielded are placed.
+    """
+    ordered = sorted(jobs, key=functools.partial(urgency, view))
+    if view.caps is None or view.caps.shares is None or not view.busy:
+        yield from ordered
+        return
+    waiting: dict[str, collections.deque[tuple[int, _state.Job]]] = {}
+    for turn, job in enumerate(ordered):
+        if any(step.waiting for step in job.steps.values()):
+            jobs_of = waiting.setdefault(
+                job.spec.workspace, collections.deque()
+            )
+            jobs_of.append((turn, job))
+    # Keys of the heap are unique, because turns are.
+    heap = [_key(view, name, jobs_of[0]) for name, jobs_of in waiting.items()]
+    heapq.heapify(heap)
+    while heap:
+        *_, name = heap[0]
+        _, job = waiting[name].popleft()
+        yield job
+        if waiting[name]:
+            heapq.heapreplace(heap, _key(view, name, waiting[name][0]))
+        else:
+            heapq.heappop(heap)
+
+
+def over_share(view: _free_capacity.CapacityView) -> set[str]:
+    """Return the workspaces that are over their share of a busy service."""
+    if view.caps is None or view.caps.shares is None or not view.busy:
+        return set()
+    return {name for name in view.caps.usage.used if _level(view, name) > 1.0}
+
+
+def _key(
+    view: _free_capacity.CapacityView,
+    workspace: str,
+    head: tuple[int, _state.Job],
+) -> tuple[object, ...]:
+    turn, job = head
+    level = _level(view, workspace)
+    return (
+        *urgency(view, job)[:_BEFORE_SHARE],
+        max(0.0, level - 1.0),
+        turn,
+        workspace,
+    )
+
+
+def _level(view: _free_capacity.CapacityView, workspace: str) -> float:
+    used = view.caps.usage.used.get(workspace, model.ZERO)
+    return workspaces.level(view.caps.shares, workspace, used)
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -5,6 +5,7 @@
 tasks cannot starve large ones.
 """
 
+import collections
 import collections.abc
 import functools
 import math
@@ -20,6 +21,7 @@
 from chestnuttide.workloads import _ordering
 from chestnuttide.workloads import _state
 from chestnuttide.workloads import _trials
+from chestnuttide import workspaces
 
 # Least share of the named workers that the advisor is expected to allow. A
 # higher share in earlier answers about the step takes its place.
@@ -53,11 +55,17 @@
         Advisor queries, most urgent first.
     failed : tuple of (Job, Exception)
         Jobs that could not be planned, and why.
+    put_off : Counter of str
+        Starts that this round has put off first, by reason: ``cap``, and
+        ``share`` for workspaces that are over their share.
     """
 
     runs: tuple[_state.Run, ...]
     queries: tuple[_advisor_queries.AdvisorQuery, ...]
     failed: tuple[tuple[_state.Job, Exception], ...] = ()
+    put_off: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
 
 
 @attrs.frozen(kw_only=True, slots=True, eq=False)
@@ -86,7 +94,11 @@
 
 
 def make_plan(
-    pool: _state.Pool, *, now: float, max_queries: int | None = None
+    pool: _state.Pool,
+    *,
+    now: float,
+    max_queries: int | None = None,
+    caps: workspaces.Round | None = None,
 ) -> Plan:
     """Place waiting units on workers and select advisor queries.
 
@@ -99,6 +111,9 @@
     max_queries : int or None
         How many queries can be sent before the next plan; None for no limit.
         Selecting them takes about half of the time of a round.
+    caps : Round or None
+        Caps and shares of workspaces, whose record of what is put off the
+        round fills; None if there are no workspaces.
     """
     runs: list[_state.Run] = []
     queries: list[_advisor_queries.AdvisorQuery] = []
@@ -109,11 +124,9 @@
     ]
     if not usable:
         return Plan(runs=(), queries=())
-    view = _free_capacity.make_view(pool, usable, now=now)
+    view = _free_capacity.make_view(pool, usable, now=now, caps=caps)
     failed: list[tuple[_state.Job, Exception]] = []
-    for job in sorted(
-        pool.active.values(), key=functools.partial(_ordering.urgency, view)
-    ):
+    for job in _ordering.in_turn(view, pool.active.values()):
         try:
             for step in _waiting_steps(job, view):
                 may_query = max_queries is None or len(queries) < max_queries
@@ -124,7 +137,30 @@
         except Exception as error:
             # The caller sets the job aside; the others are planned.
             failed.append((job, error))
-    return Plan(runs=tuple(runs), queries=tuple(queries), failed=tuple(failed))
+    put_off = _record_put_off(pool, view)
+    return Plan(
+        runs=tuple(runs),
+        queries=tuple(queries),
+        failed=tuple(failed),
+        put_off=put_off,
+    )
+
+
+def _record_put_off(
+    pool: _state.Pool, view: _free_capacity.CapacityView
+) -> collections.Counter[str]:
+    """Record what waits for a cap or a share; return what newly does."""
+    put_off: collections.Counter[str] = collections.Counter()
+    if view.caps is None:
+        return put_off
+    put_off["cap"] = sum(
+        len(unit.indexes) for unit in view.capped_units - pool.capped_units
+    )
+    pool.capped_units = view.capped_units
+    over_share = _ordering.over_share(view)
+    put_off["share"] = len(over_share - pool.over_share)
+    pool.over_share = over_share
+    return put_off
 
 
 def is_usable(worker: _state.Worker, now: float) -> bool:
@@ -189,11 +225,14 @@
         unit: risk
         for unit, risk in step.risks.items()
         if unit.state == _state.UnitState.WAITING
+        and unit not in view.capped_units
     }
     others = sum(
         len(unit.indexes)
         for unit in step.waiting
-        if unit.state == _state.UnitState.WAITING and unit not in suspects
+        if unit.state == _state.UnitState.WAITING
+        and unit not in suspects
+        and unit not in view.capped_units
     )
     query = None
     if others:
@@ -516,7 +555,10 @@
     runs: list[_state.Run] = []
     unplaced = 0
     for unit in step.waiting:
-        if unit in step.risks:
+        if not _free_capacity.is_within_cap(view, step.job, unit, step.demand):
+            # It needs neither a reservation nor advice until its turn.
+            placed, waits = [], True
+        elif unit in step.risks:
             placed, waits = _place_on_trial(
                 view, step, candidates, unit, advice
             )
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -380,6 +380,9 @@
         Number of filler runs, and of runs with a latency target.
     step_runs : dict of (str, int, int) to int
         Number of runs by job, occurrence and step.
+    requested : dict of str to Resources
+        What the platform sees the runs of each workspace request, including
+        the processors of fillers.
     unproven_runs, trials : int
         Number of runs that are not proven, and of those among them that are
         on trial.
@@ -433,6 +436,7 @@
     fillers: int = 0
     serving: int = 0
     step_runs: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
+    requested: dict[str, model.Resources] = attrs.field(factory=dict)
     unproven_runs: int = 0
     trials: int = 0
     kept_free_until: float = 0.0
@@ -506,6 +510,11 @@
         worker id. A later incarnation could still execute the start.
     crashed_units : dict of (str, (int, int, int)) to (Job, Unit)
         Units under whose runs workers have crashed, by job and unit.
+    capped_units : set of Unit
+        Units that the last planning round put off because of the caps of
+        their workspaces.
+    over_share : set of str
+        Workspaces that were over their share of a busy service then.
     """
 
     service: str
@@ -519,6 +528,8 @@
     crashed_units: dict[tuple[str, UnitKey], tuple[Job, Unit]] = attrs.field(
         factory=dict
     )
+    capped_units: set[Unit] = attrs.field(factory=set)
+    over_share: set[str] = attrs.field(factory=set)
 
 
 def worker_key(report: _specs.WorkerReport) -> str:
@@ -591,6 +602,41 @@
         worker.step_runs[key] = count
     else:
         del worker.step_runs[key]
+    if run.job.spec.workspace:
+        _count_request(worker, run.job.spec.workspace, step.need, change)
+
+
+def _count_request(
+    worker: Worker, workspace: str, need: model.Resources, change: int
+) -> None:
+    used = worker.requested.get(workspace, model.ZERO)
+    used = model.add(used, need) if change > 0 else model.subtract(used, need)
+    if used == model.ZERO:
+        worker.requested.pop(workspace, None)
+    else:
+        worker.requested[workspace] = used
+
+
+def requested_by_workspace(pool: "Pool") -> dict[str, model.Resources]:
+    """Return what the runs of each workspace request in a service.
+
+    Every run counts that may be executing: also one whose start is planned or
+    was not answered, one that is being stopped, and one on a silent worker
+    whose lease has not expired.
+    """
+    totals: dict[str, list[int]] = {}
+    for worker in pool.workers.values():
+        for workspace, amount in worker.requested.items():
+            total = totals.setdefault(workspace, [0, 0, 0])
+            total[0] += amount.cpu_millis
+            total[1] += amount.memory_mb
+            total[2] += amount.accelerators
+    return {
+        workspace: model.Resources(
+            cpu_millis=cpu, memory_mb=memory, accelerators=accelerators
+        )
+        for workspace, (cpu, memory, accelerators) in totals.items()
+    }
 
 
 def allocated_need(step: _specs.StepSpec) -> model.Resources:
--- a/chestnuttide/workloads/_waiting.py
+++ b/chestnuttide/workloads/_waiting.py
@@ -1,6 +1,7 @@
 """Why tasks that are ready to start wait, for operators."""
 
 import collections
+import collections.abc
 import enum
 
 from chestnuttide.workloads import _crashes
@@ -13,13 +14,17 @@
     """What a task that is ready to start waits for.
 
     ADVICE is a ticket of a usable worker, TRIAL a worker on which a suspected
-    task may start, VERDICT the confirmation that its workers have crashed, and
-    CAPACITY free capacity or its turn in the next planning round.
+    task may start, VERDICT the confirmation that its workers have crashed, CAP
+    room under the part of its workspace's cap that the service holds, SHARE
+    its turn after workspaces that are not over their share of the busy
+    service, and CAPACITY free capacity or its turn in the next planning round.
     """
 
     ADVICE = "advice"
     TRIAL = "trial"
     VERDICT = "verdict"
+    CAP = "cap"
+    SHARE = "share"
     CAPACITY = "capacity"
 
 
@@ -27,25 +32,65 @@
     pool: _state.Pool, *, now: float
 ) -> collections.Counter[tuple[str, WaitReason]]:
     """Return how many tasks wait, by the queue's name and the reason."""
-    usable = {
+    return _count(pool, now, lambda job: job.spec.queue.name)
+
+
+def count_by_workspace(
+    pool: _state.Pool, *, now: float
+) -> collections.Counter[tuple[str, WaitReason]]:
+    """Return how many tasks wait, by workspace and the reason."""
+    return _count(pool, now, lambda job: job.spec.workspace)
+
+
+def explain_wait(
+    pool: _state.Pool, job: _state.Job, *, now: float
+) -> collections.Counter[WaitReason]:
+    """Return how many tasks of a job wait, by the reason."""
+    return _count_job(pool, job, _usable_workers(pool, now), now)
+
+
+def _count(
+    pool: _state.Pool,
+    now: float,
+    name_of: collections.abc.Callable[[_state.Job], str],
+) -> collections.Counter[tuple[str, WaitReason]]:
+    usable = _usable_workers(pool, now)
+    counts: collections.Counter[tuple[str, WaitReason]] = collections.Counter()
+    for job in pool.active.values():
+        name = name_of(job)
+        for reason, tasks in _count_job(pool, job, usable, now).items():
+            counts[(name, reason)] += tasks
+    return counts
+
+
+def _usable_workers(pool: _state.Pool, now: float) -> set[str]:
+    return {
         key
         for key, worker in pool.workers.items()
         if _planning.is_usable(worker, now)
     }
-    counts: collections.Counter[tuple[str, WaitReason]] = collections.Counter()
-    for job in pool.active.values():
-        for key, progress in job.steps.items():
-            if not progress.waiting:
-                continue
-            if not _lifecycle.is_step_ready(job, *key):
-                continue
-            other = WaitReason.CAPACITY
-            if not _has_ticket(job, key, usable, now):
-                other = WaitReason.ADVICE
-            for unit in _lifecycle.step_units(job, *key):
-                if unit.state == _state.UnitState.WAITING:
-                    reason = _crash_reason(unit) or other
-                    counts[(job.spec.queue.name, reason)] += len(unit.indexes)
+
+
+def _count_job(
+    pool: _state.Pool, job: _state.Job, usable: set[str], now: float
+) -> collections.Counter[WaitReason]:
+    counts: collections.Counter[WaitReason] = collections.Counter()
+    for key, progress in job.steps.items():
+        if not progress.waiting:
+            continue
+        if not _lifecycle.is_step_ready(job, *key):
+            continue
+        other = WaitReason.CAPACITY
+        if not _has_ticket(job, key, usable, now):
+            other = WaitReason.ADVICE
+        elif job.spec.workspace in pool.over_share:
+            other = WaitReason.SHARE
+        for unit in _lifecycle.step_units(job, *key):
+            if unit.state == _state.UnitState.WAITING:
+                reason = _crash_reason(unit) or other
+                if unit in pool.capped_units:
+                    reason = WaitReason.CAP
+                counts[reason] += len(unit.indexes)
     return counts
 
 
--- /dev/null
+++ b/chestnuttide/workspaces/__init__.py
@@ -0,0 +1,74 @@
+"""Caps and shares of workspaces: decisions without I/O."""
+
+from chestnuttide.workspaces import _cap_parts
+from chestnuttide.workspaces import _caps
+from chestnuttide.workspaces import _fair_share
+from chestnuttide.workspaces import _quota
+
+Allowance = _caps.Allowance
+CapParts = _cap_parts.CapParts
+Decision = _cap_parts.Decision
+Demand = _cap_parts.Demand
+FairShares = _fair_share.FairShares
+NOTHING = _caps.NOTHING
+Parts = _caps.Parts
+PutOff = _caps.PutOff
+QuotaState = _quota.QuotaState
+Round = _caps.Round
+WHOLE = _caps.WHOLE
+acquire = _quota.acquire
+age_history = _fair_share.age_history
+allows = _quota.allows
+could_ever_allow = _quota.could_ever_allow
+create_rows = _cap_parts.create_rows
+decide = _cap_parts.decide
+decode_parts = _cap_parts.decode
+demand_of = _cap_parts.demand_of
+dominant_share = _fair_share.dominant_share
+encode_parts = _cap_parts.encode
+entitle = _fair_share.entitle
+give = _cap_parts.give
+give_all = _cap_parts.give_all
+held_by = _cap_parts.held_by
+keeps_room = _caps.keeps_room
+level = _fair_share.level
+limit_of = _caps.limit_of
+may_start = _caps.may_start
+parts_for = _caps.parts_for
+release = _quota.release
+scale = _caps.scale
+
+__all__ = [
+    "Allowance",
+    "CapParts",
+    "Decision",
+    "Demand",
+    "FairShares",
+    "NOTHING",
+    "Parts",
+    "PutOff",
+    "QuotaState",
+    "Round",
+    "WHOLE",
+    "acquire",
+    "age_history",
+    "allows",
+    "could_ever_allow",
+    "create_rows",
+    "decide",
+    "decode_parts",
+    "demand_of",
+    "dominant_share",
+    "encode_parts",
+    "entitle",
+    "give",
+    "give_all",
+    "held_by",
+    "keeps_room",
+    "level",
+    "limit_of",
+    "may_start",
+    "parts_for",
+    "release",
+    "scale",
+]
--- a/chestnuttide/queueing/_quota.py
+++ b/chestnuttide/workspaces/_quota.py
@@ -1,11 +1,31 @@
-"""Resource usage of teams, checked against their quotas."""
+"""Resources in use by workspaces or teams, checked against their limits.
+
+The former daemons call a workspace a team.
+"""
+
+import typing
 
 import attrs
 
-from chestnuttide import config
 from chestnuttide import model
 
 
+class Limits(typing.Protocol):
+    """Most of each resource that may be in use; 0 means no limit."""
+
+    @property
+    def cpu_millis(self) -> int:
+        """Processor time, in thousandths of a core."""
+
+    @property
+    def memory_mb(self) -> int:
+        """Memory, in megabytes."""
+
+    @property
+    def accelerators(self) -> int:
+        """Number of accelerators."""
+
+
 @attrs.define(kw_only=True)
 class QuotaState:
     """Resources in use by team.
@@ -36,7 +56,7 @@
 def allows(
     quota: QuotaState,
     team: str,
-    limits: config.TeamConfig,
+    limits: Limits,
     amount: model.Resources,
 ) -> bool:
     """Return whether a team may use an additional amount.
@@ -47,7 +67,7 @@
         Resources in use by team.
     team : str
         The team.
-    limits : TeamConfig
+    limits : Limits
         Limits of the team; 0 in a dimension means no limit.
     amount : Resources
         The additional amount.
@@ -67,9 +87,7 @@
     )
 
 
-def could_ever_allow(
-    limits: config.TeamConfig, amount: model.Resources
-) -> bool:
+def could_ever_allow(limits: Limits, amount: model.Resources) -> bool:
     """Return whether an amount is within the quota of a team without usage."""
     return allows(QuotaState(), "", limits, amount)
 
