Share caps of workspaces between the owners of services

Two owners could fill one workspace's cap twice. A record of the store now says which thousandths of a cap each service holds; only the giver changes it, and it lowers its own part before the write. Owners tell each other use and demand by mesh.

--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -14,6 +14,9 @@
 
 from chestnuttide import errors
 from chestnuttide.node import _advisor_queries
+from chestnuttide.node import _cap_pages
+from chestnuttide.node import _cap_reports
+from chestnuttide.node import _cap_shares
 from chestnuttide.node import _claims
 from chestnuttide.node import _clock
 from chestnuttide.node import _directory
@@ -56,6 +59,10 @@
 SET_ASIDE_PATH = "/set-aside"
 DIRECTORY_PATH = "/directory"
 
+# What workspaces use of their caps, and why the job ``?job=ID`` waits.
+WORKSPACE_USE_PATH = "/workspace-use"
+WAITING_PATH = "/waiting"
+
 CLAIM_PERIOD_S = 0.1
 RESTART_PAUSE_S = 0.2
 
@@ -208,7 +215,17 @@
     async def release(message: _messages.Release) -> object:
         return await _release.release_for_peer(daemon.session, message)
 
+    async def cap_use(message: _messages.CapUse) -> None:
+        _cap_reports.receive(daemon.session.caps, message, _clock.now())
+
+    async def cap_record(message: _messages.CapRecord) -> None:
+        _cap_shares.adopt_record(daemon.session, message)
+        for owner in daemon.owned.values():
+            owner.plan_requested.set()
+
     return {
+        _messages.CapUse: cap_use,
+        _messages.CapRecord: cap_record,
         _messages.JobNotice: notice,
         _messages.Release: release,
         _messages.StateRead: state,
@@ -239,6 +256,12 @@
             body = json.dumps(pages[request.path]()).encode()
             _write_response(request, 200, body, "application/json")
             return
+        if request.path == WAITING_PATH:
+            job_id = request.arguments.get("job", [b""])[0].decode("latin-1")
+            rows = _cap_pages.explain_wait(daemon.owned, job_id)
+            body = json.dumps(rows).encode()
+            _write_response(request, 200, body, "application/json")
+            return
         body, content_type = telemetry.render(daemon.metrics.registry)
         _write_response(request, 200, body, content_type)
 
@@ -261,6 +284,9 @@
     pages = {
         SET_ASIDE_PATH: list_set_aside,
         DIRECTORY_PATH: list_directory,
+        WORKSPACE_USE_PATH: functools.partial(
+            _cap_pages.list_use, daemon.owned
+        ),
     }
 
     readiness = httpserver.HTTPServer(is_ready)
--- a/chestnuttide/node/_keys.py
+++ b/chestnuttide/node/_keys.py
@@ -6,6 +6,10 @@
 RELEASED = "cell/released/"
 DIRECTORY = "cell/directory"
 
+# Parts of the workspaces' caps. Only owners watch it: a change under the
+# prefix of the cell would wake every instance.
+CAPS = "caps/parts"
+
 # Written by the platform and never by an instance.
 OPERATOR = "op/"
 CONFIG = "op/config"
--- a/chestnuttide/node/_messages.py
+++ b/chestnuttide/node/_messages.py
@@ -271,6 +271,47 @@
     released: bool
 
 
+@attrs.frozen(kw_only=True, slots=True)
+class CapUse:
+    """Tells the owners of other services what workspaces use and wait for.
+
+    Attributes
+    ----------
+    service : str
+        Service of the sending owner.
+    fencing_token : int
+        Its fencing token.
+    capacity : tuple of int
+        Processors in thousandths of a core, memory in megabytes, and
+        accelerators of the service's workers.
+    rows : tuple of (str, int, int, int, int, int, int, int, int, int, int)
+        Workspace; what its runs use, what its most urgent unit that waits for
+        its cap needs, and what all those units need, in the three units of
+        `capacity`; and how long that unit has waited, in milliseconds.
+    """
+
+    service: str
+    fencing_token: int
+    capacity: tuple[int, ...]
+    rows: tuple[tuple[str | int, ...], ...]
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class CapRecord:
+    """Tells owners of a change of the caps' parts ahead of the watch.
+
+    Attributes
+    ----------
+    value : bytes
+        Value of the record's key.
+    revision : int
+        Store revision of the value.
+    """
+
+    value: bytes
+    revision: int
+
+
 MESSAGE_CLASSES: typing.Final[tuple[type, ...]] = (
     mesh.Hello,
     StateRead,
@@ -286,4 +327,6 @@
     JobWriteReply,
     Release,
     ReleaseReply,
+    CapUse,
+    CapRecord,
 )
--- a/chestnuttide/node/_metrics.py
+++ b/chestnuttide/node/_metrics.py
@@ -51,10 +51,17 @@
     waiting_tasks : Gauge
         ``chestnuttide_waiting_tasks{queue,reason}``, tasks that are ready to
         start; see ``workloads.WaitReason``.
+    put_off : Counter
+        ``chestnuttide_put_off_total{reason}``, starts that were put off by
+        the ``cap`` of a workspace, and times that a workspace came to be over
+        its ``share`` of a busy service.
+    cap_writes : Counter
+        ``chestnuttide_cap_writes_total{outcome}``, writes of the parts of
+        caps that services hold.
     unreadable : Counter
         ``chestnuttide_unreadable_total{kind}``, items of the store that were
         left out because they cannot be read; ``kind`` is ``worker``,
-        ``record``, ``cell`` or ``config``.
+        ``record``, ``cell``, ``caps`` or ``config``.
     set_aside : Counter
         ``chestnuttide_set_aside_total{kind}``, items that were set aside
         because handling them failed, loops of owners that were started again
@@ -81,6 +88,8 @@
     lost_runs: aioprometheus.Counter
     given_up: aioprometheus.Counter
     waiting_tasks: aioprometheus.Gauge
+    put_off: aioprometheus.Counter
+    cap_writes: aioprometheus.Counter
     unreadable: aioprometheus.Counter
     set_aside: aioprometheus.Counter
     commands: aioprometheus.Counter
@@ -122,6 +131,12 @@
             "Tasks that are ready to start, by queue and reason.",
             registry=registry,
         ),
+        put_off=counter(
+            "put_off", "Starts put off for a workspace, by reason."
+        ),
+        cap_writes=counter(
+            "cap_writes", "Writes of the parts of caps, by outcome."
+        ),
         unreadable=counter(
             "unreadable", "Items left out as unreadable, by kind."
         ),
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -7,6 +7,7 @@
 
 from chestnuttide import errors
 from chestnuttide.node import _advisor_queries
+from chestnuttide.node import _cap_shares
 from chestnuttide.node import _clock
 from chestnuttide.node import _commands
 from chestnuttide.node import _commits
@@ -85,6 +86,8 @@
                 _watch_workers,
                 _release.confirm_loop,
                 _directory_sync.sync_loop,
+                _cap_shares.share_loop,
+                _cap_shares.watch_loop,
             )
         ]
         deposed = asyncio.ensure_future(owner.deposed.wait())
@@ -191,11 +194,14 @@
             await asyncio.sleep(SUPERVISION_PERIOD_S)
             continue
         started_at = _clock.now()
+        caps = _cap_shares.make_round(owner, started_at)
         plan = workloads.make_plan(
             owner.pool,
             now=started_at,
             max_queries=_advisor_queries.max_queries(owner),
+            caps=caps,
         )
+        _cap_shares.record_round(owner, caps, plan, started_at)
         for job, error in plan.failed:
             _ownership.set_job_aside(owner, job, error)
         if plan.runs:
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from chestnuttide.node import _cap_state
 from chestnuttide.node import _clock
 from chestnuttide.node import _metrics
 from chestnuttide.node import _session
@@ -95,6 +96,8 @@
         Whether no new run is planned because the instance is shutting down.
     set_aside : Register
         Items that are left out, because handling them has failed.
+    caps : CapState
+        Caps and shares of workspaces.
     """
 
     service: str
@@ -126,6 +129,7 @@
     set_aside: _set_aside.Register = attrs.field(
         default=attrs.Factory(_make_register, takes_self=True)
     )
+    caps: _cap_state.CapState = attrs.field(factory=_cap_state.CapState)
 
 
 def may_send_commands(owner: Ownership) -> bool:
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -8,6 +8,7 @@
 
 from chestnuttide import errors
 from chestnuttide import model
+from chestnuttide.node import _cap_state
 from chestnuttide.node import _clock
 from chestnuttide.node import _directory
 from chestnuttide.node import _keys
@@ -119,6 +120,8 @@
         Whether the watch of the configuration works.
     directory : Directory
         Services that may hold jobs of each queue.
+    caps : CapBoard
+        Parts of the workspaces' caps, and what owners tell about their use.
     changed : asyncio.Event
         Set when members, owners or config have changed.
     stopping : bool
@@ -145,6 +148,7 @@
     config_document: bytes = b""
     config_watched: bool = False
     directory: _directory.Directory = _directory.Directory()
+    caps: _cap_state.CapBoard = attrs.field(factory=_cap_state.CapBoard)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     stopping: bool = False
 
--- a/chestnuttide/platform/_formats.py
+++ b/chestnuttide/platform/_formats.py
@@ -36,12 +36,15 @@
         Names of the services whose workers may be used.
     max_body_bytes : int
         Maximum size of the body of a caller's request.
+    workspaces : tuple of Workspace or None
+        The workspaces; None if the deployment has none.
     """
 
     version: int
     queues: tuple[workloads.Queue, ...]
     services: tuple[str, ...]
     max_body_bytes: int = 262_144
+    workspaces: tuple[workloads.Workspace, ...] | None = None
 
 
 def decode_config(value: bytes) -> ClusterConfig:
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -62,6 +62,7 @@
 is_removable = _poll_replies.is_removable
 is_usable = _planning.is_usable
 lease_deadline_ms = _poll_replies.lease_deadline_ms
+listed_capacity = _state.listed_capacity
 make_plan = _planning.make_plan
 may_send_start = _starts.may_send_start
 poll_lease_deadline_ms = _poll_replies.poll_lease_deadline_ms
@@ -134,6 +135,7 @@
     "is_removable",
     "is_usable",
     "lease_deadline_ms",
+    "listed_capacity",
     "make_plan",
     "may_send_start",
     "poll_lease_deadline_ms",
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -617,6 +617,16 @@
         worker.requested[workspace] = used
 
 
+def listed_capacity(pool: "Pool") -> model.Resources:
+    """Return the capacity of the workers that the store lists."""
+    reports = [each.report for each in pool.workers.values() if each.listed]
+    return model.Resources(
+        cpu_millis=sum(each.capacity.cpu_millis for each in reports),
+        memory_mb=sum(each.capacity.memory_mb for each in reports),
+        accelerators=sum(each.capacity.accelerators for each in reports),
+    )
+
+
 def requested_by_workspace(pool: "Pool") -> dict[str, model.Resources]:
     """Return what the runs of each workspace request in a service.
 
--- a/chestnuttide/workspaces/__init__.py
+++ b/chestnuttide/workspaces/__init__.py
@@ -28,7 +28,6 @@
 encode_parts = _cap_parts.encode
 entitle = _fair_share.entitle
 give = _cap_parts.give
-give_all = _cap_parts.give_all
 held_by = _cap_parts.held_by
 keeps_room = _caps.keeps_room
 level = _fair_share.level
@@ -62,7 +61,6 @@
     "encode_parts",
     "entitle",
     "give",
-    "give_all",
     "held_by",
     "keeps_room",
     "level",
--- a/chestnuttide/workspaces/_cap_parts.py
+++ b/chestnuttide/workspaces/_cap_parts.py
@@ -22,6 +22,10 @@
 # moved only if the receiver's most urgent unit waits for them.
 LEAST_CONTESTED_GIFT: typing.Final = 20
 
+# While owners want more of a cap than there is, a unit that has waited for it
+# this long gets what it needs before the rest is split.
+FIRST_AFTER_S: typing.Final = 1.0
+
 _DIMENSIONS: typing.Final = range(3)
 
 Row: typing.TypeAlias = dict[str, _caps.Parts]
@@ -76,7 +80,7 @@
         Thousandths to give, by service.
     bound : (int, int, int)
         Thousandths up to which the owner itself starts runs, so that what
-        becomes free can be given.
+        becomes free can be given; all of the cap where nobody waits for it.
     """
 
     gifts: Row
@@ -185,7 +189,7 @@
         for name, amount in received.items():
             row[service] = subtract(row[service], amount)
             row[name] = _add(row.get(name, _caps.NOTHING), amount)
-        if row[service] == _caps.NOTHING:
+        if row.get(service) == _caps.NOTHING:
             del row[service]
         rows[workspace] = row
     return attrs.evolve(parts, rows=rows)
@@ -232,7 +236,7 @@
     own = targets[service]
     use = known[service].use
     left = [max(0, held[d] - max(own[d], use[d])) for d in _DIMENSIONS]
-    bound = list(held)
+    bound = [_caps.WHOLE] * 3
     gifts: Row = {}
     receivers = sorted(
         (name for name in demands if name != service),
@@ -255,18 +259,9 @@
             left[d] -= amount[d]
         if any(amount):
             gifts[name] = (amount[0], amount[1], amount[2])
-    for amount in gifts.values():
-        held = subtract(held, amount)
-    bound = [min(bound[d], held[d]) for d in _DIMENSIONS]
     return Decision(gifts=gifts, bound=(bound[0], bound[1], bound[2]))
 
 
-def give_all(held: _caps.Parts, use: _caps.Parts) -> _caps.Parts:
-    """Return what a service that leaves the configuration gives away."""
-    cpu, memory, accelerators = (max(0, held[d] - use[d]) for d in _DIMENSIONS)
-    return cpu, memory, accelerators
-
-
 def subtract(left: _caps.Parts, right: _caps.Parts) -> _caps.Parts:
     """Return the difference of two parts, by resource."""
     return left[0] - right[0], left[1] - right[1], left[2] - right[2]
@@ -293,42 +288,44 @@
     """Return what each service should hold at least, in thousandths.
 
     Where services want less than there is, the rest is split in proportion,
-    so that work that follows finds room. Where they want more, they get it in
-    proportion, and the unit that has waited longest gets what it needs first,
-    in a window of each period of its wait. Outside the window others use what
-    has been kept for it.
+    so that work that follows finds room. Where they want more, units that have
+    waited for long get what they need first, and the rest is split.
     """
-    oldest = max(
-        (
-            name
-            for name, each in demands.items()
-            if any(each.head)
-            and each.waiting_s % _caps.KEEPING_PERIOD_S < _caps.KEEPING_UNTIL_S
-        ),
-        key=lambda name: (demands[name].waiting_s, name),
-        default=None,
+    oldest_first = sorted(
+        (name for name, each in demands.items() if _is_first(each)),
+        key=lambda name: (-demands[name].waiting_s, name),
     )
     targets: dict[str, list[int]] = {name: [0, 0, 0] for name in demands}
     for d in _DIMENSIONS:
         wanted = {name: _wanted(each, d) for name, each in demands.items()}
-        total = sum(wanted.values())
-        if total <= _caps.WHOLE:
-            rest = _caps.WHOLE - total
-            for name, value in wanted.items():
-                targets[name][d] = value + rest * value // max(1, total)
-            continue
-        first = 0
-        if oldest is not None:
-            each = demands[oldest]
-            first = min(_caps.WHOLE, each.use[d] + each.head[d])
-            if first * total <= wanted[oldest] * _caps.WHOLE:
-                first = 0
-        others = total - (wanted[oldest] if first else 0)
-        for name, value in wanted.items():
-            if first and name == oldest:
-                targets[name][d] = first
-            else:
-                targets[name][d] = (
-                    (_caps.WHOLE - first) * value // max(1, others)
-                )
+        least = dict.fromkeys(demands, 0)
+        if sum(wanted.values()) > _caps.WHOLE:
+            left = _caps.WHOLE
+            for name in oldest_first:
+                each = demands[name]
+                needed = min(wanted[name], each.use[d] + each.head[d])
+                if needed <= left:
+                    least[name] = needed
+                    left -= needed
+        else:
+            least = wanted
+            left = _caps.WHOLE - sum(wanted.values())
+        more = {name: wanted[name] - least[name] for name in demands}
+        if not any(more.values()):
+            more = wanted
+        total = max(1, sum(more.values()))
+        for name, value in more.items():
+            targets[name][d] = least[name] + left * value // total
     return targets
+
+
+def _is_first(demand: Demand) -> bool:
+    """Return whether a unit has waited so long that its need comes first.
+
+    It does in a window of each period of its wait. Outside the window others
+    use what has been kept for it.
+    """
+    phase_s = demand.waiting_s % _caps.KEEPING_PERIOD_S
+    return any(demand.head) and FIRST_AFTER_S <= phase_s < (
+        _caps.KEEPING_UNTIL_S
+    )
