Order waiting jobs by the shares of their workspaces

One caller with a long backlog filled a service, because jobs are ordered by priority and time alone. Workspaces that use more than their weight's share of all capacity now come after the others, and their level rises while a round places their work. The load test of decisions first showed that the order must not depend on the service being busy as the round begins: a round that finds many runs ended gave all of the room to the longest backlog.

--- a/chestnuttide/node/_metrics.py
+++ b/chestnuttide/node/_metrics.py
@@ -54,7 +54,7 @@
     put_off : Counter
         ``chestnuttide_put_off_total{reason}``, starts that were put off by
         the ``cap`` of a workspace, and times that a workspace came to be over
-        its ``share`` of a busy service.
+        its ``share`` of all capacity.
     cap_writes : Counter
         ``chestnuttide_cap_writes_total{outcome}``, writes of the parts of
         caps that services hold.
--- a/chestnuttide/workloads/_ordering.py
+++ b/chestnuttide/workloads/_ordering.py
@@ -10,6 +10,10 @@
 from chestnuttide.workloads import _state
 from chestnuttide import workspaces
 
+# Level from which a workspace has its share: just under 1, so that one that
+# uses exactly its share does not come before one that uses less.
+FULL_LEVEL = 0.999
+
 # Parts of `urgency` that come before the workspace's share: trials come last,
 # and long-running tasks first.
 _BEFORE_SHARE = 2
@@ -39,12 +43,14 @@
 ) -> collections.abc.Iterator[_state.Job]:
     """Yield jobs in the order in which they are planned.
 
-    On a busy service, jobs of workspaces that are over their share come after
-    those of the others, and among themselves by how far they are over it. The
-    level of a workspace rises while the jobs that were yielded are placed.
+    Jobs of workspaces that use more than their share of all capacity come
+    after those of the others, and among themselves by how far they are over
+    it. The level of a workspace rises while its jobs are placed, so that a
+    round that finds much room does not give it to one workspace. While there
+    is room for all, the order decides nothing.
     """
     ordered = sorted(jobs, key=functools.partial(urgency, view))
-    if view.caps is None or view.caps.shares is None or not view.busy:
+    if view.caps is None or view.caps.shares is None:
         yield from ordered
         return
     waiting: dict[str, collections.deque[tuple[int, _state.Job]]] = {}
@@ -68,10 +74,10 @@
 
 
 def over_share(view: _free_capacity.CapacityView) -> set[str]:
-    """Return the workspaces that are over their share of a busy service."""
-    if view.caps is None or view.caps.shares is None or not view.busy:
+    """Return the workspaces that use more than their share."""
+    if view.caps is None or view.caps.shares is None:
         return set()
-    return {name for name in view.caps.usage.used if _level(view, name) > 1.0}
+    return {name for name in view.caps.usage.used if _level(view, name) > FULL_LEVEL}
 
 
 def _key(
@@ -83,7 +89,7 @@
     level = _level(view, workspace)
     return (
         *urgency(view, job)[:_BEFORE_SHARE],
-        max(0.0, level - 1.0),
+        max(0.0, level - FULL_LEVEL),
         turn,
         workspace,
     )
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -514,7 +514,7 @@
         Units that the last planning round put off because of the caps of
         their workspaces.
     over_share : set of str
-        Workspaces that were over their share of a busy service then.
+        Workspaces that were over their share of all capacity then.
     """
 
     service: str
--- a/chestnuttide/workspaces/_fair_share.py
+++ b/chestnuttide/workspaces/_fair_share.py
@@ -8,10 +8,12 @@
 
 from chestnuttide import model
 
-# A workspace's level counts its past use with this weight, and the past fades
-# with this time constant. One that was idle may exceed its share by a third
-# for some seconds; one that was busy waits for its turn no longer than that.
+# A workspace's level counts its past use with this weight, up to this multiple
+# of its share, and the past fades with this time constant. One that was idle
+# gets its share and no more; one that had more than its share gets at least
+# five sixths of it until its past has faded.
 HISTORY_WEIGHT: typing.Final = 0.25
+HISTORY_LIMIT: typing.Final = 1.5
 HISTORY_DECAY_S: typing.Final = 10.0
 
 
@@ -79,10 +81,11 @@
     elsewhere = shares.elsewhere.get(workspace)
     if elsewhere is not None:
         total = model.add(here, elsewhere)
-    current = dominant_share(total, shares.capacity)
-    past = shares.history.get(workspace, current)
+    current = dominant_share(total, shares.capacity) / entitled
+    past = shares.history.get(workspace, 0.0) / entitled
+    past = min(HISTORY_LIMIT, past)
     mixed = (1.0 - HISTORY_WEIGHT) * current + HISTORY_WEIGHT * past
-    return mixed / entitled
+    return max(current, mixed)
 
 
 def age_history(
