--- /dev/null
+++ b/chestnuttide/node/tests/test_cap_shares.py
@@ -0,0 +1,350 @@
+"""Owners of two services that share the cap of a workspace."""
+
+import asyncio
+import collections.abc
+import contextlib
+import functools
+
+import attrs
+import pytest
+
+from chestnuttide import errors
+from chestnuttide import model
+from chestnuttide.node import _cap_pages
+from chestnuttide.node import _cap_reports
+from chestnuttide.node import _cap_shares
+from chestnuttide.node import _clock
+from chestnuttide.node import _keys
+from chestnuttide.node import _messages
+from chestnuttide.node import _metrics
+from chestnuttide.node import _ownership
+from chestnuttide.node import _session
+from chestnuttide.node.tests import _session_fixtures
+from chestnuttide import platform
+from chestnuttide import workloads
+from chestnuttide.workloads.tests import _pool_fixtures
+from chestnuttide import workspaces
+from standins import cloud
+
+CORE = model.Resources(cpu_millis=1000, memory_mb=100)
+CAP = model.Resources(cpu_millis=4000)
+CONFIG = platform.ClusterConfig(
+    version=1,
+    queues=(),
+    services=("s1", "s2"),
+    workspaces=(workloads.Workspace(name="w", cap=CAP),),
+)
+
+
+@attrs.define(kw_only=True)
+class Bed:
+    """A store stand-in and the owner of each service."""
+
+    store: cloud.Store
+    address: str
+    calls: list[str] = attrs.field(factory=list)
+    owners: dict[str, _ownership.Ownership] = attrs.field(factory=dict)
+    number: int = 0
+
+
+@contextlib.asynccontextmanager
+async def _open_bed() -> collections.abc.AsyncIterator[Bed]:
+    store = cloud.Store()
+    address, server = cloud.serve(
+        functools.partial(cloud.handle_store_request, store)
+    )
+    bed = Bed(store=store, address=address)
+    for service in CONFIG.services:
+        _take_over(bed, service)
+    try:
+        yield bed
+    finally:
+        server.stop()
+
+
+def _take_over(bed: Bed, service: str) -> _ownership.Ownership:
+    """Let another instance own a service, with the runs that are stored."""
+    session = _session_fixtures.make_session(
+        bed.address,
+        timeout_s=0.2,
+        count=lambda kind, outcome: bed.calls.append(kind),
+    )
+    session.config = CONFIG
+    cloud.put(bed.store, _keys.owner(service), b"")
+    former = bed.owners.get(service)
+    owner = _ownership.Ownership(
+        service=service,
+        fencing_token=bed.store.keys[_keys.owner(service)].revision,
+        session=session,
+        store=session.store,
+        workers_http=None,
+        pool=former.pool if former else _pool_fixtures.make_pool(4),
+        metrics=_metrics.make_metrics(),
+        confirmed_at=_clock.now(),
+    )
+    bed.owners[service] = owner
+    return owner
+
+
+def _submit(bed: Bed, service: str, tasks: int) -> None:
+    bed.number += 1
+    job = _pool_fixtures.submit(
+        bed.owners[service].pool,
+        _pool_fixtures.make_step(count=tasks, need=CORE),
+        job_id=f"{bed.number:016x}",
+    )
+    job.spec = attrs.evolve(job.spec, workspace="w")
+
+
+def _plan(bed: Bed, service: str) -> int:
+    """Plan once and return the runs of the workspace in the service."""
+    owner, now = bed.owners[service], _clock.now()
+    round_ = _cap_shares.make_round(owner, now)
+    plan = workloads.make_plan(owner.pool, now=now, caps=round_)
+    _cap_shares.record_round(owner, round_, plan, now)
+    return sum(len(each.runs) for each in owner.pool.workers.values())
+
+
+async def _share(bed: Bed, *services: str) -> None:
+    """Let owners report to each other and share, without the mesh."""
+    for service in services or bed.owners:
+        owner = bed.owners[service]
+        owner.caps.written_at = 0.0
+        with contextlib.suppress(errors.SchedulerError):
+            await _cap_shares.share(owner)
+        for other in bed.owners.values():
+            if other is not owner:
+                other.session.caps.reports[service] = (
+                    owner.session.caps.reports[service]
+                )
+
+
+def _stored(bed: Bed) -> workspaces.CapParts:
+    item = bed.store.keys[_keys.CAPS]
+    return workspaces.decode_parts(item.value, item.revision)
+
+
+def _tell(bed: Bed) -> None:
+    """Bring the stored record to all owners, as the mesh and watches do."""
+    item = bed.store.keys[_keys.CAPS]
+    for owner in bed.owners.values():
+        message = _messages.CapRecord(value=item.value, revision=item.revision)
+        _cap_shares.adopt_record(owner.session, message)
+
+
+def test_parts_go_where_work_waits_and_their_sum_stays() -> None:
+    """A service with work must get the parts that another leaves idle."""
+
+    async def main() -> None:
+        async with _open_bed() as bed:
+            _submit(bed, "s1", 9)
+            assert _plan(bed, "s1") == 0
+            await _share(bed, "s1")
+            _tell(bed)
+            assert _plan(bed, "s1") == 2
+            await _share(bed, "s1", "s2")
+            _tell(bed)
+            assert _plan(bed, "s1") == 4
+            _submit(bed, "s2", 9)
+            assert _plan(bed, "s2") == 0
+            assert _stored(bed).rows["w"]["s1"][0] == 1000
+            rows = _cap_pages.list_use({"s1": bed.owners["s1"]})
+            assert rows[0]["use"] == (4000, 400, 0)
+            assert rows[0]["waiting"] == {"cap": 5}
+            assert _cap_pages.explain_wait(
+                {"s1": bed.owners["s1"]}, f"{1:016x}"
+            )[0]["waiting"] == {"cap": 5}
+
+    asyncio.run(main())
+
+
+def test_a_lent_part_outlives_an_owner_that_is_killed() -> None:
+    """A successor must neither use what was lent nor lose its own part."""
+
+    async def main() -> None:
+        async with _open_bed() as bed:
+            _submit(bed, "s1", 9)
+            await _share(bed)
+            _tell(bed)
+            _plan(bed, "s1")
+            await _share(bed, "s1", "s2")
+            _tell(bed)
+            assert _plan(bed, "s1") == 4
+            _submit(bed, "s2", 9)
+            successor = _take_over(bed, "s2")
+            # Its instance knows a record from before the loan.
+            successor.session.caps.parts = workspaces.CapParts(
+                revision=1, rows={"w": {"s2": (1000, 1000, 1000)}}
+            )
+            assert _plan(bed, "s2") == 0
+            await _share(bed, "s2")
+            assert _plan(bed, "s2") == 0
+            # The owner that borrowed is replaced too; its runs go on.
+            _take_over(bed, "s1")
+            assert _plan(bed, "s1") == 4
+            for worker in bed.owners["s1"].pool.workers.values():
+                for run in list(worker.runs.values()):
+                    run.unit.state = workloads.UnitState.DONE
+                    workloads.drop_run(bed.owners["s1"].pool, run)
+            bed.owners["s1"].pool.active.clear()
+            assert _plan(bed, "s1") == 0
+            await _share(bed, "s2", "s1")
+            _tell(bed)
+            assert _plan(bed, "s2") == 4
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("executed", "status"),
+    [
+        pytest.param(True, -1, id="executed-without-answer"),
+        pytest.param(False, -1, id="not-executed"),
+        pytest.param(False, 503, id="refused"),
+    ],
+)
+def test_a_giver_keeps_to_less_while_a_write_is_uncertain(
+    executed: bool, status: int
+) -> None:
+    """The store away while a cap is spread unevenly must free nothing."""
+
+    async def main() -> None:
+        async with _open_bed() as bed:
+            await _share(bed)
+            _submit(bed, "s2", 9)
+            _tell(bed)
+            _plan(bed, "s2")
+            await _share(bed, "s2")
+            if executed:
+                bed.store.dropped_responses = 1
+            else:
+                bed.store.refusal_status = status
+            await _share(bed, "s1")
+            _submit(bed, "s1", 9)
+            # The demand of the receiver is not known any more.
+            bed.owners["s1"].session.caps.reports.pop("s2")
+            bed.owners["s1"].caps.bounds = {}
+            assert _plan(bed, "s1") == 0
+            bed.store.refusal_status = 0
+            await asyncio.sleep(0.3)
+            # A write of the same owner settles what became of the former.
+            bed.owners["s1"].caps.written_at = -9.0
+            with contextlib.suppress(errors.SchedulerError):
+                await _cap_shares.share(bed.owners["s1"])
+            _tell(bed)
+            assert _plan(bed, "s1") + _plan(bed, "s2") == 4
+
+    asyncio.run(main())
+
+
+def test_an_owner_with_an_older_version_takes_nothing() -> None:
+    """Parts come from the record alone, not from a configuration."""
+
+    async def main() -> None:
+        async with _open_bed() as bed:
+            older, owner = bed.owners["s1"], bed.owners["s2"]
+            older.session.config = attrs.evolve(CONFIG, workspaces=None)
+            assert _cap_shares.make_round(older, _clock.now()) is None
+            bed.calls.clear()
+            await _cap_shares.share(older)
+            assert bed.calls == []
+            _submit(bed, "s2", 9)
+            await _share(bed, "s2")
+            assert _plan(bed, "s2") == 2
+            # A version that lowers the cap stops new starts, and ends none.
+            owner.session.config = attrs.evolve(
+                CONFIG,
+                workspaces=(workloads.Workspace(name="w", cap=CORE),),
+            )
+            _submit(bed, "s2", 1)
+            assert _plan(bed, "s2") == 2
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "owned", [pytest.param(True, id="owned"), pytest.param(False, id="gone")]
+)
+def test_parts_of_a_service_that_has_left_come_back(owned: bool) -> None:
+    """A part must not be lost with its service, nor be taken from an owner."""
+
+    async def main() -> None:
+        async with _open_bed() as bed:
+            await _share(bed)
+            owner = bed.owners["s1"]
+            owner.session.config = attrs.evolve(CONFIG, services=("s1",))
+            if not owned:
+                cloud.remove(bed.store, _keys.owner("s2"))
+            await _share(bed, "s1")
+            held = _stored(bed).rows["w"]
+            assert held["s1"][0] == (500 if owned else 1000)
+
+    asyncio.run(main())
+
+
+def test_an_unreadable_record_allows_nothing() -> None:
+    """What the services may use is not known, so nothing starts."""
+
+    async def main() -> None:
+        async with _open_bed() as bed:
+            await _share(bed)
+            _submit(bed, "s1", 1)
+            cloud.put(bed.store, _keys.CAPS, b"\xff")
+            _tell(bed)
+            assert _plan(bed, "s1") == 0
+            await _share(bed)
+            assert bed.store.keys[_keys.CAPS].value == b"\xff"
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("capacity", "rows"),
+    [
+        pytest.param((1, 2), (), id="too-few-amounts"),
+        pytest.param((1, 2, -3), (), id="negative"),
+        pytest.param((1, 2, 3), (("w", *[1] * 9),), id="short-row"),
+        pytest.param((1, 2, 3), (("w", *["x"] * 10),), id="text"),
+        pytest.param((1, 2, 3), (7,), id="not-a-row"),
+    ],
+)
+def test_unreadable_reports_are_left_out(
+    capacity: tuple[int, ...], rows: tuple[object, ...]
+) -> None:
+    """A peer's message of another form must not reach the decisions."""
+    board = _session.Session(
+        settings=None,
+        store=None,
+        peers=None,
+        count_unreadable=lambda kind: None,
+    ).caps
+    message = _messages.CapUse(
+        service="s", fencing_token=1, capacity=capacity, rows=rows
+    )
+    with pytest.raises(errors.ProtocolError):
+        _cap_reports.receive(board, message, 0.0)
+    assert not board.reports
+
+
+def test_reports_of_replaced_owners_do_not_count() -> None:
+    """A paused owner that goes on must not hide its successor's use."""
+    board = _session.Session(
+        settings=None,
+        store=None,
+        peers=None,
+        count_unreadable=lambda kind: None,
+    ).caps
+    row = ("w", 1000, 100, 0, 2000, 0, 0, 4000, 0, 0, 1500)
+    for token, rows in ((5, (row,)), (4, ())):
+        message = _messages.CapUse(
+            service="s", fencing_token=token, capacity=(1, 2, 3), rows=rows
+        )
+        _cap_reports.receive(board, message, 1.0)
+    demands = _cap_reports.list_demands(board, "w", CAP, 1.5, max_age_s=1.0)
+    assert demands["s"] == workspaces.Demand(
+        use=(250, 0, 0),
+        head=(500, 0, 0),
+        waiting=(1000, 0, 0),
+        waiting_s=2.0,
+    )
+    assert _cap_reports.list_demands(board, "w", CAP, 2.5, max_age_s=1.0) == {}
--- a/chestnuttide/workloads/_ordering.py
+++ b/chestnuttide/workloads/_ordering.py
@@ -77,7 +77,11 @@
     """Return the workspaces that use more than their share."""
     if view.caps is None or view.caps.shares is None:
         return set()
-    return {name for name in view.caps.usage.used if _level(view, name) > FULL_LEVEL}
+    return {
+        name
+        for name in view.caps.usage.used
+        if _level(view, name) > FULL_LEVEL
+    }
 
 
 def _key(
