--- a/chestnuttide/workloads/_waiting.py
+++ b/chestnuttide/workloads/_waiting.py
@@ -16,7 +16,8 @@
     ADVICE is a ticket of a usable worker, TRIAL a worker on which a suspected
     task may start, VERDICT the confirmation that its workers have crashed, CAP
     room under the part of its workspace's cap that the service holds, SHARE
-    its turn after workspaces that are not over their share, and CAPACITY free capacity or its turn in the next planning round.
+    its turn after workspaces that are not over their share, and CAPACITY free
+    capacity or its turn in the next planning round.
     """
 
     ADVICE = "advice"
--- a/docs_tools/_inputs.py
+++ b/docs_tools/_inputs.py
@@ -21,7 +21,7 @@
 )
 
 _CODE_NAME: typing.Final = re.compile(
-    r"`((?:mesh|node|platform|workloads)\.\w+:\w+)`"
+    r"`((?:mesh|node|platform|workloads|workspaces)\.\w+:\w+)`"
 )
 
 _READERS: typing.Final = re.compile(r"read_\w+|_read_\w+")
