Decide only on caps that something waits for

An owner decided ten times a second on each cap, which costs processor time for nothing while no work waits. A page no longer counts units of ended jobs.

--- a/chestnuttide/node/_cap_reports.py
+++ b/chestnuttide/node/_cap_reports.py
@@ -133,6 +133,19 @@
     return totals
 
 
+def list_waiting(
+    board: _cap_state.CapBoard, now: float, *, max_age_s: float
+) -> set[str]:
+    """Return the workspaces that wait for their caps in any service."""
+    return {
+        name
+        for report in board.reports.values()
+        if now - report.received_at <= max_age_s
+        for name, row in report.rows.items()
+        if row.waiting != model.ZERO
+    }
+
+
 def list_demands(
     board: _cap_state.CapBoard,
     workspace: str,
--- a/chestnuttide/node/_cap_shares.py
+++ b/chestnuttide/node/_cap_shares.py
@@ -272,10 +272,12 @@
     # The store may have answered a call since the report.
     caps.used = workloads.requested_by_workspace(owner.pool)
     own_use = _cap_reports.own_rows(owner, now)
-    for name, workspace in capped.items():
-        row = session.caps.parts.rows.get(name)
-        if row is None:
-            continue
+    waiting = _cap_reports.list_waiting(
+        session.caps, now, max_age_s=DEMAND_AGE_S
+    )
+    for name in waiting & capped.keys() & session.caps.parts.rows.keys():
+        workspace = capped[name]
+        row = session.caps.parts.rows[name]
         demands = _cap_reports.list_demands(
             session.caps, name, workspace.cap, now, max_age_s=DEMAND_AGE_S
         )
--- a/chestnuttide/workloads/_waiting.py
+++ b/chestnuttide/workloads/_waiting.py
@@ -46,6 +46,8 @@
     pool: _state.Pool, job: _state.Job, *, now: float
 ) -> collections.Counter[WaitReason]:
     """Return how many tasks of a job wait, by the reason."""
+    if job.state in _state.TERMINAL_STATES:
+        return collections.Counter()
     return _count_job(pool, job, _usable_workers(pool, now), now)
 
 
