--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -9,6 +9,7 @@
 
 from chestnuttide import errors
 from chestnuttide import model
+from chestnuttide.node import _cap_state
 from chestnuttide.node import _clock
 from chestnuttide.node import _directory
 from chestnuttide.node import _keys
@@ -124,6 +125,8 @@
         Whether the last check found the confirmation too old.
     directory : Directory
         Services that may hold jobs of each queue.
+    caps : CapBoard
+        Parts of the workspaces' caps, and what owners tell about their use.
     changed : asyncio.Event
         Set when members, owners or config have changed.
     stopping : bool
@@ -154,6 +157,7 @@
     keys_withdrawn: int = 0
     keyed_calls_stopped: bool = False
     directory: _directory.Directory = _directory.Directory()
+    caps: _cap_state.CapBoard = attrs.field(factory=_cap_state.CapBoard)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     stopping: bool = False
 
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -54,6 +54,7 @@
 begin_start = _starts.begin_start
 cancel_job = _lifecycle.cancel_job
 confirm_start = _poll_replies.confirm_start
+count_by_workspace = _waiting.count_by_workspace
 count_waiting_tasks = _waiting.count_waiting_tasks
 decode_job = _records.decode_job
 decode_run_times = _run_time_records.decode_run_times
@@ -67,12 +68,14 @@
 evacuate = _supervision.evacuate
 expected_run_s = _expectations.expected_run_s
 expire_worker_lease = _poll_replies.expire_worker_lease
+explain_wait = _waiting.explain_wait
 find_stalled = _supervision.find_stalled
 former_incarnations = _incarnations.former_incarnations
 is_removable = _poll_replies.is_removable
 is_usable = _planning.is_usable
 lease_deadline_ms = _poll_replies.lease_deadline_ms
 list_run_times = _run_time_rows.list_run_times
+listed_capacity = _state.listed_capacity
 make_plan = _planning.make_plan
 may_send_start = _starts.may_send_start
 overall_run_time_errors = _run_time_rows.overall_errors
@@ -85,6 +88,7 @@
 record_stop_answer = _stops.record_stop_answer
 refresh_run_times = _run_observations.refresh
 release_due_occurrences = _lifecycle.release_due_occurrences
+requested_by_workspace = _state.requested_by_workspace
 settle_crashes = _crashes.settle_crashes
 start_incarnation = _incarnations.start_incarnation
 step_of = _lifecycle.step_of
@@ -132,6 +136,7 @@
     "begin_start",
     "cancel_job",
     "confirm_start",
+    "count_by_workspace",
     "count_waiting_tasks",
     "decode_job",
     "decode_run_times",
@@ -145,12 +150,14 @@
     "evacuate",
     "expected_run_s",
     "expire_worker_lease",
+    "explain_wait",
     "find_stalled",
     "former_incarnations",
     "is_removable",
     "is_usable",
     "lease_deadline_ms",
     "list_run_times",
+    "listed_capacity",
     "make_plan",
     "may_send_start",
     "overall_run_time_errors",
@@ -163,6 +170,7 @@
     "record_stop_answer",
     "refresh_run_times",
     "release_due_occurrences",
+    "requested_by_workspace",
     "settle_crashes",
     "start_incarnation",
     "step_of",
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -381,6 +381,9 @@
         Number of filler runs, and of runs with a latency target.
     step_runs : dict of (str, int, int) to int
         Number of runs by job, occurrence and step.
+    requested : dict of str to Resources
+        What the platform sees the runs of each workspace request, including
+        the processors of fillers.
     unproven_runs, trials : int
         Number of runs that are not proven, and of those among them that are
         on trial.
@@ -437,6 +440,7 @@
     fillers: int = 0
     serving: int = 0
     step_runs: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
+    requested: dict[str, model.Resources] = attrs.field(factory=dict)
     unproven_runs: int = 0
     trials: int = 0
     kept_free_until: float = 0.0
@@ -514,6 +518,11 @@
     run_times : RunTimes or None
         Learned run times and worker speeds; None if estimates are used as
         they are.
+    capped_units : set of Unit
+        Units that the last planning round put off because of the caps of
+        their workspaces.
+    over_share : set of str
+        Workspaces that were over their share of all capacity then.
     """
 
     service: str
@@ -528,6 +537,8 @@
         factory=dict
     )
     run_times: _run_times.RunTimes | None = None
+    capped_units: set[Unit] = attrs.field(factory=set)
+    over_share: set[str] = attrs.field(factory=set)
 
 
 def worker_key(report: _specs.WorkerReport) -> str:
@@ -600,6 +611,51 @@
         worker.step_runs[key] = count
     else:
         del worker.step_runs[key]
+    if run.job.spec.workspace:
+        _count_request(worker, run.job.spec.workspace, step.need, change)
+
+
+def _count_request(
+    worker: Worker, workspace: str, need: model.Resources, change: int
+) -> None:
+    used = worker.requested.get(workspace, model.ZERO)
+    used = model.add(used, need) if change > 0 else model.subtract(used, need)
+    if used == model.ZERO:
+        worker.requested.pop(workspace, None)
+    else:
+        worker.requested[workspace] = used
+
+
+def listed_capacity(pool: "Pool") -> model.Resources:
+    """Return the capacity of the workers that the store lists."""
+    reports = [each.report for each in pool.workers.values() if each.listed]
+    return model.Resources(
+        cpu_millis=sum(each.capacity.cpu_millis for each in reports),
+        memory_mb=sum(each.capacity.memory_mb for each in reports),
+        accelerators=sum(each.capacity.accelerators for each in reports),
+    )
+
+
+def requested_by_workspace(pool: "Pool") -> dict[str, model.Resources]:
+    """Return what the runs of each workspace request in a service.
+
+    Every run counts that may be executing: also one whose start is planned or
+    was not answered, one that is being stopped, and one on a silent worker
+    whose lease has not expired.
+    """
+    totals: dict[str, list[int]] = {}
+    for worker in pool.workers.values():
+        for workspace, amount in worker.requested.items():
+            total = totals.setdefault(workspace, [0, 0, 0])
+            total[0] += amount.cpu_millis
+            total[1] += amount.memory_mb
+            total[2] += amount.accelerators
+    return {
+        workspace: model.Resources(
+            cpu_millis=cpu, memory_mb=memory, accelerators=accelerators
+        )
+        for workspace, (cpu, memory, accelerators) in totals.items()
+    }
 
 
 def allocated_need(step: _specs.StepSpec) -> model.Resources:
