Order waiting jobs by their objective and keep tight work off slow workers

Jobs were ordered by the constant part of the objective, so long jobs passed short ones and lost jobs delayed those in time. Both are off unless the settings ask for them.

--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -400,6 +400,11 @@
     bounds = settings.bounds
     return workloads.Pool(
         service=service,
+        policy=workloads.LoadPolicy(
+            objective_order=settings.load.objective_order,
+            admission=settings.load.admission,
+            worker_speeds=settings.load.worker_speeds,
+        ),
         limits=workloads.TimeLimits(
             lease_s=min(
                 _ownership.RUN_LEASE_S, bounds.worker_lease_max_ms / 1000
--- a/chestnuttide/node/_settings.py
+++ b/chestnuttide/node/_settings.py
@@ -95,6 +95,26 @@
         return self.core_share * self.core_speed
 
 
+@attrs.frozen(kw_only=True, slots=True)
+class LoadSettings:
+    """Decisions under load; each is off unless it is asked for.
+
+    Attributes
+    ----------
+    objective_order : bool
+        Whether waiting jobs are ordered by their whole latency objective, and
+        those that can no longer be of worth come last.
+    admission : bool
+        Whether a job that cannot end while it is of worth is refused.
+    worker_speeds : bool
+        Whether work that has no time to spare is kept off slow workers.
+    """
+
+    objective_order: bool = False
+    admission: bool = False
+    worker_speeds: bool = False
+
+
 @attrs.frozen(kw_only=True, slots=True)
 class NodeSettings:
     """All settings of an instance.
@@ -119,6 +139,8 @@
         Time limits set by the deployment.
     capacity : CapacitySettings
         What the instance may use of its machine.
+    load : LoadSettings
+        Decisions under load.
     metrics_port : int
         Port of the metrics page.
     log_level : str
@@ -136,6 +158,7 @@
     advisor: str | None = None
     bounds: BoundSettings = BoundSettings()
     capacity: CapacitySettings = CapacitySettings()
+    load: LoadSettings = LoadSettings()
     metrics_port: int = 9464
     log_level: str = "info"
     log_lines_per_s: int = 400
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -21,6 +21,7 @@
 Job = _state.Job
 JobSpec = _specs.JobSpec
 JobState = _state.JobState
+LoadPolicy = _state.LoadPolicy
 PROVEN_RUN_S = _state.PROVEN_RUN_S
 Phase = _state.Phase
 Plan = _planning.Plan
@@ -90,6 +91,7 @@
     "Job",
     "JobSpec",
     "JobState",
+    "LoadPolicy",
     "PROVEN_RUN_S",
     "Phase",
     "Plan",
--- a/chestnuttide/workloads/_free_capacity.py
+++ b/chestnuttide/workloads/_free_capacity.py
@@ -6,9 +6,11 @@
 
 from chestnuttide import model
 from chestnuttide.workloads import _lifecycle
+from chestnuttide.workloads import _objectives
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
 from chestnuttide.workloads import _trials
+from chestnuttide.workloads import _worker_speeds
 
 # Share of the service's processors that is reserved for its most urgent queue
 # while the service is busy, so that its work starts at once at the peak. The
@@ -54,6 +56,9 @@
         Whether it may use the processors that are reserved for urgent work.
     spread : bool
         Whether small tasks are spread over workers instead of packed.
+    pace : Pace or None
+        How much slower than typical a worker may be; None if placement does
+        not take speeds into account.
     """
 
     spec: _specs.StepSpec
@@ -63,6 +68,7 @@
     accelerators: int
     urgent: bool
     spread: bool
+    pace: _worker_speeds.Pace | None = None
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -71,6 +77,8 @@
 
     Attributes
     ----------
+    pool : Pool
+        The pool.
     now : float
         Time of the round.
     top_priority : int
@@ -89,12 +97,24 @@
         Priorities of the queues for which full workers are reserved.
     trials : TrialView
         Workers for trials of suspected units.
+    past_worth, past_objective : frozenset of str
+        Jobs that can no longer end within their worth, and those that can no
+        longer end within their objective; empty unless the deployment asks
+        for this order.
+    relative_run_times : dict of (str, bool) to float
+        Run times on workers, see `_worker_speeds.Pace`.
     """
 
+    pool: _state.Pool
     now: float
     top_priority: int
     workers: dict[str, _state.Worker]
     trials: _trials.TrialView
+    past_worth: frozenset[str] = frozenset()
+    past_objective: frozenset[str] = frozenset()
+    relative_run_times: dict[tuple[str, bool], float] = attrs.field(
+        factory=dict
+    )
     busy: bool = False
     crowded: bool = False
     spare_cpu_millis: float = math.inf
@@ -111,11 +131,15 @@
     used = sum(each.used.cpu_millis for each in listed)
     busy = used >= BUSY_SHARE * capacity
     spare = (1.0 - URGENT_RESERVE_SHARE) * capacity - used
+    late = _objectives.find_late_jobs(pool, now=now)
     return CapacityView(
+        pool=pool,
         now=now,
         top_priority=pool.top_priority,
         workers={each.key: each for each in workers},
         trials=_trials.make_trial_view(pool, workers, busy=busy, now=now),
+        past_worth=late.past_worth,
+        past_objective=late.past_objective,
         busy=busy,
         crowded=used >= CROWDED_SHARE * capacity,
         spare_cpu_millis=spare if busy else math.inf,
@@ -149,7 +173,10 @@
     """Return the requirements of each task of a step."""
     spec = job.spec.steps[step_key[1]]
     need = _state.allocated_need(spec)
-    urgent = spec.lasting or job.spec.queue.priority <= view.top_priority
+    urgent = spec.lasting or (
+        job.spec.queue.priority <= view.top_priority
+        and job.spec.id not in view.past_worth
+    )
     return Demand(
         spec=spec,
         step_runs_key=(job.spec.id, *step_key),
@@ -160,6 +187,9 @@
         # One small task on each worker would leave too little room for large
         # ones everywhere.
         spread=urgent and not view.crowded,
+        pace=_worker_speeds.make_pace(
+            view.pool, job, step_key, view.relative_run_times, now=view.now
+        ),
     )
 
 
@@ -308,6 +338,8 @@
         total += STEP_CROWDING_WEIGHT * taken
     if step.data_rack and step.data_rack != worker.report.rack:
         total += REMOTE_DATA_WEIGHT
+    if demand.pace is not None:
+        total += _worker_speeds.score(demand.pace, worker)
     return total + FAILURE_WEIGHT * worker.consecutive_failures
 
 
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -304,6 +304,8 @@
     accepted : bool
         Whether it is stored. Before that, advisor queries are sent but no
         run starts.
+    objective_s : float
+        Its latency objective in seconds; 0 until `_objectives` works it out.
     started : bool
         Whether any task has started.
     cancelled : bool
@@ -327,6 +329,7 @@
     advice: dict[tuple[int, int], StepAdvice] = attrs.field(factory=dict)
     accepted_at: float = 0.0
     accepted: bool = False
+    objective_s: float = 0.0
     started: bool = False
     cancelled: bool = False
     dirty: bool = False
@@ -479,6 +482,26 @@
     entry_expiry_s: float = 6.0
 
 
+@attrs.frozen(kw_only=True, slots=True)
+class LoadPolicy:
+    """Which decisions under load a deployment asks for.
+
+    Attributes
+    ----------
+    objective_order : bool
+        Whether jobs are ordered by their whole latency objective, those that
+        can no longer be of worth behind all others.
+    admission : bool
+        Whether a job that cannot end while it is of worth is refused.
+    worker_speeds : bool
+        Whether placement takes a worker's speed into account.
+    """
+
+    objective_order: bool = False
+    admission: bool = False
+    worker_speeds: bool = False
+
+
 @attrs.define(kw_only=True, slots=True, eq=False)
 class Pool:
     """Jobs and workers of a service, as its owner schedules them.
@@ -489,6 +512,8 @@
         Name of the service.
     limits : TimeLimits
         Time limits of the deployment.
+    policy : LoadPolicy
+        Which decisions under load the deployment asks for.
     jobs : dict of str to Job
         Jobs by id, including ended ones while callers may query them.
     workers : dict of str to Worker
@@ -510,6 +535,7 @@
 
     service: str
     limits: TimeLimits
+    policy: LoadPolicy = LoadPolicy()
     jobs: dict[str, Job] = attrs.field(factory=dict)
     workers: dict[str, Worker] = attrs.field(factory=dict)
     active: dict[str, Job] = attrs.field(factory=dict)
--- a/chestnuttide/workloads/tests/_load_simulation.py
+++ b/chestnuttide/workloads/tests/_load_simulation.py
@@ -81,16 +81,22 @@
     ----------
     waits_s : list of float
         Time from each submission to the start of its last task.
-    in_time : int
-        Jobs that ended within their latency objective.
+    in_time, late : int
+        Jobs that ended within their latency objective, and within three.
     jobs : int
         Jobs submitted.
     """
 
     waits_s: list[float] = attrs.field(factory=list)
     in_time: int = 0
+    late: int = 0
     jobs: int = 0
 
+    @property
+    def worth(self) -> float:
+        """Mean worth of a job to its caller."""
+        return (self.in_time + 0.2 * self.late) / max(1, self.jobs)
+
     def wait_quantile_s(self, share: float) -> float:
         """Return a quantile of the waits; infinite for jobs that wait."""
         waits = self.waits_s + [math.inf] * (self.jobs - len(self.waits_s))
@@ -125,6 +131,8 @@
         Jobs whose tasks have all started.
     allowed_shares : dict of str to float
         Share of the workers that the advisor allows, by job.
+    speeds : dict of str to float
+        Speed of each worker.
     sequence : iterator of int
         Numbers that order events of one moment, and name the jobs.
     """
@@ -143,6 +151,7 @@
     longest_s: dict[str, float] = attrs.field(factory=dict)
     started: set[str] = attrs.field(factory=set)
     allowed_shares: dict[str, float] = attrs.field(factory=dict)
+    speeds: dict[str, float] = attrs.field(factory=dict)
     sequence: collections.abc.Iterator[int] = attrs.field(
         factory=itertools.count
     )
@@ -163,6 +172,8 @@
     seconds: float,
     rate: collections.abc.Callable[[float], float],
     seed: int,
+    policy: workloads.LoadPolicy = workloads.LoadPolicy(),
+    speeds: collections.abc.Sequence[float] = (1.0,),
 ) -> Simulation:
     """Submit the streams' jobs for some seconds, and play on until they end.
 
@@ -180,9 +191,15 @@
         Factor of the arrival rates at a time.
     seed : int
         Seed of the play.
+    policy : LoadPolicy
+        Decisions under load that are on.
+    speeds : sequence of float
+        Speeds of the workers, in turn.
     """
     pool = workloads.Pool(
-        service="workshop", limits=workloads.TimeLimits(lease_s=2.5)
+        service="workshop",
+        limits=workloads.TimeLimits(lease_s=2.5),
+        policy=policy,
     )
     for number in range(workers):
         _add_worker(pool, number, capacity, rack=f"r{number % racks}")
@@ -191,6 +208,7 @@
         rng=random.Random(seed),
         instances=instances,
         busy_until=[0.0] * instances,
+        speeds=dict(zip(pool.workers, itertools.cycle(speeds))),
     )
     for stream in streams:
         simulation.results[stream.name] = Result()
@@ -285,6 +303,7 @@
             if run.phase == workloads.Phase.RUNNING:
                 elapsed_s = simulation.now - run.confirmed_at
                 work_s = simulation.work_s[run.job.spec.id]
+                work_s /= simulation.speeds[run.worker_key]
                 run.percent = min(99.0, 100.0 * elapsed_s / work_s)
                 run.progress_at = simulation.now
     simulation.at(
@@ -344,6 +363,7 @@
         work_s *= STRAGGLER_FACTOR
         simulation.longest_s[run.job.spec.id] = work_s
     run.percent = 0.0
+    work_s /= simulation.speeds[run.worker_key]
     simulation.at(simulation.now + work_s, lambda: _complete(simulation, run))
     job = run.job
     if job.spec.id not in simulation.started and all(
@@ -374,8 +394,10 @@
     )
     chain_s += queue.advice.decide_s + 30 * queue.advice.per_worker_s
     objective_s = queue.stretch * chain_s + queue.latency_objective_s
-    if simulation.now - job.accepted_at <= objective_s:
-        simulation.results[queue.name].in_time += 1
+    objectives = (simulation.now - job.accepted_at) / objective_s
+    result = simulation.results[queue.name]
+    result.in_time += objectives <= 1
+    result.late += 1 < objectives <= 3
 
 
 def summarize(simulation: Simulation) -> dict[str, collections.Counter]:
@@ -384,6 +406,7 @@
         name: collections.Counter(
             jobs=result.jobs,
             in_time=result.in_time,
+            late=result.late,
             p50_ms=_milliseconds(result.wait_quantile_s(0.5)),
             p95_ms=_milliseconds(result.wait_quantile_s(0.95)),
         )
