--- a/chestnuttide/workloads/_free_capacity.py
+++ b/chestnuttide/workloads/_free_capacity.py
@@ -10,7 +10,7 @@
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
 from chestnuttide.workloads import _trials
-from chestnuttide.workloads import _worker_speeds
+from chestnuttide.workloads import _pace
 
 # Share of the service's processors that is reserved for its most urgent queue
 # while the service is busy, so that its work starts at once at the peak. The
@@ -68,7 +68,7 @@
     accelerators: int
     urgent: bool
     spread: bool
-    pace: _worker_speeds.Pace | None = None
+    pace: _pace.Pace | None = None
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -102,7 +102,7 @@
         longer end within their objective; empty unless the deployment asks
         for this order.
     relative_run_times : dict of (str, bool) to float
-        Run times on workers, see `_worker_speeds.Pace`.
+        Run times on workers, see `_pace.Pace`.
     """
 
     pool: _state.Pool
@@ -187,7 +187,7 @@
         # One small task on each worker would leave too little room for large
         # ones everywhere.
         spread=urgent and not view.crowded,
-        pace=_worker_speeds.make_pace(
+        pace=_pace.make_pace(
             view.pool, job, step_key, view.relative_run_times, now=view.now
         ),
     )
@@ -339,7 +339,7 @@
     if step.data_rack and step.data_rack != worker.report.rack:
         total += REMOTE_DATA_WEIGHT
     if demand.pace is not None:
-        total += _worker_speeds.score(demand.pace, worker)
+        total += _pace.score(demand.pace, worker)
     return total + FAILURE_WEIGHT * worker.consecutive_failures
 
 
