--- a/chestnuttide/workloads/_free_capacity.py
+++ b/chestnuttide/workloads/_free_capacity.py
@@ -7,10 +7,10 @@
 from chestnuttide import model
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _objectives
+from chestnuttide.workloads import _pace
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
 from chestnuttide.workloads import _trials
-from chestnuttide.workloads import _pace
 
 # Share of the service's processors that is reserved for its most urgent queue
 # while the service is busy, so that its work starts at once at the peak. The
