--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -13,6 +13,7 @@
 from tornado import httputil
 
 from chestnuttide import errors
+from chestnuttide.node import _admission
 from chestnuttide.node import _advisor_queries
 from chestnuttide.node import _claims
 from chestnuttide.node import _clock
@@ -52,9 +53,11 @@
 ENTRY_EXPIRY_HEARTBEATS = 4
 
 # Paths on the metrics port. The first lists what this instance's owners leave
-# out, the second which services may hold jobs of which queue.
+# out, the second which services may hold jobs of which queue, the third what
+# admission decides and from what.
 SET_ASIDE_PATH = "/set-aside"
 DIRECTORY_PATH = "/directory"
+ADMISSION_PATH = "/admission"
 
 CLAIM_PERIOD_S = 0.1
 RESTART_PAUSE_S = 0.2
@@ -205,12 +208,16 @@
     async def notice(message: _messages.JobNotice) -> None:
         _updates.apply_job_notice(daemon.owned.get(message.service), message)
 
+    async def admission(message: _messages.AdmissionRead) -> object:
+        return _admission.answer(daemon.context, message)
+
     async def release(message: _messages.Release) -> object:
         return await _release.release_for_peer(daemon.session, message)
 
     return {
         _messages.JobNotice: notice,
         _messages.Release: release,
+        _messages.AdmissionRead: admission,
         _messages.StateRead: state,
         _messages.PendingRead: pending,
         _messages.AdvisorQuery: advice,
@@ -261,6 +268,7 @@
     pages = {
         SET_ASIDE_PATH: list_set_aside,
         DIRECTORY_PATH: list_directory,
+        ADMISSION_PATH: lambda: _admission.list_rows(daemon.owned),
     }
 
     readiness = httpserver.HTTPServer(is_ready)
--- a/chestnuttide/node/_messages.py
+++ b/chestnuttide/node/_messages.py
@@ -271,6 +271,61 @@
     released: bool
 
 
+@attrs.frozen(kw_only=True, slots=True)
+class AdmissionRead:
+    """Asks a service's owner whether a job is to be stored.
+
+    It stands for a `JobNotice` if the job is admitted.
+
+    Attributes
+    ----------
+    call_id : int
+        Number of the call.
+    service : str
+        Service of the job.
+    job_id : str
+        Id of the job.
+    value : bytes
+        The job's record.
+    """
+
+    call_id: int
+    service: str
+    job_id: str
+    value: bytes
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class AdmissionReply:
+    """The owner's reply to `AdmissionRead`.
+
+    Attributes
+    ----------
+    call_id : int
+        Number of the call.
+    owned : bool
+        Whether the replying instance owns the service.
+    admitted : bool
+        Whether the job is to be stored.
+    reason : str
+        Reason of the decision.
+    wait_s, chain_s, worth_s : float
+        Expected wait and length of the job, and the time after which its end
+        is of no worth, in seconds.
+    retry_after_s : int
+        Delay after which there will be room, in seconds; 0 if admitted.
+    """
+
+    call_id: int
+    owned: bool
+    admitted: bool = True
+    reason: str = ""
+    wait_s: float = 0.0
+    chain_s: float = 0.0
+    worth_s: float = 0.0
+    retry_after_s: int = 0
+
+
 MESSAGE_CLASSES: typing.Final[tuple[type, ...]] = (
     mesh.Hello,
     StateRead,
@@ -286,4 +341,6 @@
     JobWriteReply,
     Release,
     ReleaseReply,
+    AdmissionRead,
+    AdmissionReply,
 )
--- a/chestnuttide/node/_metrics.py
+++ b/chestnuttide/node/_metrics.py
@@ -60,6 +60,10 @@
         because handling them failed, loops of owners that were started again
         (``loop``) and poll replies that could not be applied (``poll``); see
         ``_set_aside.Kind``.
+    admissions : Counter
+        ``chestnuttide_admissions_total{outcome}``, decisions about jobs before
+        they are stored: the reason for admitting or refusing one, or
+        ``no_answer`` if the owner was not reached and the job passed.
     commands : Counter
         ``chestnuttide_orders_total{kind,outcome}``.
     start_wait_seconds : Histogram
@@ -83,6 +87,7 @@
     waiting_tasks: aioprometheus.Gauge
     unreadable: aioprometheus.Counter
     set_aside: aioprometheus.Counter
+    admissions: aioprometheus.Counter
     commands: aioprometheus.Counter
     start_wait_seconds: aioprometheus.Histogram
     job_seconds: aioprometheus.Histogram
@@ -128,6 +133,7 @@
         set_aside=counter(
             "set_aside", "Items set aside after a fault, by kind."
         ),
+        admissions=counter("admissions", "Admission of jobs, by outcome."),
         commands=counter("orders", "Orders to workers, by outcome."),
         start_wait_seconds=histogram(
             "start_wait_seconds", "Seconds until a job's first start."
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -6,6 +6,7 @@
 import functools
 
 from chestnuttide import errors
+from chestnuttide.node import _admission
 from chestnuttide.node import _advisor_queries
 from chestnuttide.node import _clock
 from chestnuttide.node import _commands
@@ -226,6 +227,7 @@
         "waiting tasks": lambda: _report_waiting_tasks(owner, now),
         "unstored jobs": lambda: _drop_unstored_jobs(owner, now),
         "ended jobs": lambda: _drop_ended_jobs(owner, unix_time),
+        "admission": lambda: _admission.observe(owner),
     }
     kind = _set_aside.Kind.PART
     for name, action in parts.items():
@@ -353,6 +355,8 @@
                 owner.obsolete_keys.append(key)
             del owner.pool.active[job.spec.id]
             del owner.pool.jobs[job.spec.id]
+            # Its write may still take effect; a repeat is not refused.
+            workloads.remember_doubtful(owner.admission, job.spec.id, now)
             LOG.info(
                 "Announced job was not stored; dropping it.", job=job.spec.id
             )
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -95,6 +95,8 @@
         Whether no new run is planned because the instance is shutting down.
     set_aside : Register
         Items that are left out, because handling them has failed.
+    admission : AdmissionState
+        What admission remembers between jobs.
     """
 
     service: str
@@ -126,6 +128,9 @@
     set_aside: _set_aside.Register = attrs.field(
         default=attrs.Factory(_make_register, takes_self=True)
     )
+    admission: workloads.AdmissionState = attrs.field(
+        factory=workloads.AdmissionState
+    )
 
 
 def may_send_commands(owner: Ownership) -> bool:
--- a/chestnuttide/node/_submission.py
+++ b/chestnuttide/node/_submission.py
@@ -8,6 +8,7 @@
 from tornado import httputil
 
 from chestnuttide import errors
+from chestnuttide.node import _admission
 from chestnuttide.node import _clock
 from chestnuttide.node import _directory
 from chestnuttide.node import _keys
@@ -78,7 +79,15 @@
         service=queue.service,
         queue=queue.name,
     )
-    _notify_owner(context, queue.service, job_id, write.value, stored=False)
+    decision = None
+    if context.session.settings.load.admission and not spec.occurrences:
+        decision = await _admission.ask_owner(context, spec, write.value)
+    if decision is not None and not decision.admitted:
+        return _admission.refusal(decision, job_id)
+    if decision is None:
+        _notify_owner(
+            context, queue.service, job_id, write.value, stored=False
+        )
     outcome = await store_job(context, write, _deadline_s(request))
     if outcome == "stored":
         _notify_owner(context, queue.service, job_id, write.value, stored=True)
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -1,5 +1,6 @@
 """Scheduling decisions of a service's owner: jobs, runs and workers."""
 
+from chestnuttide.workloads import _admission
 from chestnuttide.workloads import _advisor_queries
 from chestnuttide.workloads import _crashes
 from chestnuttide.workloads import _incarnations
@@ -14,6 +15,8 @@
 from chestnuttide.workloads import _supervision
 from chestnuttide.workloads import _waiting
 
+AdmissionState = _admission.AdmissionState
+AdmissionVerdict = _admission.Verdict
 Advice = _specs.Advice
 AdvisorQuery = _advisor_queries.AdvisorQuery
 Crash = _state.Crash
@@ -47,6 +50,7 @@
 cancel_job = _lifecycle.cancel_job
 confirm_start = _poll_replies.confirm_start
 count_waiting_tasks = _waiting.count_waiting_tasks
+decide_admission = _admission.decide
 decode_job = _records.decode_job
 encode_ended_job = _records.encode_ended_job
 encode_job = _records.encode_job
@@ -60,10 +64,12 @@
 former_incarnations = _incarnations.former_incarnations
 is_removable = _poll_replies.is_removable
 is_usable = _planning.is_usable
+describe_admission = _admission.list_row
 lease_deadline_ms = _poll_replies.lease_deadline_ms
 make_plan = _planning.make_plan
 may_send_start = _starts.may_send_start
 poll_lease_deadline_ms = _poll_replies.poll_lease_deadline_ms
+observe_admissions = _admission.observe
 record_broken_connection = _poll_replies.record_broken_connection
 record_clock = _poll_replies.record_clock
 record_lease = _poll_replies.record_lease
@@ -71,6 +77,7 @@
 record_query_result = _advisor_queries.record_query_result
 record_stop_answer = _stops.record_stop_answer
 release_due_occurrences = _lifecycle.release_due_occurrences
+remember_doubtful = _admission.remember_doubtful
 settle_crashes = _crashes.settle_crashes
 start_incarnation = _incarnations.start_incarnation
 step_of = _lifecycle.step_of
@@ -84,6 +91,8 @@
 worker_key = _state.worker_key
 
 __all__ = [
+    "AdmissionState",
+    "AdmissionVerdict",
     "Advice",
     "AdvisorQuery",
     "Crash",
@@ -117,6 +126,7 @@
     "cancel_job",
     "confirm_start",
     "count_waiting_tasks",
+    "decide_admission",
     "decode_job",
     "encode_ended_job",
     "encode_job",
@@ -130,10 +140,12 @@
     "former_incarnations",
     "is_removable",
     "is_usable",
+    "describe_admission",
     "lease_deadline_ms",
     "make_plan",
     "may_send_start",
     "poll_lease_deadline_ms",
+    "observe_admissions",
     "record_broken_connection",
     "record_clock",
     "record_lease",
@@ -141,6 +153,7 @@
     "record_query_result",
     "record_stop_answer",
     "release_due_occurrences",
+    "remember_doubtful",
     "settle_crashes",
     "start_incarnation",
     "step_of",
--- a/chestnuttide/workloads/tests/_load_simulation.py
+++ b/chestnuttide/workloads/tests/_load_simulation.py
@@ -26,6 +26,9 @@
 
 SUPERVISION_PERIOD_S = 0.1
 
+# Longest Retry-After that a caller waits for.
+PATIENCE_S = 10.0
+
 # A few tasks run many times longer than the rest of their job.
 STRAGGLER_SHARE = 0.03
 STRAGGLER_FACTOR = 7
@@ -85,11 +88,20 @@
         Jobs that ended within their latency objective, and within three.
     jobs : int
         Jobs submitted.
+    refused, returned, served_again : int
+        Refusals, refused callers that came back when they were asked to, and
+        those of them that were admitted.
+    return_waits_s : list of float
+        Time from the first submission of those until they were admitted.
     """
 
     waits_s: list[float] = attrs.field(factory=list)
     in_time: int = 0
     late: int = 0
+    refused: int = 0
+    returned: int = 0
+    served_again: int = 0
+    return_waits_s: list[float] = attrs.field(factory=list)
     jobs: int = 0
 
     @property
@@ -133,6 +145,10 @@
         Share of the workers that the advisor allows, by job.
     speeds : dict of str to float
         Speed of each worker.
+    admission : AdmissionState
+        What the owner remembers between admissions.
+    first_sent : dict of str to float
+        Time of the first submission of each refused job.
     sequence : iterator of int
         Numbers that order events of one moment, and name the jobs.
     """
@@ -152,6 +168,10 @@
     started: set[str] = attrs.field(factory=set)
     allowed_shares: dict[str, float] = attrs.field(factory=dict)
     speeds: dict[str, float] = attrs.field(factory=dict)
+    admission: workloads.AdmissionState = attrs.field(
+        factory=workloads.AdmissionState
+    )
+    first_sent: dict[str, float] = attrs.field(factory=dict)
     sequence: collections.abc.Iterator[int] = attrs.field(
         factory=itertools.count
     )
@@ -273,31 +293,62 @@
         estimate_s=work_s * rng.uniform(0.5, 1.5),
         gang=rng.random() < stream.gang_share,
     )
-    _pool_fixtures.submit(
-        simulation.pool,
+    spec = _pool_fixtures.make_spec(
         step,
         job_id=job_id,
-        now=simulation.now,
+        name=stream.name,
         priority=stream.priority,
         stretch=stream.stretch,
         latency_objective_s=stream.objective_s,
         advice=stream.advice,
     )
-    simulation.pool.jobs[job_id].spec = attrs.evolve(
-        simulation.pool.jobs[job_id].spec,
-        queue=attrs.evolve(
-            simulation.pool.jobs[job_id].spec.queue, name=stream.name
-        ),
-    )
     simulation.work_s[job_id] = work_s
     simulation.allowed_shares[job_id] = stream.allowed_share
     simulation.results[stream.name].jobs += 1
+    _hand_in(simulation, spec)
+
+
+def _hand_in(simulation: Simulation, spec: workloads.JobSpec) -> None:
+    """Submit a job; its caller comes back once if it is asked to in time."""
+    result = simulation.results[spec.queue.name]
+    first = simulation.first_sent.get(spec.id)
+    result.returned += first is not None
+    if simulation.pool.policy.admission:
+        verdict = workloads.decide_admission(
+            simulation.pool,
+            simulation.admission,
+            spec,
+            now=simulation.now,
+            advisors=simulation.instances,
+        )
+        if not verdict.admitted:
+            result.refused += 1
+            if first is None and verdict.retry_after_s <= PATIENCE_S:
+                simulation.first_sent[spec.id] = simulation.now
+                simulation.at(
+                    simulation.now + verdict.retry_after_s,
+                    lambda: _hand_in(simulation, spec),
+                )
+            return
+    if first is not None:
+        result.served_again += 1
+        result.return_waits_s.append(simulation.now - first)
+    job = workloads.add_job(
+        simulation.pool,
+        spec,
+        now=simulation.now,
+        now_unix_s=_pool_fixtures.UNIX_S,
+    )
+    job.accepted = True
     simulation.plan_due = True
 
 
 def _supervise(simulation: Simulation) -> None:
     """Report the progress of all runs and request a plan, periodically."""
     simulation.plan_due = True
+    workloads.observe_admissions(
+        simulation.pool, simulation.admission, simulation.now
+    )
     for worker in simulation.pool.workers.values():
         for run in worker.runs.values():
             if run.phase == workloads.Phase.RUNNING:
@@ -394,7 +445,8 @@
     )
     chain_s += queue.advice.decide_s + 30 * queue.advice.per_worker_s
     objective_s = queue.stretch * chain_s + queue.latency_objective_s
-    objectives = (simulation.now - job.accepted_at) / objective_s
+    sent = simulation.first_sent.get(job.spec.id, job.accepted_at)
+    objectives = (simulation.now - sent) / objective_s
     result = simulation.results[queue.name]
     result.in_time += objectives <= 1
     result.late += 1 < objectives <= 3
@@ -407,6 +459,9 @@
             jobs=result.jobs,
             in_time=result.in_time,
             late=result.late,
+            refused=result.refused,
+            returned=result.returned,
+            served_again=result.served_again,
             p50_ms=_milliseconds(result.wait_quantile_s(0.5)),
             p95_ms=_milliseconds(result.wait_quantile_s(0.95)),
         )
--- a/chestnuttide/workloads/tests/_pool_fixtures.py
+++ b/chestnuttide/workloads/tests/_pool_fixtures.py
@@ -77,35 +77,37 @@
     return workloads.StepSpec(**fields)
 
 
-def submit(
-    pool: workloads.Pool,
+def make_spec(
     *steps: workloads.StepSpec,
     job_id: str = "00000000000000aa",
-    now: float = 0.0,
     occurrences: int = 0,
     **queue: object,
-) -> workloads.Job:
-    """Add an accepted job."""
+) -> workloads.JobSpec:
+    """Return a job of the workshop's queue."""
     queue.setdefault("attempt_limit", 2)
     queue.setdefault("name", "q")
-    job = workloads.add_job(
-        pool,
-        workloads.JobSpec(
-            id=job_id,
-            queue=workloads.Queue(
-                host="h",
-                prefix="/p/",
-                service="workshop",
-                **queue,
-            ),
-            payload="",
-            steps=steps,
-            occurrences=occurrences,
-            first_due_unix_s=UNIX_S + 10,
-            interval_s=10,
+    return workloads.JobSpec(
+        id=job_id,
+        queue=workloads.Queue(
+            host="h", prefix="/p/", service="workshop", **queue
         ),
-        now=now,
-        now_unix_s=UNIX_S,
+        payload="",
+        steps=steps,
+        occurrences=occurrences,
+        first_due_unix_s=UNIX_S + 10,
+        interval_s=10,
+    )
+
+
+def submit(
+    pool: workloads.Pool,
+    *steps: workloads.StepSpec,
+    now: float = 0.0,
+    **fields: object,
+) -> workloads.Job:
+    """Add an accepted job; for its fields see `make_spec`."""
+    job = workloads.add_job(
+        pool, make_spec(*steps, **fields), now=now, now_unix_s=UNIX_S
     )
     job.accepted = True
     return job
