--- a/chestnuttide/workloads/_admission.py
+++ b/chestnuttide/workloads/_admission.py
@@ -77,8 +77,8 @@
         Monotonic time of `backlog`.
     correction : float
         Factor of expected waits, from what came of admitted jobs.
-    corrected_at : float
-        Monotonic time of the last correction.
+    corrected_at : float or None
+        Monotonic time of the last correction; None before the first.
     followed : dict of str to (float, float)
         Expected wait, and time of admission, of admitted jobs.
     returns : dict of str to Return
@@ -99,7 +99,7 @@
     backlog: tuple[_waiting_work.Waiting, ...] = ()
     backlog_at: float = -math.inf
     correction: float = 1.0
-    corrected_at: float = 0.0
+    corrected_at: float | None = None
     followed: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     returns: dict[str, Return] = attrs.field(factory=dict)
     next_return_at: float = 0.0
@@ -226,8 +226,8 @@
     ends. A correction fades unless jobs confirm it, so that none stays that
     has kept all jobs out.
     """
-    elapsed_s = now - state.corrected_at
-    if elapsed_s > 0 and state.corrected_at:
+    if state.corrected_at is not None:
+        elapsed_s = max(0.0, now - state.corrected_at)
         state.correction **= 0.5 ** (elapsed_s / CORRECTION_HALF_LIFE_S)
     state.corrected_at = now
     for job_id, (expected_s, admitted_at) in list(state.followed.items()):
@@ -318,7 +318,11 @@
         entries += [each.work for each in state.returns.values()]
     cpu_s = memory_s = accelerator_s = advice_s = 0.0
     for entry in entries:
-        if (entry.priority, entry.due) > (work.priority, work.due):
+        if entry.priority > work.priority:
+            continue
+        if entry.priority == work.priority and (
+            entry.late or entry.due > work.due
+        ):
             continue
         advice_s += entry.advice_s
         if work.label and entry.label != work.label:
--- a/chestnuttide/workloads/_waiting_work.py
+++ b/chestnuttide/workloads/_waiting_work.py
@@ -21,6 +21,8 @@
     ----------
     priority : int
         Priority of its queue.
+    late : bool
+        Whether its job can no longer meet its objective.
     due : float
         Monotonic time of its job's objective.
     label : str
@@ -32,6 +34,7 @@
     """
 
     priority: int
+    late: bool
     due: float
     label: str
     cpu_s: float
@@ -57,12 +60,15 @@
     now : float
         Monotonic time.
     """
-    late = _objectives.find_late_jobs(pool, now=now).past_worth
+    found = _objectives.find_late_jobs(pool, now=now)
     return tuple(
         waiting
         for job in pool.active.values()
-        if job.spec.id not in late and (competes is None or competes(job))
-        for waiting in _waiting_of(pool, job)
+        if job.spec.id not in found.past_worth
+        and (competes is None or competes(job))
+        for waiting in _waiting_of(
+            pool, job, late=job.spec.id in found.past_objective
+        )
     )
 
 
@@ -102,7 +108,7 @@
 
 
 def _waiting_of(
-    pool: _state.Pool, job: _state.Job
+    pool: _state.Pool, job: _state.Job, *, late: bool
 ) -> collections.abc.Iterator[Waiting]:
     due = job.accepted_at + _objectives.job_objective_s(pool, job)
     for key, progress in job.steps.items():
@@ -115,6 +121,7 @@
             job.spec,
             key[1],
             tasks=tasks,
+            late=late,
             due=due,
             advised=key in job.advice and bool(job.advice[key].tickets),
         )
@@ -126,6 +133,7 @@
     number: int,
     *,
     tasks: int,
+    late: bool,
     due: float,
     advised: bool,
 ) -> Waiting:
@@ -140,6 +148,7 @@
         )
     return Waiting(
         priority=spec.queue.priority,
+        late=late,
         due=due,
         label=step.label,
         cpu_s=task_s * need.cpu_millis,
@@ -155,12 +164,19 @@
     """Return the work of a whole job as one entry of the backlog."""
     steps = [
         _waiting_step(
-            pool, spec, number, tasks=step.count, due=due, advised=False
+            pool,
+            spec,
+            number,
+            tasks=step.count,
+            late=False,
+            due=due,
+            advised=False,
         )
         for number, step in enumerate(spec.steps)
     ]
     return Waiting(
         priority=spec.queue.priority,
+        late=False,
         due=due,
         label=steps[0].label,
         cpu_s=sum(each.cpu_s for each in steps),
--- a/chestnuttide/workloads/tests/test_load.py
+++ b/chestnuttide/workloads/tests/test_load.py
@@ -2,6 +2,9 @@
 
 import math
 
+import attrs
+import pytest
+
 from chestnuttide import model
 from chestnuttide import workloads
 from chestnuttide.workloads.tests import _load_simulation
@@ -89,3 +92,63 @@
         assert result.in_time >= GOAL * result.jobs, summary
     # Urgent work starts within 1.2 s, also at the crest.
     assert simulation.results["queries"].wait_quantile_s(0.99) < 1.2, summary
+
+
+# Callers of short work and of batches that compete for twelve workers.
+SHORT = attrs.evolve(
+    QUERIES, name="short", per_s=4.0, width=(9.5, 0.8, 57), gang_share=0.0
+)
+LONG = attrs.evolve(
+    BATCH, name="long", per_s=0.4, width=(22, 0.6, 60), cpu=(18000, 0.4, 30000)
+)
+
+
+def _play_burst(
+    rate: float, seed: int, **policy: bool
+) -> dict[str, _load_simulation.Result]:
+    """Return what callers get from a burst of some seconds."""
+    return _load_simulation.play(
+        (SHORT, LONG),
+        workers=12,
+        capacity=model.Resources(cpu_millis=64000, memory_mb=262144),
+        racks=3,
+        instances=12,
+        seconds=16,
+        rate=lambda time_s: rate if 4 < time_s < 9 else 0.5,
+        seed=seed,
+        policy=workloads.LoadPolicy(**policy),
+    ).results
+
+
+def _worth(results: dict[str, _load_simulation.Result]) -> float:
+    jobs = sum(result.jobs for result in results.values())
+    return sum(each.worth * each.jobs for each in results.values()) / jobs
+
+
+def test_a_burst_costs_less_in_the_order_of_objectives() -> None:
+    """Guards against a backlog of lost jobs that makes later ones late."""
+    before = _play_burst(4.0, 1)
+    after = _play_burst(4.0, 1, objective_order=True)
+    assert _worth(after) >= _worth(before) + 0.1
+    assert min(each.worth for each in after.values()) >= 0.9 * min(
+        each.worth for each in before.values()
+    )
+
+
+@pytest.mark.parametrize(
+    "rate",
+    [
+        pytest.param(1.0, id="calm"),
+        pytest.param(12.0, id="far-too-much"),
+    ],
+)
+def test_admission_costs_nothing_and_returns_are_served(rate: float) -> None:
+    """Guards against refusals on a calm day, and returns in vain."""
+    before = _play_burst(rate, 2, objective_order=True)
+    after = _play_burst(rate, 2, objective_order=True, admission=True)
+    assert _worth(after) >= _worth(before) - 0.01
+    refused = sum(each.refused for each in after.values())
+    returned = sum(each.returned for each in after.values())
+    served = sum(each.served_again for each in after.values())
+    assert (refused > 0) == (rate > 1)
+    assert served >= 0.8 * returned
