--- a/chestnuttide/node/_settings.py
+++ b/chestnuttide/node/_settings.py
@@ -184,9 +184,9 @@
         ) from error
     _check_names(path, "", document, NodeSettings)
     try:
-        settings = cattrs.Converter(forbid_extra_keys=True).structure(
-            document, NodeSettings
-        )
+        converter = cattrs.Converter(forbid_extra_keys=True)
+        converter.register_structure_hook(bool, _structure_switch)
+        settings = converter.structure(document, NodeSettings)
     except Exception as error:
         details = "; ".join(cattrs.transform_error(error))
         raise errors.SettingsError(
@@ -197,6 +197,13 @@
     return settings
 
 
+def _structure_switch(value: object, _: type) -> bool:
+    # Any text would be true otherwise, also "false".
+    if not isinstance(value, bool):
+        raise ValueError(f"{value!r} is neither true nor false")
+    return value
+
+
 def _check_names(path: str, prefix: str, document: object, kind: type) -> None:
     if not isinstance(document, dict):
         return
--- a/chestnuttide/node/tests/test_settings.py
+++ b/chestnuttide/node/tests/test_settings.py
@@ -45,6 +45,11 @@
             "store.min_lease_ms",
             id="nested-field-range",
         ),
+        pytest.param(
+            {"load": {"admission": "false"}},
+            "load.admission",
+            id="switch-of-text",
+        ),
         pytest.param(
             {"bounds": {"grace_s": 0}},
             "bounds.grace_s",
