--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -1,6 +1,7 @@
 """Invariants checked against what callers and workers observe."""
 
 import collections
+import collections.abc
 import time
 
 import attrs
@@ -72,6 +73,8 @@
         its processors.
     key_tries : Counter
         Answers to calls with withdrawn and unknown keys, by status.
+    cap_starts : int
+        Starts of workspaces that have a cap.
     faults : list of str
         Injected faults, for the report.
     violations : list of str
@@ -91,15 +94,33 @@
     key_tries: collections.Counter[int] = attrs.field(
         factory=collections.Counter
     )
+    cap_starts: int = 0
     faults: list[str] = attrs.field(factory=list)
     violations: list[str] = attrs.field(factory=list)
 
 
-def observe_worker(ledger: Ledger, worker: cloud.Worker) -> None:
-    """Check each task start on a worker."""
+def observe_worker(
+    ledger: Ledger,
+    worker: cloud.Worker,
+    check_cap: collections.abc.Callable[
+        [dict[str, object], str], None
+    ] = lambda command, label: None,
+) -> None:
+    """Check each task start on a worker.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        Receives the violations.
+    worker : Worker
+        The worker.
+    check_cap : function
+        ``check_cap(command, label)`` checks the cap of a start's workspace.
+    """
 
     def on_start(command: dict[str, object]) -> None:
         _check_start(ledger, worker, command)
+        check_cap(command, f"{command['task']} on {worker.id}")
 
     def on_completion(task: str, run: int, outcome: str) -> None:
         if outcome == "done":
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from soak import _caps
 from soak import _checks
 from soak import _keys
 from soak import _proxy
@@ -226,6 +227,7 @@
                 service=service,
                 services=services,
                 workspaces=_keys.list_workspaces(testbed.keys),
+                caps=_caps.CAPS,
             ),
         )
         await asyncio.sleep(rng.uniform(0.0, 0.3))
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -10,6 +10,7 @@
 import time
 
 from soak import _callers
+from soak import _caps
 from soak import _checks
 from soak import _faults
 from soak import _keys
@@ -123,7 +124,9 @@
         advisor_proxy=advisor_proxy,
     )
     for worker in workers:
-        _checks.observe_worker(ledger, worker)
+        _checks.observe_worker(
+            ledger, worker, functools.partial(_caps.check_start, ledger)
+        )
         proxy = await serve(cloud.handle_worker_request, worker)
         testbed.worker_proxies.append(proxy)
         address = await listen(proxy)
@@ -134,7 +137,9 @@
         store,
         "op/config",
         node_cell.make_config(
-            1, workspaces=_keys.list_workspaces(testbed.keys)
+            1,
+            workspaces=_keys.list_workspaces(testbed.keys),
+            caps=_caps.CAPS,
         ),
     )
     restarts: set[asyncio.Task[None]] = set()
@@ -266,6 +271,7 @@
         ),
         "refused": sum(job.refused for job in ledger.jobs.values()),
         "key_tries": dict(ledger.key_tries),
+        "cap_starts": ledger.cap_starts,
         "faults": len(ledger.faults),
         "violations": ledger.violations,
     }
--- a/standins/node_cell.py
+++ b/standins/node_cell.py
@@ -82,6 +82,7 @@
     service: str = SERVICE,
     services: tuple[str, ...] = (SERVICE,),
     workspaces: dict[str, list[str]] | None = None,
+    caps: dict[str, int] | None = None,
     open_prefix: str = "",
 ) -> bytes:
     """Return a configuration with a queue and a version probe.
@@ -101,6 +102,8 @@
         All services.
     workspaces : dict of str to list of str, or None
         Keys of each workspace; None for a deployment without workspaces.
+    caps : dict of str to int, or None
+        Cap of workspaces on processors, in thousandths of a core.
     open_prefix : str
         Path prefix of a queue that needs no key; empty for none.
     """
@@ -110,7 +113,12 @@
     tenants = {}
     if workspaces is not None:
         tenants["tenants"] = [
-            {"name": name, "apiKeys": keys, "weight": 1.0}
+            {
+                "name": name,
+                "apiKeys": keys,
+                "weight": 1.0,
+                "cap": {"cpu": (caps or {}).get(name, 0)},
+            }
             for name, keys in workspaces.items()
         ]
     return json.dumps(
