Keep learning going after odd estimates, faults and wide steps

After such a fault workers kept their last penalty for the whole pause, which grows to 60 s.

Change: the ratio of a run under way is bounded as that of an ended one is; penalties are cleared before they are found anew; samples are stored with 6 digits.

--- a/chestnuttide/workloads/_run_observations.py
+++ b/chestnuttide/workloads/_run_observations.py
@@ -208,6 +208,9 @@
     times = pool.run_times
     if times is None:
         return []
+    # After a fault below no worker keeps a penalty.
+    for worker in pool.workers.values():
+        worker.penalty = 0.0
     for key in [
         key for key in times.speeds.workers if key not in pool.workers
     ]:
@@ -223,9 +226,8 @@
     findings = _worker_health.find(
         times, overdue=overdue, usable=usable, now=now
     )
-    penalties = {each.worker_key: each.penalty for each in findings}
-    for key, worker in pool.workers.items():
-        worker.penalty = penalties.get(key, 0.0)
+    for each in findings:
+        pool.workers[each.worker_key].penalty = each.penalty
     return findings
 
 
@@ -244,6 +246,8 @@
         log = math.log(ratio) - slowness_of(times, worker)
         if is_far(step, worker):
             log -= times.speeds.far.log_slowness
+        # A caller's estimate may be next to 0.
+        log = _worker_speeds.clamp(log, 2 * _run_times.MAX_LOG)
         for level in _run_times.levels(key):
             bounds[level].append((math.exp(log), 1.0 / step.count))
         steps[job_key].append(log)
--- a/chestnuttide/workloads/_run_time_records.py
+++ b/chestnuttide/workloads/_run_time_records.py
@@ -66,7 +66,8 @@
         round(max(0.0, now - kind.updated_at), 1),
         kind.runs,
         [round(loss, 3) for loss in kind.losses],
-        round(kind.ratios.samples, 3),
+        # The first task of the widest step counts for 1/20,000.
+        round(kind.ratios.samples, 6),
         {bucket: share for bucket, share in shares.items() if share},
     ]
 
--- a/chestnuttide/workloads/_run_times.py
+++ b/chestnuttide/workloads/_run_times.py
@@ -52,7 +52,7 @@
 # Ended runs kept for a job's step.
 JOB_RUNS: typing.Final = 15
 
-_MAX_LOG: typing.Final = math.log(MAX_CORRECTION)
+MAX_LOG: typing.Final = math.log(MAX_CORRECTION)
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -182,7 +182,7 @@
     runs = times.jobs.get((job_id, key[2]))
     if runs is not None and runs.log_bound is not None:
         mixed = max(mixed, runs.log_bound)
-    predicted = _worker_speeds.clamp(mixed, _MAX_LOG)
+    predicted = _worker_speeds.clamp(mixed, MAX_LOG)
     times.predictions[(job_id, key[2])] = predicted
     _trim(times.predictions, MAX_JOBS)
     return predicted
@@ -275,7 +275,7 @@
     """Learn from an ended run."""
     far = times.speeds.far.log_slowness if sample.far else 0.0
     ratio_log = _worker_speeds.clamp(
-        math.log(max(1e-6, sample.ratio)), 2 * _MAX_LOG
+        math.log(max(1e-6, sample.ratio)), 2 * MAX_LOG
     )
     normal = ratio_log - sample.log_slowness - far
     experts = _experts(times, sample.key, sample.job_id, sample.now)
@@ -295,7 +295,7 @@
         histograms.add_sample(kind.ratios, math.exp(normal), weight=weight)
         kind.losses = [
             loss * LOSS_DECAY**weight
-            + weight * min(_MAX_LOG, abs(normal - expert))
+            + weight * min(MAX_LOG, abs(normal - expert))
             for loss, expert in zip(kind.losses, experts, strict=True)
         ]
         kind.runs += 1
@@ -346,7 +346,7 @@
             (median,) = histograms.quantiles(
                 kind.ratios, (0.5,), lower_bounds=kind.under_way
             )
-            kind.log_median = _worker_speeds.clamp(math.log(median), _MAX_LOG)
+            kind.log_median = _worker_speeds.clamp(math.log(median), MAX_LOG)
         kind.overdue_weight = sum(
             weight for ratio, weight in kind.under_way if ratio > 1.0
         )
--- a/chestnuttide/workloads/tests/test_run_times.py
+++ b/chestnuttide/workloads/tests/test_run_times.py
@@ -320,6 +320,36 @@
     assert pool.run_times.counts == {reason: 1}
 
 
+def test_an_estimate_next_to_0_keeps_learning_going() -> None:
+    """Guards against one caller's job that ends learning for a service."""
+    pool = _learning_pool()
+    for number, estimate_s in enumerate((1e-313, 1e-307)):
+        _start(pool, number, now=1.0, estimate_s=estimate_s)
+    workloads.refresh_run_times(pool, now=9.0)
+    ratio = _run_times.MAX_CORRECTION**2
+    for kind in pool.run_times.kinds.values():
+        assert [each for each, _ in kind.under_way] == pytest.approx(
+            [ratio, ratio]
+        )
+
+
+def test_a_fault_in_learning_leaves_no_penalty(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a penalty that stays while learning is set aside."""
+
+    def fail(*arguments: object, **keywords: object) -> None:
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(_worker_health, "find", fail)
+    pool = _learning_pool()
+    worker = next(iter(pool.workers.values()))
+    worker.penalty = 1.0
+    with pytest.raises(ZeroDivisionError):
+        workloads.refresh_run_times(pool, now=9.0)
+    assert worker.penalty == 0.0
+
+
 def test_a_slow_worker_gets_its_work_last() -> None:
     """Guards against findings that placement does not see."""
     pool = _learning_pool()
@@ -375,6 +405,28 @@
     assert workloads.decode_run_times(value, now=0.0).kinds
 
 
+def test_a_snapshot_holds_the_first_task_of_the_widest_step() -> None:
+    """Guards against one kind that makes the whole snapshot unreadable."""
+    times = workloads.RunTimes()
+    _run_times.record_sample(
+        times,
+        _run_times.Sample(
+            key=("", "q", 0),
+            job_id="j",
+            ratio=2.0,
+            width=20_000,
+            worker_key="",
+            machine="",
+            labels=frozenset(),
+            log_slowness=0.0,
+            far=False,
+            now=1.0,
+        ),
+    )
+    value = workloads.encode_run_times(times, now=1.0)
+    assert workloads.decode_run_times(value, now=1.0).kinds
+
+
 @pytest.mark.parametrize(
     "value",
     [
