--- a/chestnuttide/node/tests/_session_fixtures.py
+++ b/chestnuttide/node/tests/_session_fixtures.py
@@ -4,6 +4,7 @@
 
 from chestnuttide.node import _peers
 from chestnuttide.node import _session
+from chestnuttide.node import _settings
 from chestnuttide import platform
 
 
@@ -25,7 +26,14 @@
         Called with the kind and the outcome of each call to the store.
     """
     return _session.Session(
-        settings=None,
+        settings=_settings.NodeSettings(
+            instance="a",
+            data_centre="d",
+            ip="127.0.0.1",
+            listen=_settings.Listen(callers="", readiness=""),
+            mesh_ports=(1, 1),
+            store=_settings.StoreSettings(address=address),
+        ),
         store=platform.KvStore(
             http=platform.make_client(max_clients=10),
             address=address,
