Let no public queue cancel a workspace's job

Cause: a call through a public queue has no workspace, and a call without one could cancel any job by its id, or take a repeated id for its own: a caller without a key, or with a withdrawn one, could cancel the jobs of keyed queues. GET compared the queue already.

Change: such a call sees jobs of workspaces only in its own queue; otherwise it gets 403. Calls with a key and deployments without workspaces are as before.

Measured: the new case failed before (200 instead of 403) and passes; test_keys, test_access, test_submission, test_directory and test_cap_shares pass.

--- a/chestnuttide/node/_access.py
+++ b/chestnuttide/node/_access.py
@@ -146,13 +146,18 @@
     return Access(workspace=workspace)
 
 
-def may_see(workspace: str, job_workspace: str) -> bool:
+def may_see(
+    workspace: str, job_workspace: str, *, same_queue: bool = True
+) -> bool:
     """Return whether a caller may see or cancel a job.
 
-    A call without a workspace is one to a public queue. A job without a
-    workspace came through one, or was stored before the workspaces came.
+    A call without a workspace is one to a public queue; it may see the jobs
+    of that queue. A job without a workspace came through one, or was stored
+    before the workspaces came.
     """
-    return not workspace or not job_workspace or workspace == job_workspace
+    if not workspace:
+        return same_queue or not job_workspace
+    return not job_workspace or workspace == job_workspace
 
 
 def count_key_changes(
--- a/chestnuttide/node/_submission.py
+++ b/chestnuttide/node/_submission.py
@@ -275,17 +275,29 @@
 ) -> str:
     """Return ``exists``, or ``foreign`` for a job of another workspace."""
     try:
-        workspace = workloads.decode_job(write.value).workspace
+        spec = workloads.decode_job(write.value)
         holders = [workloads.decode_job(item.value) for item in items]
     except errors.ProtocolError as error:
         # The id is taken all the same.
         LOG.info("Record of a job cannot be read.", error=str(error))
         return "exists"
-    if all(_access.may_see(workspace, each.workspace) for each in holders):
+    if all(_may_see(spec.workspace, spec.queue, each) for each in holders):
         return "exists"
     return "foreign"
 
 
+def _may_see(
+    workspace: str,
+    queue: workloads.Queue,
+    record: workloads.JobSpec | workloads.EndedJob,
+) -> bool:
+    ended = isinstance(record, workloads.EndedJob)
+    name = record.queue if ended else record.queue.name
+    return _access.may_see(
+        workspace, record.workspace, same_queue=name == queue.name
+    )
+
+
 def _entry_of(write: _messages.JobWrite) -> _directory.Entry:
     if write.service:
         return write.service, write.queue
@@ -357,7 +369,7 @@
         else:
             return _responses.unknown_job("cancel", job_id)
         record = workloads.decode_job(item.value)
-        if not _access.may_see(workspace, record.workspace):
+        if not _may_see(workspace, queue, record):
             return _responses.refuse_access(
                 "cancel", "other_workspace", job=job_id
             )
--- a/chestnuttide/node/tests/test_access.py
+++ b/chestnuttide/node/tests/test_access.py
@@ -87,20 +87,24 @@
 
 
 @pytest.mark.parametrize(
-    ("workspace", "holder", "allowed"),
+    ("workspace", "holder", "same_queue", "allowed"),
     [
-        ("a", "a", True),
-        ("a", "b", False),
-        ("a", "", True),
-        ("", "b", True),
-        ("", "", True),
+        ("a", "a", True, True),
+        ("a", "a", False, True),
+        ("a", "b", True, False),
+        ("a", "", False, True),
+        ("", "b", True, True),
+        ("", "b", False, False),
+        ("", "", False, True),
     ],
 )
 def test_a_job_is_shown_to_its_workspace(
-    workspace: str, holder: str, allowed: bool
+    workspace: str, holder: str, same_queue: bool, allowed: bool
 ) -> None:
     """Guards against jobs shown to others, and old ones shown to nobody."""
-    assert _access.may_see(workspace, holder) == allowed
+    assert (
+        _access.may_see(workspace, holder, same_queue=same_queue) == allowed
+    )
 
 
 @pytest.mark.parametrize(
--- a/chestnuttide/node/tests/test_keys.py
+++ b/chestnuttide/node/tests/test_keys.py
@@ -142,6 +142,7 @@
         pytest.param("kb", "/layout/", 403, 403, 403, id="other-workspace"),
         pytest.param("kx", "/layout/", 401, 401, 401, id="unknown-key"),
         pytest.param("", "/layout/", 401, 401, 401, id="no-key"),
+        pytest.param("", "/o/", 403, 410, 403, id="public-queue"),
     ],
 )
 def test_calls_for_a_job_of_a_workspace(
