Learn a run's stall limit only when its estimate's is over

Cause: with learning on, each supervision (every 100 ms) took a quantile for every run, over the lower bounds of all runs of its kind, so the time grew with the square of the number of runs.

Change: a run is first compared with the limit of its estimate. As learning never lowers a limit, the learned one is asked for only beyond it.

--- a/chestnuttide/node/tests/test_access.py
+++ b/chestnuttide/node/tests/test_access.py
@@ -102,9 +102,7 @@
     workspace: str, holder: str, same_queue: bool, allowed: bool
 ) -> None:
     """Guards against jobs shown to others, and old ones shown to nobody."""
-    assert (
-        _access.may_see(workspace, holder, same_queue=same_queue) == allowed
-    )
+    assert _access.may_see(workspace, holder, same_queue=same_queue) == allowed
 
 
 @pytest.mark.parametrize(
--- a/chestnuttide/workloads/_supervision.py
+++ b/chestnuttide/workloads/_supervision.py
@@ -102,9 +102,14 @@
     elif step.filler and run.speed_percent < 100:
         limit_s = math.inf
     else:
-        limit_s = _stall_limit_s(pool, run, step, now)
-    doublings = min(run.unit.stalls, MAX_STALL_DOUBLINGS)
-    return stalled_s > limit_s * 2**doublings
+        limit_s = _estimated_stall_limit_s(run, step)
+    factor = 2 ** min(run.unit.stalls, MAX_STALL_DOUBLINGS)
+    if stalled_s <= limit_s * factor:
+        return False
+    if step.lasting:
+        return True
+    # A learned limit costs a quantile, and few runs get this far.
+    return stalled_s > _stall_limit_s(pool, run, step, now) * factor
 
 
 def _stall_limit_s(
@@ -115,14 +120,21 @@
     A learned kind raises the limit of tasks that take longer than estimated.
     It never lowers it, as a run that is stopped too soon is work lost.
     """
-    elapsed_s = run.progress_at - run.confirmed_at
     learned_s = _expectations.long_run_s(
         pool, run, STALL_LEARNED_SHARE, now=now
     )
+    return max(
+        _estimated_stall_limit_s(run, step),
+        STALL_ESTIMATE_SHARE * (learned_s or 0.0),
+    )
+
+
+def _estimated_stall_limit_s(run: _state.Run, step: _specs.StepSpec) -> float:
+    elapsed_s = run.progress_at - run.confirmed_at
     average_percent_s = elapsed_s / max(run.percent, 1.0)
     return max(
         STALL_S,
-        STALL_ESTIMATE_SHARE * max(step.estimate_s, learned_s or 0.0),
+        STALL_ESTIMATE_SHARE * step.estimate_s,
         STALL_FACTOR * max(average_percent_s, run.slowest_percent_s),
     )
 
--- a/chestnuttide/workloads/tests/test_run_times.py
+++ b/chestnuttide/workloads/tests/test_run_times.py
@@ -9,6 +9,7 @@
 from chestnuttide import errors
 from chestnuttide import model
 from chestnuttide import workloads
+from chestnuttide.workloads import _expectations
 from chestnuttide.workloads import _run_times
 from chestnuttide.workloads import _supervision
 from chestnuttide.workloads import _worker_health
@@ -280,6 +281,47 @@
     assert (learned > 1.1 * unlearned) == (actual_s > 80.0)
 
 
+def test_a_long_kind_of_task_is_not_stalled(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against stopped runs of a kind that takes longer than estimated.
+
+    Each limit that is learned costs a quantile, so a supervision that asks
+    for one for every run takes longer than its period.
+    """
+    asked = []
+    long_run_s = _expectations.long_run_s
+
+    def count(pool: workloads.Pool, run: workloads.Run, *rest, **more):
+        asked.append(run)
+        return long_run_s(pool, run, *rest, **more)
+
+    monkeypatch.setattr(_expectations, "long_run_s", count)
+    pool = _learning_pool()
+    for number in range(20):
+        now = 20.0 * number + 1.0
+        for run in _start(pool, number, now=now, estimate_s=40.0):
+            _pool_fixtures.complete_run(pool, run, "done", sent_at=now + 90.0)
+        workloads.refresh_run_times(pool, now=now + 90.0)
+    (run,) = _start(pool, 99, now=500.0, estimate_s=40.0)
+    step = run.job.spec.steps[0]
+    learned_s = _supervision._stall_limit_s(pool, run, step, 500.0)
+    unlearned_s = _supervision._estimated_stall_limit_s(run, step)
+    asked.clear()
+    for stalled_s, learning, stalled, questions in (
+        (unlearned_s - 0.1, True, [], 0),
+        (unlearned_s + 0.1, True, [], 1),
+        (learned_s + 0.1, True, [run], 2),
+        (unlearned_s + 0.1, False, [run], 3),
+    ):
+        if not learning:
+            pool.run_times = None
+        worker = pool.workers[run.worker_key]
+        worker.last_reply_at = run.progress_at + stalled_s
+        assert workloads.find_stalled(pool, now=500.0) == stalled
+        assert len(asked) == questions
+
+
 def test_long_tasks_are_learned_before_the_first_ends() -> None:
     """Guards against a queue whose long tasks look short until they end."""
     pool = _learning_pool()
