--- a/chestnuttide/workloads/_run_time_records.py
+++ b/chestnuttide/workloads/_run_time_records.py
@@ -25,6 +25,7 @@
 _MAX_AGE_S = 1e9
 _MAX_BUCKETS = 200
 _MAX_BUCKET = 400
+_MIN_SAMPLES = 1e-6
 _MAX_SAMPLES = 1e12
 _MAX_LOSS = 1e6
 
@@ -108,8 +109,8 @@
         raise ValueError("a kind has a wrong number of buckets or errors")
     step = int(_number(step, _run_times.ANY_STEP, _MAX_STEP))
     total = sum(_number(each, 0, _WEIGHT_UNITS) for each in weights.values())
-    samples = _number(samples, 0.0, _MAX_SAMPLES)
-    if total <= 0 or samples <= 0:
+    samples = _number(samples, _MIN_SAMPLES, _MAX_SAMPLES)
+    if total < 1:
         raise ValueError("a kind has no samples")
     # A histogram that has taken this many samples has this total weight.
     decay = histograms.WEIGHT_DECAY
--- a/chestnuttide/workloads/tests/test_run_times.py
+++ b/chestnuttide/workloads/tests/test_run_times.py
@@ -4,6 +4,7 @@
 import random
 import statistics
 
+import cbor2
 import pytest
 
 from chestnuttide import errors
@@ -292,9 +293,11 @@
     asked = []
     long_run_s = _expectations.long_run_s
 
-    def count(pool: workloads.Pool, run: workloads.Run, *rest, **more):
+    def count(
+        pool: workloads.Pool, run: workloads.Run, share: float, *, now: float
+    ) -> float | None:
         asked.append(run)
-        return long_run_s(pool, run, *rest, **more)
+        return long_run_s(pool, run, share, now=now)
 
     monkeypatch.setattr(_expectations, "long_run_s", count)
     pool = _learning_pool()
@@ -469,6 +472,17 @@
     assert workloads.decode_run_times(value, now=1.0).kinds
 
 
+def _snapshot(samples: float, weight: float) -> bytes:
+    """Return a snapshot of one kind with one bucket."""
+    kind = ["", "q", 0, 0.0, 1, [0.0, 0.0, 0.0], samples, {0: weight}]
+    return cbor2.dumps([1, [kind], [], [0.0, 0.0]])
+
+
+def test_a_snapshot_of_one_kind_is_read() -> None:
+    """Guards against odd snapshots that are refused for another cause."""
+    assert workloads.decode_run_times(_snapshot(1.0, 1), now=0.0).kinds
+
+
 @pytest.mark.parametrize(
     "value",
     [
@@ -480,6 +494,8 @@
         ),
         pytest.param(b"\x84\x01\x81\x80\x80\x82\x00\x00", id="short-row"),
         pytest.param(b"\x00" * 40_000, id="too-long"),
+        pytest.param(_snapshot(1.0, 5e-320), id="weights-next-to-0"),
+        pytest.param(_snapshot(5e-320, 1), id="samples-next-to-0"),
     ],
 )
 def test_an_odd_snapshot_is_one_error(value: bytes) -> None:
