--- a/chestnuttide/workloads/_worker_health.py
+++ b/chestnuttide/workloads/_worker_health.py
@@ -17,8 +17,8 @@
 from chestnuttide.workloads import _run_times
 from chestnuttide.workloads import _worker_speeds
 
-# At most this share of a service's workers has a penalty, whatever is
-# measured; a service of fewer than MIN_WORKERS has none with one.
+# At most this share of a service's workers, or one worker, has a penalty,
+# whatever is measured; a service of fewer than MIN_WORKERS has none with one.
 MAX_SHARE: typing.Final = 0.2
 MIN_WORKERS: typing.Final = 3
 
