--- a/chestnuttide/workloads/tests/test_run_times.py
+++ b/chestnuttide/workloads/tests/test_run_times.py
@@ -4,11 +4,13 @@
 import random
 import statistics
 
+import cbor2
 import pytest
 
 from chestnuttide import errors
 from chestnuttide import model
 from chestnuttide import workloads
+from chestnuttide.workloads import _expectations
 from chestnuttide.workloads import _run_times
 from chestnuttide.workloads import _supervision
 from chestnuttide.workloads import _worker_health
@@ -280,6 +282,49 @@
     assert (learned > 1.1 * unlearned) == (actual_s > 80.0)
 
 
+def test_a_long_kind_of_task_is_not_stalled(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against stopped runs of a kind that takes longer than estimated.
+
+    Each limit that is learned costs a quantile, so a supervision that asks
+    for one for every run takes longer than its period.
+    """
+    asked = []
+    long_run_s = _expectations.long_run_s
+
+    def count(
+        pool: workloads.Pool, run: workloads.Run, share: float, *, now: float
+    ) -> float | None:
+        asked.append(run)
+        return long_run_s(pool, run, share, now=now)
+
+    monkeypatch.setattr(_expectations, "long_run_s", count)
+    pool = _learning_pool()
+    for number in range(20):
+        now = 20.0 * number + 1.0
+        for run in _start(pool, number, now=now, estimate_s=40.0):
+            _pool_fixtures.complete_run(pool, run, "done", sent_at=now + 90.0)
+        workloads.refresh_run_times(pool, now=now + 90.0)
+    (run,) = _start(pool, 99, now=500.0, estimate_s=40.0)
+    step = run.job.spec.steps[0]
+    learned_s = _supervision._stall_limit_s(pool, run, step, 500.0)
+    unlearned_s = _supervision._estimated_stall_limit_s(run, step)
+    asked.clear()
+    for stalled_s, learning, stalled, questions in (
+        (unlearned_s - 0.1, True, [], 0),
+        (unlearned_s + 0.1, True, [], 1),
+        (learned_s + 0.1, True, [run], 2),
+        (unlearned_s + 0.1, False, [run], 3),
+    ):
+        if not learning:
+            pool.run_times = None
+        worker = pool.workers[run.worker_key]
+        worker.last_reply_at = run.progress_at + stalled_s
+        assert workloads.find_stalled(pool, now=500.0) == stalled
+        assert len(asked) == questions
+
+
 def test_long_tasks_are_learned_before_the_first_ends() -> None:
     """Guards against a queue whose long tasks look short until they end."""
     pool = _learning_pool()
@@ -320,6 +365,36 @@
     assert pool.run_times.counts == {reason: 1}
 
 
+def test_an_estimate_next_to_0_keeps_learning_going() -> None:
+    """Guards against one caller's job that ends learning for a service."""
+    pool = _learning_pool()
+    for number, estimate_s in enumerate((1e-313, 1e-307)):
+        _start(pool, number, now=1.0, estimate_s=estimate_s)
+    workloads.refresh_run_times(pool, now=9.0)
+    ratio = _run_times.MAX_CORRECTION**2
+    for kind in pool.run_times.kinds.values():
+        assert [each for each, _ in kind.under_way] == pytest.approx(
+            [ratio, ratio]
+        )
+
+
+def test_a_fault_in_learning_leaves_no_penalty(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a penalty that stays while learning is set aside."""
+
+    def fail(*arguments: object, **keywords: object) -> None:
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(_worker_health, "find", fail)
+    pool = _learning_pool()
+    worker = next(iter(pool.workers.values()))
+    worker.penalty = 1.0
+    with pytest.raises(ZeroDivisionError):
+        workloads.refresh_run_times(pool, now=9.0)
+    assert worker.penalty == 0.0
+
+
 def test_a_slow_worker_gets_its_work_last() -> None:
     """Guards against findings that placement does not see."""
     pool = _learning_pool()
@@ -375,6 +450,39 @@
     assert workloads.decode_run_times(value, now=0.0).kinds
 
 
+def test_a_snapshot_holds_the_first_task_of_the_widest_step() -> None:
+    """Guards against one kind that makes the whole snapshot unreadable."""
+    times = workloads.RunTimes()
+    _run_times.record_sample(
+        times,
+        _run_times.Sample(
+            key=("", "q", 0),
+            job_id="j",
+            ratio=2.0,
+            width=20_000,
+            worker_key="",
+            machine="",
+            labels=frozenset(),
+            log_slowness=0.0,
+            far=False,
+            now=1.0,
+        ),
+    )
+    value = workloads.encode_run_times(times, now=1.0)
+    assert workloads.decode_run_times(value, now=1.0).kinds
+
+
+def _snapshot(samples: float, weight: float) -> bytes:
+    """Return a snapshot of one kind with one bucket."""
+    kind = ["", "q", 0, 0.0, 1, [0.0, 0.0, 0.0], samples, {0: weight}]
+    return cbor2.dumps([1, [kind], [], [0.0, 0.0]])
+
+
+def test_a_snapshot_of_one_kind_is_read() -> None:
+    """Guards against odd snapshots that are refused for another cause."""
+    assert workloads.decode_run_times(_snapshot(1.0, 1), now=0.0).kinds
+
+
 @pytest.mark.parametrize(
     "value",
     [
@@ -386,6 +494,8 @@
         ),
         pytest.param(b"\x84\x01\x81\x80\x80\x82\x00\x00", id="short-row"),
         pytest.param(b"\x00" * 40_000, id="too-long"),
+        pytest.param(_snapshot(1.0, 5e-320), id="weights-next-to-0"),
+        pytest.param(_snapshot(5e-320, 1), id="samples-next-to-0"),
     ],
 )
 def test_an_odd_snapshot_is_one_error(value: bytes) -> None:
