Count what other owners use after a cap was lowered

Cause: an owner compared only its own service's use with its part of the cap. After a version has lowered a cap, runs of another service may use more than their scaled part, so a start here could bring the workspace above the cap and its overshoot.

Change: an owner starts no more than its part and no more than what the others' reported use leaves of the cap. A giver reports its use at once after a gift, so that the receiver does not wait for the next report.

Result: test_nothing_starts_above_a_lowered_cap fails without the change in _cap_shares.py and passes with it; the tests of caps in chestnuttide/node and chestnuttide/workspaces pass.

--- a/chestnuttide/node/_cap_shares.py
+++ b/chestnuttide/node/_cap_shares.py
@@ -68,12 +68,16 @@
     for name, workspace in list_capped(session).items():
         parts = _cap_state.own_parts(session.caps, caps, owner.service, name)
         _, since = caps.waiting_since.get(name, (None, now))
-        total = model.add(
-            used.get(name, model.ZERO), elsewhere.get(name, model.ZERO)
-        )
+        others = elsewhere.get(name, model.ZERO)
+        total = model.add(used.get(name, model.ZERO), others)
         allowances[name] = workspaces.Allowance(
             cap=workspace.cap,
-            limit=workspaces.limit_of(workspace.cap, parts),
+            # Others use more than their parts after a cap was lowered.
+            limit=workspaces.within_rest(
+                workspaces.limit_of(workspace.cap, parts),
+                workspace.cap,
+                others,
+            ),
             keeping=workspaces.keeps_room(workspace.cap, total, now - since),
         )
     active = {*used, *elsewhere}
@@ -335,6 +339,9 @@
             {name: workspaces.held_by(given, name, service) for name in gifts},
         )
     await _store(owner, given, expect)
+    # Receivers count what they last heard of as used here.
+    owner.caps.announced_at = 0.0
+    _cap_reports.announce(owner, _clock.now())
     LOG.info(
         "Parts of caps were given.",
         service=service,
--- a/chestnuttide/node/tests/test_cap_shares.py
+++ b/chestnuttide/node/tests/test_cap_shares.py
@@ -158,6 +158,36 @@
     asyncio.run(main())
 
 
+def _set_cap(bed: Bed, cap: model.Resources) -> None:
+    for owner in bed.owners.values():
+        owner.session.config = attrs.evolve(
+            CONFIG,
+            version=owner.session.config.version + 1,
+            workspaces=(workloads.Workspace(name="w", cap=cap),),
+        )
+
+
+def test_nothing_starts_above_a_lowered_cap() -> None:
+    """An owner must count what others use beyond their new parts."""
+
+    async def main() -> None:
+        async with _open_bed() as bed:
+            _set_cap(bed, model.Resources(cpu_millis=8000))
+            await _share(bed)
+            _tell(bed)
+            _submit(bed, "s1", 4)
+            assert _plan(bed, "s1") == 4
+            await _share(bed)
+            _submit(bed, "s2", 2)
+            _set_cap(bed, CAP)
+            assert _stored(bed).rows["w"]["s2"] == (500, 500, 500)
+            assert _plan(bed, "s2") == 0
+            _set_cap(bed, model.Resources(cpu_millis=5000))
+            assert _plan(bed, "s2") == 1
+
+    asyncio.run(main())
+
+
 def test_a_lent_part_outlives_an_owner_that_is_killed() -> None:
     """A successor must neither use what was lent nor lose its own part."""
 
--- a/chestnuttide/workspaces/__init__.py
+++ b/chestnuttide/workspaces/__init__.py
@@ -36,6 +36,7 @@
 parts_for = _caps.parts_for
 release = _quota.release
 scale = _caps.scale
+within_rest = _caps.within_rest
 
 __all__ = [
     "Allowance",
@@ -69,4 +70,5 @@
     "parts_for",
     "release",
     "scale",
+    "within_rest",
 ]
--- a/chestnuttide/workspaces/_caps.py
+++ b/chestnuttide/workspaces/_caps.py
@@ -124,6 +124,21 @@
     )
 
 
+def within_rest(
+    limit: model.Resources, cap: model.Resources, others: model.Resources
+) -> model.Resources:
+    """Return a limit that is within what others leave of a cap."""
+    cpu, memory, accelerators = (
+        min(value, max(0, whole - used))
+        for value, whole, used in zip(
+            amounts(limit), amounts(cap), amounts(others), strict=True
+        )
+    )
+    return model.Resources(
+        cpu_millis=cpu, memory_mb=memory, accelerators=accelerators
+    )
+
+
 def parts_for(cap: model.Resources, amount: model.Resources) -> Parts:
     """Return the least parts of a cap that allow an amount to be used."""
     cpu, memory, accelerators = (
