Start a gang that exceeds its cap by a tenth at most

Cause: a gang that exceeds its workspace's whole cap by more than one task never started, though the platform allows a tenth beyond the cap.

Change: it counts as the whole cap, like a gang that exceeds it by less than one task: it starts while its service holds the whole cap and the workspace has nothing else running. A gang that needs both allowances together still never starts.

Result: the new rows of test_only_what_fits_the_part_starts and the tests of chestnuttide/workspaces and of the parts' properties pass.

--- a/chestnuttide/workspaces/_caps.py
+++ b/chestnuttide/workspaces/_caps.py
@@ -26,6 +26,9 @@
 KEEPING_FROM_S: typing.Final = 2.0
 KEEPING_UNTIL_S: typing.Final = 12.0
 
+# Share of a cap by which a unit that starts alone may exceed it.
+ALONE_OVERSHOOT: typing.Final = 0.1
+
 Parts: typing.TypeAlias = tuple[int, int, int]
 
 NOTHING: typing.Final[Parts] = (0, 0, 0)
@@ -153,15 +156,20 @@
 ) -> model.Resources | None:
     """Return what a unit counts against a cap, or None if it never fits.
 
-    A unit that exceeds the whole cap by less than one task counts as all of
-    it. It starts while its workspace has nothing else running, because the
-    platform allows one task beyond the cap.
+    A unit that exceeds the whole cap by less than one task or within the
+    overshoot counts as all of it. It starts while its workspace has nothing
+    else running, because the platform allows both beyond the cap.
     """
     total = scale(need, count)
     if _within(amounts(total), amounts(cap)):
         return total
     others = scale(need, count - 1)
-    if not _within(amounts(others), amounts(cap)):
+    if not all(
+        not limit or left <= limit or value <= limit * (1 + ALONE_OVERSHOOT)
+        for left, value, limit in zip(
+            amounts(others), amounts(total), amounts(cap), strict=True
+        )
+    ):
         return None
     cpu, memory, accelerators = (
         min(value, limit) if limit else value
--- a/chestnuttide/workspaces/tests/test_caps.py
+++ b/chestnuttide/workspaces/tests/test_caps.py
@@ -52,6 +52,23 @@
         pytest.param(
             _cpu(0), (1000,) * 3, _cpu(501), 3, False, id="gang-over-cap"
         ),
+        pytest.param(
+            _cpu(0), (1000,) * 3, _cpu(100), 11, True, id="within-overshoot"
+        ),
+        pytest.param(
+            _cpu(0), (1000,) * 3, _cpu(50), 23, False, id="over-overshoot"
+        ),
+        pytest.param(
+            _cpu(1),
+            (1000,) * 3,
+            _cpu(100),
+            11,
+            False,
+            id="overshoot-not-alone",
+        ),
+        pytest.param(
+            _cpu(0), (999,) * 3, _cpu(100), 11, False, id="overshoot-of-a-part"
+        ),
         pytest.param(
             _cpu(0), (1000,) * 3, _cpu(5000), 1, True, id="task-over-cap"
         ),
