Count nothing for a closed connection, and spare callers who just came

Cause: tornado goes on with bytes that it has read after a stream is closed. A connection that left for another one could so be charged after its release, and its bytes counted until the process ended; a complete pipelined request on it was executed without an answer. And a connection over the bound ended up to a 32nd of all that were never served, also those that had just connected or were sending, as in a burst of ordinary callers.

Change: a closed connection is charged nothing and its request isn't handed over. Many connections leave at once only if nothing has come from them for a second; otherwise one leaves for one.

--- a/chestnuttide/node/_intake.py
+++ b/chestnuttide/node/_intake.py
@@ -158,9 +158,14 @@
     callers = list(callers)
     victims = order_connections(callers, newest, newest.since)
     many = max(1, int(intake.limits.connections * FREED_SHARE))
-    unserved = [victim for victim in victims[:many] if not victim.served]
+    # Callers that have just come are about to send.
+    stalled = [
+        victim
+        for victim in victims[:many]
+        if not victim.served and newest.since - victim.progress_at >= STALL_S
+    ]
     if victims:
-        for victim in unserved or victims[:1]:
+        for victim in stalled or victims[:1]:
             dismiss(intake, victim, reason)
         return
     # All are being served. The one that was served most leaves after its
@@ -255,7 +260,12 @@
 
 
 def charge(intake: Intake, caller: Caller, size: int, now: float) -> bool:
-    """Count bytes for a connection; return whether they may be held."""
+    """Count bytes for a connection; return whether they may be held.
+
+    Those of one that is closed are not: nothing would release them.
+    """
+    if caller not in intake.callers:
+        return False
     if not make_room(intake, caller, size, now):
         return False
     intake.held += size
--- a/chestnuttide/node/_intake_http.py
+++ b/chestnuttide/node/_intake_http.py
@@ -211,6 +211,9 @@
         A chunked body waits for a turn to begin in.
         """
         stream = self._stream
+        if stream.closed():
+            # tornado goes on with what it has read.
+            return None
         stream.port.refresh()
         intake = stream.port.intake
         now = _clock.now()
@@ -267,6 +270,10 @@
         if self._written is not None:
             self._end()
             return
+        if stream.closed():
+            # What was read before the end is not executed: no answer
+            # could say so.
+            return
         request = self._request
         request.body = bytes(self._body)
         self._body = bytearray()
--- a/chestnuttide/node/tests/test_intake.py
+++ b/chestnuttide/node/tests/test_intake.py
@@ -201,6 +201,34 @@
     assert [each.peer for each in intake.callers if each.leaving] == leaving
 
 
+def test_a_closed_connection_holds_nothing() -> None:
+    """Guards against bytes that are counted after their release."""
+    intake = make_intake()
+    caller = make_caller(intake, [], "0", held=300)
+    _intake.remove(intake, caller)
+    assert not _intake.charge(intake, caller, 100, NOW)
+    assert intake.held == 0
+
+
+@pytest.mark.parametrize(
+    ("quiet", "count"),
+    [
+        pytest.param(0.5, 1, id="just-come"),
+        pytest.param(2.0, 2, id="stalled"),
+    ],
+)
+def test_many_leave_at_once_only_if_they_have_stalled(
+    quiet: float, count: int
+) -> None:
+    """A burst of ordinary callers must not end those who just came."""
+    intake = make_intake(connections=64, connections_per_peer=64)
+    ended: list[tuple[str, str]] = []
+    for number in range(64):
+        make_caller(intake, ended, str(number), age=quiet, quiet=quiet)
+    make_caller(intake, ended, "new", phase="idle", age=0.0)
+    assert len(ended) == count
+
+
 @pytest.mark.parametrize(
     ("fields", "reason"),
     [
