Play crowds in a process of their own

Cause: a crowd's clients shared the event loop of the test with the stand-ins of the store and of the workers, so that the crowd's own writes could keep the store from answering; test_crowds[headers-without-an-end] failed once in 14 with store_unavailable.

Change: crowds.play starts the clients in a process of its own. Clients, bytes, times and the test's bounds are as before.

--- a/standins/crowds.py
+++ b/standins/crowds.py
@@ -7,6 +7,8 @@
 import asyncio
 import collections.abc
 import contextlib
+import multiprocessing
+import multiprocessing.connection
 import os
 import pathlib
 
@@ -23,6 +25,9 @@
 
 PIECE_BYTES = 16_384
 
+# How often the end of the sending is looked for.
+POLL_S = 0.02
+
 Pieces = collections.abc.Iterable[bytes]
 
 
@@ -143,12 +148,50 @@
 ) -> collections.abc.AsyncIterator[Peak]:
     """Send a crowd to a port and keep it open until the block ends.
 
-    The block starts when all clients have sent what they can.
+    The block starts when all clients have sent what they can. The crowd has a
+    process of its own, so that its writes don't keep the stand-ins from
+    answering.
     """
     peak = Peak()
+    context = multiprocessing.get_context("spawn")
+    ours, theirs = context.Pipe()
+    process = context.Process(
+        target=_run_crowd, args=(theirs, port, clients, make_pieces)
+    )
+    process.start()
+    theirs.close()
+    watch = asyncio.ensure_future(_watch(node, peak))
+    try:
+        # The end of the process ends the wait as well.
+        while not ours.poll():
+            await asyncio.sleep(POLL_S)
+        ours.recv()
+        yield peak
+    finally:
+        watch.cancel()
+        measure(node, peak)
+        ours.close()
+        await asyncio.to_thread(process.join)
+
+
+def _run_crowd(
+    pipe: multiprocessing.connection.Connection,
+    port: int,
+    clients: int,
+    make_pieces: collections.abc.Callable[[], Pieces],
+) -> None:
+    """Send a crowd, say so, and keep it open until the pipe ends."""
+    asyncio.run(_send_crowd(pipe, port, clients, make_pieces))
+
+
+async def _send_crowd(
+    pipe: multiprocessing.connection.Connection,
+    port: int,
+    clients: int,
+    make_pieces: collections.abc.Callable[[], Pieces],
+) -> None:
     writers: list[asyncio.StreamWriter] = []
     senders = asyncio.Semaphore(SENDERS)
-    watch = asyncio.ensure_future(_watch(node, peak))
 
     async def send() -> None:
         async with senders:
@@ -164,14 +207,13 @@
                         writer.write(piece)
                         await writer.drain()
 
-    try:
-        await asyncio.gather(*(send() for _ in range(clients)))
-        yield peak
-    finally:
-        watch.cancel()
-        measure(node, peak)
-        for writer in writers:
-            writer.transport.abort()
+    await asyncio.gather(*(send() for _ in range(clients)))
+    pipe.send(None)
+    with contextlib.suppress(EOFError):
+        # Transports go on with what they have buffered meanwhile.
+        await asyncio.to_thread(pipe.recv)
+    for writer in writers:
+        writer.transport.abort()
 
 
 async def _watch(node: node_cell.Node, peak: Peak) -> None:
