Keep the parts of caps that were read last, and repair their record

Change: an owner keeps to the parts that it has read last. Only it lowers them, so the sum stays within the cap. A successor that finds a lost record starts nothing. After 3 s an owner whose own writes are certain writes what it read last in place of the lost record, in a write that expects that record or none. test_an_unreadable_record_allows_nothing asked that nothing starts; test_a_lost_record_allows_no_more_and_is_repaired takes its place and asks that the owner stays within its part, that a successor starts nothing, that the record is repaired with the same parts, not before 3 s, and that the successor then uses its part.

--- a/chestnuttide/node/_cap_shares.py
+++ b/chestnuttide/node/_cap_shares.py
@@ -6,6 +6,8 @@
 import asyncio
 import collections.abc
 
+import attrs
+
 from chestnuttide import errors
 from chestnuttide import model
 from chestnuttide.node import _cap_reports
@@ -36,6 +38,10 @@
 # this long. A new revision makes sure that the former write cannot succeed.
 SETTLE_S = 1.0
 
+# A record that cannot be read or was removed is replaced after this long, so
+# that all owners have seen what came before.
+REPAIR_AFTER_S = 3.0
+
 # A part is given to a service only if its owner has reported within this time.
 DEMAND_AGE_S = 1.5
 
@@ -196,10 +202,13 @@
     capped = list_capped(session)
     if not capped or not _ownership.may_send_commands(owner):
         return
+    if session.caps.lost_revision:
+        await _repair(owner, now)
+        return
     if not owner.caps.loaded:
         await load(owner)
-    if not session.caps.readable:
-        return
+        if not owner.caps.loaded:
+            return
     if capped.keys() - session.caps.parts.rows.keys():
         await _create_rows(owner, capped)
     gifts = _decide(owner, capped, now)
@@ -219,8 +228,14 @@
     The watch may lag behind what a former owner has given away.
     """
     item = await platform.read_key(owner.store, _keys.CAPS)
+    board = owner.session.caps
     if item is not None:
         adopt_item(owner.session, item)
+    elif board.parts.revision:
+        # Its removal has not been reported yet.
+        return
+    if board.lost_revision:
+        return
     owner.caps.loaded = True
     owner.plan_requested.set()
 
@@ -228,13 +243,18 @@
 def adopt_item(session: _session.Session, item: platform.Item) -> None:
     """Adopt the record of the parts if it is newer than the known one.
 
-    While the record cannot be read, no run of a workspace with a cap starts:
-    what the services may use is not known.
+    While the record cannot be read, owners keep to what they have read last:
+    only they themselves give away parts of theirs. An owner that has not read
+    any since it took over starts no run of a workspace with a cap.
     """
-    if item.removed or item.key != _keys.CAPS:
-        return
     board = session.caps
-    if item.revision <= board.parts.revision:
+    if item.key != _keys.CAPS or item.revision <= max(
+        board.parts.revision, board.lost_revision
+    ):
+        return
+    if item.removed:
+        LOG.error("Parts of caps were removed.", revision=item.revision)
+        _note_loss(board, item.revision, expects=0)
         return
     try:
         with errors.decoding(
@@ -245,11 +265,38 @@
     except errors.ProtocolError as error:
         LOG.error("Parts of caps cannot be read.", error=str(error))
         session.count_unreadable("caps")
-        board.parts = workspaces.CapParts(revision=item.revision)
-        board.readable = False
+        _note_loss(board, item.revision, expects=item.revision)
         return
     board.parts = parts
-    board.readable = True
+    board.lost_revision = 0
+
+
+def _note_loss(
+    board: _cap_state.CapBoard, revision: int, *, expects: int
+) -> None:
+    if not board.lost_revision:
+        board.lost_since = _clock.now()
+    board.lost_revision = revision
+    board.lost_expects = expects
+
+
+async def _repair(owner: _ownership.Ownership, now: float) -> None:
+    """Replace a record that was removed or cannot be read.
+
+    The last one that was read takes its place, if this owner has given
+    nothing away since whose outcome is unknown.
+    """
+    board, caps = owner.session.caps, owner.caps
+    uncertain = caps.lowered and caps.lowered_revision >= board.parts.revision
+    if (
+        not caps.loaded
+        or uncertain
+        or now - board.lost_since < REPAIR_AFTER_S
+        or now - caps.written_at < WRITE_PERIOD_S
+    ):
+        return
+    await _store(owner, attrs.evolve(board.parts, revision=board.lost_expects))
+    LOG.info("Parts of caps were repaired.", service=owner.service)
 
 
 def adopt_record(
--- a/chestnuttide/node/_cap_state.py
+++ b/chestnuttide/node/_cap_state.py
@@ -60,14 +60,21 @@
     ----------
     parts : CapParts
         Newest known record of the parts that the services hold.
-    readable : bool
-        Whether that record could be read; if not, no part may be used.
+    lost_revision : int
+        Revision of a later change that removed the record or made it
+        unreadable; 0 if there is none.
+    lost_expects : int
+        Revision that a write expects which replaces it; 0 for none.
+    lost_since : float
+        Monotonic time at which that change was seen.
     reports : dict of str to UseReport
         Last report of each service's owner.
     """
 
     parts: workspaces.CapParts = attrs.field(factory=workspaces.CapParts)
-    readable: bool = True
+    lost_revision: int = 0
+    lost_expects: int = 0
+    lost_since: float = 0.0
     reports: dict[str, UseReport] = attrs.field(factory=dict)
 
 
@@ -129,7 +136,7 @@
     board: CapBoard, caps: CapState, service: str, workspace: str
 ) -> workspaces.Parts:
     """Return the parts of a cap that an owner may use at present."""
-    if not caps.loaded or not board.readable:
+    if not caps.loaded:
         return workspaces.NOTHING
     limits = [workspaces.held_by(board.parts, workspace, service)]
     if caps.lowered_revision >= board.parts.revision:
