Forget what waits for caps when a version drops all workspaces

Cause: a round without workspaces left the former round's units in the pool: the operators' page went on to name the cap as their reason to wait.

Change: such a round empties both sets.

--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -152,6 +152,7 @@
     """Record what waits for a cap or a share; return what newly does."""
     put_off: collections.Counter[str] = collections.Counter()
     if view.caps is None:
+        pool.capped_units, pool.over_share = set(), set()
         return put_off
     put_off["cap"] = sum(
         len(unit.indexes) for unit in view.capped_units - pool.capped_units
--- a/chestnuttide/workloads/tests/test_workspaces.py
+++ b/chestnuttide/workloads/tests/test_workspaces.py
@@ -102,6 +102,17 @@
     assert sorted(names) == ["v", "v", "v", "w"]
 
 
+def test_nothing_waits_for_a_cap_without_workspaces() -> None:
+    """A version that drops all workspaces must leave no reason to wait."""
+    pool = _pool_fixtures.make_pool(1)
+    _submit(pool, 1, "w", _pool_fixtures.make_step(count=9, need=CORE))
+    round_ = _make_round(pool, {}, caps={"w": CORE})
+    workloads.make_plan(pool, now=0.1, caps=round_)
+    assert pool.capped_units
+    workloads.make_plan(pool, now=0.2)
+    assert not pool.capped_units
+
+
 def test_without_workspaces_the_order_is_as_before() -> None:
     """A deployment without workspaces must be planned as before."""
     plans = []
