Tell a caller whose connection ends after its answer

Cause: where all connections are being served, the one that was served most ends after its answer, which didn't say so: the caller's next request met a closed connection.

Change: its answer has Connection: close.

Result: test_a_caller_that_leaves_is_told_with_its_answer[True] fails without the change in _dispatch.py; test_intake_http.py passes with it.

--- a/chestnuttide/node/_dispatch.py
+++ b/chestnuttide/node/_dispatch.py
@@ -54,7 +54,7 @@
         context.in_flight -= 1
     _record_response(context, response, _clock.now() - started_at)
     headers, body = _render(response)
-    if context.stopping:
+    if context.stopping or _intake_http.is_leaving(request):
         headers["Connection"] = "close"
     try:
         request.connection.write_headers(
--- a/chestnuttide/node/_intake_http.py
+++ b/chestnuttide/node/_intake_http.py
@@ -433,6 +433,11 @@
     port.closers.clear()
 
 
+def is_leaving(request: httputil.HTTPServerRequest) -> bool:
+    """Return whether a request's connection ends after its answer."""
+    return request.connection.stream.caller.leaving
+
+
 def may_answer(
     request: httputil.HTTPServerRequest, size: int
 ) -> _intake.Reason | None:
--- a/chestnuttide/node/tests/test_intake_http.py
+++ b/chestnuttide/node/tests/test_intake_http.py
@@ -5,9 +5,17 @@
 import functools
 import pathlib
 import signal
+import socket
 
 import pytest
 
+from chestnuttide.node import _dispatch
+from chestnuttide.node import _intake
+from chestnuttide.node import _intake_http
+from chestnuttide.node import _metrics
+from chestnuttide.node import _responses
+from chestnuttide.node import _session
+from chestnuttide.node.tests import test_intake
 from standins import crowds
 from standins import node_cell
 
@@ -171,3 +179,45 @@
             assert node.process.returncode == 0
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("leaving", [False, True])
+def test_a_caller_that_leaves_is_told_with_its_answer(leaving: bool) -> None:
+    """Guards against a next request that meets a closed connection."""
+
+    async def main() -> None:
+        session = _session.Session(
+            settings=None,
+            store=None,
+            peers=None,
+            count_unreadable=lambda kind: None,
+        )
+        context = _responses.ApiContext(
+            session=session, owned={}, metrics=_metrics.make_metrics()
+        )
+        port = _intake_http.make_port(
+            name="callers",
+            intake=test_intake.make_intake(),
+            header_bytes=4096,
+            handle=_dispatch.make_callback(context),
+            refuse=functools.partial(_dispatch.refuse_unread, context),
+        )
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        _intake_http._accept(port, ours, ("127.0.0.1", 1))
+        (caller,) = port.intake.callers
+        reader, writer = await asyncio.open_connection(sock=theirs)
+        caller.leaving = leaving
+        writer.write(crowds.head(method="GET"))
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            head = (await reader.readuntil(b"\r\n\r\n")).lower()
+            assert (b"\r\nconnection: close\r\n" in head) is leaving
+            if leaving:
+                await reader.read()
+                assert caller not in port.intake.callers
+        assert port.intake.reasons == (
+            {_intake.Reason.CONNECTIONS: 1} if leaving else {}
+        )
+        writer.close()
+
+    asyncio.run(main())
