Let a takeover keep the pages that arrived

The owner of a service with 717 workers never ended its takeover: each page of the listing had to arrive within the 0.7 s of any call to the store, whatever its size and the link's speed, and all pages were read anew after one failure. It kept its lease, so nobody else took over. 20 times a page of 219,572 bytes was cut off after 114,613 to 196,533 bytes.

A page now arrives for as long as its bytes do. A page that stalls for the time of a call, or breaks off, is read again from its start, and those before it are kept. The watches go on from the takeover's revision instead of listing the same keys a second time. Records are applied in slices of 20 ms, so that the lease is renewed meanwhile, and the ownership is confirmed after the reads. The listing of the configuration had an allowance of its own for large ones, which this replaces.

Takeovers are counted by outcome, and their log line gives items, bytes and the seconds of the reads.

--- a/chestnuttide/node/_configuration.py
+++ b/chestnuttide/node/_configuration.py
@@ -63,7 +63,6 @@
         on_working=on_working,
         wait_s=wait_s,
         on_answer=on_answer,
-        slow_listings=True,
     )
 
 
--- a/chestnuttide/node/_metrics.py
+++ b/chestnuttide/node/_metrics.py
@@ -55,6 +55,10 @@
     waiting_tasks : Gauge
         ``chestnuttide_waiting_tasks{queue,reason}``, tasks that are ready to
         start; see ``workloads.WaitReason``.
+    takeovers : Counter
+        ``chestnuttide_takeovers_total{outcome}``, takeovers of services that
+        were ``started``, and those that became ``complete`` or were
+        ``abandoned`` because the ownership had ended.
     put_off : Counter
         ``chestnuttide_put_off_total{reason}``, starts that were put off by
         the ``cap`` of a workspace, and times that a workspace came to be over
@@ -106,6 +110,7 @@
     lost_runs: aioprometheus.Counter
     given_up: aioprometheus.Counter
     waiting_tasks: aioprometheus.Gauge
+    takeovers: aioprometheus.Counter
     put_off: aioprometheus.Counter
     cap_writes: aioprometheus.Counter
     unreadable: aioprometheus.Counter
@@ -156,6 +161,7 @@
             "Tasks that are ready to start, by queue and reason.",
             registry=registry,
         ),
+        takeovers=counter("takeovers", "Takeovers, by outcome."),
         put_off=counter(
             "put_off", "Starts put off for a workspace, by reason."
         ),
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -4,8 +4,8 @@
 import collections
 import collections.abc
 import functools
+import typing
 
-from chestnuttide import errors
 from chestnuttide.node import _admission
 from chestnuttide.node import _advisor_queries
 from chestnuttide.node import _cap_shares
@@ -15,10 +15,10 @@
 from chestnuttide.node import _directory_sync
 from chestnuttide.node import _keys
 from chestnuttide.node import _ownership
-from chestnuttide.node import _polls
 from chestnuttide.node import _release
 from chestnuttide.node import _run_time_snapshots
 from chestnuttide.node import _set_aside
+from chestnuttide.node import _takeover
 from chestnuttide.node import _updates
 from chestnuttide.node import _watches
 from chestnuttide import platform
@@ -35,8 +35,6 @@
 # commits. With 300 waiting jobs a round takes 20 ms.
 MAX_PLAN_PAUSE_S = 0.05
 
-TAKEOVER_RETRY_S = 0.1
-
 # Period of the report of waiting tasks, which is one log line for a service.
 WAITING_REPORT_PERIOD_S = 5.0
 
@@ -51,47 +49,27 @@
 # recovers lost notices, so it may batch changes for this long.
 WATCH_BATCH_S = 0.3
 
+_Loop: typing.TypeAlias = collections.abc.Callable[
+    [_ownership.Ownership], collections.abc.Coroutine[None, None, None]
+]
+
 
 async def run_ownership(owner: _ownership.Ownership) -> None:
     """Run a service as its owner until deposed; never raises."""
     loops: list[asyncio.Task[None]] = []
-    started_at = _clock.now()
-    LOG.info(
-        "Takeover has started.",
-        service=owner.service,
-        fence=owner.fencing_token,
-    )
     try:
-        if not await _take_over(owner):
+        listed = await _takeover.take_over(owner)
+        if listed is None:
             return
-        LOG.info(
-            "Takeover is complete.",
-            service=owner.service,
-            fence=owner.fencing_token,
-            jobs=len(owner.pool.active),
-            workers=len(owner.pool.workers),
-            seconds=round(_clock.now() - started_at, 3),
-        )
         loops = [
             asyncio.ensure_future(
                 _set_aside.run_loop(
                     owner.set_aside,
-                    make_loop.__name__.removeprefix("_"),
+                    name,
                     functools.partial(make_loop, owner),
                 )
             )
-            for make_loop in (
-                _commits.commit_loop,
-                _plan_loop,
-                _supervision_loop,
-                _watch_work,
-                _watch_workers,
-                _release.confirm_loop,
-                _directory_sync.sync_loop,
-                _run_time_snapshots.snapshot_loop,
-                _cap_shares.share_loop,
-                _cap_shares.watch_loop,
-            )
+            for name, make_loop in _make_loops(listed).items()
         ]
         deposed = asyncio.ensure_future(owner.deposed.wait())
         loops.append(deposed)
@@ -112,55 +90,27 @@
         )
 
 
-async def _take_over(owner: _ownership.Ownership) -> bool:
-    """Load the pool from the store; return False if deposed."""
-    while not owner.deposed.is_set():
-        sent_at = _clock.now()
-        try:
-            workers, work, progress = await asyncio.gather(
-                platform.read_all(owner.store, _keys.WORKERS),
-                platform.read_all(owner.store, _keys.work(owner.service)),
-                platform.read_all(owner.store, _keys.progress(owner.service)),
-            )
-        except errors.SchedulerError as error:
-            LOG.warning(
-                "Takeover cannot read the store; trying again.",
-                service=owner.service,
-                error=str(error),
-            )
-            await asyncio.sleep(TAKEOVER_RETRY_S)
-            continue
-        owner.confirmed_at = sent_at
-        for item in workers.items:
-            _updates.apply_worker_entry(owner, item)
-        for item in work.items:
-            _updates.apply_job(owner, item)
-        known = {item.key for item in work.items}
-        for item in progress.items:
-            job_id = item.key.removeprefix(_keys.progress(owner.service))
-            if _keys.job(owner.service, job_id) in known:
-                _updates.apply_progress(owner, item)
-        _updates.apply_work_items(owner, work.items)
-        for worker in list(owner.pool.workers.values()):
-            if worker.listed:
-                # Records may name incarnations that ended before the takeover.
-                _set_aside.attempt(
-                    owner.set_aside,
-                    _set_aside.Kind.WORKER,
-                    worker.report.id,
-                    functools.partial(
-                        _updates.end_former_incarnations, owner, worker
-                    ),
-                )
-        for worker in list(owner.pool.workers.values()):
-            _polls.ensure_poll_loop(owner, worker)
-        owner.plan_requested.set()
-        owner.ready = True
-        return True
-    return False
+def _make_loops(
+    listed: _takeover.Listed,
+) -> dict[str, _Loop]:
+    """Return the loops of an owner by name."""
+    return {
+        "commit_loop": _commits.commit_loop,
+        "plan_loop": _plan_loop,
+        "supervision_loop": _supervision_loop,
+        "watch_work": functools.partial(_watch_work, revision=listed.work),
+        "watch_workers": functools.partial(
+            _watch_workers, revision=listed.workers
+        ),
+        "confirm_loop": _release.confirm_loop,
+        "sync_loop": _directory_sync.sync_loop,
+        "snapshot_loop": _run_time_snapshots.snapshot_loop,
+        "share_loop": _cap_shares.share_loop,
+        "watch_loop": _cap_shares.watch_loop,
+    }
 
 
-async def _watch_work(owner: _ownership.Ownership) -> None:
+async def _watch_work(owner: _ownership.Ownership, *, revision: int) -> None:
     await _watches.watch_prefix(
         owner.session.store,
         _keys.work(owner.service),
@@ -168,10 +118,13 @@
         on_item=lambda item: _updates.apply_work_items(owner, (item,)),
         on_working=lambda working: None,
         pause_s=WATCH_BATCH_S,
+        revision=revision,
     )
 
 
-async def _watch_workers(owner: _ownership.Ownership) -> None:
+async def _watch_workers(
+    owner: _ownership.Ownership, *, revision: int
+) -> None:
     def on_list(items: tuple[platform.Item, ...]) -> None:
         names = {item.key.removeprefix(_keys.WORKERS) for item in items}
         for worker in owner.pool.workers.values():
@@ -186,6 +139,7 @@
         on_list=on_list,
         on_item=functools.partial(_updates.apply_worker_entry, owner),
         on_working=lambda working: None,
+        revision=revision,
     )
 
 
--- /dev/null
+++ b/chestnuttide/node/_takeover.py
@@ -0,0 +1,210 @@
+"""Takeover of a service: its new owner loads workers and jobs."""
+
+import asyncio
+import collections.abc
+import functools
+
+import attrs
+
+from chestnuttide import errors
+from chestnuttide.node import _clock
+from chestnuttide.node import _keys
+from chestnuttide.node import _ownership
+from chestnuttide.node import _polls
+from chestnuttide.node import _set_aside
+from chestnuttide.node import _updates
+from chestnuttide import platform
+from chestnuttide import telemetry
+
+LOG = telemetry.make_logger("owner")
+
+RETRY_S = 0.1
+
+# Records are applied for this long before other tasks of the loop run, such
+# as the renewal of the instance's lease.
+SLICE_S = 0.02
+
+
+@attrs.frozen(kw_only=True, slots=True)
+class Listed:
+    """What a takeover has read.
+
+    Attributes
+    ----------
+    workers, work : int
+        Store revisions from which to watch the workers and the service's
+        jobs.
+    """
+
+    workers: int
+    work: int
+
+
+@attrs.define(kw_only=True, slots=True)
+class _Listing:
+    """The pages of a prefix that have been read.
+
+    Attributes
+    ----------
+    items : list of Item
+        Their items.
+    revision : int
+        Store revision of the first page; -1 before it.
+    """
+
+    items: list[platform.Item] = attrs.field(factory=list)
+    revision: int = -1
+
+
+async def take_over(owner: _ownership.Ownership) -> Listed | None:
+    """Load the pool from the store; return None if deposed."""
+    started_at = _clock.now()
+    owner.metrics.takeovers.inc({"outcome": "started"})
+    LOG.info(
+        "Takeover has started.",
+        service=owner.service,
+        fence=owner.fencing_token,
+    )
+    workers, work, progress = await asyncio.gather(
+        _read(owner, _keys.WORKERS),
+        _read(owner, _keys.work(owner.service)),
+        _read(owner, _keys.progress(owner.service)),
+    )
+    read_at = _clock.now()
+    if await _confirm(owner):
+        await _apply(owner, workers.items, work.items, progress.items)
+    if owner.deposed.is_set():
+        owner.metrics.takeovers.inc({"outcome": "abandoned"})
+        LOG.warning(
+            "Takeover is abandoned.",
+            service=owner.service,
+            fence=owner.fencing_token,
+            items=sum(len(each.items) for each in (workers, work, progress)),
+            seconds=round(_clock.now() - started_at, 3),
+        )
+        return None
+    for worker in list(owner.pool.workers.values()):
+        _polls.ensure_poll_loop(owner, worker)
+    owner.plan_requested.set()
+    owner.ready = True
+    owner.metrics.takeovers.inc({"outcome": "complete"})
+    LOG.info(
+        "Takeover is complete.",
+        service=owner.service,
+        fence=owner.fencing_token,
+        jobs=len(owner.pool.active),
+        workers=len(owner.pool.workers),
+        items=[len(each.items) for each in (workers, work, progress)],
+        value_bytes=[
+            sum(len(item.value) for item in each.items)
+            for each in (workers, work, progress)
+        ],
+        read_s=round(read_at - started_at, 3),
+        seconds=round(_clock.now() - started_at, 3),
+    )
+    return Listed(workers=workers.revision, work=work.revision)
+
+
+async def _read(owner: _ownership.Ownership, prefix: str) -> _Listing:
+    """Read all pages of a prefix, unless the owner is deposed meanwhile.
+
+    A page that does not arrive is read again; the pages before it are kept.
+    """
+    listing = _Listing()
+    more = True
+    while more and not owner.deposed.is_set():
+        after = listing.items[-1].key if listing.items else ""
+        try:
+            page = await platform.read_range(owner.store, prefix, after=after)
+        except errors.SchedulerError as error:
+            LOG.warning(
+                "Takeover cannot read the store; trying again.",
+                service=owner.service,
+                prefix=prefix,
+                items=len(listing.items),
+                error=str(error),
+            )
+            owner.metrics.retries.inc({"reason": "takeover_read"})
+            await asyncio.sleep(RETRY_S)
+            continue
+        if listing.revision < 0:
+            listing.revision = page.store_revision
+        listing.items.extend(page.items)
+        more = page.more
+    return listing
+
+
+async def _confirm(owner: _ownership.Ownership) -> bool:
+    """Return whether the instance is still the owner after the reads."""
+    while not owner.deposed.is_set():
+        sent_at = _clock.now()
+        try:
+            item = await platform.read_key(
+                owner.store, _keys.owner(owner.service)
+            )
+        except errors.SchedulerError:
+            owner.metrics.retries.inc({"reason": "takeover_read"})
+            await asyncio.sleep(RETRY_S)
+            continue
+        if item is None or item.revision != owner.fencing_token:
+            owner.deposed.set()
+            return False
+        owner.confirmed_at = sent_at
+        return True
+    return False
+
+
+async def _apply(
+    owner: _ownership.Ownership,
+    workers: list[platform.Item],
+    work: list[platform.Item],
+    progress: list[platform.Item],
+) -> None:
+    await _apply_each(owner, workers, _updates.apply_worker_entry)
+    await _apply_each(owner, work, _updates.apply_job)
+    prefix = _keys.progress(owner.service)
+    known = {item.key for item in work}
+    await _apply_each(
+        owner,
+        [
+            item
+            for item in progress
+            if _keys.job(owner.service, item.key.removeprefix(prefix)) in known
+        ],
+        _updates.apply_progress,
+    )
+    # Cancellations of the jobs, which are there by now.
+    await _apply_each(
+        owner,
+        work,
+        lambda owner, item: _updates.apply_work_items(owner, (item,)),
+    )
+    for worker in list(owner.pool.workers.values()):
+        if worker.listed:
+            # Records may name incarnations that ended before the takeover.
+            _set_aside.attempt(
+                owner.set_aside,
+                _set_aside.Kind.WORKER,
+                worker.report.id,
+                functools.partial(
+                    _updates.end_former_incarnations, owner, worker
+                ),
+            )
+
+
+async def _apply_each(
+    owner: _ownership.Ownership,
+    items: list[platform.Item],
+    apply: collections.abc.Callable[
+        [_ownership.Ownership, platform.Item], None
+    ],
+) -> None:
+    """Apply items in slices, unless the owner is deposed meanwhile."""
+    until = _clock.now() + SLICE_S
+    for item in items:
+        apply(owner, item)
+        if _clock.now() >= until:
+            await asyncio.sleep(0)
+            if owner.deposed.is_set():
+                return
+            until = _clock.now() + SLICE_S
--- a/chestnuttide/node/_watches.py
+++ b/chestnuttide/node/_watches.py
@@ -32,7 +32,7 @@
     pause_s: float = 0.0,
     wait_s: float = WATCH_WAIT_S,
     on_answer: OnAnswer = lambda sent_at, empty: None,
-    slow_listings: bool = False,
+    revision: int = -1,
 ) -> None:
     """Report the items under a prefix and all later changes until cancelled.
 
@@ -56,21 +56,13 @@
         ``on_answer(sent_at, empty)`` is called after each answered call and
         its changes, with when it was sent and whether it was a watch without
         changes.
-    slow_listings : bool
-        Whether a listing that follows a failed call may take twice as long: a
-        configuration with 1,400 routes fills a link of 5 Mbit/s for longer
-        than the store's timeout.
     """
-    revision = -1
-    extra_s = 0.0
     retry_s = RETRY_MINIMUM_S
     while True:
         sent_at = _clock.now()
         try:
             if revision < 0:
-                listed = await platform.read_all(
-                    store, prefix, extra_s=extra_s
-                )
+                listed = await platform.read_all(store, prefix)
                 on_list(listed.items)
                 revision = listed.store_revision
                 on_answer(sent_at, False)
@@ -87,7 +79,6 @@
                 revision = max(revision, changes.store_revision)
                 await asyncio.sleep(pause_s)
             retry_s = RETRY_MINIMUM_S
-            extra_s = 0.0
             on_working(True)
         except platform.HistoryLostError:
             LOG.info(
@@ -100,6 +91,5 @@
             LOG.debug("Watch failed.", prefix=prefix, error=str(error))
             # A new listing also shows changes that a broken watch has missed.
             revision = -1
-            extra_s = store.timeout_s if slow_listings else 0.0
             await asyncio.sleep(retry_s)
             retry_s = min(RETRY_MAXIMUM_S, retry_s * 2)
--- a/chestnuttide/platform/__init__.py
+++ b/chestnuttide/platform/__init__.py
@@ -55,6 +55,7 @@
 query_advisor = _advisor.query_advisor
 read_all = _kv_store.read_all
 read_key = _kv_store.read_key
+read_range = _kv_store.read_range
 renew_lease = _kv_store.renew_lease
 revoke_lease = _kv_store.revoke_lease
 start_run = _worker_commands.start_run
@@ -107,6 +108,7 @@
     "query_advisor",
     "read_all",
     "read_key",
+    "read_range",
     "renew_lease",
     "revoke_lease",
     "start_run",
--- a/chestnuttide/platform/_http.py
+++ b/chestnuttide/platform/_http.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import collections.abc
+import contextlib
+import os
 import select
+import socket
 import typing
 
 import attrs
@@ -81,6 +84,7 @@
     may_send: collections.abc.Callable[[], bool] | None
     resend: bool
     keep_alive: bool
+    stall_s: float | None
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -102,8 +106,15 @@
     cancelled : bool
         Whether the transfer was cancelled.
     descriptor : int
-        File descriptor of the socket opened for the transfer; -1 if libcurl
-        reuses a connection.
+        File descriptor of the transfer's socket; -1 until it is known.
+    opened : bool
+        Whether that socket was opened for the transfer.
+    active_at : float
+        Time of the loop at which bytes last arrived, or the request was sent.
+    stalled : bool
+        Whether the transfer was ended because no bytes arrived.
+    chunks : list of bytes
+        What has arrived of a body whose arrival is watched.
     """
 
     sent: bool = False
@@ -113,6 +124,10 @@
     check_error: Exception | None = None
     cancelled: bool = False
     descriptor: int = -1
+    opened: bool = False
+    active_at: float = 0.0
+    stalled: bool = False
+    chunks: list[bytes] = attrs.field(factory=list)
 
 
 def make_client(
@@ -165,6 +180,7 @@
     may_send: collections.abc.Callable[[], bool] | None = None,
     resend: bool = False,
     keep_alive: bool = True,
+    stall_s: float | None = None,
 ) -> Reply:
     """Send a request; the default method is POST with a body, else GET.
 
@@ -190,6 +206,10 @@
         reused one was closed without a response.
     keep_alive : bool
         Whether the connection may be reused afterwards.
+    stall_s : float, optional
+        Longest time without a further byte of the response, in seconds. With
+        it, `timeout_s` may be so long that a large body arrives over a slow
+        link.
 
     Returns
     -------
@@ -212,6 +232,7 @@
         may_send=may_send,
         resend=resend,
         keep_alive=keep_alive,
+        stall_s=stall_s,
     )
     loop = asyncio.get_running_loop()
     deadline = loop.time() + timeout_s
@@ -238,8 +259,11 @@
     *,
     new_connection: bool,
 ) -> Reply:
+    loop = asyncio.get_running_loop()
+
     def on_socket_open(descriptor: int, _purpose: int) -> int:
         transfer.descriptor = descriptor
+        transfer.opened = True
         return pycurl.SOCKOPT_OK
 
     def on_before_send(
@@ -254,11 +278,13 @@
             transfer.resend_blocked = True
             return pycurl.PREREQFUNC_ABORT
         key = (local_port, peer_ip, peer_port)
-        if transfer.descriptor >= 0:
+        if transfer.opened:
             _record_socket(client, key, transfer.descriptor)
-        elif _is_closed(client.sockets.get(key)):
-            transfer.stale = True
-            return pycurl.PREREQFUNC_ABORT
+        else:
+            transfer.descriptor = client.sockets.get(key, -1)
+            if _is_closed(transfer.descriptor):
+                transfer.stale = True
+                return pycurl.PREREQFUNC_ABORT
         try:
             allowed = request.may_send is None or request.may_send()
         except Exception as error:
@@ -270,8 +296,13 @@
             transfer.withheld = True
             return pycurl.PREREQFUNC_ABORT
         transfer.sent = True
+        transfer.active_at = loop.time()
         return pycurl.PREREQFUNC_OK
 
+    def on_data(data: bytes) -> None:
+        transfer.active_at = loop.time()
+        transfer.chunks.append(data)
+
     def configure_curl(curl: pycurl.Curl) -> None:
         curl.setopt(pycurl.SOCKOPTFUNCTION, on_socket_open)
         curl.setopt(pycurl.PREREQFUNCTION, on_before_send)
@@ -285,13 +316,17 @@
             curl.setopt(pycurl.FRESH_CONNECT, 1)
         if not request.keep_alive:
             curl.setopt(pycurl.FORBID_REUSE, 1)
+        if request.stall_s is not None:
+            curl.setopt(pycurl.WRITEFUNCTION, on_data)
 
     http_request = httpclient.HTTPRequest(
         request.url,
         method=request.method,
         body=request.body,
         headers=request.headers,
-        connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
+        connect_timeout=min(
+            CONNECT_TIMEOUT_S, timeout_s, request.stall_s or timeout_s
+        ),
         request_timeout=timeout_s,
         follow_redirects=False,
         decompress_response=False,
@@ -299,7 +334,8 @@
         prepare_curl_callback=configure_curl,
     )
     try:
-        response = await client.curl.fetch(http_request, raise_error=False)
+        async with _ending_stalls(transfer, request.stall_s):
+            response = await client.curl.fetch(http_request, raise_error=False)
     except asyncio.CancelledError:
         transfer.cancelled = True
         raise
@@ -315,12 +351,53 @@
             )
         elif transfer.resend_blocked:
             reason = "the connection was closed without a response"
+        elif transfer.stalled:
+            received = sum(map(len, transfer.chunks))
+            reason = f"the response stalled after {received} bytes"
         raise _make_error(request.url, reason, sent=transfer.sent) from error
     return Reply(
-        status=response.code, headers=response.headers, body=response.body
+        status=response.code,
+        headers=response.headers,
+        body=response.body or b"".join(transfer.chunks),
     )
 
 
+@contextlib.asynccontextmanager
+async def _ending_stalls(
+    transfer: _Transfer, stall_s: float | None
+) -> collections.abc.AsyncIterator[None]:
+    """End a transfer that receives no bytes for `stall_s` seconds."""
+    if stall_s is None:
+        yield
+        return
+    loop = asyncio.get_running_loop()
+
+    async def watch() -> None:
+        while True:
+            active_at = transfer.active_at if transfer.sent else loop.time()
+            left_s = active_at + stall_s - loop.time()
+            if left_s <= 0:
+                break
+            await asyncio.sleep(left_s)
+        transfer.stalled = True
+        _shut_down(transfer.descriptor)
+
+    watcher = asyncio.ensure_future(watch())
+    try:
+        yield
+    finally:
+        watcher.cancel()
+
+
+def _shut_down(descriptor: int) -> None:
+    """Shut down a socket, so that libcurl ends the transfer on it."""
+    if descriptor < 0:
+        return
+    with socket.socket(fileno=os.dup(descriptor)) as connection:
+        with contextlib.suppress(OSError):
+            connection.shutdown(socket.SHUT_RDWR)
+
+
 def _record_socket(
     client: HttpClient, key: tuple[int, str, int], descriptor: int
 ) -> None:
@@ -330,14 +407,14 @@
         del client.sockets[next(iter(client.sockets))]
 
 
-def _is_closed(descriptor: int | None) -> bool:
+def _is_closed(descriptor: int) -> bool:
     """Return whether the peer has closed an idle connection.
 
     libcurl checks a connection only after a second of idleness. Readable data
     on an idle connection is either a close or the rest of an earlier
     response; both make the connection unusable.
     """
-    if descriptor is None:
+    if descriptor < 0:
         return False
     poll = select.poll()
     poll.register(descriptor, select.POLLIN | select.POLLRDHUP)
--- a/chestnuttide/platform/_kv_store.py
+++ b/chestnuttide/platform/_kv_store.py
@@ -16,6 +16,10 @@
 # The store accepts at most 32 entries in one transaction.
 MAX_TRANSACTION_ENTRIES = 32
 
+# A page of a listing has up to 1 MB. It may take this long while its bytes
+# keep arriving, as over a link that others fill, too.
+LISTING_TIMEOUT_S = 20.0
+
 
 @attrs.frozen(kw_only=True, slots=True)
 class Item:
@@ -171,12 +175,11 @@
         return _decode_item(_require_success(reply))
 
 
-async def read_range(
-    store: KvStore, prefix: str, *, after: str = "", extra_s: float = 0.0
-) -> Page:
+async def read_range(store: KvStore, prefix: str, *, after: str = "") -> Page:
     """Return one page of the items whose keys start with a prefix.
 
-    The page may take `extra_s` seconds longer than other calls.
+    The timeout of a call is the longest time without a further byte of the
+    page, as its size does not depend on the link's speed.
     """
     query = {"prefix": prefix}
     if after:
@@ -185,7 +188,7 @@
         store,
         "range",
         "/v1/kv-range?" + urllib.parse.urlencode(query),
-        wait_s=extra_s,
+        is_listing=True,
     )
     with _decoding():
         document = _require_success(reply)
@@ -201,22 +204,18 @@
         return page
 
 
-async def read_all(
-    store: KvStore, prefix: str, *, extra_s: float = 0.0
-) -> Changes:
+async def read_all(store: KvStore, prefix: str) -> Changes:
     """Return all items under a prefix and the revision to watch from.
 
     The pages do not form a snapshot, so the returned revision is that of the
     first page. A watch from there returns all later changes, including some
     that the listing already contains.
     """
-    page = await read_range(store, prefix, extra_s=extra_s)
+    page = await read_range(store, prefix)
     first_revision = page.store_revision
     items = list(page.items)
     while page.more:
-        page = await read_range(
-            store, prefix, after=page.items[-1].key, extra_s=extra_s
-        )
+        page = await read_range(store, prefix, after=page.items[-1].key)
         items.extend(page.items)
     return Changes(items=tuple(items), store_revision=first_revision)
 
@@ -353,12 +352,15 @@
     body: dict[str, object] | None = None,
     may_send: collections.abc.Callable[[], bool] | None = None,
     wait_s: float = 0.0,
+    is_listing: bool = False,
 ) -> _http.Reply:
+    limit_s = store.timeout_s + wait_s
     try:
         reply = await _http.fetch(
             store.http,
             url=f"http://{store.address}{path}",
-            timeout_s=store.timeout_s + wait_s,
+            timeout_s=LISTING_TIMEOUT_S if is_listing else limit_s,
+            stall_s=limit_s if is_listing else None,
             method=method,
             body=None if body is None else json.dumps(body).encode(),
             headers={"Content-Type": "application/json"},
