Select the workers of a query only if it can be sent

A profile of the owner with 717 workers shows where its time went: 3.1 of 7.9 s in planning rounds, of which 2.7 s in `_choose_unassessed`. For each waiting step it scored and sorted all workers that the advisor had not assessed, and then dropped the result where a query about the step was in flight, could not be repeated yet, or found no free instance: a round's time was waiting steps times workers. Up to four queries an instance were selected in each round, 396 with 99 instances. The pause after a round was 50 ms at most, so with rounds of 200 ms planning took four fifths of the processor.

A step with a query in flight is skipped now before its workers are scored. The limit of queries counts those that can be sent before the next round, separately for short and long ones, so that lasting tasks do not keep urgent steps without advice. The pause is as long as the round, up to 0.5 s.

Before, test_a_round_scores_no_worker_for_a_query_in_flight failed (500 workers scored); it passes now.

--- a/bench/_plan_round.py
+++ b/bench/_plan_round.py
@@ -64,7 +64,12 @@
     started_ns = time.perf_counter_ns()
     if with_workspaces:
         round_ = _make_round(pool)
-    workloads.make_plan(pool, now=now, max_queries=4, caps=round_)
+    workloads.make_plan(
+        pool,
+        now=now,
+        query_limit=workloads.QueryLimit(long_from_s=0.15, short=4, long=4),
+        caps=round_,
+    )
     return (time.perf_counter_ns() - started_ns) / NS_PER_MS
 
 
--- a/chestnuttide/node/_advisor_queries.py
+++ b/chestnuttide/node/_advisor_queries.py
@@ -4,6 +4,7 @@
 sends each query through an instance for which it has none in progress.
 """
 
+import math
 import typing
 
 import xxhash
@@ -32,13 +33,24 @@
 
 # Queries that an instance sends between two planning rounds at most: a long
 # round with its pause takes 50 ms, and a short query 12 ms.
-QUERIES_PER_ROUND: typing.Final = 4
+SHORT_QUERIES_PER_ROUND: typing.Final = 4
 
+# Share of the instances with a long query that become free for another one
+# before the next planning round at most.
+FREED_SHARE: typing.Final = 0.125
 
-def max_queries(owner: _ownership.Ownership) -> int:
+
+def make_query_limit(owner: _ownership.Ownership) -> workloads.QueryLimit:
     """Return how many queries can be sent before the next planning round."""
-    instances = 1 + len(_peers.connected_names(owner.session.peers))
-    return QUERIES_PER_ROUND * instances
+    names = _instance_names(owner)
+    reserved = _reserved_count(names)
+    _, long = _free_instances(owner)
+    busy = max(0, len(names) - reserved - len(long))
+    return workloads.QueryLimit(
+        long_from_s=LONG_QUERY_S,
+        short=SHORT_QUERIES_PER_ROUND * (reserved + len(long)),
+        long=len(long) + max(1, math.ceil(FREED_SHARE * busy)),
+    )
 
 
 def start_queries(
@@ -81,6 +93,16 @@
     return query.duration_s > LONG_QUERY_S
 
 
+def _instance_names(owner: _ownership.Ownership) -> list[str]:
+    own = owner.session.settings.instance
+    return sorted({own, *_peers.connected_names(owner.session.peers)})
+
+
+def _reserved_count(names: list[str]) -> int:
+    """Return how many instances answer short queries only."""
+    return max(1, round(SHORT_QUERY_INSTANCE_SHARE * len(names)))
+
+
 def _free_instances(
     owner: _ownership.Ownership,
 ) -> tuple[list[str], list[str]]:
@@ -88,9 +110,8 @@
 
     Short ones may use an instance of either kind while no long query waits.
     """
-    own = owner.session.settings.instance
-    names = sorted({own, *_peers.connected_names(owner.session.peers)})
-    reserved = max(1, round(SHORT_QUERY_INSTANCE_SHARE * len(names)))
+    names = _instance_names(owner)
+    reserved = _reserved_count(names)
     short, long = (
         [name for name in kind if name not in owner.advisor_queries]
         for kind in (names[:reserved], names[reserved:])
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -32,8 +32,9 @@
 
 # After a planning round, the owner pauses planning for as long as it took, so
 # that at least half of its processor time is left for commands, polls and
-# commits. With 300 waiting jobs a round takes 20 ms.
-MAX_PLAN_PAUSE_S = 0.05
+# commits. The bound lets work start when a round took long because the process
+# was paused.
+MAX_PLAN_PAUSE_S = 0.5
 
 # Period of the report of waiting tasks, which is one log line for a service.
 WAITING_REPORT_PERIOD_S = 5.0
@@ -155,7 +156,7 @@
         plan = workloads.make_plan(
             owner.pool,
             now=started_at,
-            max_queries=_advisor_queries.max_queries(owner),
+            query_limit=_advisor_queries.make_query_limit(owner),
             caps=caps,
         )
         _cap_shares.record_round(owner, caps, plan, started_at)
@@ -165,8 +166,12 @@
             _ownership.request_commit(owner, urgent=True)
         _advisor_queries.start_queries(owner, plan.queries)
         # Events that arrive meanwhile share the next plan.
-        planned_s = _clock.now() - started_at
-        await asyncio.sleep(min(MAX_PLAN_PAUSE_S, planned_s))
+        await asyncio.sleep(plan_pause_s(_clock.now() - started_at))
+
+
+def plan_pause_s(planned_s: float) -> float:
+    """Return the pause after a planning round that took `planned_s`."""
+    return min(MAX_PLAN_PAUSE_S, planned_s)
 
 
 async def _supervision_loop(owner: _ownership.Ownership) -> None:
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -25,6 +25,7 @@
 AdmissionVerdict = _admission.Verdict
 Advice = _specs.Advice
 AdvisorQuery = _advisor_queries.AdvisorQuery
+QueryLimit = _advisor_queries.QueryLimit
 Crash = _state.Crash
 EndedJob = _records.EndedJob
 Finding = _worker_health.Finding
@@ -126,6 +127,7 @@
     "Plan",
     "PollReply",
     "Pool",
+    "QueryLimit",
     "Queue",
     "Run",
     "RunTimes",
--- a/chestnuttide/workloads/_advisor_queries.py
+++ b/chestnuttide/workloads/_advisor_queries.py
@@ -47,6 +47,45 @@
         return call_duration_s(self.job.spec.queue.advice, len(self.workers))
 
 
+@attrs.define(kw_only=True, slots=True)
+class QueryLimit:
+    """How many more queries can be sent before the next planning round.
+
+    Attributes
+    ----------
+    long_from_s : float
+        Duration from which a query counts as long, in seconds.
+    short, long : int
+        Number of short and of long queries.
+    """
+
+    long_from_s: float
+    short: int
+    long: int
+
+
+def may_query(limit: QueryLimit | None, advice: _specs.Advice) -> bool:
+    """Return whether a further query under a policy can be sent."""
+    if limit is None:
+        return True
+    return (limit.long if _is_long(limit, advice) else limit.short) > 0
+
+
+def count_query(limit: QueryLimit | None, advice: _specs.Advice) -> None:
+    """Count a query that a planning round has selected."""
+    if limit is None:
+        return
+    if _is_long(limit, advice):
+        limit.long -= 1
+    else:
+        limit.short -= 1
+
+
+def _is_long(limit: QueryLimit, advice: _specs.Advice) -> bool:
+    duration_s = call_duration_s(advice, max_workers(advice))
+    return duration_s > limit.long_from_s
+
+
 def call_duration_s(advice: _specs.Advice, workers: int) -> float:
     """Return the expected duration of a query, in seconds.
 
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -8,6 +8,7 @@
 import collections
 import collections.abc
 import functools
+import heapq
 import math
 import operator
 import typing
@@ -97,7 +98,7 @@
     pool: _state.Pool,
     *,
     now: float,
-    max_queries: int | None = None,
+    query_limit: _advisor_queries.QueryLimit | None = None,
     caps: workspaces.Round | None = None,
 ) -> Plan:
     """Place waiting units on workers and select advisor queries.
@@ -108,9 +109,9 @@
         The pool.
     now : float
         Monotonic time.
-    max_queries : int or None
+    query_limit : QueryLimit or None
         How many queries can be sent before the next plan; None for no limit.
-        Selecting them takes about half of the time of a round.
+        Selecting the workers of queries takes most of the time of a round.
     caps : Round or None
         Caps and shares of workspaces, whose record of what is put off the
         round fills; None if there are no workspaces.
@@ -129,8 +130,7 @@
     for job in _ordering.in_turn(view, pool.active.values()):
         try:
             for step in _waiting_steps(job, view):
-                may_query = max_queries is None or len(queries) < max_queries
-                planned, query = _plan_step(view, step, may_query=may_query)
+                planned, query = _plan_step(view, step, query_limit)
                 runs.extend(planned)
                 if query is not None:
                     queries.append(query)
@@ -205,7 +205,9 @@
 
 
 def _plan_step(
-    view: _free_capacity.CapacityView, step: _WaitingStep, *, may_query: bool
+    view: _free_capacity.CapacityView,
+    step: _WaitingStep,
+    query_limit: _advisor_queries.QueryLimit | None,
 ) -> tuple[list[_state.Run], _advisor_queries.AdvisorQuery | None]:
     if step.job.spec.queue.advice is None:
         eligible = _eligible_workers(view, step, view.workers.values())
@@ -236,12 +238,19 @@
         and unit not in view.capped_units
     )
     query = None
+    allowed = None
     if others:
         allowed = _reserve_allowed_workers(view, step, advice, others)
-        if may_query:
+    if advice.in_flight or view.now < advice.retry_at:
+        return runs, None
+    policy = step.job.spec.queue.advice
+    if _advisor_queries.may_query(query_limit, policy):
+        if allowed is not None:
             query = _query_for_tasks(view, step, advice, others, allowed)
-    elif may_query:
-        query = _query_for_trial(view, step, advice, suspects)
+        else:
+            query = _query_for_trial(view, step, advice, suspects)
+    if query is not None:
+        _advisor_queries.count_query(query_limit, policy)
     return runs, query
 
 
@@ -425,7 +434,7 @@
     if not allowed.workers or allowed.fitting < wanted:
         missing = wanted - allowed.fitting
         named += _choose_unassessed(view, step, advice, missing)
-    return _make_query(view, step, advice, named)
+    return _make_query(step, named)
 
 
 def _query_for_trial(
@@ -456,17 +465,14 @@
     ]
     view.trials.opened.clear()
     hosts.sort(key=functools.partial(_trials.score, view.trials))
-    return _make_query(view, step, advice, hosts)
+    return _make_query(step, hosts)
 
 
 def _make_query(
-    view: _free_capacity.CapacityView,
-    step: _WaitingStep,
-    advice: _state.StepAdvice,
-    workers: list[_state.Worker],
+    step: _WaitingStep, workers: list[_state.Worker]
 ) -> _advisor_queries.AdvisorQuery | None:
     """Return a query about workers, best first, or None for none."""
-    if not workers or advice.in_flight or view.now < advice.retry_at:
+    if not workers:
         return None
     limit = _advisor_queries.max_workers(step.job.spec.queue.advice)
     return _advisor_queries.AdvisorQuery(
@@ -499,9 +505,9 @@
     Returns
     -------
     list of Worker
-        All of them until the advisor has allowed a worker. After that, as
-        many of those with free capacity as are expected to include enough
-        allowed workers for the missing tasks.
+        As many as a query names until the advisor has allowed a worker.
+        After that, as many of those with free capacity as are expected to
+        include enough allowed workers for the missing tasks.
     """
     unassessed = _eligible_workers(
         view,
@@ -512,22 +518,25 @@
             if key not in advice.allowed
         ],
     )
+    limit = _advisor_queries.max_workers(step.job.spec.queue.advice)
     if not any(advice.allowed.values()):
-        return _sort_by_score(view, step, unassessed)
+        return _choose_best(view, step, unassessed, limit)
     share = sum(advice.allowed.values()) / len(advice.allowed)
     count = math.ceil(missing / max(EXPECTED_ALLOWED_SHARE, share))
     unassessed = [
         worker for worker, _ in _fitting_workers(view, step, unassessed)
     ]
-    return _sort_by_score(view, step, unassessed)[:count]
+    return _choose_best(view, step, unassessed, min(count, limit))
 
 
-def _sort_by_score(
+def _choose_best(
     view: _free_capacity.CapacityView,
     step: _WaitingStep,
     workers: list[_state.Worker],
+    count: int,
 ) -> list[_state.Worker]:
-    return sorted(
+    return heapq.nsmallest(
+        count,
         workers,
         key=lambda worker: (
             _free_capacity.count_fitting_tasks(view, worker, step.demand) == 0,
--- a/chestnuttide/workloads/tests/test_planning.py
+++ b/chestnuttide/workloads/tests/test_planning.py
@@ -4,6 +4,7 @@
 
 from chestnuttide import model
 from chestnuttide import workloads
+from chestnuttide.workloads import _free_capacity
 from chestnuttide.workloads.tests import _pool_fixtures
 
 ADVICE = workloads.Advice(decide_s=0.9, per_worker_s=0.01, validity_s=2.0)
@@ -392,16 +393,26 @@
     assert len(workloads.make_plan(pool, now=now).runs) == placed
 
 
+def _make_query_limit(
+    limits: tuple[int, int] | None,
+) -> workloads.QueryLimit | None:
+    """Return a limit of short and of long queries."""
+    if limits is None:
+        return None
+    short, long = limits
+    return workloads.QueryLimit(long_from_s=0.15, short=short, long=long)
+
+
 @pytest.mark.parametrize(
-    ("max_queries", "queried"),
+    ("limits", "queried"),
     [
         pytest.param(None, [2, 3, 4], id="no-limit"),
-        pytest.param(2, [2, 3], id="most-urgent-first"),
-        pytest.param(0, [], id="none"),
+        pytest.param((2, 0), [2, 3], id="most-urgent-first"),
+        pytest.param((0, 9), [], id="none"),
     ],
 )
 def test_a_plan_selects_as_many_queries_as_can_be_sent(
-    max_queries: int | None, queried: list[int]
+    limits: tuple[int, int] | None, queried: list[int]
 ) -> None:
     """Guards against rounds that spend their time on queries never sent.
 
@@ -419,6 +430,61 @@
             advice=advice,
         )
     _pool_fixtures.submit(pool, _pool_fixtures.make_step(), priority=5)
-    plan = workloads.make_plan(pool, now=1.0, max_queries=max_queries)
+    plan = workloads.make_plan(
+        pool, now=1.0, query_limit=_make_query_limit(limits)
+    )
     assert [query.job.spec.queue.priority for query in plan.queries] == queried
     assert len(plan.runs) == 1
+
+
+@pytest.mark.parametrize(
+    ("limits", "queried"),
+    [
+        pytest.param((1, 3), 4, id="both-kinds"),
+        pytest.param((1, 0), 1, id="long-ones-leave-short-ones-theirs"),
+        pytest.param((0, 2), 2, id="short-ones-leave-long-ones-theirs"),
+    ],
+)
+def test_long_and_short_queries_have_limits_of_their_own(
+    limits: tuple[int, int], queried: int
+) -> None:
+    """Guards against lasting tasks that keep urgent steps without advice."""
+    pool = _pool_fixtures.make_pool(2)
+    for number in range(6):
+        advice = workloads.Advice(
+            decide_s=(0.02, 0.7)[number % 2], per_worker_s=0.0, validity_s=2
+        )
+        _pool_fixtures.submit(
+            pool,
+            _pool_fixtures.make_step(),
+            job_id=f"{number:016x}",
+            advice=advice,
+        )
+    plan = workloads.make_plan(
+        pool, now=1.0, query_limit=_make_query_limit(limits)
+    )
+    assert len(plan.queries) == queried
+
+
+def test_a_round_scores_no_worker_for_a_query_in_flight(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against rounds whose time is steps that wait times workers."""
+    pool = _pool_fixtures.make_pool(50)
+    for number in range(10):
+        _pool_fixtures.submit(
+            pool,
+            _pool_fixtures.make_step(),
+            job_id=f"{number:016x}",
+            advice=ADVICE,
+        )
+    plan = workloads.make_plan(pool, now=1.0)
+    assert len(plan.queries) == 10
+    for query in plan.queries:
+        workloads.record_query(query)
+    scored = []
+    monkeypatch.setattr(
+        _free_capacity, "score", lambda *args: scored.append(args)
+    )
+    assert not workloads.make_plan(pool, now=1.1).queries
+    assert not scored
