Keep state lines and warnings apart from the log's limit

Cause: one limit of lines a second held for all lines, so a flood of ordinary ones dropped 'Takeover is complete.' of a service with 717 workers. A flood of warnings would have done so, too.

Change: beyond the common limit, warnings and lines with always=True each have a quarter of it of their own. The owner's state lines are marked so.

Result: four of the five cases of test_important_lines_pass_beyond_the_limit fail against the code before, all pass now.

--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -85,6 +85,7 @@
         _set_waiting_tasks(owner, collections.Counter())
         LOG.info(
             "Ownership has ended.",
+            always=True,
             service=owner.service,
             fence=owner.fencing_token,
         )
@@ -287,6 +288,7 @@
         workers = owner.pool.workers.values()
         LOG.info(
             "Tasks wait to start.",
+            always=True,
             service=owner.service,
             tasks=[[*key, count] for key, count in sorted(counts.items())],
             workers=sum(worker.listed for worker in workers),
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -375,6 +375,7 @@
     session.owners[service] = owner
     LOG.info(
         "Service has an owner.",
+        always=True,
         service=service,
         owner=owner.instance,
         fence=owner.fencing_token,
--- a/chestnuttide/node/_takeover.py
+++ b/chestnuttide/node/_takeover.py
@@ -62,6 +62,7 @@
     owner.metrics.takeovers.inc({"outcome": "started"})
     LOG.info(
         "Takeover has started.",
+        always=True,
         service=owner.service,
         fence=owner.fencing_token,
     )
@@ -77,6 +78,7 @@
         owner.metrics.takeovers.inc({"outcome": "abandoned"})
         LOG.warning(
             "Takeover is abandoned.",
+            always=True,
             service=owner.service,
             fence=owner.fencing_token,
             items=sum(len(each.items) for each in (workers, work, progress)),
@@ -90,6 +92,7 @@
     owner.metrics.takeovers.inc({"outcome": "complete"})
     LOG.info(
         "Takeover is complete.",
+        always=True,
         service=owner.service,
         fence=owner.fencing_token,
         jobs=len(owner.pool.active),
--- a/chestnuttide/telemetry/_logs.py
+++ b/chestnuttide/telemetry/_logs.py
@@ -27,6 +27,13 @@
     "daemon",
 }
 
+# Field of a line that reports a change of state. It is not written itself.
+_ALWAYS: typing.Final = "always"
+
+# Share of the limit of lines a second that is added for warnings, and as much
+# again for lines with the field `always`.
+_IMPORTANT_SHARE: typing.Final = 0.25
+
 # These libraries log each connection or request at level info.
 _VERBOSE_LIBRARIES: typing.Final = ("tornado.access", "websockets")
 
@@ -71,12 +78,16 @@
 class _RateLimitedHandler(logging.StreamHandler):
     """A rate-limited handler that drops lines instead of blocking.
 
+    Warnings, and lines with the field ``always``, have limits of their own
+    beyond the common one, so that a flood of other lines does not hide them.
+
     Parameters
     ----------
     stream : text stream
         Destination of the lines; it is made non-blocking.
     lines_per_s : int
-        Maximum number of lines written per second.
+        Maximum number of lines written per second, without the lines that
+        the two further limits let pass.
     on_drop : function
         Called for each dropped line.
     """
@@ -90,8 +101,10 @@
         super().__init__(stream)
         self._lines_per_s = lines_per_s
         self._on_drop = on_drop
+        self._important_per_s = max(1, int(_IMPORTANT_SHARE * lines_per_s))
         self._current_second = 0
         self._line_count = 0
+        self._important_counts = {False: 0, True: 0}
         os.set_blocking(stream.fileno(), False)
 
     def emit(self, record: logging.LogRecord) -> None:
@@ -99,12 +112,22 @@
         second = int(record.created)
         if second != self._current_second:
             self._current_second, self._line_count = second, 0
-        self._line_count += 1
-        if self._line_count > self._lines_per_s:
+            self._important_counts = {False: 0, True: 0}
+        if self._line_count < self._lines_per_s:
+            self._line_count += 1
+        elif not self._is_within_important_limit(record):
             self._on_drop()
             return
         super().emit(record)
 
+    def _is_within_important_limit(self, record: logging.LogRecord) -> bool:
+        """Return whether a line passes beyond the common limit; count it."""
+        always = bool(getattr(record, _ALWAYS, False))
+        if not always and record.levelno < logging.WARNING:
+            return False
+        self._important_counts[always] += 1
+        return self._important_counts[always] <= self._important_per_s
+
     def handleError(self, record: logging.LogRecord) -> None:  # noqa: N802
         """Report a line that could not be written as dropped."""
         self._on_drop()
@@ -125,7 +148,9 @@
     level, instance_id, daemon : str
         See `configure_logging`.
     lines_per_s : int
-        Maximum number of lines written per second; further lines are dropped.
+        Maximum number of lines written per second; further lines are dropped,
+        but for a quarter more of warnings and a quarter more of lines with
+        the field ``always``.
     on_drop : function
         Called for each dropped line, to count it.
     """
@@ -163,6 +188,7 @@
     handler.setFormatter(
         json_formatter.JsonFormatter(
             ["levelname", "name", "message"],
+            reserved_attrs=(*core.RESERVED_ATTRS, _ALWAYS),
             rename_fields={"levelname": "level", "name": "logger"},
             static_fields={"instance_id": instance_id, "daemon": daemon},
             timestamp=True,
@@ -188,6 +214,8 @@
     LoggerAdapter
         ``log.info("shard %s taken over", shard, epoch=3)`` logs the message
         ``<component>: shard ... taken over`` with the field ``epoch``. A
-        field with a reserved name gets a trailing underscore.
+        field with a reserved name gets a trailing underscore. The argument
+        ``always=True`` marks a change of state that must not be lost among
+        other lines; see `configure_bounded_logging`.
     """
     return _ComponentLogger(component)
--- a/chestnuttide/telemetry/tests/test_telemetry.py
+++ b/chestnuttide/telemetry/tests/test_telemetry.py
@@ -1,7 +1,9 @@
+import collections
 import collections.abc
 import io
 import json
 import logging
+import pathlib
 
 import pytest
 
@@ -66,6 +68,86 @@
     assert stream.getvalue() == ""
 
 
+def _log_in_one_second(
+    lines: tuple[tuple[str, str, bool, int], ...],
+) -> None:
+    """Log lines: level, message, whether with `always`, and how many."""
+    log = telemetry.make_logger("owner")
+    for level, message, always, count in lines:
+        fields = {"always": True} if always else {}
+        for _ in range(count):
+            getattr(log, level)(message, **fields)
+
+
+@pytest.mark.parametrize(
+    ("lines", "written"),
+    [
+        pytest.param(
+            (("info", "start", False, 30), ("info", "state", True, 1)),
+            {"start": 8, "state": 1},
+            id="flood-of-lines-hides-state",
+        ),
+        pytest.param(
+            (("warning", "late", False, 30), ("info", "state", True, 1)),
+            {"late": 10, "state": 1},
+            id="flood-of-warnings-hides-state",
+        ),
+        pytest.param(
+            (("info", "start", False, 30), ("error", "fault", False, 1)),
+            {"start": 8, "fault": 1},
+            id="flood-of-lines-hides-errors",
+        ),
+        pytest.param(
+            (
+                ("info", "state", True, 30),
+                ("warning", "late", False, 30),
+                ("info", "start", False, 30),
+            ),
+            {"state": 10, "late": 2},
+            id="no-bound-for-important-lines",
+        ),
+        pytest.param(
+            (("info", "start", False, 8), ("info", "start", False, 1)),
+            {"start": 8},
+            id="limit-of-ordinary-lines-is-lost",
+        ),
+    ],
+)
+def test_important_lines_pass_beyond_the_limit(
+    lines: tuple[tuple[str, str, bool, int], ...],
+    written: dict[str, int],
+    monkeypatch: pytest.MonkeyPatch,
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a takeover that no log line tells among many others."""
+    monkeypatch.setattr("time.time", lambda: 1000.5)
+    monkeypatch.setattr("time.time_ns", lambda: 1000_500_000_000)
+    dropped = []
+    root = logging.getLogger()
+    handlers, level = root.handlers[:], root.level
+    path = tmp_path / "lines"
+    with path.open("w") as output:
+        monkeypatch.setattr("sys.stdout", output)
+        telemetry.configure_bounded_logging(
+            "info",
+            "a-1",
+            "entry",
+            lines_per_s=8,
+            on_drop=lambda: dropped.append(1),
+        )
+        _log_in_one_second(lines)
+        root.handlers[:] = handlers
+        root.setLevel(level)
+    decoded = [json.loads(line) for line in path.read_text().splitlines()]
+    counts = collections.Counter(
+        line["message"].removeprefix("owner: ") for line in decoded
+    )
+    assert counts == written
+    assert not any("always" in line for line in decoded)
+    total = sum(count for *_, count in lines)
+    assert len(dropped) == total - sum(written.values())
+
+
 @pytest.mark.parametrize(
     ("metric", "reasons"),
     [
