Measure planning rounds in a histogram

Cause: nothing told how long an owner's planning rounds take, so a full processor could not be told apart from other reasons for waiting.

Change: chestnuttide_plan_seconds by service, observed after each round.

--- a/chestnuttide/node/_metrics.py
+++ b/chestnuttide/node/_metrics.py
@@ -96,6 +96,8 @@
     job_seconds : Histogram
         ``chestnuttide_job_seconds{queue,state}``, from a job's arrival until
         its end is stored.
+    plan_seconds : Histogram
+        ``chestnuttide_plan_seconds{service}``, planning rounds of an owner.
     dropped_log_lines : Counter
         ``chestnuttide_dropped_log_lines_total``.
     """
@@ -122,6 +124,7 @@
     commands: aioprometheus.Counter
     start_wait_seconds: aioprometheus.Histogram
     job_seconds: aioprometheus.Histogram
+    plan_seconds: aioprometheus.Histogram
     dropped_log_lines: aioprometheus.Counter
 
 
@@ -191,6 +194,7 @@
         job_seconds=histogram(
             "job_seconds", "Seconds until a job's end is stored."
         ),
+        plan_seconds=histogram("plan_seconds", "Seconds of a planning round."),
         dropped_log_lines=counter(
             "dropped_log_lines", "Log lines over the limit."
         ),
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -167,6 +167,9 @@
         _advisor_queries.start_queries(owner, plan.queries)
         # Events that arrive meanwhile share the next plan.
         planned_s = _clock.now() - started_at
+        owner.metrics.plan_seconds.observe(
+            {"service": owner.service}, planned_s
+        )
         await asyncio.sleep(min(MAX_PLAN_PAUSE_S, planned_s))
 
 
