Tell what each waiting task waits for

Cause: the report of waiting tasks counts them by queue, so the logs could neither show nor rule out that placement keeps a lasting task waiting, and tasks with a planned or unanswered run were not in it at all.

Rounds keep what they reserved and for whom; a unit keeps since when it is idle.

The metric keeps its labels and gains delay, which was counted as capacity: test_a_task_that_pauses_after_a_failure_is_counted_apart fails against the code before.

--- a/chestnuttide/node/_cap_pages.py
+++ b/chestnuttide/node/_cap_pages.py
@@ -8,6 +8,7 @@
 from chestnuttide.node import _cap_state
 from chestnuttide.node import _clock
 from chestnuttide.node import _ownership
+from chestnuttide.node import _waiting_reports
 from chestnuttide import workloads
 from chestnuttide import workspaces
 
@@ -88,6 +89,7 @@
                 "waiting": {
                     str(reason): tasks for reason, tasks in counts.items()
                 },
+                "tasks": _waiting_reports.explain_job(owner, job),
             }
         )
     return rows
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -1,7 +1,6 @@
 """Ownership of a service: its takeover and the owner's loops."""
 
 import asyncio
-import collections
 import collections.abc
 import functools
 import typing
@@ -20,6 +19,7 @@
 from chestnuttide.node import _set_aside
 from chestnuttide.node import _takeover
 from chestnuttide.node import _updates
+from chestnuttide.node import _waiting_reports
 from chestnuttide.node import _watches
 from chestnuttide import platform
 from chestnuttide import telemetry
@@ -35,9 +35,6 @@
 # commits. With 300 waiting jobs a round takes 20 ms.
 MAX_PLAN_PAUSE_S = 0.05
 
-# Period of the report of waiting tasks, which is one log line for a service.
-WAITING_REPORT_PERIOD_S = 5.0
-
 # Ended jobs are kept for this long after callers may no longer query them.
 STATUS_MARGIN_S = 30.0
 
@@ -82,7 +79,7 @@
         for task in loops:
             task.cancel()
         await asyncio.gather(*loops, return_exceptions=True)
-        _set_waiting_tasks(owner, collections.Counter())
+        _waiting_reports.clear(owner)
         LOG.info(
             "Ownership has ended.",
             always=True,
@@ -185,13 +182,13 @@
     unix_time = _clock.unix_time()
     parts: dict[str, collections.abc.Callable[[], None]] = {
         "priorities": lambda: _update_top_priority(owner),
-        "occurrences": lambda: _release_occurrences(owner, unix_time),
+        "occurrences": lambda: _release_occurrences(owner, now, unix_time),
         "stalled runs": lambda: _stop_stalled_runs(owner, now),
         "deadly tasks": lambda: _give_up_deadly_tasks(owner, now, unix_time),
         "run times": lambda: _run_time_snapshots.supervise(owner, now),
         "draining workers": lambda: _evacuate(owner, now),
         "stops": lambda: _send_due_stops(owner),
-        "waiting tasks": lambda: _report_waiting_tasks(owner, now),
+        "waiting tasks": lambda: _waiting_reports.report(owner, now),
         "unstored jobs": lambda: _drop_unstored_jobs(owner, now),
         "ended jobs": lambda: _drop_ended_jobs(owner, unix_time),
         "admission": lambda: _admission.observe(owner),
@@ -216,12 +213,12 @@
 
 
 def _release_occurrences(
-    owner: _ownership.Ownership, unix_time: float
+    owner: _ownership.Ownership, now: float, unix_time: float
 ) -> None:
     for job in list(owner.pool.active.values()):
         try:
             workloads.release_due_occurrences(
-                owner.pool, job, unix_time + owner.pool.limits.early_s
+                owner.pool, job, unix_time + owner.pool.limits.early_s, now
             )
         except Exception as error:
             _ownership.set_job_aside(owner, job, error)
@@ -281,38 +278,6 @@
         _ownership.request_commit(owner, urgent=True)
 
 
-def _report_waiting_tasks(owner: _ownership.Ownership, now: float) -> None:
-    if now - owner.waiting_reported_at < WAITING_REPORT_PERIOD_S:
-        return
-    owner.waiting_reported_at = now
-    counts = workloads.count_waiting_tasks(owner.pool, now=now)
-    _set_waiting_tasks(owner, counts)
-    if counts:
-        workers = owner.pool.workers.values()
-        LOG.info(
-            "Tasks wait to start.",
-            always=True,
-            service=owner.service,
-            tasks=[[*key, count] for key, count in sorted(counts.items())],
-            workers=sum(worker.listed for worker in workers),
-            usable=sum(workloads.is_usable(worker, now) for worker in workers),
-            trial_workers=sum(worker.trials > 0 for worker in workers),
-            queries=len(owner.advisor_queries),
-            waiting_queries=len(owner.waiting_queries),
-        )
-
-
-def _set_waiting_tasks(
-    owner: _ownership.Ownership,
-    counts: collections.Counter[tuple[str, workloads.WaitReason]],
-) -> None:
-    for queue in {job.spec.queue.name for job in owner.pool.jobs.values()}:
-        for reason in workloads.WaitReason:
-            owner.metrics.waiting_tasks.set(
-                {"queue": queue, "reason": reason}, counts[(queue, reason)]
-            )
-
-
 def _drop_unstored_jobs(owner: _ownership.Ownership, now: float) -> None:
     for job in list(owner.pool.active.values()):
         if not job.accepted and now - job.accepted_at > ANNOUNCED_JOB_LIMIT_S:
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -84,6 +84,11 @@
         Keys of records that can be removed from the store.
     waiting_reported_at : float
         Monotonic time at which waiting tasks were last reported.
+    waiting_checked_at : float
+        Monotonic time at which the longest wait was last checked.
+    long_wait_due_at : float
+        Monotonic time of the next report while a task that lasts has waited
+        for long; 0 while none has.
     run_times_at : float
         Monotonic time at which learned run times were last updated.
     penalised : set of str
@@ -128,6 +133,8 @@
     waiting_queries: tuple[workloads.AdvisorQuery, ...] = ()
     obsolete_keys: list[str] = attrs.field(factory=list)
     waiting_reported_at: float = 0.0
+    waiting_checked_at: float = 0.0
+    long_wait_due_at: float = 0.0
     run_times_at: float = 0.0
     penalised: set[str] = attrs.field(factory=set)
     ready: bool = False
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -19,18 +19,22 @@
 from chestnuttide.workloads import _stops
 from chestnuttide.workloads import _supervision
 from chestnuttide.workloads import _waiting
+from chestnuttide.workloads import _waiting_tasks
 from chestnuttide.workloads import _worker_health
 
 AdmissionState = _admission.AdmissionState
 AdmissionVerdict = _admission.Verdict
 Advice = _specs.Advice
 AdvisorQuery = _advisor_queries.AdvisorQuery
+COUNTED_REASONS = _waiting.COUNTED_REASONS
+CapWait = _waiting_tasks.CapWait
 Crash = _state.Crash
 EndedJob = _records.EndedJob
 Finding = _worker_health.Finding
 Job = _state.Job
 JobSpec = _specs.JobSpec
 JobState = _state.JobState
+LONG_WAIT_S = _waiting_tasks.LONG_WAIT_S
 LoadPolicy = _state.LoadPolicy
 PROVEN_RUN_S = _state.PROVEN_RUN_S
 Phase = _state.Phase
@@ -47,6 +51,7 @@
 Unit = _state.Unit
 UnitState = _state.UnitState
 WaitReason = _waiting.WaitReason
+WaitingTask = _waiting_tasks.WaitingTask
 Worker = _state.Worker
 WorkerReport = _specs.WorkerReport
 Workspace = _specs.Workspace
@@ -81,7 +86,9 @@
 describe_admission = _admission.list_row
 lease_deadline_ms = _poll_replies.lease_deadline_ms
 list_run_times = _run_time_rows.list_run_times
+list_waiting_tasks = _waiting_tasks.list_waiting_tasks
 listed_capacity = _state.listed_capacity
+longest_lasting_wait_s = _waiting_tasks.longest_lasting_wait_s
 make_plan = _planning.make_plan
 may_send_start = _starts.may_send_start
 overall_run_time_errors = _run_time_rows.overall_errors
@@ -114,12 +121,15 @@
     "AdmissionVerdict",
     "Advice",
     "AdvisorQuery",
+    "COUNTED_REASONS",
+    "CapWait",
     "Crash",
     "EndedJob",
     "Finding",
     "Job",
     "JobSpec",
     "JobState",
+    "LONG_WAIT_S",
     "LoadPolicy",
     "PROVEN_RUN_S",
     "Phase",
@@ -136,6 +146,7 @@
     "Unit",
     "UnitState",
     "WaitReason",
+    "WaitingTask",
     "Worker",
     "WorkerReport",
     "Workspace",
@@ -170,7 +181,9 @@
     "describe_admission",
     "lease_deadline_ms",
     "list_run_times",
+    "list_waiting_tasks",
     "listed_capacity",
+    "longest_lasting_wait_s",
     "make_plan",
     "may_send_start",
     "overall_run_time_errors",
--- a/chestnuttide/workloads/_free_capacity.py
+++ b/chestnuttide/workloads/_free_capacity.py
@@ -95,6 +95,8 @@
         Processors that less urgent work may still take in this round.
     reserved : dict of str to Resources
         Capacity reserved for more urgent steps of the round, by worker.
+    holders : dict of str to set of str
+        Ids of the jobs for which it is reserved, by worker.
     reserving_priorities : set of int
         Priorities of the queues for which full workers are reserved.
     trials : TrialView
@@ -125,6 +127,7 @@
     crowded: bool = False
     spare_cpu_millis: float = math.inf
     reserved: dict[str, model.Resources] = attrs.field(factory=dict)
+    holders: dict[str, set[str]] = attrs.field(factory=dict)
     reserving_priorities: set[int] = attrs.field(factory=set)
     caps: workspaces.Round | None = None
     capped_units: set[_state.Unit] = attrs.field(factory=set)
@@ -236,15 +239,22 @@
 
 
 def reserve_capacity(
-    view: CapacityView, worker: _state.Worker, need: model.Resources
+    view: CapacityView,
+    worker: _state.Worker,
+    need: model.Resources,
+    job_id: str,
 ) -> None:
     """Reserve capacity against less urgent steps for the rest of a round."""
+    view.holders.setdefault(worker.key, set()).add(job_id)
     reserved = view.reserved.get(worker.key, model.ZERO)
     view.reserved[worker.key] = model.add(reserved, need)
 
 
-def reserve_worker(view: CapacityView, worker: _state.Worker) -> None:
+def reserve_worker(
+    view: CapacityView, worker: _state.Worker, job_id: str
+) -> None:
     """Reserve a whole worker against less urgent steps for the round."""
+    view.holders.setdefault(worker.key, set()).add(job_id)
     view.reserved[worker.key] = worker.report.capacity
 
 
--- a/chestnuttide/workloads/_lifecycle.py
+++ b/chestnuttide/workloads/_lifecycle.py
@@ -35,9 +35,26 @@
 
 
 def release_due_occurrences(
-    pool: _state.Pool, job: _state.Job, now_unix_s: float
+    pool: _state.Pool,
+    job: _state.Job,
+    now_unix_s: float,
+    now: float | None = None,
 ) -> None:
-    """Create the units of all occurrences that are due."""
+    """Create the units of all occurrences that are due.
+
+    Parameters
+    ----------
+    pool : Pool
+        The pool.
+    job : Job
+        The job.
+    now_unix_s : float
+        Wall time.
+    now : float or None
+        Monotonic time from which the units wait; None for the time at which
+        this owner learned of the job.
+    """
+    idle_since = job.accepted_at if now is None else now
     total = max(1, job.spec.occurrences)
     while job.occurrences_due < total:
         occurrence = job.occurrences_due
@@ -49,6 +66,7 @@
         job.occurrences_due += 1
         for number, step in enumerate(job.spec.steps):
             for unit in _make_units(occurrence, number, step):
+                unit.idle_since = idle_since
                 _state.add_unit(job, unit)
 
 
@@ -171,6 +189,7 @@
         unit.checkpoint = checkpoint
     if result == "done" and not step.lasting:
         _state.set_unit_state(job, unit, _state.UnitState.DONE)
+        job.steps[unit.key[:2]].done_at = now
         stop_runs(pool, unit, except_number=run.number if step.gang else None)
         _complete_if_done(pool, job, now_unix_s)
         return
@@ -183,6 +202,8 @@
     if step.gang:
         # A gang cannot continue without one of its members.
         stop_runs(pool, unit)
+    if run.phase == _state.Phase.RUNNING:
+        unit.idle_since = now
     if not unit.runs:
         _state.set_unit_state(job, unit, _state.UnitState.WAITING)
 
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -19,6 +19,7 @@
 from chestnuttide.workloads import _free_capacity
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _ordering
+from chestnuttide.workloads import _round_history
 from chestnuttide.workloads import _state
 from chestnuttide.workloads import _trials
 from chestnuttide import workspaces
@@ -138,6 +139,7 @@
             # The caller sets the job aside; the others are planned.
             failed.append((job, error))
     put_off = _record_put_off(pool, view)
+    _record_round(pool, view, runs)
     return Plan(
         runs=tuple(runs),
         queries=tuple(queries),
@@ -146,6 +148,23 @@
     )
 
 
+def _record_round(
+    pool: _state.Pool,
+    view: _free_capacity.CapacityView,
+    runs: list[_state.Run],
+) -> None:
+    """Record what reports of waiting tasks need of this round."""
+    pool.rounds.planned_at = view.now
+    pool.rounds.reserved = view.reserved
+    pool.rounds.holders = view.holders
+    pool.rounds.spare_cpu_millis = view.spare_cpu_millis
+    _round_history.record_starts(
+        pool.rounds,
+        (run.job.spec.accepted_unix_s for run in runs),
+        now=view.now,
+    )
+
+
 def _record_put_off(
     pool: _state.Pool, view: _free_capacity.CapacityView
 ) -> collections.Counter[str]:
@@ -291,7 +310,9 @@
         if wanted <= 0:
             return chosen
         for _ in range(min(fitting, wanted)):
-            _free_capacity.reserve_capacity(view, worker, need)
+            _free_capacity.reserve_capacity(
+                view, worker, need, step.job.spec.id
+            )
         wanted -= fitting
         chosen.append((worker, 0.0))
     if wanted <= 0 or not _may_reserve_full_workers(view, step):
@@ -306,7 +327,7 @@
     for worker, wait_s in full[:wanted]:
         if math.isinf(wait_s):
             break
-        _free_capacity.reserve_worker(view, worker)
+        _free_capacity.reserve_worker(view, worker, step.job.spec.id)
         chosen.append((worker, wait_s))
     return chosen
 
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -7,6 +7,7 @@
 import attrs
 
 from chestnuttide import model
+from chestnuttide.workloads import _round_history
 from chestnuttide.workloads import _run_times
 from chestnuttide.workloads import _specs
 
@@ -218,6 +219,9 @@
         Monotonic time before which it is not planned again.
     first_started_at : float
         Monotonic time of the first confirmed run; 0 before.
+    idle_since : float
+        Monotonic time at which this owner learned of it, or later at which
+        its last confirmed run ended.
     """
 
     key: UnitKey
@@ -233,6 +237,7 @@
     stalls: int = 0
     not_before: float = 0.0
     first_started_at: float = 0.0
+    idle_since: float = 0.0
 
 
 @attrs.define(kw_only=True, slots=True, eq=False)
@@ -271,12 +276,16 @@
     reserved_since : float
         Monotonic time at which full workers were first reserved for it while
         the service was not busy; 0 before.
+    done_at : float
+        Monotonic time at which the last unit to end so far was done; 0 if
+        this owner has seen none.
     """
 
     total: int
     waiting: int
     done: int = 0
     reserved_since: float = 0.0
+    done_at: float = 0.0
 
 
 @attrs.define(kw_only=True, slots=True, eq=False)
@@ -548,6 +557,8 @@
         their workspaces.
     over_share : set of str
         Workspaces that were over their share of all capacity then.
+    rounds : RoundHistory
+        What planning rounds have left behind, for reports.
     """
 
     service: str
@@ -565,6 +576,9 @@
     run_times: _run_times.RunTimes | None = None
     capped_units: set[Unit] = attrs.field(factory=set)
     over_share: set[str] = attrs.field(factory=set)
+    rounds: _round_history.RoundHistory = attrs.field(
+        factory=_round_history.RoundHistory
+    )
 
 
 def worker_key(report: _specs.WorkerReport) -> str:
--- a/chestnuttide/workloads/_waiting.py
+++ b/chestnuttide/workloads/_waiting.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import enum
+import typing
 
 from chestnuttide.workloads import _crashes
 from chestnuttide.workloads import _lifecycle
@@ -16,8 +17,18 @@
     ADVICE is a ticket of a usable worker, TRIAL a worker on which a suspected
     task may start, VERDICT the confirmation that its workers have crashed, CAP
     room under the part of its workspace's cap that the service holds, SHARE
-    its turn after workspaces that are not over their share, and CAPACITY free
-    capacity or its turn in the next planning round.
+    its turn after workspaces that are not over their share, DELAY the end of
+    its pause after a failure, and CAPACITY free capacity or its turn in the
+    next planning round. Tasks are counted by these, the `COUNTED_REASONS`.
+
+    For a single task, `_waiting_tasks` tells more: TICKET is a ticket of a
+    worker that is allowed, LENT a part of the cap that is held by a service
+    whose owner is silent, WORKER a worker with room that is not usable at
+    present, RESERVED room that is kept for other work, TURN the next planning
+    round although there is room, RECORD the storing of its run, START the
+    sending of its start, UNCERTAIN the outcome of a run on a worker that does
+    not answer, SET_ASIDE its job, which is left out after a fault, and NO_RUN
+    a run that is missing.
     """
 
     ADVICE = "advice"
@@ -25,7 +36,29 @@
     VERDICT = "verdict"
     CAP = "cap"
     SHARE = "share"
+    DELAY = "delay"
     CAPACITY = "capacity"
+    TICKET = "ticket"
+    LENT = "lent"
+    WORKER = "worker"
+    RESERVED = "reserved"
+    TURN = "turn"
+    RECORD = "record"
+    START = "start"
+    UNCERTAIN = "uncertain"
+    SET_ASIDE = "set_aside"
+    NO_RUN = "no_run"
+
+
+COUNTED_REASONS: typing.Final = (
+    WaitReason.ADVICE,
+    WaitReason.TRIAL,
+    WaitReason.VERDICT,
+    WaitReason.CAP,
+    WaitReason.SHARE,
+    WaitReason.DELAY,
+    WaitReason.CAPACITY,
+)
 
 
 def count_waiting_tasks(
@@ -90,6 +123,8 @@
         for unit in _lifecycle.step_units(job, *key):
             if unit.state == _state.UnitState.WAITING:
                 reason = _crash_reason(unit) or other
+                if unit.not_before > now and reason == other:
+                    reason = WaitReason.DELAY
                 if unit in pool.capped_units:
                     reason = WaitReason.CAP
                 counts[reason] += len(unit.indexes)
--- a/chestnuttide/workloads/tests/test_waiting.py
+++ b/chestnuttide/workloads/tests/test_waiting.py
@@ -57,3 +57,14 @@
     assert workloads.count_waiting_tasks(pool, now=1.0) == {
         ("queries", reason): 1
     }
+
+
+def test_a_task_that_pauses_after_a_failure_is_counted_apart() -> None:
+    """Guards against a pause that looks like a lack of capacity."""
+    pool = _pool_fixtures.make_pool(1)
+    job = _pool_fixtures.submit(pool, _pool_fixtures.make_step())
+    job.units[(0, 0, 0)].not_before = 1.2
+    for now, reason in ((1.0, "delay"), (1.3, "capacity")):
+        assert workloads.count_waiting_tasks(pool, now=now) == {
+            ("q", reason): 1
+        }
