Let each whole amount of a cap fit the parts exactly

A unit that filled exactly the rest of a cap waited while another service used any of the cap, if 1,000 was not a multiple of the cap: parts were thousandths, rounded up at both services, and lacked one thousandth (cap 3, 1 used, 2 wanted: 334 and 667 of 1,000).

Parts are now numbers of 10^-15 of the cap and are rounded down for an amount. What a part allows is rounded up by 1/1001 of a unit, so that it allows the amount; at most 1,000 services hold parts, so their limits sum to the cap at most. The record keeps thousandths in the former places and appends the rest, which a former release leaves out.

Existing tables give thousandths and expect the same results.

--- a/bench/_plan_round.py
+++ b/bench/_plan_round.py
@@ -81,7 +81,9 @@
         allowances={
             name: workspaces.Allowance(
                 cap=cap,
-                limit=workspaces.limit_of(cap, (700, 700, 700)),
+                limit=workspaces.limit_of(
+                    cap, (700 * workspaces.THOUSANDTH,) * 3
+                ),
                 keeping=workspaces.keeps_room(cap, use, 1.0),
             )
             for name, use in used.items()
--- a/chestnuttide/node/_cap_pages.py
+++ b/chestnuttide/node/_cap_pages.py
@@ -18,7 +18,7 @@
     """Return what each workspace uses, by service that is owned here.
 
     Amounts are processors in thousandths of a core, memory in megabytes, and
-    accelerators.
+    accelerators. Parts are thousandths of the cap.
     """
     rows = []
     for service, owner in sorted(owned.items()):
@@ -49,10 +49,13 @@
             "service": service,
             "weight": each.weight,
             "cap": _values(each.cap),
-            "parts": _cap_state.own_parts(
-                board, owner.caps, service, each.name
+            "parts": workspaces.thousandths(
+                _cap_state.own_parts(board, owner.caps, service, each.name)
             ),
-            "parts_by_service": board.parts.rows.get(each.name, {}),
+            "parts_by_service": {
+                name: workspaces.thousandths(held)
+                for name, held in board.parts.rows.get(each.name, {}).items()
+            },
             "use": _values(used.get(each.name, model.ZERO)),
             "use_elsewhere": _values(elsewhere.get(each.name, model.ZERO)),
             "level": round(
--- a/chestnuttide/node/_cap_reports.py
+++ b/chestnuttide/node/_cap_reports.py
@@ -167,7 +167,7 @@
 def as_demand(
     cap: model.Resources, row: _cap_state.WorkspaceUse, age_s: float
 ) -> workspaces.Demand:
-    """Return a service's demand in thousandths of a cap."""
+    """Return a service's demand in parts of a cap."""
     waits = row.waiting != model.ZERO
     return workspaces.demand_of(
         cap,
--- a/chestnuttide/node/_cap_shares.py
+++ b/chestnuttide/node/_cap_shares.py
@@ -142,8 +142,10 @@
         service=owner.service,
         workspace=workspace,
         tasks=waiting.tasks,
-        parts=_cap_state.own_parts(
-            owner.session.caps, caps, owner.service, workspace
+        parts=workspaces.thousandths(
+            _cap_state.own_parts(
+                owner.session.caps, caps, owner.service, workspace
+            )
         ),
     )
 
@@ -393,7 +395,7 @@
         "Parts of caps were given.",
         service=service,
         gifts=[
-            [name, receiver, *amount]
+            [name, receiver, *workspaces.thousandths(amount)]
             for name, row in gifts.items()
             for receiver, amount in row.items()
         ],
--- a/chestnuttide/node/tests/test_cap_parts_properties.py
+++ b/chestnuttide/node/tests/test_cap_parts_properties.py
@@ -43,6 +43,8 @@
 
     services: tuple[str, ...]
     rng: random.Random
+    cap: model.Resources = CAP
+    needs: tuple[model.Resources, ...] = NEEDS
     revision: int = 1
     records: list[workspaces.CapParts] = attrs.field(
         factory=lambda: [workspaces.CapParts()]
@@ -80,7 +82,7 @@
     owner = cell.owners[service]
     parts = _cap_state.own_parts(owner.board, owner.caps, service, "w")
     allowance = workspaces.Allowance(
-        cap=CAP, limit=workspaces.limit_of(CAP, parts)
+        cap=cell.cap, limit=workspaces.limit_of(cell.cap, parts)
     )
     round_ = workspaces.Round(allowances={"w": allowance})
     workspaces.acquire(round_.usage, "w", _use(cell, service))
@@ -109,7 +111,7 @@
         for name in {service, *reported}:
             waiting = cell.waiting.get(name, model.ZERO)
             demands[name] = workspaces.demand_of(
-                CAP,
+                cell.cap,
                 use=_use(cell, name),
                 head=waiting,
                 waiting=waiting,
@@ -145,12 +147,16 @@
     total = model.ZERO
     for service in cell.services:
         total = model.add(total, _use(cell, service))
-    assert model.fits(total, CAP)
+    assert model.fits(total, cell.cap)
     allowed = [
         _cap_state.own_parts(owner.board, owner.caps, service, "w")
         for service, owner in cell.owners.items()
     ]
     assert all(sum(each) <= workspaces.WHOLE for each in zip(*allowed))
+    limits = model.ZERO
+    for parts in allowed:
+        limits = model.add(limits, workspaces.limit_of(cell.cap, parts))
+    assert model.fits(limits, cell.cap)
 
 
 def _step(cell: _Cell) -> None:
@@ -160,7 +166,7 @@
     owner = cell.owners[service]
     action = rng.random()
     if action < 0.3:
-        need = rng.choice(NEEDS)
+        need = rng.choice(cell.needs)
         while _start(cell, service, need):
             pass
     elif action < 0.4:
@@ -202,6 +208,34 @@
         _check(cell)
 
 
+def _make_needs(resource: str, cap: int) -> tuple[model.Resources, ...]:
+    """Return needs that fill a cap together, and large and small ones."""
+    values = {1, cap, cap - 1, cap // 2, cap - cap // 2, cap // 3}
+    # Many units of a large cap would take long to start one by one.
+    values = {value for value in values if value * 50 >= cap}
+    return tuple(
+        model.Resources(**{resource: value}) for value in sorted(values)
+    )
+
+
+@pytest.mark.parametrize(
+    "resource", ["cpu_millis", "memory_mb", "accelerators"]
+)
+@pytest.mark.parametrize("cap", [1, 3, 7, 48, 1_000_003])
+@hypothesis.given(count=st.integers(2, 3), seed=st.integers(0, 1 << 32))
+@hypothesis.settings(max_examples=15, deadline=None)
+def test_no_grain_of_a_cap_is_passed(
+    resource: str, cap: int, count: int, seed: int
+) -> None:
+    """Guards against rounding for units that fill a cap exactly."""
+    cell = _make_cell(count, seed)
+    cell.cap = model.Resources(**{resource: cap})
+    cell.needs = _make_needs(resource, cap)
+    for _ in range(100):
+        _step(cell)
+        _check(cell)
+
+
 @pytest.mark.parametrize("count", [2, 3])
 @pytest.mark.parametrize("need", NEEDS, ids=str)
 @pytest.mark.parametrize("busy", [False, True])
@@ -220,7 +254,7 @@
         # The others hold all of the cap with short runs, and want more.
         cell.records.append(
             workspaces.CapParts(
-                revision=9, rows={"w": {others[0]: (1000,) * 3}}
+                revision=9, rows={"w": {others[0]: (workspaces.WHOLE,) * 3}}
             )
         )
         cell.revision = 9
--- a/chestnuttide/node/tests/test_cap_shares.py
+++ b/chestnuttide/node/tests/test_cap_shares.py
@@ -28,6 +28,7 @@
 
 CORE = model.Resources(cpu_millis=1000, memory_mb=100)
 CAP = model.Resources(cpu_millis=4000)
+HALF = workspaces.WHOLE // 2
 CONFIG = platform.ClusterConfig(
     version=1,
     queues=(),
@@ -147,7 +148,7 @@
             assert _plan(bed, "s1") == 4
             _submit(bed, "s2", 9)
             assert _plan(bed, "s2") == 0
-            assert _stored(bed).rows["w"]["s1"][0] == 1000
+            assert _stored(bed).rows["w"]["s1"][0] == workspaces.WHOLE
             rows = _cap_pages.list_use({"s1": bed.owners["s1"]})
             assert rows[0]["use"] == (4000, 400, 0)
             assert rows[0]["waiting"] == {"cap": 5}
@@ -180,7 +181,7 @@
             await _share(bed)
             _submit(bed, "s2", 2)
             _set_cap(bed, CAP)
-            assert _stored(bed).rows["w"]["s2"] == (500, 500, 500)
+            assert _stored(bed).rows["w"]["s2"] == (HALF, HALF, HALF)
             assert _plan(bed, "s2") == 0
             _set_cap(bed, model.Resources(cpu_millis=5000))
             assert _plan(bed, "s2") == 1
@@ -204,7 +205,7 @@
             successor = _take_over(bed, "s2")
             # Its instance knows a record from before the loan.
             successor.session.caps.parts = workspaces.CapParts(
-                revision=1, rows={"w": {"s2": (1000, 1000, 1000)}}
+                revision=1, rows={"w": {"s2": (workspaces.WHOLE,) * 3}}
             )
             assert _plan(bed, "s2") == 0
             await _share(bed, "s2")
@@ -307,7 +308,7 @@
                 cloud.remove(bed.store, _keys.owner("s2"))
             await _share(bed, "s1")
             held = _stored(bed).rows["w"]
-            assert held["s1"][0] == (500 if owned else 1000)
+            assert held["s1"][0] == (HALF if owned else workspaces.WHOLE)
 
     asyncio.run(main())
 
@@ -410,9 +411,9 @@
         _cap_reports.receive(board, message, 1.0)
     demands = _cap_reports.list_demands(board, "w", CAP, 1.5, max_age_s=1.0)
     assert demands["s"] == workspaces.Demand(
-        use=(250, 0, 0),
-        head=(500, 0, 0),
-        waiting=(1000, 0, 0),
+        use=(HALF // 2, 0, 0),
+        head=(HALF, 0, 0),
+        waiting=(workspaces.WHOLE, 0, 0),
         waiting_s=2.0,
     )
     assert _cap_reports.list_demands(board, "w", CAP, 2.5, max_age_s=1.0) == {}
--- a/chestnuttide/workspaces/__init__.py
+++ b/chestnuttide/workspaces/__init__.py
@@ -15,6 +15,7 @@
 PutOff = _caps.PutOff
 QuotaState = _quota.QuotaState
 Round = _caps.Round
+THOUSANDTH = _caps.THOUSANDTH
 WHOLE = _caps.WHOLE
 acquire = _quota.acquire
 age_history = _fair_share.age_history
@@ -36,6 +37,7 @@
 parts_for = _caps.parts_for
 release = _quota.release
 scale = _caps.scale
+thousandths = _caps.thousandths
 within_rest = _caps.within_rest
 
 __all__ = [
@@ -49,6 +51,7 @@
     "PutOff",
     "QuotaState",
     "Round",
+    "THOUSANDTH",
     "WHOLE",
     "acquire",
     "age_history",
@@ -70,5 +73,6 @@
     "parts_for",
     "release",
     "scale",
+    "thousandths",
     "within_rest",
 ]
--- a/chestnuttide/workspaces/_cap_parts.py
+++ b/chestnuttide/workspaces/_cap_parts.py
@@ -1,7 +1,7 @@
 """Parts of each workspace's cap by service, and who gives what to whom.
 
-One record of the store says which thousandths of a cap each service holds. A
-service that is not named holds nothing. Only the owner of a service gives part
+One record of the store says which part of a cap each service holds. A service
+that is not named holds nothing. Only the owner of a service gives part
 of what it holds to others, and only what its runs do not use.
 """
 
@@ -16,11 +16,11 @@
 
 _FORMAT_VERSION = 1
 _MAX_ROWS = 10_000
-_MAX_SERVICES = 1_000
+_THOUSANDTHS: typing.Final = _caps.WHOLE // _caps.THOUSANDTH
 
 # While owners want more of a cap than there is, parts smaller than this are
 # moved only if the receiver's most urgent unit waits for them.
-LEAST_CONTESTED_GIFT: typing.Final = 20
+LEAST_CONTESTED_GIFT: typing.Final = 20 * _caps.THOUSANDTH
 
 # While owners want more of a cap than there is, a unit that has waited for it
 # this long gets what it needs before the rest is split.
@@ -40,8 +40,8 @@
     revision : int
         Store revision; 0 if it has not been written yet.
     rows : dict of str to dict of str to (int, int, int)
-        Thousandths of the cap's processors, memory and accelerators, by
-        workspace and service.
+        Parts of the cap's processors, memory and accelerators, by workspace
+        and service.
     """
 
     revision: int = 0
@@ -50,7 +50,7 @@
 
 @attrs.frozen(kw_only=True, slots=True)
 class Demand:
-    """What a service does with a workspace's cap, in thousandths of it.
+    """What a service does with a workspace's cap, in parts of it.
 
     Attributes
     ----------
@@ -77,9 +77,9 @@
     Attributes
     ----------
     gifts : dict of str to (int, int, int)
-        Thousandths to give, by service.
+        Parts to give, by service.
     bound : (int, int, int)
-        Thousandths up to which the owner itself starts runs, so that what
+        Parts up to which the owner itself starts runs, so that what
         becomes free can be given; all of the cap where nobody waits for it.
     """
 
@@ -88,11 +88,22 @@
 
 
 def encode(parts: CapParts) -> bytes:
-    """Encode the value of the record's key."""
+    """Encode the value of the record's key.
+
+    A former release reads the thousandths alone. It allows less then, and its
+    writes leave out the rest.
+    """
     rows = [
         [
             workspace,
-            [[service, *held] for service, held in sorted(row.items())],
+            [
+                [
+                    service,
+                    *_caps.thousandths(held),
+                    [part % _caps.THOUSANDTH for part in held],
+                ]
+                for service, held in sorted(row.items())
+            ],
         ]
         for workspace, row in sorted(parts.rows.items())
     ]
@@ -114,12 +125,13 @@
 
 
 def _decode_row(held: collections.abc.Sequence[object]) -> Row:
-    if len(held) > _MAX_SERVICES:
+    if len(held) > _caps.MAX_SERVICES:
         raise ValueError("there are too many services")
     row: Row = {}
     for service, *values in held:
+        rest = values[3] if len(values) > 3 else _caps.NOTHING
         cpu, memory, accelerators = (
-            _decode_part(value) for value in values[:3]
+            _decode_part(*each) for each in zip(values[:3], rest, strict=True)
         )
         row[str(service)] = (cpu, memory, accelerators)
     if any(
@@ -129,10 +141,12 @@
     return row
 
 
-def _decode_part(value: object) -> int:
-    if type(value) is not int or not 0 <= value <= _caps.WHOLE:
+def _decode_part(value: object, rest: object) -> int:
+    if type(value) is not int or not 0 <= value <= _THOUSANDTHS:
         raise ValueError("a part is not a number of thousandths")
-    return value
+    if type(rest) is not int or not 0 <= rest < _caps.THOUSANDTH:
+        raise ValueError("a part has no rest below a thousandth")
+    return value * _caps.THOUSANDTH + rest
 
 
 def held_by(parts: CapParts, workspace: str, service: str) -> _caps.Parts:
@@ -160,9 +174,11 @@
     names = sorted(set(services))
     if not names:
         return parts
-    share, rest = divmod(_caps.WHOLE, len(names))
+    # Whole thousandths, which former releases read without loss.
+    share = _caps.WHOLE // len(names)
+    share -= share % _caps.THOUSANDTH
     row: Row = {name: (share, share, share) for name in names}
-    row[names[0]] = (share + rest,) * 3
+    row[names[0]] = (_caps.WHOLE - share * (len(names) - 1),) * 3
     missing = {name: row for name in workspaces if name not in parts.rows}
     return attrs.evolve(parts, rows={**parts.rows, **missing})
 
@@ -181,7 +197,7 @@
     service : str
         The service that gives.
     gifts : mapping of str to dict of str to (int, int, int)
-        Thousandths to give, by workspace and receiving service.
+        Parts to give, by workspace and receiving service.
     """
     rows = dict(parts.rows)
     for workspace, received in gifts.items():
@@ -203,7 +219,7 @@
     waiting: model.Resources,
     waiting_s: float,
 ) -> Demand:
-    """Return a demand in thousandths of a cap from amounts."""
+    """Return a demand in parts of a cap from amounts."""
     return Demand(
         use=_caps.parts_for(cap, use),
         head=_caps.parts_for(cap, head),
@@ -285,7 +301,7 @@
 def _compute_targets(
     demands: collections.abc.Mapping[str, Demand],
 ) -> dict[str, list[int]]:
-    """Return what each service should hold at least, in thousandths.
+    """Return what each service should hold at least.
 
     Where services want less than there is, the rest is split in proportion,
     so that work that follows finds room. Where they want more, units that have
--- a/chestnuttide/workspaces/_caps.py
+++ b/chestnuttide/workspaces/_caps.py
@@ -2,8 +2,8 @@
 
 A workspace's cap holds over all services. Each service holds a part of it, and
 its owner starts a run only if the workspace's runs here stay within that part.
-Amounts are integers, so the parts of all services together never exceed the
-cap.
+Parts and amounts are integers, and what all services may use is the cap at
+most.
 """
 
 import typing
@@ -14,8 +14,18 @@
 from chestnuttide.workspaces import _fair_share
 from chestnuttide.workspaces import _quota
 
-# Parts of a cap are thousandths of it, for each resource.
-WHOLE: typing.Final = 1000
+# A part of a cap is a number of these, for each resource. The record has
+# thousandths, which former releases know, and the rest beside them.
+THOUSANDTH: typing.Final = 10**12
+WHOLE: typing.Final = 1000 * THOUSANDTH
+
+# Services that share a cap, at most.
+MAX_SERVICES: typing.Final = 1_000
+
+# Added to what a part allows, so that parts which are rounded down for an
+# amount allow it. Over all services it is less than one unit of the resource.
+# It exceeds the rounding of caps of up to 10^9 of them by far.
+_ROUNDING: typing.Final = WHOLE // (MAX_SERVICES + 1)
 
 # While at least this share of a cap is in use, what becomes free is kept for
 # the workspace's most urgent unit that does not fit, in a window of each
@@ -118,15 +128,25 @@
 
 
 def limit_of(cap: model.Resources, parts: Parts) -> model.Resources:
-    """Return what a service may use that holds these parts of a cap."""
-    cpu, memory, accelerators = parts
+    """Return what a service may use that holds these parts of a cap.
+
+    The limits of all services together are the cap at most.
+    """
+    cpu, memory, accelerators = (
+        (limit * part + _ROUNDING) // WHOLE
+        for limit, part in zip(amounts(cap), parts, strict=True)
+    )
     return model.Resources(
-        cpu_millis=cap.cpu_millis * cpu // WHOLE,
-        memory_mb=cap.memory_mb * memory // WHOLE,
-        accelerators=cap.accelerators * accelerators // WHOLE,
+        cpu_millis=cpu, memory_mb=memory, accelerators=accelerators
     )
 
 
+def thousandths(parts: Parts) -> Parts:
+    """Return parts in thousandths of a cap, rounded down, for operators."""
+    cpu, memory, accelerators = (part // THOUSANDTH for part in parts)
+    return cpu, memory, accelerators
+
+
 def within_rest(
     limit: model.Resources, cap: model.Resources, others: model.Resources
 ) -> model.Resources:
@@ -143,9 +163,12 @@
 
 
 def parts_for(cap: model.Resources, amount: model.Resources) -> Parts:
-    """Return the least parts of a cap that allow an amount to be used."""
+    """Return parts of a cap that allow an amount, and no larger one.
+
+    Those of amounts that fill a cap together are the whole at most.
+    """
     cpu, memory, accelerators = (
-        -(-value * WHOLE // limit) if limit else 0
+        value * WHOLE // limit if limit else 0
         for value, limit in zip(amounts(amount), amounts(cap), strict=True)
     )
     return cpu, memory, accelerators
--- a/chestnuttide/workspaces/tests/test_cap_parts.py
+++ b/chestnuttide/workspaces/tests/test_cap_parts.py
@@ -7,13 +7,22 @@
 from chestnuttide import workspaces
 
 
+T = workspaces.THOUSANDTH
+
+
+def _parts(*values: int) -> workspaces.Parts:
+    """Return parts from thousandths."""
+    cpu, memory, accelerators = (value * T for value in values)
+    return cpu, memory, accelerators
+
+
 def _demand(
     use: int = 0, head: int = 0, waiting: int = 0, waiting_s: float = 0.0
 ) -> workspaces.Demand:
     return workspaces.Demand(
-        use=(use,) * 3,
-        head=(head,) * 3,
-        waiting=(max(head, waiting),) * 3,
+        use=_parts(*(use,) * 3),
+        head=_parts(*(head,) * 3),
+        waiting=_parts(*(max(head, waiting),) * 3),
         waiting_s=waiting_s,
     )
 
@@ -116,39 +125,43 @@
     bound: int,
 ) -> None:
     """Idle parts go where something waits; a shortage is split by demand."""
-    row = {name: (part,) * 3 for name, part in held.items()}
+    row = {name: _parts(*(part,) * 3) for name, part in held.items()}
     decision = workspaces.decide("a", row, demands)
-    assert sum(gift[0] for gift in decision.gifts.values()) == given
-    assert decision.bound == (bound,) * 3
+    assert sum(gift[0] for gift in decision.gifts.values()) // T == given
+    assert workspaces.thousandths(decision.bound) == (bound,) * 3
     after = workspaces.give(
         workspaces.CapParts(rows={"w": row}), "a", {"w": decision.gifts}
     )
     total = sum(part[0] for part in after.rows["w"].values())
-    assert total == sum(held.values())
+    assert total == sum(held.values()) * T
 
 
 def test_resources_are_given_apart() -> None:
     """One service may use the processors of a cap, one the accelerators."""
-    row = {"a": (500, 500, 500), "b": (500, 500, 500)}
+    row = {"a": _parts(500, 500, 500), "b": _parts(500, 500, 500)}
     demands = {
-        "a": workspaces.Demand(use=(450, 100, 0), waiting=(400, 0, 0)),
+        "a": workspaces.Demand(
+            use=_parts(450, 100, 0), waiting=_parts(400, 0, 0)
+        ),
         "b": workspaces.Demand(
-            use=(50, 100, 450), head=(10, 0, 400), waiting=(10, 0, 400)
+            use=_parts(50, 100, 450),
+            head=_parts(10, 0, 400),
+            waiting=_parts(10, 0, 400),
         ),
     }
     decision = workspaces.decide("a", row, demands)
-    assert decision.gifts == {"b": (0, 0, 500)}
+    assert decision.gifts == {"b": _parts(0, 0, 500)}
 
 
 def test_rows_are_created_once_and_evenly() -> None:
     """A row that exists is never split anew: its parts may be in use."""
-    parts = workspaces.CapParts(rows={"v": {"a": (1000, 1000, 1000)}})
+    parts = workspaces.CapParts(rows={"v": {"a": _parts(1000, 1000, 1000)}})
     created = workspaces.create_rows(parts, ["v", "w"], ["c", "a", "b"])
     assert created.rows["v"] == parts.rows["v"]
     assert created.rows["w"] == {
-        "a": (334,) * 3,
-        "b": (333,) * 3,
-        "c": (333,) * 3,
+        "a": _parts(334, 334, 334),
+        "b": _parts(333, 333, 333),
+        "c": _parts(333, 333, 333),
     }
     again = workspaces.decode_parts(workspaces.encode_parts(created), 7)
     assert (again.rows, again.revision) == (created.rows, 7)
@@ -169,6 +182,24 @@
         pytest.param(
             cbor2.dumps([1, [["w", [["a", 0.5, 0, 0]]]]]), id="fraction"
         ),
+        pytest.param(
+            cbor2.dumps([1, [["w", [["a", 1, 2, 3, [T, 0, 0]]]]]]),
+            id="rest-above-a-thousandth",
+        ),
+        pytest.param(
+            cbor2.dumps([1, [["w", [["a", 1, 2, 3, [0, -1, 0]]]]]]),
+            id="negative-rest",
+        ),
+        pytest.param(
+            cbor2.dumps([1, [["w", [["a", 1, 2, 3, [0, 0]]]]]]),
+            id="rest-of-two-resources",
+        ),
+        pytest.param(
+            cbor2.dumps(
+                [1, [["w", [["a", 600, 0, 0, [1, 0, 0]], ["b", 400, 0, 0]]]]]
+            ),
+            id="more-than-a-cap-by-the-rest",
+        ),
     ],
 )
 def test_unreadable_records_are_refused(value: bytes) -> None:
@@ -180,8 +211,31 @@
         workspaces.decode_parts(value, 1)
 
 
-def test_later_releases_may_append_fields() -> None:
-    """Owners of this release read records of the next one."""
-    value = cbor2.dumps([2, [["w", [["a", 1, 2, 3, "new"]]]], "new"])
+@pytest.mark.parametrize(
+    ("held", "expected"),
+    [
+        pytest.param([1, 2, 3], _parts(1, 2, 3), id="former-release"),
+        pytest.param(
+            [1, 2, 3, [4, 0, 5]],
+            (T + 4, 2 * T, 3 * T + 5),
+            id="this-release",
+        ),
+        pytest.param(
+            [1, 2, 3, [0, 0, 0], "new"], _parts(1, 2, 3), id="later-release"
+        ),
+    ],
+)
+def test_records_of_other_releases(
+    held: list[object], expected: workspaces.Parts
+) -> None:
+    """Guards against a record that stops owners while releases mix."""
+    value = cbor2.dumps([2, [["w", [["a", *held]]]], "new"])
     parts = workspaces.decode_parts(value, 1)
-    assert parts.rows == {"w": {"a": (1, 2, 3)}}
+    assert parts.rows == {"w": {"a": expected}}
+
+
+def test_a_former_release_reads_thousandths() -> None:
+    """Guards against a former release that allows more than its part."""
+    parts = workspaces.CapParts(rows={"w": {"a": (T + 4, 2 * T, 3 * T - 1)}})
+    _, rows = cbor2.loads(workspaces.encode_parts(parts))
+    assert rows == [["w", [["a", 1, 2, 2, [4, 0, T - 1]]]]]
--- a/chestnuttide/workspaces/tests/test_caps.py
+++ b/chestnuttide/workspaces/tests/test_caps.py
@@ -21,7 +21,10 @@
         allowances={
             "w": workspaces.Allowance(
                 cap=cap,
-                limit=workspaces.limit_of(cap, parts),
+                limit=workspaces.limit_of(
+                    cap,
+                    tuple(part * workspaces.THOUSANDTH for part in parts),
+                ),
                 keeping=keeping,
             )
         }
