Notice a removal of the caps' record that the watch misses

A watch that was broken while the record was removed lists without it, and nothing noticed: each gift then conflicted, ten times a second, and no owner repaired the record. A successor never loaded it. A gift that had conflicted also counted as of unknown outcome for ever, because no newer revision came, and barred the repair.

A listing without the record has the owner read the key; a read or a conditional write that finds none counts as the removal, if no newer record has become known meanwhile. A gift that the store refused by its condition is taken back. Adoption moves to a module of its own.

--- a/chestnuttide/node/_cap_shares.py
+++ b/chestnuttide/node/_cap_shares.py
@@ -10,6 +10,7 @@
 
 from chestnuttide import errors
 from chestnuttide import model
+from chestnuttide.node import _cap_record
 from chestnuttide.node import _cap_reports
 from chestnuttide.node import _cap_state
 from chestnuttide.node import _clock
@@ -156,10 +157,12 @@
         await asyncio.sleep(WRITE_PERIOD_S)
 
     def on_item(item: platform.Item) -> None:
-        adopt_item(owner.session, item)
+        _cap_record.adopt_item(owner.session, item)
         owner.plan_requested.set()
 
     def on_list(items: tuple[platform.Item, ...]) -> None:
+        # A listing may be older than a record that a peer has sent.
+        owner.caps.unseen = not items
         for item in items:
             on_item(item)
 
@@ -204,6 +207,8 @@
     capped = list_capped(session)
     if not capped or not _ownership.may_send_commands(owner):
         return
+    if owner.caps.unseen:
+        await _read(owner)
     if session.caps.lost_revision:
         await _repair(owner, now)
         return
@@ -231,56 +236,24 @@
 
     The watch may lag behind what a former owner has given away.
     """
-    item = await platform.read_key(owner.store, _keys.CAPS)
+    found = await _read(owner)
     board = owner.session.caps
-    if item is not None:
-        adopt_item(owner.session, item)
-    elif board.parts.revision:
-        # Its removal has not been reported yet.
-        return
-    if board.lost_revision:
+    if board.lost_revision or (board.parts.revision and not found):
         return
     owner.caps.loaded = True
     owner.plan_requested.set()
 
 
-def adopt_item(session: _session.Session, item: platform.Item) -> None:
-    """Adopt the record of the parts if it is newer than the known one.
-
-    While the record cannot be read, owners keep to what they have read last:
-    only they themselves give away parts of theirs. An owner that has not read
-    any since it took over starts no run of a workspace with a cap.
-    """
-    board = session.caps
-    if item.key != _keys.CAPS or item.revision <= max(
-        board.parts.revision, board.lost_revision
-    ):
-        return
-    if item.removed:
-        LOG.error("Parts of caps were removed.", revision=item.revision)
-        _note_loss(board, item.revision, expects=0)
-        return
-    try:
-        with errors.decoding(
-            "The record of the caps' parts",
-            "Run the same release on all instances.",
-        ):
-            parts = workspaces.decode_parts(item.value, item.revision)
-    except errors.ProtocolError as error:
-        LOG.error("Parts of caps cannot be read.", error=str(error))
-        session.count_unreadable("caps")
-        _note_loss(board, item.revision, expects=item.revision)
-        return
-    _cap_state.adopt_parts(board, parts, _clock.now())
-
-
-def _note_loss(
-    board: _cap_state.CapBoard, revision: int, *, expects: int
-) -> None:
-    if not board.lost_revision:
-        board.lost_since = _clock.now()
-    board.lost_revision = revision
-    board.lost_expects = expects
+async def _read(owner: _ownership.Ownership) -> bool:
+    """Read the record, or note that it was removed; return if there is one."""
+    known = _cap_record.newest_revision(owner.session)
+    item = await platform.read_key(owner.store, _keys.CAPS)
+    owner.caps.unseen = False
+    if item is None:
+        _cap_record.note_missing(owner.session, known)
+    else:
+        _cap_record.adopt_item(owner.session, item)
+    return item is not None
 
 
 async def _repair(owner: _ownership.Ownership, now: float) -> None:
@@ -302,18 +275,6 @@
     LOG.info("Parts of caps were repaired.", service=owner.service)
 
 
-def adopt_record(
-    session: _session.Session, message: _messages.CapRecord
-) -> None:
-    """Adopt the record of the parts from a peer's message."""
-    adopt_item(
-        session,
-        platform.Item(
-            key=_keys.CAPS, value=message.value, revision=message.revision
-        ),
-    )
-
-
 def _decide(
     owner: _ownership.Ownership,
     capped: dict[str, workloads.Workspace],
@@ -380,6 +341,7 @@
     """Store that a service gives parts to others."""
     parts = owner.session.caps.parts
     given = workspaces.give(parts, service, gifts)
+    former = owner.caps.lowered_revision, owner.caps.lowered.copy()
     if service == owner.service:
         # From here on, this owner keeps to the lower parts, whatever becomes
         # of the write.
@@ -388,7 +350,12 @@
             parts.revision,
             {name: workspaces.held_by(given, name, service) for name in gifts},
         )
-    await _store(owner, given, expect)
+    try:
+        await _store(owner, given, expect)
+    except platform.ConditionError:
+        # The write had no effect, so it is not settled by a newer revision.
+        owner.caps.lowered_revision, owner.caps.lowered = former
+        raise
     # Receivers count what they last heard of as used here.
     owner.caps.announced_at = 0.0
     _cap_reports.announce(owner, _clock.now())
@@ -484,8 +451,10 @@
         outcome = "conflict"
         # Another owner was first; this one decides again at once.
         owner.caps.written_at = 0.0
+        if all(item.key != _keys.CAPS for item in error.items):
+            _cap_record.note_missing(session, parts.revision)
         for item in error.items:
-            adopt_item(session, item)
+            _cap_record.adopt_item(session, item)
         raise
     except platform.StoreRefusedError:
         outcome = "refused"
@@ -493,7 +462,7 @@
     finally:
         owner.metrics.cap_writes.inc({"outcome": outcome})
     message = _messages.CapRecord(value=value, revision=revision)
-    adopt_record(session, message)
+    _cap_record.adopt_record(session, message)
     owner.plan_requested.set()
     for name in _cap_reports.list_other_owners(owner):
         _peers.notify(session.peers, name, message)
--- a/chestnuttide/node/_cap_state.py
+++ b/chestnuttide/node/_cap_state.py
@@ -92,6 +92,8 @@
     loaded : bool
         Whether the record was read since this ownership began. Before that,
         a former owner may have given away more than is known here.
+    unseen : bool
+        Whether the last listing had no record.
     lowered : dict of str to (int, int, int)
         Parts that are left if a write succeeds whose outcome is not known.
     lowered_revision : int
@@ -122,6 +124,7 @@
     """
 
     loaded: bool = False
+    unseen: bool = False
     lowered: dict[str, workspaces.Parts] = attrs.field(factory=dict)
     lowered_revision: int = 0
     bounds: dict[str, workspaces.Parts] = attrs.field(factory=dict)
--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -16,8 +16,8 @@
 from chestnuttide.node import _admission
 from chestnuttide.node import _advisor_queries
 from chestnuttide.node import _cap_pages
+from chestnuttide.node import _cap_record
 from chestnuttide.node import _cap_reports
-from chestnuttide.node import _cap_shares
 from chestnuttide.node import _claims
 from chestnuttide.node import _clock
 from chestnuttide.node import _configuration
@@ -233,7 +233,7 @@
         _cap_reports.receive(daemon.session.caps, message, _clock.now())
 
     async def cap_record(message: _messages.CapRecord) -> None:
-        _cap_shares.adopt_record(daemon.session, message)
+        _cap_record.adopt_record(daemon.session, message)
         for owner in daemon.owned.values():
             owner.plan_requested.set()
 
--- a/chestnuttide/node/tests/test_cap_shares.py
+++ b/chestnuttide/node/tests/test_cap_shares.py
@@ -11,6 +11,7 @@
 from chestnuttide import errors
 from chestnuttide import model
 from chestnuttide.node import _cap_pages
+from chestnuttide.node import _cap_record
 from chestnuttide.node import _cap_reports
 from chestnuttide.node import _cap_shares
 from chestnuttide.node import _clock
@@ -130,7 +131,7 @@
     item = bed.store.keys[_keys.CAPS]
     for owner in bed.owners.values():
         message = _messages.CapRecord(value=item.value, revision=item.revision)
-        _cap_shares.adopt_record(owner.session, message)
+        _cap_record.adopt_record(owner.session, message)
 
 
 def test_parts_go_where_work_waits_and_their_sum_stays() -> None:
@@ -396,7 +397,7 @@
                 )
             _take_over(bed, "s2")
             for owner in bed.owners.values():
-                _cap_shares.adopt_item(owner.session, lost)
+                _cap_record.adopt_item(owner.session, lost)
             await _share(bed)
             assert _plan(bed, "s1") == 2
             assert _plan(bed, "s2") == 0
@@ -417,6 +418,89 @@
     asyncio.run(main())
 
 
+async def _see_by_write(bed: Bed) -> None:
+    await _share(bed, "s2")
+    for _ in range(10):
+        with contextlib.suppress(errors.SchedulerError):
+            await _cap_shares.share(bed.owners["s1"])
+
+
+async def _see_by_unreadable_record(bed: Bed) -> None:
+    """Let a write that repairs a record find that it was removed."""
+    owner = bed.owners["s1"]
+    revision = owner.session.caps.parts.revision + 1
+    item = platform.Item(key=_keys.CAPS, value=b"\xff", revision=revision)
+    _cap_record.adopt_item(owner.session, item)
+    owner.session.caps.lost_since -= _cap_shares.REPAIR_AFTER_S
+    await _share(bed, "s1")
+    assert owner.session.caps.lost_expects == 0
+
+
+async def _see_by_listing(bed: Bed) -> None:
+    owner = bed.owners["s1"]
+    task = asyncio.create_task(_cap_shares.watch_loop(owner))
+    await asyncio.sleep(0.2)
+    task.cancel()
+    await asyncio.wait([task])
+    await _share(bed, "s1")
+
+
+async def _see_by_takeover(bed: Bed) -> None:
+    parts = bed.owners["s1"].session.caps.parts
+    successor = _take_over(bed, "s1")
+    successor.session.caps.parts = parts
+    await _share(bed, "s1")
+
+
+@pytest.mark.parametrize(
+    ("see", "writes", "repairs"),
+    [
+        pytest.param(_see_by_write, 1, True, id="write"),
+        pytest.param(_see_by_listing, 0, True, id="listing"),
+        pytest.param(_see_by_takeover, 0, False, id="takeover"),
+        pytest.param(
+            _see_by_unreadable_record, 1, True, id="after-an-unreadable-one"
+        ),
+    ],
+)
+def test_a_removal_that_the_watch_misses_is_noticed(
+    see: collections.abc.Callable[
+        [Bed], collections.abc.Coroutine[None, None, None]
+    ],
+    writes: int,
+    repairs: bool,
+) -> None:
+    """Guards against gifts that conflict ten times a second for ever."""
+
+    async def main() -> None:
+        async with _open_bed() as bed:
+            await _share(bed)
+            _tell(bed)
+            await _share(bed)
+            before = _stored(bed).rows
+            _submit(bed, "s2", 9)
+            assert _plan(bed, "s2") == 2
+            revision = bed.owners["s1"].session.caps.parts.revision
+            # Later changes of other keys raise the store's revision.
+            cloud.remove(bed.store, _keys.CAPS)
+            cloud.put(bed.store, "x", b"")
+            bed.calls.clear()
+            await see(bed)
+            board = bed.owners["s1"].session.caps
+            assert board.lost_revision > revision
+            assert board.parts.rows == before
+            assert bed.calls.count("write") == writes
+            board.lost_since -= _cap_shares.REPAIR_AFTER_S
+            await _share(bed, "s1")
+            assert (_keys.CAPS in bed.store.keys) is repairs
+            if repairs:
+                assert _stored(bed).rows == before
+                _tell(bed)
+                assert not board.lost_revision
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(
     ("capacity", "rows"),
     [
