Confirm no configuration while the newest one cannot be read

The store's answers went on confirming the configuration in force after the store had shown a newer document that cannot be read. Keys that this document withdraws stayed in force for as long as it was the newest.

Answers of the store confirm nothing after such a document until the store shows one that can be read. The former one stays in force until its confirmation is too old; with strict_revoke calls with keys get 503 then, as on an instance that is cut off. Without it nothing changes.

--- a/chestnuttide/node/_configuration.py
+++ b/chestnuttide/node/_configuration.py
@@ -26,10 +26,12 @@
 
 async def follow_config(session: _session.Session) -> None:
     """Adopt each configuration that the operator writes until cancelled."""
+    readable = True
 
     def on_item(item: platform.Item) -> None:
+        nonlocal readable
         if item.key == _keys.CONFIG and not item.removed:
-            adopt_config(session, item.value, source="store")
+            readable = adopt_config(session, item.value, source="store")
 
     def on_list(items: tuple[platform.Item, ...]) -> None:
         for item in items:
@@ -45,6 +47,9 @@
     )
 
     def on_answer(sent_at: float, empty: bool) -> None:
+        if not readable:
+            # The one in force is not the newest.
+            return
         confirm_config(
             session,
             _access.confirmed_by_watch(
@@ -68,10 +73,16 @@
 
 def adopt_config(
     session: _session.Session, document: bytes, *, source: str
-) -> None:
-    """Put a configuration in force if it is newer than the current one."""
+) -> bool:
+    """Put a configuration in force if it is newer than the current one.
+
+    Returns
+    -------
+    bool
+        False if it cannot be read; the current one stays in force.
+    """
     if document == session.config_document:
-        return
+        return True
     former = session.config
     try:
         config = platform.decode_config(
@@ -83,9 +94,9 @@
             "Invalid config is ignored.", source=source, error=str(error)
         )
         session.count_unreadable("config")
-        return
+        return False
     if config is None:
-        return
+        return True
     session.config = config
     session.config_document = document
     keys_added, session.keys_withdrawn = _access.count_key_changes(
@@ -101,6 +112,7 @@
         source=source,
     )
     session.changed.set()
+    return True
 
 
 def confirm_config(session: _session.Session, confirmed_at: float) -> None:
--- a/chestnuttide/node/tests/test_keys.py
+++ b/chestnuttide/node/tests/test_keys.py
@@ -255,6 +255,53 @@
     )
 
 
+async def _pass_time(bed: Bed, seconds: float) -> None:
+    """Let the watch answer twice, the second time as sent after a time."""
+    for elapsed_s in (seconds, 0.0):
+        bed.now += elapsed_s
+        cloud.put(bed.store, "op/other", b"")
+        await asyncio.sleep(0.2)
+
+
+def test_an_unreadable_config_ends_the_confirmations(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against keys in force that a version may have withdrawn.
+
+    The store shows a newer document, so the former one is not the newest.
+    """
+
+    async def scenario(bed: Bed) -> None:
+        session = bed.session
+        cloud.put(bed.store, _keys.CONFIG, _document(1, a=["ka"]))
+        task = asyncio.create_task(_configuration.follow_config(session))
+        await asyncio.sleep(0.2)
+        await _pass_time(bed, LIMIT_S)
+        assert await _call(bed, "GET", "ka") == (410, "unknown_job")
+        cloud.put(bed.store, _keys.CONFIG, b"{")
+        await asyncio.sleep(0.2)
+        assert session.config.version == 1
+        assert await _call(bed, "GET", "ka") == (410, "unknown_job")
+        await _pass_time(bed, LIMIT_S)
+        assert await _call(bed, "GET", "ka") == (503, "config_unconfirmed")
+        # The same document again is the newest one.
+        cloud.put(bed.store, _keys.CONFIG, _document(1, a=["ka"]))
+        await _pass_time(bed, 0.0)
+        assert await _call(bed, "GET", "ka") == (410, "unknown_job")
+        cloud.put(bed.store, _keys.CONFIG, b"{")
+        await asyncio.sleep(0.2)
+        await _pass_time(bed, LIMIT_S)
+        assert await _call(bed, "GET", "ka") == (503, "config_unconfirmed")
+        cloud.put(bed.store, _keys.CONFIG, _document(2, a=["kb"]))
+        await _pass_time(bed, 0.0)
+        assert await _call(bed, "GET", "kb") == (410, "unknown_job")
+        assert await _call(bed, "GET", "ka") == (401, "unknown_key")
+        task.cancel()
+        await asyncio.wait([task])
+
+    _run(monkeypatch, scenario)
+
+
 def test_a_peer_with_an_older_version_brings_no_key_back(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
