--- a/chestnuttide/node/_cap_state.py
+++ b/chestnuttide/node/_cap_state.py
@@ -69,6 +69,8 @@
         Monotonic time at which that change was seen.
     reports : dict of str to UseReport
         Last report of each service's owner.
+    rests : dict of str to (float, (int, int, int))
+        What no service holds of each cap, at least, and since when.
     """
 
     parts: workspaces.CapParts = attrs.field(factory=workspaces.CapParts)
@@ -76,6 +78,9 @@
     lost_expects: int = 0
     lost_since: float = 0.0
     reports: dict[str, UseReport] = attrs.field(factory=dict)
+    rests: dict[str, tuple[float, workspaces.Parts]] = attrs.field(
+        factory=dict
+    )
 
 
 @attrs.define(kw_only=True, slots=True, eq=False)
@@ -87,6 +92,8 @@
     loaded : bool
         Whether the record was read since this ownership began. Before that,
         a former owner may have given away more than is known here.
+    unseen : bool
+        Whether the last listing had no record.
     lowered : dict of str to (int, int, int)
         Parts that are left if a write succeeds whose outcome is not known.
     lowered_revision : int
@@ -117,6 +124,7 @@
     """
 
     loaded: bool = False
+    unseen: bool = False
     lowered: dict[str, workspaces.Parts] = attrs.field(factory=dict)
     lowered_revision: int = 0
     bounds: dict[str, workspaces.Parts] = attrs.field(factory=dict)
@@ -132,6 +140,23 @@
     announced_at: float = 0.0
 
 
+def adopt_parts(
+    board: CapBoard, parts: workspaces.CapParts, now: float
+) -> None:
+    """Adopt a newer record."""
+    board.parts = parts
+    board.lost_revision = 0
+    former, board.rests = board.rests, {}
+    for name, row in parts.rows.items():
+        rest = workspaces.rest_of(row)
+        since, known = former.get(name, (now, rest))
+        cpu, memory, accelerators = map(min, rest, known)
+        if any((cpu, memory, accelerators)):
+            board.rests[name] = (since, (cpu, memory, accelerators))
+        elif any(rest):
+            board.rests[name] = (now, rest)
+
+
 def own_parts(
     board: CapBoard, caps: CapState, service: str, workspace: str
 ) -> workspaces.Parts:
--- a/chestnuttide/node/tests/test_cap_shares.py
+++ b/chestnuttide/node/tests/test_cap_shares.py
@@ -11,6 +11,7 @@
 from chestnuttide import errors
 from chestnuttide import model
 from chestnuttide.node import _cap_pages
+from chestnuttide.node import _cap_record
 from chestnuttide.node import _cap_reports
 from chestnuttide.node import _cap_shares
 from chestnuttide.node import _clock
@@ -28,6 +29,7 @@
 
 CORE = model.Resources(cpu_millis=1000, memory_mb=100)
 CAP = model.Resources(cpu_millis=4000)
+HALF = workspaces.WHOLE // 2
 CONFIG = platform.ClusterConfig(
     version=1,
     queues=(),
@@ -129,7 +131,7 @@
     item = bed.store.keys[_keys.CAPS]
     for owner in bed.owners.values():
         message = _messages.CapRecord(value=item.value, revision=item.revision)
-        _cap_shares.adopt_record(owner.session, message)
+        _cap_record.adopt_record(owner.session, message)
 
 
 def test_parts_go_where_work_waits_and_their_sum_stays() -> None:
@@ -147,7 +149,7 @@
             assert _plan(bed, "s1") == 4
             _submit(bed, "s2", 9)
             assert _plan(bed, "s2") == 0
-            assert _stored(bed).rows["w"]["s1"][0] == 1000
+            assert _stored(bed).rows["w"]["s1"][0] == workspaces.WHOLE
             rows = _cap_pages.list_use({"s1": bed.owners["s1"]})
             assert rows[0]["use"] == (4000, 400, 0)
             assert rows[0]["waiting"] == {"cap": 5}
@@ -180,7 +182,7 @@
             await _share(bed)
             _submit(bed, "s2", 2)
             _set_cap(bed, CAP)
-            assert _stored(bed).rows["w"]["s2"] == (500, 500, 500)
+            assert _stored(bed).rows["w"]["s2"] == (HALF, HALF, HALF)
             assert _plan(bed, "s2") == 0
             _set_cap(bed, model.Resources(cpu_millis=5000))
             assert _plan(bed, "s2") == 1
@@ -204,7 +206,7 @@
             successor = _take_over(bed, "s2")
             # Its instance knows a record from before the loan.
             successor.session.caps.parts = workspaces.CapParts(
-                revision=1, rows={"w": {"s2": (1000, 1000, 1000)}}
+                revision=1, rows={"w": {"s2": (workspaces.WHOLE,) * 3}}
             )
             assert _plan(bed, "s2") == 0
             await _share(bed, "s2")
@@ -307,7 +309,57 @@
                 cloud.remove(bed.store, _keys.owner("s2"))
             await _share(bed, "s1")
             held = _stored(bed).rows["w"]
-            assert held["s1"][0] == (500 if owned else 1000)
+            assert held["s1"][0] == (HALF if owned else workspaces.WHOLE)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("lost", "age_s", "silent", "uses", "expected"),
+    [
+        pytest.param(3, 9.0, "", 0, 3, id="taken"),
+        pytest.param(3, 1.0, "", 0, 0, id="not-seen-by-all-yet"),
+        pytest.param(3, 9.0, "s2", 0, 0, id="an-owner-is-silent"),
+        pytest.param(3, 9.0, "", 2, 1, id="two-are-in-use"),
+        pytest.param(0, 9.0, "", 0, 0, id="nothing-lost"),
+    ],
+)
+def test_what_no_service_holds_is_taken(
+    lost: int, age_s: float, silent: str, uses: int, expected: int
+) -> None:
+    """Guards against parts that writes of a former release lose for good.
+
+    What a run uses beyond its service's part must not be taken.
+    """
+
+    async def main() -> None:
+        async with _open_bed() as bed:
+            unit = workspaces.WHOLE // 4
+            row = {
+                "s1": (unit,) * 3,
+                "s2": ((3 - lost) * unit, 3 * unit, 3 * unit),
+            }
+            owner = bed.owners["s1"]
+            await _share(bed)
+            _submit(bed, "s2", uses)
+            bed.owners["s2"].session.caps.parts = workspaces.CapParts(
+                rows={"w": {"s2": (workspaces.WHOLE,) * 3}}
+            )
+            assert _plan(bed, "s2") == uses
+            parts = workspaces.CapParts(rows={"w": row})
+            cloud.put(bed.store, _keys.CAPS, workspaces.encode_parts(parts))
+            _tell(bed)
+            for name in bed.owners:
+                if name != silent:
+                    await _share(bed, name)
+            if silent:
+                owner.session.caps.reports.pop(silent, None)
+            rests = owner.session.caps.rests
+            for name, (since, rest) in rests.items():
+                rests[name] = (since - age_s, rest)
+            await _share(bed, "s1")
+            held = _stored(bed).rows["w"]["s1"]
+            assert held == (unit * (1 + expected), unit, unit)
 
     asyncio.run(main())
 
@@ -345,7 +397,7 @@
                 )
             _take_over(bed, "s2")
             for owner in bed.owners.values():
-                _cap_shares.adopt_item(owner.session, lost)
+                _cap_record.adopt_item(owner.session, lost)
             await _share(bed)
             assert _plan(bed, "s1") == 2
             assert _plan(bed, "s2") == 0
@@ -366,6 +418,89 @@
     asyncio.run(main())
 
 
+async def _see_by_write(bed: Bed) -> None:
+    await _share(bed, "s2")
+    for _ in range(10):
+        with contextlib.suppress(errors.SchedulerError):
+            await _cap_shares.share(bed.owners["s1"])
+
+
+async def _see_by_unreadable_record(bed: Bed) -> None:
+    """Let a write that repairs a record find that it was removed."""
+    owner = bed.owners["s1"]
+    revision = owner.session.caps.parts.revision + 1
+    item = platform.Item(key=_keys.CAPS, value=b"\xff", revision=revision)
+    _cap_record.adopt_item(owner.session, item)
+    owner.session.caps.lost_since -= _cap_shares.REPAIR_AFTER_S
+    await _share(bed, "s1")
+    assert owner.session.caps.lost_expects == 0
+
+
+async def _see_by_listing(bed: Bed) -> None:
+    owner = bed.owners["s1"]
+    task = asyncio.create_task(_cap_shares.watch_loop(owner))
+    await asyncio.sleep(0.2)
+    task.cancel()
+    await asyncio.wait([task])
+    await _share(bed, "s1")
+
+
+async def _see_by_takeover(bed: Bed) -> None:
+    parts = bed.owners["s1"].session.caps.parts
+    successor = _take_over(bed, "s1")
+    successor.session.caps.parts = parts
+    await _share(bed, "s1")
+
+
+@pytest.mark.parametrize(
+    ("see", "writes", "repairs"),
+    [
+        pytest.param(_see_by_write, 1, True, id="write"),
+        pytest.param(_see_by_listing, 0, True, id="listing"),
+        pytest.param(_see_by_takeover, 0, False, id="takeover"),
+        pytest.param(
+            _see_by_unreadable_record, 1, True, id="after-an-unreadable-one"
+        ),
+    ],
+)
+def test_a_removal_that_the_watch_misses_is_noticed(
+    see: collections.abc.Callable[
+        [Bed], collections.abc.Coroutine[None, None, None]
+    ],
+    writes: int,
+    repairs: bool,
+) -> None:
+    """Guards against gifts that conflict ten times a second for ever."""
+
+    async def main() -> None:
+        async with _open_bed() as bed:
+            await _share(bed)
+            _tell(bed)
+            await _share(bed)
+            before = _stored(bed).rows
+            _submit(bed, "s2", 9)
+            assert _plan(bed, "s2") == 2
+            revision = bed.owners["s1"].session.caps.parts.revision
+            # Later changes of other keys raise the store's revision.
+            cloud.remove(bed.store, _keys.CAPS)
+            cloud.put(bed.store, "x", b"")
+            bed.calls.clear()
+            await see(bed)
+            board = bed.owners["s1"].session.caps
+            assert board.lost_revision > revision
+            assert board.parts.rows == before
+            assert bed.calls.count("write") == writes
+            board.lost_since -= _cap_shares.REPAIR_AFTER_S
+            await _share(bed, "s1")
+            assert (_keys.CAPS in bed.store.keys) is repairs
+            if repairs:
+                assert _stored(bed).rows == before
+                _tell(bed)
+                assert not board.lost_revision
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(
     ("capacity", "rows"),
     [
@@ -410,9 +545,9 @@
         _cap_reports.receive(board, message, 1.0)
     demands = _cap_reports.list_demands(board, "w", CAP, 1.5, max_age_s=1.0)
     assert demands["s"] == workspaces.Demand(
-        use=(250, 0, 0),
-        head=(500, 0, 0),
-        waiting=(1000, 0, 0),
+        use=(HALF // 2, 0, 0),
+        head=(HALF, 0, 0),
+        waiting=(workspaces.WHOLE, 0, 0),
         waiting_s=2.0,
     )
     assert _cap_reports.list_demands(board, "w", CAP, 2.5, max_age_s=1.0) == {}
--- a/chestnuttide/workspaces/__init__.py
+++ b/chestnuttide/workspaces/__init__.py
@@ -15,6 +15,7 @@
 PutOff = _caps.PutOff
 QuotaState = _quota.QuotaState
 Round = _caps.Round
+THOUSANDTH = _caps.THOUSANDTH
 WHOLE = _caps.WHOLE
 acquire = _quota.acquire
 age_history = _fair_share.age_history
@@ -35,7 +36,10 @@
 may_start = _caps.may_start
 parts_for = _caps.parts_for
 release = _quota.release
+rest_of = _cap_parts.rest_of
 scale = _caps.scale
+take_rest = _cap_parts.take_rest
+thousandths = _caps.thousandths
 within_rest = _caps.within_rest
 
 __all__ = [
@@ -49,6 +53,7 @@
     "PutOff",
     "QuotaState",
     "Round",
+    "THOUSANDTH",
     "WHOLE",
     "acquire",
     "age_history",
@@ -69,6 +74,9 @@
     "may_start",
     "parts_for",
     "release",
+    "rest_of",
     "scale",
+    "take_rest",
+    "thousandths",
     "within_rest",
 ]
