Let the least used of equal instances claim a service

Cause: members of equal size claimed in an order of hashes, whatever they owned already, so that two services could meet on one instance while another of the same size had none.

Change: rank_members puts the one that owns fewer services first among members of equal processor time and link.

Measured: of the four new cases of test_claims, three fail on the code before (one-owns, another-owns, one-owns-most); the fourth, a smaller instance that still comes last, passed there too. All cases of the file pass with the change.

--- a/chestnuttide/node/_claims.py
+++ b/chestnuttide/node/_claims.py
@@ -1,5 +1,7 @@
 """Claims of services without an owner."""
 
+import collections
+
 import cbor2
 import xxhash
 
@@ -49,24 +51,34 @@
 def rank_members(session: _session.Session, service: str) -> list[str]:
     """Return the members in the order in which they should claim a service.
 
-    An owner's load grows with its service, so larger instances come first.
-    The former owner comes last, as it is stopping, dead or disconnected.
+    An owner's load grows with its service, so larger instances come first, and
+    among those of equal size the ones that own fewer services. The former
+    owner comes last, as it is stopping, dead or disconnected.
     """
     former_owner = session.former_owners.get(service)
     former = former_owner.instance if former_owner else ""
+    owned = count_owned(session)
 
-    def rank_key(name: str) -> tuple[bool, float, float, int]:
+    def rank_key(name: str) -> tuple[bool, float, float, int, int]:
         member = session.members[name]
         return (
             name == former,
             -member.cores,
             -member.link_mbps,
+            owned[name],
             xxhash.xxh64_intdigest(f"{service}/{name}".encode()),
         )
 
     return sorted(session.members, key=rank_key)
 
 
+def count_owned(session: _session.Session) -> collections.Counter[str]:
+    """Return the number of services that each instance owns."""
+    return collections.Counter(
+        owner.instance for owner in session.owners.values()
+    )
+
+
 def has_former_owner_stopped(session: _session.Session, service: str) -> bool:
     """Return whether the last owner of a service has recorded its release."""
     former = session.former_owners.get(service)
--- a/chestnuttide/node/tests/test_claims.py
+++ b/chestnuttide/node/tests/test_claims.py
@@ -10,7 +10,11 @@
 
 
 def _make_session(
-    cores: dict[str, float], *, former: str = "", own_cores: float = 1.0
+    cores: dict[str, float],
+    *,
+    former: str = "",
+    own_cores: float = 1.0,
+    owners: tuple[str, ...] = (),
 ) -> _session.Session:
     """Return the session of the instance ``a``, which joined at time 0."""
     session = _session.Session(
@@ -37,6 +41,10 @@
         session.former_owners[SERVICE] = _session.Owner(
             instance=former, incarnation="", fencing_token=1
         )
+    for number, name in enumerate(owners):
+        session.owners[f"other-{number}"] = _session.Owner(
+            instance=name, incarnation="", fencing_token=1
+        )
     return session
 
 
@@ -56,6 +64,27 @@
     assert _claims.rank_members(session, SERVICE)[0] == first
 
 
+@pytest.mark.parametrize(
+    ("cores", "owners", "last"),
+    [
+        pytest.param([2.0, 2.0, 2.0], ("a",), "a", id="one-owns"),
+        pytest.param([2.0, 2.0, 2.0], ("b",), "b", id="another-owns"),
+        pytest.param(
+            [2.0, 2.0, 2.0], ("a", "b", "c", "c"), "c", id="one-owns-most"
+        ),
+        pytest.param([2.0, 2.0, 0.5], ("a",), "c", id="smaller-all-the-same"),
+    ],
+)
+def test_the_least_used_of_equal_size_claims_first(
+    cores: list[float], owners: tuple[str, ...], last: str
+) -> None:
+    """Guards against one instance with two services beside an idle one."""
+    sizes = dict(zip("abc", cores, strict=True))
+    session = _make_session(sizes, owners=owners)
+    for number in range(10):
+        assert _claims.rank_members(session, f"s{number}")[-1] == last
+
+
 @pytest.mark.parametrize(
     ("own_cores", "now", "claims"),
     [
