End an ownership whatever becomes of its release

Cause: hand_over deposed the owner only after it had stored pending changes. A fault while storing them left an ownership that plans nothing and keeps its key, for good if the instance goes on running. After a release, the instance took the ownership for a failed one until its watch showed the release.

Change: a fault in storing is logged and the release goes on; hand_over returns whether the store confirmed it, and applies the removal to the instance's own view. A lock is held meanwhile.

--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -97,7 +97,9 @@
         Whether the former owner sent its last command before this ownership
         started.
     stopping : bool
-        Whether no new run is planned because the instance is shutting down.
+        Whether no new run is planned because the service is handed over.
+    hand_over_lock : Lock
+        Held while the service is handed over.
     set_aside : Register
         Items that are left out, because handling them has failed.
     caps : CapState
@@ -134,6 +136,7 @@
     releasing: bool = False
     former_owner_stopped: bool = False
     stopping: bool = False
+    hand_over_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     set_aside: _set_aside.Register = attrs.field(
         default=attrs.Factory(_make_register, takes_self=True)
     )
--- a/chestnuttide/node/_release.py
+++ b/chestnuttide/node/_release.py
@@ -1,7 +1,6 @@
 """Confirmation and release of an ownership."""
 
 import asyncio
-import contextlib
 import time
 
 from chestnuttide import errors
@@ -144,21 +143,53 @@
     return _messages.ReleaseReply(call_id=message.call_id, released=released)
 
 
-async def hand_over(owner: _ownership.Ownership) -> None:
-    """Store pending changes and give up the ownership."""
+async def hand_over(owner: _ownership.Ownership) -> bool:
+    """Store pending changes and give up the ownership.
+
+    The ownership ends in any case. If its key stays, the instance claims the
+    service anew, unless it is shutting down.
+
+    Returns
+    -------
+    bool
+        Whether the store has confirmed the release.
+    """
     owner.stopping = True
-    with contextlib.suppress(TimeoutError):
+    async with owner.hand_over_lock:
+        await _store_pending(owner)
+        owner.deposed.set()
+        try:
+            revision = await platform.commit(
+                owner.store,
+                _release_transaction(owner.service, owner.fencing_token),
+            )
+        except errors.SchedulerError as error:
+            LOG.warning(
+                "Ownership was not handed over.",
+                service=owner.service,
+                fence=owner.fencing_token,
+                error=str(error),
+            )
+            return False
+        # Before the watch shows it, the instance would take it for a failure.
+        _session.apply_cell_item(
+            owner.session,
+            platform.Item(
+                key=_keys.owner(owner.service),
+                revision=revision,
+                removed=True,
+            ),
+        )
+        owner.session.changed.set()
+        return True
+
+
+async def _store_pending(owner: _ownership.Ownership) -> None:
+    """Store pending changes; a successor learns the others from polls."""
+    try:
         async with asyncio.timeout(CONFIRM_PERIOD_S):
             await _commits.commit_all(owner)
-    owner.deposed.set()
-    try:
-        await platform.commit(
-            owner.store,
-            _release_transaction(owner.service, owner.fencing_token),
-        )
-    except errors.SchedulerError as error:
-        LOG.warning(
-            "Ownership was not handed over; it ends with the lease.",
-            service=owner.service,
-            error=str(error),
-        )
+    except TimeoutError:
+        LOG.info("Timed out storing changes.", service=owner.service)
+    except Exception:
+        LOG.exception("Changes were not stored.", service=owner.service)
--- a/chestnuttide/node/tests/test_release.py
+++ b/chestnuttide/node/tests/test_release.py
@@ -5,6 +5,7 @@
 import pytest
 
 from chestnuttide import errors
+from chestnuttide.node import _commits
 from chestnuttide.node import _messages
 from chestnuttide.node import _ownership
 from chestnuttide.node import _peers
@@ -16,6 +17,7 @@
 NOT_CONNECTED = errors.PeerNotConnectedError(
     message="not connected", remedy="wait"
 )
+NO_ANSWER = errors.StoreUnavailableError(message="no answer", remedy="wait")
 UNANSWERED = errors.MeshError(message="unanswered", remedy="wait")
 
 
@@ -99,3 +101,49 @@
     assert transaction.expect == {"cell/owners/s": 7}
     assert transaction.remove == ("cell/owners/s",)
     assert transaction.put == {"cell/released/s": b"7"}
+
+
+@pytest.mark.parametrize(
+    "stored",
+    [
+        pytest.param(None, id="stored"),
+        pytest.param(NO_ANSWER, id="pending-changes-fail"),
+        pytest.param(ValueError("fault"), id="fault-in-a-record"),
+    ],
+)
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param(None, id="released"),
+        pytest.param(NO_ANSWER, id="answer-lost"),
+        pytest.param(platform.ConditionError(()), id="not-the-owner"),
+    ],
+)
+def test_an_ownership_ends_whatever_becomes_of_its_release(
+    stored: Exception | None,
+    answer: Exception | None,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an owner that plans nothing and keeps its service."""
+
+    async def commit_all(owner: _ownership.Ownership) -> None:
+        if stored is not None:
+            raise stored
+
+    async def commit(store: object, transaction: object) -> int:
+        if answer is not None:
+            raise answer
+        return 9
+
+    monkeypatch.setattr(_commits, "commit_all", commit_all)
+    monkeypatch.setattr(platform, "commit", commit)
+    owner = _make_owner()
+    session = owner.session
+    session.owners["s"] = _session.Owner(
+        instance="a", incarnation="a", fencing_token=7
+    )
+    assert asyncio.run(_release.hand_over(owner)) is (answer is None)
+    assert owner.deposed.is_set()
+    # Known at once, so that the instance does not claim it as a failed one.
+    assert ("s" in session.owners) is (answer is not None)
+    assert ("s" in session.former_owners) is (answer is None)
