Hand a service to a larger instance

Cause: instances claim in the order of their size, but only among those that are members at that moment, and no owner ever gave way.

Change: a loop of the owner looks four times a second at the member that would claim the service first. If it has 1.5 times the processor time, no smaller link, fewer services, a connection to the owner, and has been a member for 2 s (5 s if it lost the service before), and the ownership is 2 s old and confirmed within 1.5 s, the owner releases the service in order. The session notes when each member joined, and to which membership it handed a service, which gets it once. The ownership ends only with its release, so that the instance does not claim the service anew meanwhile. Each hand-over goes to a larger instance, so none goes back. chestnuttide_handovers_total{outcome} counts them.

Measured: with _owner.py of the code before, the process test test_work_goes_on_while_a_larger_instance_takes_a_service fails (the ownership has not moved 6 s after the larger daemon is ready), as does test_an_ownership_does_not_end_before_its_release. With the change all 114 cases of test_handover pass. Without the lines that remember the membership, test_an_instance_that_leaves_a_service_unclaimed_is_not_asked_again [still-a-member] fails. test_a_service_that_was_not_released_is_claimed_anew also passes with _release.py of the code before; it guards the daemon's side.

--- a/chestnuttide/node/_claims.py
+++ b/chestnuttide/node/_claims.py
@@ -53,9 +53,12 @@
 
     An owner's load grows with its service, so larger instances come first, and
     among those of equal size the ones that own fewer services. The former
-    owner comes last, as it is stopping, dead or disconnected.
+    owner comes last, as it is stopping, dead or disconnected; the present one
+    counts as such, so the first is the one that a release makes the owner.
     """
-    former_owner = session.former_owners.get(service)
+    former_owner = session.owners.get(service) or session.former_owners.get(
+        service
+    )
     former = former_owner.instance if former_owner else ""
     owned = count_owned(session)
 
--- a/chestnuttide/node/_metrics.py
+++ b/chestnuttide/node/_metrics.py
@@ -59,6 +59,9 @@
         ``chestnuttide_takeovers_total{outcome}``, takeovers of services that
         were ``started``, and those that became ``complete`` or were
         ``abandoned`` because the ownership had ended.
+    handovers : Counter
+        ``chestnuttide_handovers_total{outcome}``, services that a small
+        instance ``released`` for a larger one, and releases that ``failed``.
     put_off : Counter
         ``chestnuttide_put_off_total{reason}``, starts that were put off by
         the ``cap`` of a workspace, and times that a workspace came to be over
@@ -111,6 +114,7 @@
     given_up: aioprometheus.Counter
     waiting_tasks: aioprometheus.Gauge
     takeovers: aioprometheus.Counter
+    handovers: aioprometheus.Counter
     put_off: aioprometheus.Counter
     cap_writes: aioprometheus.Counter
     unreadable: aioprometheus.Counter
@@ -162,6 +166,9 @@
             registry=registry,
         ),
         takeovers=counter("takeovers", "Takeovers, by outcome."),
+        handovers=counter(
+            "handovers", "Services given to a larger instance, by outcome."
+        ),
         put_off=counter(
             "put_off", "Starts put off for a workspace, by reason."
         ),
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -13,6 +13,7 @@
 from chestnuttide.node import _commands
 from chestnuttide.node import _commits
 from chestnuttide.node import _directory_sync
+from chestnuttide.node import _handover
 from chestnuttide.node import _keys
 from chestnuttide.node import _ownership
 from chestnuttide.node import _release
@@ -82,6 +83,9 @@
         for task in loops:
             task.cancel()
         await asyncio.gather(*loops, return_exceptions=True)
+        # Claimed anew meanwhile, the service would stay here.
+        async with owner.hand_over_lock:
+            pass
         _set_waiting_tasks(owner, collections.Counter())
         LOG.info(
             "Ownership has ended.",
@@ -103,6 +107,7 @@
             _watch_workers, revision=listed.workers
         ),
         "confirm_loop": _release.confirm_loop,
+        "hand_over_loop": _handover.hand_over_loop,
         "sync_loop": _directory_sync.sync_loop,
         "snapshot_loop": _run_time_snapshots.snapshot_loop,
         "share_loop": _cap_shares.share_loop,
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -92,6 +92,8 @@
         When the lease was granted.
     members : dict of str to Member
         Live instances by name.
+    member_since : dict of str to float
+        When each live instance was seen to join, or listed anew.
     former_members : dict of str to (str, float)
         Address of each instance whose membership has ended, and when.
     owners : dict of str to Owner
@@ -103,6 +105,9 @@
         before its key was removed.
     failed_fencing_tokens : dict of str to int
         Fencing token of this instance's last failed ownership, by service.
+    handed_to : dict of str to (str, float)
+        The instance that this one last handed each service to, and since when
+        that was a member.
     ownerless_since : dict of str to float
         When each service without an owner was first seen so.
     cell_known : bool
@@ -142,11 +147,13 @@
     lease: int = 0
     joined_at: float = 0.0
     members: dict[str, Member] = attrs.field(factory=dict)
+    member_since: dict[str, float] = attrs.field(factory=dict)
     former_members: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     owners: dict[str, Owner] = attrs.field(factory=dict)
     former_owners: dict[str, Owner] = attrs.field(factory=dict)
     released: dict[str, int] = attrs.field(factory=dict)
     failed_fencing_tokens: dict[str, int] = attrs.field(factory=dict)
+    handed_to: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     ownerless_since: dict[str, float] = attrs.field(factory=dict)
     cell_known: bool = False
     config: platform.ClusterConfig | None = None
@@ -266,6 +273,7 @@
             _end_membership(session, name)
         else:
             session.members[name] = value
+            session.member_since[name] = _clock.now()
             session.former_members.pop(name, None)
         return
     if item.key.startswith(_keys.RELEASED):
@@ -349,6 +357,7 @@
 
 
 def _end_membership(session: Session, name: str) -> None:
+    session.member_since.pop(name, None)
     member = session.members.pop(name, None)
     if member is not None:
         session.former_members[name] = (member.address, _clock.now())
