Bound the starts that an owner has in flight

Each unanswered start that was sent cost a poll, a stop and a poll, and the supervision sent a stop of its own within 0.1 s, so that late starts ran and were stopped. The owner made itself more work than it had.

Change: _start_window keeps how many starts are in flight. It grows with answers, shrinks by half after a start that was not answered in time, once a timeout, and sends three to a worker. The others wait in PLANNED, long-running tasks and urgent queues first. Their lease is recorded when they are sent. One whose ticket would expire, whose worker is unusable or that has waited for 1 s is planned anew, and one of a cancelled job is dropped. While many starts are unanswered, the polls in progress have 0.45 s to list a run before a stop.

--- a/chestnuttide/node/_metrics.py
+++ b/chestnuttide/node/_metrics.py
@@ -61,8 +61,11 @@
         ``abandoned`` because the ownership had ended.
     put_off : Counter
         ``chestnuttide_put_off_total{reason}``, starts that were put off by
-        the ``cap`` of a workspace, and times that a workspace came to be over
-        its ``share`` of all capacity.
+        the ``cap`` of a workspace or the ``window`` of starts in flight, and
+        times that a workspace came to be over its ``share`` of all capacity.
+    start_window : Gauge
+        ``chestnuttide_start_window{service}``, how many starts the owner may
+        have in flight; see ``_start_window``.
     cap_writes : Counter
         ``chestnuttide_cap_writes_total{outcome}``, writes of the parts of
         caps that services hold.
@@ -112,6 +115,7 @@
     waiting_tasks: aioprometheus.Gauge
     takeovers: aioprometheus.Counter
     put_off: aioprometheus.Counter
+    start_window: aioprometheus.Gauge
     cap_writes: aioprometheus.Counter
     unreadable: aioprometheus.Counter
     set_aside: aioprometheus.Counter
@@ -162,8 +166,11 @@
             registry=registry,
         ),
         takeovers=counter("takeovers", "Takeovers, by outcome."),
-        put_off=counter(
-            "put_off", "Starts put off for a workspace, by reason."
+        put_off=counter("put_off", "Starts put off, by reason."),
+        start_window=aioprometheus.Gauge(
+            "chestnuttide_start_window",
+            "Starts that an owner may have in flight.",
+            registry=registry,
         ),
         cap_writes=counter(
             "cap_writes", "Writes of the parts of caps, by outcome."
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -18,6 +18,7 @@
 from chestnuttide.node import _release
 from chestnuttide.node import _run_time_snapshots
 from chestnuttide.node import _set_aside
+from chestnuttide.node import _starts
 from chestnuttide.node import _takeover
 from chestnuttide.node import _updates
 from chestnuttide.node import _watches
@@ -186,6 +187,7 @@
         "deadly tasks": lambda: _give_up_deadly_tasks(owner, now, unix_time),
         "run times": lambda: _run_time_snapshots.supervise(owner, now),
         "draining workers": lambda: _evacuate(owner, now),
+        "starts": lambda: _starts.supervise(owner),
         "stops": lambda: _send_due_stops(owner),
         "waiting tasks": lambda: _report_waiting_tasks(owner, now),
         "unstored jobs": lambda: _drop_unstored_jobs(owner, now),
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -10,6 +10,7 @@
 from chestnuttide.node import _metrics
 from chestnuttide.node import _session
 from chestnuttide.node import _set_aside
+from chestnuttide.node import _start_window
 from chestnuttide import platform
 from chestnuttide import telemetry
 from chestnuttide import workloads
@@ -76,6 +77,8 @@
         Poll loop of each worker incarnation.
     commands : set of Task
         Commands in progress.
+    starts : StartWindow
+        Starts that are in flight or wait.
     advisor_queries : set of str
         Instances that have an advisor query in progress.
     waiting_queries : tuple of AdvisorQuery
@@ -124,6 +127,9 @@
     plan_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
     poll_loops: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     commands: set[asyncio.Task[None]] = attrs.field(factory=set)
+    starts: _start_window.StartWindow = attrs.field(
+        factory=_start_window.StartWindow
+    )
     advisor_queries: set[str] = attrs.field(factory=set)
     waiting_queries: tuple[workloads.AdvisorQuery, ...] = ()
     obsolete_keys: list[str] = attrs.field(factory=list)
--- a/chestnuttide/node/_starts.py
+++ b/chestnuttide/node/_starts.py
@@ -7,12 +7,18 @@
 from chestnuttide.node import _commands
 from chestnuttide.node import _ownership
 from chestnuttide.node import _polls
+from chestnuttide.node import _start_window
 from chestnuttide import platform
 from chestnuttide import telemetry
 from chestnuttide import workloads
 
 LOG = telemetry.make_logger("worker")
 
+# An owner that is behind waits for this long for the polls in progress to list
+# a run whose start was not answered. It is less than the time after which a
+# stop is sent again, so that the supervision sends none of its own.
+SETTLE_S = 0.45
+
 
 def start_recorded_runs(
     owner: _ownership.Ownership, job: workloads.Job
@@ -20,23 +26,100 @@
     """Start the planned runs of an accepted job whose record is stored."""
     if not job.accepted:
         return
-    recorded = [
-        run
-        for unit in job.units.values()
-        for run in unit.runs
-        if run.phase == workloads.Phase.PLANNED
-        and run.recorded
-        and not run.stopping
-    ]
-    for run in recorded:
-        if run not in run.unit.runs:
-            # Dropped with another member of its gang.
+    now = _clock.now()
+    for unit in job.units.values():
+        for run in unit.runs:
+            if run.recorded and workloads.is_unsent(run):
+                _start_window.add(owner.starts, run, now=now)
+    send_waiting_starts(owner)
+
+
+def send_waiting_starts(owner: _ownership.Ownership) -> None:
+    """Send the starts that the window has room for, most urgent first."""
+    now = _clock.now()
+    window = owner.starts
+    while not owner.deposed.is_set():
+        start = _start_window.take_next(window)
+        if start is None:
+            break
+        run = start.run
+        # Dropped with its job, or with another member of its gang.
+        if not workloads.is_unsent(run):
+            continue
+        reason = _reason_against(owner, start, now)
+        if reason:
+            _plan_anew(owner, run, reason)
             continue
-        worker = workloads.begin_start(owner.pool, run, now=_clock.now())
+        worker = workloads.begin_start(owner.pool, run, now=now)
         if worker is None:
             _commands.end_run(owner, run, "never")
-        else:
-            _ownership.start_command(owner, _start(owner, worker, run))
+            continue
+        _start_window.record_sent(window, worker.key)
+        _ownership.start_command(owner, _start(owner, worker, run))
+    put_off = _start_window.count_put_off(window)
+    if put_off:
+        owner.metrics.put_off.add({"reason": "window"}, put_off)
+
+
+def supervise(owner: _ownership.Ownership) -> None:
+    """Plan the starts anew that can no longer be sent, and send others."""
+    now = _clock.now()
+    window = owner.starts
+    unsendable = _start_window.take_unsendable(
+        window, lambda start: _reason_against(owner, start, now)
+    )
+    for run, reason in unsendable:
+        if workloads.is_unsent(run):
+            _plan_anew(owner, run, reason)
+    send_waiting_starts(owner)
+    owner.metrics.start_window.set(
+        {"service": owner.service}, int(window.size)
+    )
+
+
+def _reason_against(
+    owner: _ownership.Ownership,
+    start: _start_window.WaitingStart,
+    now: float,
+) -> str:
+    """Return why a start is not to be sent, or ""."""
+    run = start.run
+    if not workloads.is_unsent(run):
+        return "dropped"
+    if not _arrives_with_ticket(owner, run, now):
+        return "expired_ticket"
+    if now - start.since < _start_window.SHORT_WAIT_S:
+        return ""
+    worker = owner.pool.workers.get(run.worker_key)
+    if worker is None or not workloads.is_usable(worker, now):
+        return "unusable_worker"
+    if now - start.since > _start_window.MAX_WAIT_S:
+        return "waited"
+    return ""
+
+
+def _arrives_with_ticket(
+    owner: _ownership.Ownership, run: workloads.Run, now: float
+) -> bool:
+    return workloads.has_valid_ticket(
+        run, arrives_at=now + owner.starts.latency_s
+    )
+
+
+def _plan_anew(
+    owner: _ownership.Ownership, run: workloads.Run, reason: str
+) -> None:
+    """End a run whose start was never sent, so that it is planned anew."""
+    owner.metrics.retries.inc({"reason": f"start_{reason}"})
+    LOG.info(
+        "Start is planned anew.",
+        job=run.job.spec.id,
+        task=run.task,
+        run=run.number,
+        worker=run.worker_key,
+        reason=reason,
+    )
+    _commands.end_run(owner, run, "never")
 
 
 async def _start(
@@ -59,22 +142,7 @@
     run: workloads.Run,
 ) -> None:
     try:
-        reply = await platform.start_run(
-            owner.workers_http,
-            _commands.worker_address(worker),
-            task=run.task,
-            run=run.number,
-            payload=run.job.spec.payload,
-            deadline_ms=run.deadline_ms,
-            fencing_token=owner.fencing_token,
-            checkpoint=run.checkpoint,
-            ticket=run.ticket,
-            timeout_s=_commands.COMMAND_TIMEOUT_S,
-            may_send=lambda: (
-                _ownership.may_send_commands(owner)
-                and workloads.may_send_start(run)
-            ),
-        )
+        reply = await _call_worker(owner, worker, run)
     except errors.PlatformError as error:
         if error.sent:
             if run.phase == workloads.Phase.START_SENT:
@@ -98,6 +166,61 @@
     _handle_start_reply(owner, worker, run, reply)
 
 
+async def _call_worker(
+    owner: _ownership.Ownership,
+    worker: workloads.Worker,
+    run: workloads.Run,
+) -> platform.CommandReply:
+    """Send a start, and let the window learn from what became of it."""
+    sent_at = _clock.now()
+    window = owner.starts
+    try:
+        reply = await platform.start_run(
+            owner.workers_http,
+            _commands.worker_address(worker),
+            task=run.task,
+            run=run.number,
+            payload=run.job.spec.payload,
+            deadline_ms=run.deadline_ms,
+            fencing_token=owner.fencing_token,
+            checkpoint=run.checkpoint,
+            ticket=run.ticket,
+            timeout_s=_commands.COMMAND_TIMEOUT_S,
+            may_send=lambda: (
+                _ownership.may_send_commands(owner)
+                and workloads.may_send_start(run)
+                and _arrives_with_ticket(owner, run, _clock.now())
+            ),
+        )
+    except errors.PlatformError:
+        now = _clock.now()
+        if now - sent_at >= _commands.COMMAND_TIMEOUT_S:
+            _shrink_window(owner, sent_at, now)
+        raise
+    else:
+        _start_window.record_answer(window, _clock.now() - sent_at)
+        return reply
+    finally:
+        _start_window.record_end(window, worker.key)
+        send_waiting_starts(owner)
+
+
+def _shrink_window(
+    owner: _ownership.Ownership, sent_at: float, now: float
+) -> None:
+    window = owner.starts
+    if not _start_window.record_unanswered(window, sent_at=sent_at, now=now):
+        return
+    if _start_window.may_log_shrink(window, now=now):
+        LOG.warning(
+            "Starts are not answered in time; sending fewer at once.",
+            service=owner.service,
+            window=int(window.size),
+            waiting=len(window.waiting),
+            mean_answer_s=round(window.latency_s, 3),
+        )
+
+
 async def _resolve_unanswered_start(
     owner: _ownership.Ownership,
     worker: workloads.Worker,
@@ -106,9 +229,23 @@
     """Find out promptly whether an unanswered start took effect.
 
     A worker that does not list the run may still execute the start until it
-    has acknowledged a stop for that run.
+    has acknowledged a stop for that run. An owner that is behind leaves it to
+    the poll loop to list the run: further calls would put it further behind,
+    and the stop of a start that is only late throws work away.
     """
-    await _polls.poll_worker(owner, worker, wait_s=0.0)
+    unanswered_at = _clock.now()
+    if (
+        run.phase == workloads.Phase.UNCERTAIN
+        and not run.stopping
+        and _start_window.is_behind(owner.starts, now=unanswered_at)
+    ):
+        run.stop_sent_at = unanswered_at
+        await asyncio.sleep(SETTLE_S)
+    if (
+        run.phase == workloads.Phase.UNCERTAIN
+        and worker.last_reply_at <= unanswered_at
+    ):
+        await _polls.poll_worker(owner, worker, wait_s=0.0)
     if (
         run.phase != workloads.Phase.UNCERTAIN
         or not _ownership.may_send_commands(owner)
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -59,6 +59,7 @@
 cancel_job = _lifecycle.cancel_job
 confirm_start = _poll_replies.confirm_start
 count_by_workspace = _waiting.count_by_workspace
+count_planned = _starts.count_planned
 count_waiting_tasks = _waiting.count_waiting_tasks
 decide_admission = _admission.decide
 decode_job = _records.decode_job
@@ -76,7 +77,9 @@
 explain_wait = _waiting.explain_wait
 find_stalled = _supervision.find_stalled
 former_incarnations = _incarnations.former_incarnations
+has_valid_ticket = _starts.has_valid_ticket
 is_removable = _poll_replies.is_removable
+is_unsent = _starts.is_unsent
 is_usable = _planning.is_usable
 describe_admission = _admission.list_row
 lease_deadline_ms = _poll_replies.lease_deadline_ms
@@ -148,6 +151,7 @@
     "cancel_job",
     "confirm_start",
     "count_by_workspace",
+    "count_planned",
     "count_waiting_tasks",
     "decide_admission",
     "decode_job",
@@ -165,7 +169,9 @@
     "explain_wait",
     "find_stalled",
     "former_incarnations",
+    "has_valid_ticket",
     "is_removable",
+    "is_unsent",
     "is_usable",
     "describe_admission",
     "lease_deadline_ms",
--- a/chestnuttide/workloads/_advisor_queries.py
+++ b/chestnuttide/workloads/_advisor_queries.py
@@ -71,6 +71,11 @@
     return max(1, int(extra_s / advice.per_worker_s))
 
 
+def ticket_margin_s(advice: _specs.Advice) -> float:
+    """Return how long before its expiry a ticket is planned with last."""
+    return min(TICKET_MARGIN_S, advice.validity_s / 2)
+
+
 def record_query(query: AdvisorQuery) -> None:
     """Record that an advisor query is in flight."""
     advice = query.job.advice[(query.occurrence, query.step)]
@@ -105,7 +110,9 @@
         advice.retry_at = now + retry_s
         return
     validity_s = query.job.spec.queue.advice.validity_s
-    usable_until = now + validity_s - min(TICKET_MARGIN_S, validity_s / 2)
+    usable_until = (
+        now + validity_s - ticket_margin_s(query.job.spec.queue.advice)
+    )
     for worker in query.workers:
         ticket = tickets.get(worker.report.id)
         advice.allowed[worker.key] = ticket is not None
--- a/chestnuttide/workloads/_starts.py
+++ b/chestnuttide/workloads/_starts.py
@@ -1,6 +1,7 @@
 """Start commands of runs: their leases, and whether one may still be sent."""
 
 from chestnuttide import model
+from chestnuttide.workloads import _advisor_queries
 from chestnuttide.workloads import _poll_replies
 from chestnuttide.workloads import _state
 
@@ -55,6 +56,47 @@
     )
 
 
+def has_valid_ticket(run: _state.Run, *, arrives_at: float) -> bool:
+    """Return whether a start's ticket is valid when the start arrives.
+
+    A newer ticket for the same step and worker takes the place of the run's.
+    A run that needs no ticket has none.
+    """
+    advice = run.job.advice.get(run.unit.key[:2])
+    if not run.ticket or advice is None:
+        return True
+    ticket, usable_until = advice.tickets.get(run.worker_key, ("", 0.0))
+    policy = run.job.spec.queue.advice
+    margin_s = 0.0
+    if policy is not None:
+        margin_s = _advisor_queries.ticket_margin_s(policy)
+    if not ticket or usable_until + margin_s <= arrives_at:
+        return False
+    run.ticket = ticket
+    return True
+
+
+def is_unsent(run: _state.Run) -> bool:
+    """Return whether a recorded run still exists and was not sent yet.
+
+    A run that is only planned is dropped when its job is cancelled.
+    """
+    return (
+        run in run.unit.runs
+        and run.phase == _state.Phase.PLANNED
+        and not run.stopping
+    )
+
+
+def count_planned(pool: _state.Pool) -> int:
+    """Return how many planned runs were not sent yet."""
+    return sum(
+        run.phase == _state.Phase.PLANNED
+        for worker in pool.workers.values()
+        for run in worker.runs.values()
+    )
+
+
 def may_send_start(run: _state.Run) -> bool:
     """Return whether a start that has begun may still be sent.
 
