Plan no more runs than an owner can send soon

Cause: an owner that was behind planned as many runs as there was capacity for.

Long-running tasks and the most urgent queue may go 16 beyond it. Jobs without room are skipped, with their advisor queries.

Measured: the new tests of test_planning fail on the code before, because make_plan has no such argument.

--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -18,6 +18,7 @@
 from chestnuttide.node import _release
 from chestnuttide.node import _run_time_snapshots
 from chestnuttide.node import _set_aside
+from chestnuttide.node import _start_window
 from chestnuttide.node import _starts
 from chestnuttide.node import _takeover
 from chestnuttide.node import _updates
@@ -158,6 +159,9 @@
             now=started_at,
             max_queries=_advisor_queries.max_queries(owner),
             caps=caps,
+            max_runs=_start_window.room(
+                owner.starts, planned=workloads.count_planned(owner.pool)
+            ),
         )
         _cap_shares.record_round(owner, caps, plan, started_at)
         for job, error in plan.failed:
--- a/chestnuttide/workloads/_free_capacity.py
+++ b/chestnuttide/workloads/_free_capacity.py
@@ -14,6 +14,10 @@
 from chestnuttide.workloads import _trials
 from chestnuttide import workspaces
 
+# Runs of long-running tasks and of the most urgent queue that are planned in a
+# round beyond the limit of an owner with many waiting starts.
+URGENT_STARTS = 16
+
 # Share of the service's processors that is reserved for its most urgent queue
 # while the service is busy, so that its work starts at once at the peak. The
 # reserve is not tied to a worker: the same share of each worker would leave
@@ -109,6 +113,9 @@
         for this order.
     relative_run_times : dict of (str, bool) to float
         Run times on workers, see `_pace.Pace`.
+    starts_left : float
+        Runs that may still be planned while starts wait to be sent; less than
+        0 once urgent work has taken more.
     """
 
     pool: _state.Pool
@@ -128,6 +135,7 @@
     reserving_priorities: set[int] = attrs.field(factory=set)
     caps: workspaces.Round | None = None
     capped_units: set[_state.Unit] = attrs.field(factory=set)
+    starts_left: float = math.inf
 
 
 def make_view(
@@ -159,12 +167,20 @@
     )
 
 
+def may_plan_starts(view: CapacityView, job: _state.Job) -> bool:
+    """Return whether a job's runs may be planned while starts wait."""
+    queue = job.spec.queue
+    urgent = job.is_long_running or queue.priority == view.top_priority
+    return view.starts_left > (-URGENT_STARTS if urgent else 0)
+
+
 def allocate(
     view: CapacityView, worker: _state.Worker, run: _state.Run
 ) -> None:
     """Allocate the capacity of a run that is planned in this round."""
     _state.allocate(worker, run)
     view.spare_cpu_millis -= run.need.cpu_millis
+    view.starts_left -= 1
     workspace = run.job.spec.workspace
     if view.caps is not None and workspace:
         need = _lifecycle.step_of(run.unit, run.job).need
@@ -177,6 +193,7 @@
     """Free the capacity of a run that is dropped again in this round."""
     _state.deallocate(worker, run)
     view.spare_cpu_millis += run.need.cpu_millis
+    view.starts_left += 1
     workspace = run.job.spec.workspace
     if view.caps is not None and workspace:
         need = _lifecycle.step_of(run.unit, run.job).need
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -99,6 +99,7 @@
     now: float,
     max_queries: int | None = None,
     caps: workspaces.Round | None = None,
+    max_runs: int | None = None,
 ) -> Plan:
     """Place waiting units on workers and select advisor queries.
 
@@ -114,6 +115,9 @@
     caps : Round or None
         Caps and shares of workspaces, whose record of what is put off the
         round fills; None if there are no workspaces.
+    max_runs : int or None
+        How many runs may be planned while starts wait, less than 0 by those
+        planned beyond it; None for no limit. Urgent work may take a few more.
     """
     runs: list[_state.Run] = []
     queries: list[_advisor_queries.AdvisorQuery] = []
@@ -125,8 +129,13 @@
     if not usable:
         return Plan(runs=(), queries=())
     view = _free_capacity.make_view(pool, usable, now=now, caps=caps)
+    if max_runs is not None:
+        view.starts_left = max_runs
     failed: list[tuple[_state.Job, Exception]] = []
     for job in _ordering.in_turn(view, pool.active.values()):
+        if not _free_capacity.may_plan_starts(view, job):
+            # Its advice would expire while other starts are sent.
+            continue
         try:
             for step in _waiting_steps(job, view):
                 may_query = max_queries is None or len(queries) < max_queries
@@ -556,6 +565,8 @@
     runs: list[_state.Run] = []
     unplaced = 0
     for unit in step.waiting:
+        if not _free_capacity.may_plan_starts(view, step.job):
+            break
         if not _free_capacity.is_within_cap(view, step.job, unit, step.demand):
             # It needs neither a reservation nor advice until its turn.
             placed, waits = [], True
--- a/chestnuttide/workloads/tests/test_planning.py
+++ b/chestnuttide/workloads/tests/test_planning.py
@@ -422,3 +422,49 @@
     plan = workloads.make_plan(pool, now=1.0, max_queries=max_queries)
     assert [query.job.spec.queue.priority for query in plan.queries] == queried
     assert len(plan.runs) == 1
+
+
+@pytest.mark.parametrize(
+    ("max_runs", "planned"),
+    [
+        pytest.param(
+            None, {"lasting": 20, "urgent": 20, "batch": 20}, id="no-limit"
+        ),
+        pytest.param(
+            50, {"lasting": 20, "urgent": 20, "batch": 10}, id="some-room"
+        ),
+        pytest.param(0, {"lasting": 16}, id="no-room"),
+        pytest.param(-10, {"lasting": 6}, id="beyond-the-limit"),
+        pytest.param(-16, {}, id="urgent-work-has-used-its-bound"),
+    ],
+)
+def test_no_more_runs_are_planned_than_can_be_sent(
+    max_runs: int | None, planned: dict[str, int]
+) -> None:
+    """Guards against starts that wait until their tickets expire.
+
+    An owner that is behind planned as many runs as there was capacity for.
+    """
+    pool = _pool_fixtures.make_pool(2, cpu=64000)
+    pool.top_priority = 0
+    for number, (name, priority) in enumerate(
+        [("batch", 2), ("urgent", 0), ("lasting", 2)]
+    ):
+        _pool_fixtures.submit(
+            pool,
+            _pool_fixtures.make_step(count=20, lasting=name == "lasting"),
+            job_id=f"{number:016x}",
+            name=name,
+            priority=priority,
+        )
+    plan = workloads.make_plan(pool, now=0.1, max_runs=max_runs)
+    names = [run.job.spec.queue.name for run in plan.runs]
+    assert {name: names.count(name) for name in set(names)} == planned
+
+
+def test_a_gang_is_planned_whole_or_not_at_all() -> None:
+    """Guards against a part of a gang that waits for its other members."""
+    pool = _pool_fixtures.make_pool(2)
+    _pool_fixtures.submit(pool, _pool_fixtures.make_step(count=8, gang=True))
+    assert not workloads.make_plan(pool, now=0.1, max_runs=-16).runs
+    assert len(workloads.make_plan(pool, now=0.1, max_runs=1).runs) == 8
