Let a gang that has begun to start wait for its turn

Cause: with the window of starts, a member that had waited for 1 s was planned anew, which stops and starts over the members that were sent already.

Change: the age of a start counts only while no member of its unit was sent. A start that fails just under its timeout counts as too late, and an instance that no longer owns a service shows 0 as its window.

Measured: the case a-member-was-sent of the new test failed before the change of _starts.py and passes with it; test_starts passes (21).

--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -85,6 +85,7 @@
             task.cancel()
         await asyncio.gather(*loops, return_exceptions=True)
         _set_waiting_tasks(owner, collections.Counter())
+        owner.metrics.start_window.set({"service": owner.service}, 0)
         LOG.info(
             "Ownership has ended.",
             service=owner.service,
--- a/chestnuttide/node/_starts.py
+++ b/chestnuttide/node/_starts.py
@@ -14,6 +14,9 @@
 
 LOG = telemetry.make_logger("worker")
 
+# A start that fails after this time was too late, and was not refused.
+TIMED_OUT_S = 0.9 * _commands.COMMAND_TIMEOUT_S
+
 # An owner that is behind waits for this long for the polls in progress to list
 # a run whose start was not answered. It is less than the time after which a
 # stop is sent again, so that the supervision sends none of its own.
@@ -93,7 +96,10 @@
     worker = owner.pool.workers.get(run.worker_key)
     if worker is None or not workloads.is_usable(worker, now):
         return "unusable_worker"
-    if now - start.since > _start_window.MAX_WAIT_S:
+    # A gang of which a member was sent would be stopped and start over.
+    if now - start.since > _start_window.MAX_WAIT_S and all(
+        map(workloads.is_unsent, run.unit.runs)
+    ):
         return "waited"
     return ""
 
@@ -194,7 +200,7 @@
         )
     except errors.PlatformError:
         now = _clock.now()
-        if now - sent_at >= _commands.COMMAND_TIMEOUT_S:
+        if now - sent_at >= TIMED_OUT_S:
             _shrink_window(owner, sent_at, now)
         raise
     else:
--- a/chestnuttide/node/tests/test_starts.py
+++ b/chestnuttide/node/tests/test_starts.py
@@ -365,3 +365,37 @@
         assert not owner.starts.in_flight
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("sent", "left"),
+    [
+        pytest.param(0, 0, id="no-member-was-sent"),
+        pytest.param(1, 2, id="a-member-was-sent"),
+    ],
+)
+def test_a_gang_that_has_begun_to_start_is_not_planned_anew(
+    monkeypatch: pytest.MonkeyPatch, sent: int, left: int
+) -> None:
+    """Guards against a gang that starts over because one member waited."""
+    _record_sends(monkeypatch)
+
+    async def main() -> None:
+        owner = _make_owner()
+        _fill_window(owner)
+        job = _pool_fixtures.submit(
+            owner.pool, _pool_fixtures.make_step(count=3, gang=True)
+        )
+        runs = workloads.make_plan(owner.pool, now=_clock.now()).runs
+        for run in runs:
+            run.recorded = True
+        owner.starts.in_flight["other"] -= sent
+        _starts.start_recorded_runs(owner, job)
+        owner.starts.in_flight["other"] += sent
+        for start in owner.starts.waiting.values():
+            start.since -= 1.1
+        _starts.supervise(owner)
+        assert len(owner.starts.waiting) == left
+        await asyncio.gather(*owner.commands)
+
+    asyncio.run(main())
