--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -18,6 +18,8 @@
 from chestnuttide.node import _release
 from chestnuttide.node import _run_time_snapshots
 from chestnuttide.node import _set_aside
+from chestnuttide.node import _start_window
+from chestnuttide.node import _starts
 from chestnuttide.node import _takeover
 from chestnuttide.node import _updates
 from chestnuttide.node import _waiting_reports
@@ -85,6 +87,7 @@
         async with owner.hand_over_lock:
             pass
         _waiting_reports.clear(owner)
+        owner.metrics.start_window.set({"service": owner.service}, 0)
         LOG.info(
             "Ownership has ended.",
             always=True,
@@ -161,6 +164,9 @@
             now=started_at,
             query_limit=_advisor_queries.make_query_limit(owner),
             caps=caps,
+            max_runs=_start_window.room(
+                owner.starts, planned=workloads.count_planned(owner.pool)
+            ),
         )
         _cap_shares.record_round(owner, caps, plan, started_at)
         for job, error in plan.failed:
@@ -198,6 +204,7 @@
         "deadly tasks": lambda: _give_up_deadly_tasks(owner, now, unix_time),
         "run times": lambda: _run_time_snapshots.supervise(owner, now),
         "draining workers": lambda: _evacuate(owner, now),
+        "starts": lambda: _starts.supervise(owner),
         "stops": lambda: _send_due_stops(owner),
         "waiting tasks": lambda: _waiting_reports.report(owner, now),
         "unstored jobs": lambda: _drop_unstored_jobs(owner, now),
