Index worker incarnations by worker id

Cause: applying one worker's entry walked all workers three times, so a takeover took time with the square of their number; and it wrote a line "Worker has reported." for each worker, which used up the limit of log lines a second and hid the takeover's own line.

Change: the pool keeps its worker incarnations by worker id (workloads/_worker_index.py), right at each of the four places that add or remove one. The line is written only after the takeover.

--- a/chestnuttide/node/_polls.py
+++ b/chestnuttide/node/_polls.py
@@ -69,7 +69,7 @@
             worker.failed_polls = 0
             owner.plan_requested.set()
         _expire_runs(owner, worker)
-    owner.pool.workers.pop(worker.key, None)
+    workloads.remove_worker(owner.pool, worker)
     owner.pool.unknown_runs.pop(worker.key, None)
     LOG.info("Worker is no longer polled.", worker=worker.key)
 
--- a/chestnuttide/node/_updates.py
+++ b/chestnuttide/node/_updates.py
@@ -56,9 +56,8 @@
 
 
 def _unlist(owner: _ownership.Ownership, worker_id: str) -> None:
-    for worker in owner.pool.workers.values():
-        if worker.report.id == worker_id:
-            worker.listed = False
+    for worker in workloads.list_incarnations(owner.pool, worker_id):
+        worker.listed = False
 
 
 def _apply_worker_entry(
@@ -82,11 +81,7 @@
     if report.service != owner.service:
         _unlist(owner, worker_id)
         return
-    current = [
-        worker
-        for worker in owner.pool.workers.values()
-        if worker.report.id == worker_id
-    ]
+    current = workloads.list_incarnations(owner.pool, worker_id)
     if any(each.report.born_ms > report.born_ms for each in current):
         LOG.info(
             "Worker entry is older than the worker's incarnation.",
@@ -103,7 +98,8 @@
         lease_until=_former_lease_expiry(owner),
     )
     end_former_incarnations(owner, worker)
-    if known is None or draining != report.draining:
+    # A takeover's lines would use up the limit of log lines.
+    if owner.ready and (known is None or draining != report.draining):
         LOG.info(
             "Worker has reported.",
             worker=key,
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -20,6 +20,7 @@
 from chestnuttide.workloads import _supervision
 from chestnuttide.workloads import _waiting
 from chestnuttide.workloads import _worker_health
+from chestnuttide.workloads import _worker_index
 
 AdmissionState = _admission.AdmissionState
 AdmissionVerdict = _admission.Verdict
@@ -58,6 +59,7 @@
 begin_start = _starts.begin_start
 cancel_job = _lifecycle.cancel_job
 confirm_start = _poll_replies.confirm_start
+add_worker = _worker_index.add_worker
 count_by_workspace = _waiting.count_by_workspace
 count_waiting_tasks = _waiting.count_waiting_tasks
 decide_admission = _admission.decide
@@ -80,6 +82,7 @@
 is_usable = _planning.is_usable
 describe_admission = _admission.list_row
 lease_deadline_ms = _poll_replies.lease_deadline_ms
+list_incarnations = _worker_index.list_incarnations
 list_run_times = _run_time_rows.list_run_times
 listed_capacity = _state.listed_capacity
 make_plan = _planning.make_plan
@@ -95,6 +98,7 @@
 record_stop_answer = _stops.record_stop_answer
 refresh_run_times = _run_observations.refresh
 release_due_occurrences = _lifecycle.release_due_occurrences
+remove_worker = _worker_index.remove_worker
 requested_by_workspace = _state.requested_by_workspace
 remember_doubtful = _admission.remember_doubtful
 settle_crashes = _crashes.settle_crashes
@@ -147,6 +151,7 @@
     "begin_start",
     "cancel_job",
     "confirm_start",
+    "add_worker",
     "count_by_workspace",
     "count_waiting_tasks",
     "decide_admission",
@@ -169,6 +174,7 @@
     "is_usable",
     "describe_admission",
     "lease_deadline_ms",
+    "list_incarnations",
     "list_run_times",
     "listed_capacity",
     "make_plan",
@@ -184,6 +190,7 @@
     "record_stop_answer",
     "refresh_run_times",
     "release_due_occurrences",
+    "remove_worker",
     "requested_by_workspace",
     "remember_doubtful",
     "settle_crashes",
--- a/chestnuttide/workloads/_incarnations.py
+++ b/chestnuttide/workloads/_incarnations.py
@@ -6,6 +6,7 @@
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
+from chestnuttide.workloads import _worker_index
 
 # Lease expiry of a start that may reach a new incarnation. Starts name only
 # the worker's id, which the new incarnation shares, and its clock is reset.
@@ -19,9 +20,8 @@
     """Return the incarnations that a worker's report shows to have ended."""
     return [
         worker
-        for worker in pool.workers.values()
-        if worker.report.id == report.id
-        and worker.report.born_ms < report.born_ms
+        for worker in _worker_index.list_incarnations(pool, report.id)
+        if worker.report.born_ms < report.born_ms
         and (worker.listed or worker.runs)
     ]
 
@@ -77,7 +77,7 @@
             lease_until=worker.lease_until,
             listed=False,
         )
-        pool.workers[key] = successor
+        _worker_index.add_worker(pool, successor)
     moved = [
         run
         for run in worker.runs.values()
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -8,6 +8,7 @@
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
+from chestnuttide.workloads import _worker_index
 
 # Lowest rate of a worker's clock, as a share of real time. The clock may run
 # 2% slow, and a lease on it then lasts longer.
@@ -343,7 +344,7 @@
         worker = _state.Worker(
             key=key, report=report, lease_until=lease_until, known_since=now
         )
-        pool.workers[key] = worker
+        _worker_index.add_worker(pool, worker)
     worker.report = report
     worker.listed = True
     if not report.draining:
--- a/chestnuttide/workloads/_records.py
+++ b/chestnuttide/workloads/_records.py
@@ -10,6 +10,7 @@
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
+from chestnuttide.workloads import _worker_index
 
 _RECORD_VERSION = 1
 
@@ -186,7 +187,7 @@
             worker = pool.workers.get(key)
             if worker is None:
                 worker = _make_placeholder(key, lease_until)
-                pool.workers[key] = worker
+                _worker_index.add_worker(pool, worker)
             run = _state.Run(
                 job=job,
                 unit=unit,
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -527,6 +527,8 @@
         Jobs by id, including ended ones while callers may query them.
     workers : dict of str to Worker
         Worker incarnations by key.
+    incarnations : dict of str to dict of str to Worker
+        The same by worker id and key; see ``_worker_index``.
     active : dict of str to Job
         Jobs that are not in a terminal state.
     top_priority : int
@@ -555,6 +557,7 @@
     policy: LoadPolicy = LoadPolicy()
     jobs: dict[str, Job] = attrs.field(factory=dict)
     workers: dict[str, Worker] = attrs.field(factory=dict)
+    incarnations: dict[str, dict[str, Worker]] = attrs.field(factory=dict)
     active: dict[str, Job] = attrs.field(factory=dict)
     top_priority: int = 0
     unknown_runs: dict[str, set[RunKey]] = attrs.field(factory=dict)
--- a/chestnuttide/workloads/tests/_crash_simulation.py
+++ b/chestnuttide/workloads/tests/_crash_simulation.py
@@ -151,7 +151,7 @@
                 now_unix_s=simulation.now,
             )
             if workloads.is_removable(worker):
-                del simulation.pool.workers[worker.key]
+                workloads.remove_worker(simulation.pool, worker)
         workloads.settle_crashes(
             simulation.pool, now=simulation.now, now_unix_s=simulation.now
         )
