Send an owner's polls in turn, with a client of their own

Cause: an owner sent the polls of all its workers at once after a takeover. Where that took longer than a poll's timeout, all failed, and a failed poll was sent again after 0.25 s without a wait, while one that succeeds waits for 0.5 or 2 s. Workers whose last poll failed get no work, and their leases are not renewed. Polls, starts and stops shared 1,000 transfers, and libcurl's queue for more has no timeout.

Change: * Polls without a wait take turns: 64 at a time, workers with runs first, silent ones last. A turn ends with the reply, or after 0.1 s (0.02 s for a worker that was silent before). * Polls in progress never exceed the transfers of their client, which are 2,816, or what callers' connections leave of the descriptors. Beyond that the owner itself waits between polls, at idle workers first. * Pauses after failed polls grow from 0.25 to 0.6 s, so that a worker that comes back is seen within a second. * Polls of busy workers wait for up to 0.8 s where more than 800 a second and core would be sent. A lease outlasts one lost poll at that wait. * Commands have a client of 512 transfers. Both clients are created with the first ownership. * A deposed owner no longer removes its workers one by one, with a line for each. * chestnuttide_polls_total{outcome} and chestnuttide_loop_delay_seconds.

--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -30,6 +30,7 @@
 from chestnuttide.node import _owner
 from chestnuttide.node import _ownership
 from chestnuttide.node import _peers
+from chestnuttide.node import _poll_turns
 from chestnuttide.node import _ports
 from chestnuttide.node import _release
 from chestnuttide.node import _responses
@@ -38,6 +39,7 @@
 from chestnuttide.node import _settings
 from chestnuttide.node import _submission
 from chestnuttide.node import _updates
+from chestnuttide.node import _worker_clients
 from chestnuttide import platform
 from chestnuttide import telemetry
 from chestnuttide import workloads
@@ -47,13 +49,9 @@
 # The store answers within milliseconds, but at times 60 times as slowly.
 STORE_TIMEOUT_S = 0.7
 
-# Concurrent transfers: a poll and some commands for each worker.
-MAX_WORKER_TRANSFERS = 1000
+# Concurrent transfers.
 MAX_STORE_TRANSFERS = 100
 
-# Connections to one worker: its poll and concurrent commands.
-CONNECTIONS_PER_WORKER = 4
-
 # The store removes the entry of a dead worker after three heartbeats of
 # silence. The fourth covers the watch and a store that is slow.
 ENTRY_EXPIRY_HEARTBEATS = 4
@@ -96,8 +94,8 @@
         State of the handlers of callers' requests.
     owned : dict of str to Ownership
         Services that this instance owns.
-    workers_http : HttpClient
-        Client of the workers.
+    workers : WorkerClients
+        Clients of the workers.
     metrics : NodeMetrics
         Counters and histograms.
     tasks : set of Task
@@ -107,7 +105,7 @@
     session: _session.Session
     context: _responses.ApiContext
     owned: dict[str, _ownership.Ownership]
-    workers_http: platform.HttpClient
+    workers: _worker_clients.WorkerClients
     metrics: _metrics.NodeMetrics
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
@@ -137,6 +135,10 @@
             daemon, make_loop.__name__, functools.partial(make_loop, session)
         )
     _supervise(daemon, "claim", functools.partial(_claim_loop, daemon))
+    measure = functools.partial(
+        _poll_turns.delay_loop, daemon.workers.pacing, daemon.owned, metrics
+    )
+    _supervise(daemon, "delay", measure)
     _supervise(daemon, "sweep", functools.partial(_intake_sweep.sweep, ports))
     LOG.info(
         "Started.",
@@ -174,15 +176,11 @@
     context = _responses.ApiContext(
         session=session, owned=owned, metrics=metrics
     )
-    workers_http = platform.make_client(
-        max_clients=MAX_WORKER_TRANSFERS,
-        max_host_connections=CONNECTIONS_PER_WORKER,
-    )
     daemon = Daemon(
         session=session,
         context=context,
         owned=owned,
-        workers_http=workers_http,
+        workers=_worker_clients.make_worker_clients(settings),
         metrics=metrics,
     )
     peers.handlers.update(_make_handlers(daemon, settings))
@@ -408,12 +406,15 @@
         )
         session.failed_fencing_tokens[service] = fencing_token
         return
+    _worker_clients.open_clients(daemon.workers)
     owner = _ownership.Ownership(
         service=service,
         fencing_token=fencing_token,
         session=session,
         store=session.store,
-        workers_http=daemon.workers_http,
+        workers_http=daemon.workers.commands,
+        polls_http=daemon.workers.polls,
+        pacing=daemon.workers.pacing,
         pool=_make_pool(session.settings, service),
         metrics=daemon.metrics,
         former_owner_stopped=_claims.has_former_owner_stopped(
--- a/chestnuttide/node/_metrics.py
+++ b/chestnuttide/node/_metrics.py
@@ -90,6 +90,12 @@
         ``no_answer`` if the owner was not reached and the job passed.
     commands : Counter
         ``chestnuttide_orders_total{kind,outcome}``.
+    polls : Counter
+        ``chestnuttide_polls_total{outcome}``, polls of workers; see
+        ``_polls.Outcome``.
+    loop_delay_seconds : Histogram
+        ``chestnuttide_loop_delay_seconds``, how late the daemon's loop runs
+        what is due.
     start_wait_seconds : Histogram
         ``chestnuttide_start_wait_seconds{queue}``, from a job's arrival at
         its owner to its first confirmed start.
@@ -120,6 +126,8 @@
     penalised_workers: aioprometheus.Counter
     admissions: aioprometheus.Counter
     commands: aioprometheus.Counter
+    polls: aioprometheus.Counter
+    loop_delay_seconds: aioprometheus.Histogram
     start_wait_seconds: aioprometheus.Histogram
     job_seconds: aioprometheus.Histogram
     dropped_log_lines: aioprometheus.Counter
@@ -185,6 +193,10 @@
         ),
         admissions=counter("admissions", "Admission of jobs, by outcome."),
         commands=counter("orders", "Orders to workers, by outcome."),
+        polls=counter("polls", "Polls of workers, by outcome."),
+        loop_delay_seconds=histogram(
+            "loop_delay_seconds", "Seconds by which the loop is late."
+        ),
         start_wait_seconds=histogram(
             "start_wait_seconds", "Seconds until a job's first start."
         ),
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -8,6 +8,7 @@
 from chestnuttide.node import _cap_state
 from chestnuttide.node import _clock
 from chestnuttide.node import _metrics
+from chestnuttide.node import _poll_pacing
 from chestnuttide.node import _session
 from chestnuttide.node import _set_aside
 from chestnuttide import platform
@@ -49,11 +50,15 @@
     store : KvStore
         The store.
     workers_http : HttpClient
-        Client of the workers.
+        Client for commands to workers.
     pool : Pool
         Workers and jobs that decisions are based on.
     metrics : Metrics
         Counters and histograms.
+    polls_http : HttpClient or None
+        Client for polls of workers; None if it is that for commands.
+    pacing : Pacing
+        Which workers its instance polls now, and how late its loop is.
     confirmed_at : float
         Send time of the last call to the store that confirmed the ownership.
     deposed : asyncio.Event
@@ -113,6 +118,8 @@
     workers_http: platform.HttpClient
     pool: workloads.Pool
     metrics: _metrics.NodeMetrics
+    polls_http: platform.HttpClient | None = None
+    pacing: _poll_pacing.Pacing = attrs.field(factory=_poll_pacing.Pacing)
     confirmed_at: float = 0.0
     deposed: asyncio.Event = attrs.field(factory=asyncio.Event)
     commit_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
--- a/chestnuttide/node/_polls.py
+++ b/chestnuttide/node/_polls.py
@@ -1,12 +1,15 @@
 """Poll loops of an owner: worker leases, run lists and restarts."""
 
 import asyncio
+import enum
 import functools
 
 from chestnuttide import errors
 from chestnuttide.node import _clock
 from chestnuttide.node import _commands
 from chestnuttide.node import _ownership
+from chestnuttide.node import _poll_pacing
+from chestnuttide.node import _poll_turns
 from chestnuttide.node import _set_aside
 from chestnuttide import platform
 from chestnuttide import telemetry
@@ -14,20 +17,27 @@
 
 LOG = telemetry.make_logger("worker")
 
-# A worker answers a poll after this time if no run has completed. On workers
-# with runs, progress, latency and unresponsiveness are seen at this rate.
-BUSY_POLL_WAIT_S = 0.5
-
-IDLE_POLL_WAIT_S = 2.0
-
-# Timeout of a poll beyond its wait.
-POLL_TIMEOUT_S = 0.4
-
 # A worker answers at once while completions are not acknowledged, which they
 # are once stored. A slow store delays the next poll by this time at most.
 COMPLETION_COMMIT_WAIT_S = 0.1
 
 
+class Outcome(enum.StrEnum):
+    """How a poll has ended.
+
+    A SILENT worker did not answer in time. WITHHELD is a poll that the owner
+    may no longer send or apply, FAULT one whose reply could not be applied.
+    """
+
+    REPLY = "reply"
+    REJECTED = "rejected"
+    RESTARTED = "restarted"
+    BROKEN = "broken"
+    SILENT = "silent"
+    WITHHELD = "withheld"
+    FAULT = "fault"
+
+
 def ensure_poll_loop(
     owner: _ownership.Ownership, worker: workloads.Worker
 ) -> None:
@@ -48,46 +58,75 @@
 ) -> None:
     while not owner.deposed.is_set():
         if workloads.is_removable(worker):
-            break
+            _remove(owner, worker)
+            return
         if worker.stored_completion < worker.last_completion:
             await _wait_for_commit(owner)
         if not worker.report.address or not _ownership.may_send_commands(
             owner
         ):
             await asyncio.sleep(_commands.WORKER_RETRY_PAUSE_S)
-        elif not await _try_poll(owner, worker):
-            worker.failed_polls += 1
-            if worker.failed_polls == 1:
-                LOG.warning(
-                    "Worker is unresponsive.",
-                    worker=worker.key,
-                    runs=len(worker.runs),
-                )
-            await asyncio.sleep(_commands.WORKER_RETRY_PAUSE_S)
-        elif worker.failed_polls:
-            LOG.info("Worker responds again.", worker=worker.key)
-            worker.failed_polls = 0
-            owner.plan_requested.set()
+            _expire_runs(owner, worker)
+            continue
+        outcome = await _try_poll(owner, worker)
+        if outcome == Outcome.REPLY:
+            _record_reply(owner, worker)
+        elif outcome != Outcome.WITHHELD:
+            await _record_failure(owner, worker)
         _expire_runs(owner, worker)
+
+
+def _remove(owner: _ownership.Ownership, worker: workloads.Worker) -> None:
     workloads.remove_worker(owner.pool, worker)
     owner.pool.unknown_runs.pop(worker.key, None)
     LOG.info("Worker is no longer polled.", worker=worker.key)
 
 
+def _record_reply(
+    owner: _ownership.Ownership, worker: workloads.Worker
+) -> None:
+    if worker.failed_polls:
+        LOG.info("Worker responds again.", worker=worker.key)
+        worker.failed_polls = 0
+        owner.plan_requested.set()
+
+
+async def _record_failure(
+    owner: _ownership.Ownership, worker: workloads.Worker
+) -> None:
+    """Count a failed poll, and pause before the next one."""
+    worker.failed_polls += 1
+    if worker.failed_polls == 1:
+        LOG.warning(
+            "Worker is unresponsive.",
+            worker=worker.key,
+            runs=len(worker.runs),
+        )
+    await asyncio.sleep(_poll_pacing.retry_pause_s(worker.failed_polls))
+
+
 async def _try_poll(
     owner: _ownership.Ownership, worker: workloads.Worker
-) -> bool:
+) -> Outcome:
     """Poll a worker; one whose reply cannot be applied counts as silent.
 
     It then gets no new runs, and those that it has are started elsewhere
     once its lease has expired.
     """
+    wait_s = _poll_wait_s(owner, worker)
+    waits_there = _poll_pacing.may_wait(owner.pacing, busy=bool(worker.runs))
     try:
-        return await poll_worker(owner, worker, wait_s=_poll_wait_s(worker))
+        outcome = await poll_worker(
+            owner, worker, wait_s=wait_s if waits_there else 0.0
+        )
     except Exception:
         owner.set_aside.count("poll")
         LOG.exception("Poll has failed.", worker=worker.key)
-        return False
+        return Outcome.FAULT
+    if outcome == Outcome.REPLY and not waits_there:
+        # The poll has renewed the lease, so the wait may follow it.
+        await asyncio.sleep(wait_s)
+    return outcome
 
 
 async def _wait_for_commit(owner: _ownership.Ownership) -> None:
@@ -98,19 +137,34 @@
         LOG.debug("Completions are not stored yet.", service=owner.service)
 
 
-def _poll_wait_s(worker: workloads.Worker) -> float:
+def _poll_wait_s(
+    owner: _ownership.Ownership, worker: workloads.Worker
+) -> float:
     if not worker.last_reply_at or worker.failed_polls:
         return 0.0
-    return BUSY_POLL_WAIT_S if worker.runs else IDLE_POLL_WAIT_S
+    if worker.runs:
+        return _poll_pacing.busy_wait_s(owner.pacing)
+    return _poll_pacing.IDLE_POLL_WAIT_S
 
 
 async def poll_worker(
     owner: _ownership.Ownership, worker: workloads.Worker, *, wait_s: float
-) -> bool:
+) -> Outcome:
     """Renew the leases of a worker's runs and apply its reported lists.
 
-    Returns whether the worker replied as the incarnation that was polled.
+    A poll without a wait is sent once the owner's pacing admits it.
     """
+    async with _poll_turns.take_turn(owner.pacing, worker, wait_s=wait_s):
+        outcome = await _poll(owner, worker, wait_s=wait_s)
+    owner.metrics.polls.inc({"outcome": outcome})
+    return outcome
+
+
+async def _poll(
+    owner: _ownership.Ownership, worker: workloads.Worker, *, wait_s: float
+) -> Outcome:
+    if not _ownership.may_send_commands(owner):
+        return Outcome.WITHHELD
     sent_at = _clock.now()
     deadline_ms = workloads.poll_lease_deadline_ms(
         worker, now=sent_at, lease_s=owner.pool.limits.lease_s
@@ -120,30 +174,32 @@
     first = not worker.last_reply_at
     try:
         reply = await platform.poll_worker(
-            owner.workers_http,
+            owner.polls_http or owner.workers_http,
             _commands.worker_address(worker),
             fencing_token=owner.fencing_token,
             acknowledged_completion=workloads.acknowledged_completion(worker),
             deadline_ms=deadline_ms,
             wait_s=wait_s,
-            timeout_s=POLL_TIMEOUT_S,
+            timeout_s=_poll_pacing.POLL_TIMEOUT_S,
             may_send=lambda: _ownership.may_send_commands(owner),
         )
     except errors.PlatformError as error:
         LOG.debug("Poll failed.", worker=worker.key, error=str(error))
         now = _clock.now()
-        timed_out = now - sent_at >= wait_s + POLL_TIMEOUT_S
-        if not timed_out and _ownership.may_send_commands(owner):
+        if not _ownership.may_send_commands(owner):
+            return Outcome.WITHHELD
+        if now - sent_at < wait_s + _poll_pacing.POLL_TIMEOUT_S:
             workloads.record_broken_connection(worker, now=now)
-        return False
+            return Outcome.BROKEN
+        return Outcome.SILENT
     if owner.deposed.is_set():
-        return False
+        return Outcome.WITHHELD
     if isinstance(reply, platform.CommandReply):
         _commands.handle_rejection(owner, worker, reply, "hold")
-        return False
+        return Outcome.REJECTED
     if reply.born_ms != worker.report.born_ms:
         replace_incarnation(owner, worker, reply.born_ms)
-        return False
+        return Outcome.RESTARTED
     poll_reply = workloads.PollReply(
         clock_ms=reply.clock_ms,
         running=reply.running,
@@ -165,7 +221,7 @@
     if completions or first:
         _handle_completions(owner, [run for run, _ in completions])
     _reconcile_runs(owner, worker)
-    return True
+    return Outcome.REPLY
 
 
 def _stop_unanswered_starts(
