Don't blame workers for the owner's own delay

Cause: a poll whose reply arrived while the owner's loop was late counted as unanswered. The worker then got no work, and its lease was not renewed.

A poll that timed out while the loop was delayed for 0.1 s or more, around its sending or its end, is sent again at once, in turn, and does not count for up to 2.5 s of such polls. It may have reached the worker, so polls neither renew the lease nor acknowledge completions until the next reply: the leases of dead workers end as before, also under an owner that is always late.

--- a/chestnuttide/node/_poll_pacing.py
+++ b/chestnuttide/node/_poll_pacing.py
@@ -55,6 +55,12 @@
 DELAY_PERIOD_S = 0.05
 DELAY_MEMORY_S = 5.0
 
+# A poll was late if the owner's loop was delayed for a quarter of its timeout.
+LATE_S = POLL_TIMEOUT_S / 4
+
+# After this time of such polls, the worker counts as unresponsive.
+EXCUSE_S = 2.5
+
 
 class Priority(enum.IntEnum):
     """Order in which workers are polled without a wait."""
@@ -271,3 +277,21 @@
         pacing.delays.popleft()
     pacing.next_delay_at = now + DELAY_PERIOD_S
     return delay_s
+
+
+def was_late(pacing: Pacing, *, sent_at: float, now: float) -> bool:
+    """Return whether a poll that timed out may be one that came in late.
+
+    Delays count within a timeout of its sending and of its end; in between,
+    the worker waits.
+    """
+    delay_s = 0.0
+    if pacing.next_delay_at:
+        delay_s = max(0.0, now - pacing.next_delay_at)
+    delay_s += sum(
+        delay
+        for at, delay in pacing.delays
+        if sent_at <= at <= sent_at + POLL_TIMEOUT_S + delay
+        or at >= max(sent_at, now - POLL_TIMEOUT_S)
+    )
+    return delay_s >= LATE_S
--- a/chestnuttide/node/_polls.py
+++ b/chestnuttide/node/_polls.py
@@ -25,8 +25,9 @@
 class Outcome(enum.StrEnum):
     """How a poll has ended.
 
-    A SILENT worker did not answer in time. WITHHELD is a poll that the owner
-    may no longer send or apply, FAULT one whose reply could not be applied.
+    A SILENT worker did not answer in time; a LATE poll did not either, but
+    the owner's own loop was late meanwhile. WITHHELD is one that the owner may
+    no longer send or apply, FAULT one whose reply could not be applied.
     """
 
     REPLY = "reply"
@@ -34,6 +35,7 @@
     RESTARTED = "restarted"
     BROKEN = "broken"
     SILENT = "silent"
+    LATE = "late"
     WITHHELD = "withheld"
     FAULT = "fault"
 
@@ -56,6 +58,7 @@
 async def _poll_loop(
     owner: _ownership.Ownership, worker: workloads.Worker
 ) -> None:
+    late_since = 0.0
     while not owner.deposed.is_set():
         if workloads.is_removable(worker):
             _remove(owner, worker)
@@ -69,8 +72,15 @@
             _expire_runs(owner, worker)
             continue
         outcome = await _try_poll(owner, worker)
+        now = _clock.now()
         if outcome == Outcome.REPLY:
+            late_since = 0.0
             _record_reply(owner, worker)
+        elif outcome == Outcome.LATE and not worker.failed_polls:
+            late_since = late_since or now
+            worker.late_polls += 1
+            if now - late_since >= _poll_pacing.EXCUSE_S:
+                await _record_failure(owner, worker)
         elif outcome != Outcome.WITHHELD:
             await _record_failure(owner, worker)
         _expire_runs(owner, worker)
@@ -85,6 +95,7 @@
 def _record_reply(
     owner: _ownership.Ownership, worker: workloads.Worker
 ) -> None:
+    worker.late_polls = 0
     if worker.failed_polls:
         LOG.info("Worker responds again.", worker=worker.key)
         worker.failed_polls = 0
@@ -140,7 +151,7 @@
 def _poll_wait_s(
     owner: _ownership.Ownership, worker: workloads.Worker
 ) -> float:
-    if not worker.last_reply_at or worker.failed_polls:
+    if not worker.last_reply_at or worker.failed_polls or worker.late_polls:
         return 0.0
     if worker.runs:
         return _poll_pacing.busy_wait_s(owner.pacing)
@@ -191,6 +202,8 @@
         if now - sent_at < wait_s + _poll_pacing.POLL_TIMEOUT_S:
             workloads.record_broken_connection(worker, now=now)
             return Outcome.BROKEN
+        if _poll_pacing.was_late(owner.pacing, sent_at=sent_at, now=now):
+            return Outcome.LATE
         return Outcome.SILENT
     if owner.deposed.is_set():
         return Outcome.WITHHELD
--- a/chestnuttide/node/tests/test_poll_pacing.py
+++ b/chestnuttide/node/tests/test_poll_pacing.py
@@ -184,3 +184,47 @@
         _settings.IntakeSettings(),
     )
     assert (limits.waiting, limits.short) == (waiting, short)
+
+
+@pytest.mark.parametrize(
+    ("measured", "sent_at", "now", "late"),
+    [
+        pytest.param((), 1.0, 1.4, False, id="not-measured"),
+        pytest.param((1.0, 1.05, 1.1, 1.38), 1.0, 1.4, True, id="late"),
+        pytest.param((1.0, 1.05, 1.1), 1.0, 1.4, True, id="late-until-now"),
+        pytest.param(
+            tuple(1.0 + 0.05 * step for step in range(9)),
+            1.0,
+            1.4,
+            False,
+            id="in-time",
+        ),
+        pytest.param(
+            (0.5, 0.9, *(0.95 + 0.05 * step for step in range(10))),
+            1.0,
+            1.4,
+            False,
+            id="late-before",
+        ),
+        pytest.param(
+            (
+                1.0,
+                1.05,
+                *(1.1 + 0.05 * step for step in range(10)),
+                *(2.0 + 0.05 * step for step in range(29)),
+            ),
+            1.0,
+            3.4,
+            False,
+            id="late-while-the-worker-waits",
+        ),
+    ],
+)
+def test_a_poll_is_late_only_with_its_owner(
+    measured: tuple[float, ...], sent_at: float, now: float, late: bool
+) -> None:
+    """Guards against dead workers that are excused by any delay."""
+    pacing = _poll_pacing.Pacing()
+    for at in measured:
+        _poll_pacing.record_delay(pacing, at)
+    assert _poll_pacing.was_late(pacing, sent_at=sent_at, now=now) == late
--- a/chestnuttide/node/tests/test_polls.py
+++ b/chestnuttide/node/tests/test_polls.py
@@ -271,6 +271,71 @@
     _virtual_time.run(monkeypatch, main)
 
 
+@pytest.mark.parametrize(
+    ("workers", "stall_s"),
+    [
+        pytest.param(176, 0.6, id="longer-than-a-timeout"),
+        pytest.param(717, 1.0, id="grown-site"),
+        pytest.param(2500, 0.6, id="target-size"),
+    ],
+)
+def test_a_late_owner_blames_no_worker(
+    monkeypatch: pytest.MonkeyPatch, workers: int, stall_s: float
+) -> None:
+    """Guards against owners that take their own delay for silence.
+
+    Workers that count as unresponsive get no work, and polls do not renew
+    their leases.
+    """
+
+    async def main(loop: _virtual_time.VirtualLoop) -> None:
+        busy = workers // 10
+        bed = _make_bed(
+            loop, monkeypatch, workers=workers, busy=busy, silent=0
+        )
+        _start_polls(bed)
+        await _go_on(bed, 6.0)
+        for _ in range(3):
+            loop.spend(stall_s)
+            await _go_on(bed, 3.03)
+        assert (len(bed.blamed), len(bed.lapsed)) == (0, 0)
+
+    _virtual_time.run(monkeypatch, main)
+
+
+@pytest.mark.parametrize(
+    "stall_s",
+    [
+        pytest.param(0.0, id="owner-in-time"),
+        pytest.param(0.15, id="owner-always-late"),
+    ],
+)
+def test_runs_on_a_dead_worker_are_lost_by_a_late_owner_too(
+    monkeypatch: pytest.MonkeyPatch, stall_s: float
+) -> None:
+    """Guards against a late owner that renews a dead worker's lease for ever.
+
+    Its runs would never be started elsewhere.
+    """
+
+    async def main(loop: _virtual_time.VirtualLoop) -> None:
+        bed = _make_bed(loop, monkeypatch, workers=20, busy=20, silent=0)
+        _start_polls(bed)
+        await _go_on(bed, 3.0)
+        dead, *others = bed.owner.pool.workers.values()
+        bed.silent.add(dead.report.id)
+        died_at = loop.time()
+        while loop.time() < died_at + 6.0:
+            await _go_on(bed, 0.1)
+            loop.spend(stall_s)
+        assert not dead.runs
+        assert dead.failed_polls
+        assert all(worker.runs for worker in others)
+        assert not bed.blamed
+
+    _virtual_time.run(monkeypatch, main)
+
+
 @pytest.mark.parametrize(
     "workers", [pytest.param(n, id=f"{n}-workers") for n in (20, 717)]
 )
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -97,7 +97,7 @@
     unresponsive worker therefore request none, so that the lease expires and
     its runs can be restarted elsewhere.
     """
-    if not worker.runs or worker.failed_polls:
+    if not worker.runs or worker.failed_polls or worker.late_polls:
         return None
     return lease_deadline_ms(worker, now=now, lease_s=lease_s)
 
@@ -133,7 +133,9 @@
     numbers its completions from 1. The number stored for the former
     incarnation does not apply to them.
     """
-    return 0 if worker.failed_polls else worker.stored_completion
+    if worker.failed_polls or worker.late_polls:
+        return 0
+    return worker.stored_completion
 
 
 def record_lease(
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -422,6 +422,9 @@
         Monotonic time at which it was first seen draining; 0 before.
     failed_polls : int
         Failed polls since the last reply.
+    late_polls : int
+        Polls since the last reply that failed while the owner was late itself.
+        They do not count against the worker, but may have reached it.
     known_since : float
         Monotonic time at which this owner learned of it.
     broken_at : float
@@ -463,6 +466,7 @@
     stalls: int = 0
     draining_since: float = 0.0
     failed_polls: int = 0
+    late_polls: int = 0
     known_since: float = 0.0
     broken_at: float = 0.0
     lost_at: float = 0.0
--- a/chestnuttide/workloads/tests/test_poll_replies.py
+++ b/chestnuttide/workloads/tests/test_poll_replies.py
@@ -137,14 +137,15 @@
 
 
 @pytest.mark.parametrize(
-    ("failed_polls", "renewed"),
+    ("failed_polls", "late_polls", "renewed"),
     [
-        pytest.param(0, True, id="answers"),
-        pytest.param(1, False, id="unresponsive"),
+        pytest.param(0, 0, True, id="answers"),
+        pytest.param(1, 0, False, id="unresponsive"),
+        pytest.param(0, 1, False, id="owner-was-late"),
     ],
 )
 def test_polls_renew_the_lease_of_workers_that_answer(
-    failed_polls: int, renewed: bool
+    failed_polls: int, late_polls: int, renewed: bool
 ) -> None:
     """Guards against a dead worker whose runs never expire.
 
@@ -157,6 +158,7 @@
     _pool_fixtures.start_all(pool)
     worker = pool.workers["w0@1"]
     worker.failed_polls = failed_polls
+    worker.late_polls = late_polls
     deadline = workloads.poll_lease_deadline_ms(
         worker, now=1.0, lease_s=_pool_fixtures.LEASE_S
     )
@@ -340,14 +342,15 @@
 
 
 @pytest.mark.parametrize(
-    ("failed_polls", "acknowledged"),
+    ("failed_polls", "late_polls", "acknowledged"),
     [
-        pytest.param(0, 7, id="answers"),
-        pytest.param(1, 0, id="may-have-restarted"),
+        pytest.param(0, 0, 7, id="answers"),
+        pytest.param(1, 0, 0, id="may-have-restarted"),
+        pytest.param(0, 1, 0, id="may-have-restarted-while-owner-was-late"),
     ],
 )
 def test_completions_of_a_new_incarnation_are_not_acknowledged_unread(
-    failed_polls: int, acknowledged: int
+    failed_polls: int, late_polls: int, acknowledged: int
 ) -> None:
     """Guards against completions acknowledged before they were read.
 
@@ -358,6 +361,7 @@
     worker = pool.workers["w0@1"]
     worker.stored_completion = 7
     worker.failed_polls = failed_polls
+    worker.late_polls = late_polls
     assert workloads.acknowledged_completion(worker) == acknowledged
 
 
