--- a/chestnuttide/node/tests/test_handover.py
+++ b/chestnuttide/node/tests/test_handover.py
@@ -23,6 +23,7 @@
 from chestnuttide.node import _release
 from chestnuttide.node import _session
 from chestnuttide.node import _settings
+from chestnuttide.node import _worker_clients
 from chestnuttide.node import _takeover
 from chestnuttide import platform
 from chestnuttide.workloads.tests import _pool_fixtures
@@ -387,7 +388,9 @@
             session=owner.session,
             context=None,
             owned={SERVICE: owner},
-            workers_http=None,
+            workers=_worker_clients.make_worker_clients(
+                owner.session.settings
+            ),
             metrics=owner.metrics,
         )
         running = {SERVICE: asyncio.ensure_future(run_ownership(owner))}
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -21,6 +21,7 @@
 from chestnuttide.workloads import _waiting
 from chestnuttide.workloads import _waiting_tasks
 from chestnuttide.workloads import _worker_health
+from chestnuttide.workloads import _worker_index
 
 AdmissionState = _admission.AdmissionState
 AdmissionVerdict = _admission.Verdict
@@ -64,6 +65,7 @@
 begin_start = _starts.begin_start
 cancel_job = _lifecycle.cancel_job
 confirm_start = _poll_replies.confirm_start
+add_worker = _worker_index.add_worker
 count_by_workspace = _waiting.count_by_workspace
 count_planned = _starts.count_planned
 count_waiting_tasks = _waiting.count_waiting_tasks
@@ -89,6 +91,7 @@
 is_usable = _planning.is_usable
 describe_admission = _admission.list_row
 lease_deadline_ms = _poll_replies.lease_deadline_ms
+list_incarnations = _worker_index.list_incarnations
 list_run_times = _run_time_rows.list_run_times
 list_waiting_tasks = _waiting_tasks.list_waiting_tasks
 listed_capacity = _state.listed_capacity
@@ -106,6 +109,7 @@
 record_stop_answer = _stops.record_stop_answer
 refresh_run_times = _run_observations.refresh
 release_due_occurrences = _lifecycle.release_due_occurrences
+remove_worker = _worker_index.remove_worker
 requested_by_workspace = _state.requested_by_workspace
 remember_doubtful = _admission.remember_doubtful
 settle_crashes = _crashes.settle_crashes
@@ -163,6 +167,7 @@
     "begin_start",
     "cancel_job",
     "confirm_start",
+    "add_worker",
     "count_by_workspace",
     "count_planned",
     "count_waiting_tasks",
@@ -188,6 +193,7 @@
     "is_usable",
     "describe_admission",
     "lease_deadline_ms",
+    "list_incarnations",
     "list_run_times",
     "list_waiting_tasks",
     "listed_capacity",
@@ -205,6 +211,7 @@
     "record_stop_answer",
     "refresh_run_times",
     "release_due_occurrences",
+    "remove_worker",
     "requested_by_workspace",
     "remember_doubtful",
     "settle_crashes",
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -8,6 +8,7 @@
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
+from chestnuttide.workloads import _worker_index
 
 # Lowest rate of a worker's clock, as a share of real time. The clock may run
 # 2% slow, and a lease on it then lasts longer.
@@ -96,7 +97,7 @@
     unresponsive worker therefore request none, so that the lease expires and
     its runs can be restarted elsewhere.
     """
-    if not worker.runs or worker.failed_polls:
+    if not worker.runs or worker.failed_polls or worker.late_polls:
         return None
     return lease_deadline_ms(worker, now=now, lease_s=lease_s)
 
@@ -132,7 +133,9 @@
     numbers its completions from 1. The number stored for the former
     incarnation does not apply to them.
     """
-    return 0 if worker.failed_polls else worker.stored_completion
+    if worker.failed_polls or worker.late_polls:
+        return 0
+    return worker.stored_completion
 
 
 def record_lease(
@@ -343,7 +346,7 @@
         worker = _state.Worker(
             key=key, report=report, lease_until=lease_until, known_since=now
         )
-        pool.workers[key] = worker
+        _worker_index.add_worker(pool, worker)
     worker.report = report
     worker.listed = True
     if not report.draining:
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -431,6 +431,9 @@
         Monotonic time at which it was first seen draining; 0 before.
     failed_polls : int
         Failed polls since the last reply.
+    late_polls : int
+        Polls since the last reply that failed while the owner was late itself.
+        They do not count against the worker, but may have reached it.
     known_since : float
         Monotonic time at which this owner learned of it.
     broken_at : float
@@ -472,6 +475,7 @@
     stalls: int = 0
     draining_since: float = 0.0
     failed_polls: int = 0
+    late_polls: int = 0
     known_since: float = 0.0
     broken_at: float = 0.0
     lost_at: float = 0.0
@@ -536,6 +540,8 @@
         Jobs by id, including ended ones while callers may query them.
     workers : dict of str to Worker
         Worker incarnations by key.
+    incarnations : dict of str to dict of str to Worker
+        The same by worker id and key; see ``_worker_index``.
     active : dict of str to Job
         Jobs that are not in a terminal state.
     top_priority : int
@@ -566,6 +572,7 @@
     policy: LoadPolicy = LoadPolicy()
     jobs: dict[str, Job] = attrs.field(factory=dict)
     workers: dict[str, Worker] = attrs.field(factory=dict)
+    incarnations: dict[str, dict[str, Worker]] = attrs.field(factory=dict)
     active: dict[str, Job] = attrs.field(factory=dict)
     top_priority: int = 0
     unknown_runs: dict[str, set[RunKey]] = attrs.field(factory=dict)
