--- a/chestnuttide/node/tests/test_handover.py
+++ b/chestnuttide/node/tests/test_handover.py
@@ -23,8 +23,8 @@
 from chestnuttide.node import _release
 from chestnuttide.node import _session
 from chestnuttide.node import _settings
-from chestnuttide.node import _worker_clients
 from chestnuttide.node import _takeover
+from chestnuttide.node import _worker_clients
 from chestnuttide import platform
 from chestnuttide.workloads.tests import _pool_fixtures
 from standins import harness
