Set a job aside whose record the store rejects

Cause: any answer of the store other than 200, 404, 412, 429 and 503 counted as an unavailable store. A transaction with a record that the store rejects, for example one above valueBytes, was sent again every 0.05 s for ever, and the up to 14 other jobs of it were neither stored nor started.

Change: 400, 413 and 422 raise TransactionRejectedError, which divides the transaction as a fault in a record does; the job at fault is set aside. Other answers, and none, leave the outcome open and are tried again as before. Counter: retries_total{reason="store_rejected"}.

--- a/chestnuttide/node/_commits.py
+++ b/chestnuttide/node/_commits.py
@@ -146,6 +146,8 @@
     try:
         await _commit_until_stored(owner, jobs, ended=ended)
     except Exception as error:
+        if isinstance(error, platform.TransactionRejectedError):
+            owner.metrics.retries.inc({"reason": "store_rejected"})
         if len(jobs) == 1:
             jobs[0].dirty = True
             _ownership.set_job_aside(owner, jobs[0], error)
@@ -181,6 +183,8 @@
             if not _adopt_revisions(owner, jobs, error.items):
                 return
             continue
+        except platform.TransactionRejectedError:
+            raise
         except errors.SchedulerError as error:
             if not unanswered:
                 LOG.warning(
--- a/chestnuttide/node/tests/test_commits.py
+++ b/chestnuttide/node/tests/test_commits.py
@@ -4,10 +4,13 @@
 import collections.abc
 import functools
 
+import pytest
+
 from chestnuttide.node import _commits
 from chestnuttide.node import _keys
 from chestnuttide.node import _metrics
 from chestnuttide.node import _ownership
+from chestnuttide.node import _set_aside
 from chestnuttide import platform
 from chestnuttide import workloads
 from chestnuttide.workloads.tests import _pool_fixtures
@@ -20,14 +23,15 @@
     scenario: collections.abc.Callable[
         [_ownership.Ownership, cloud.Store], collections.abc.Awaitable[None]
     ],
+    handle: collections.abc.Callable[
+        ..., collections.abc.Awaitable[object]
+    ] = cloud.handle_store_request,
 ) -> None:
     """Run a scenario with an owner whose key is stored."""
 
     async def main() -> None:
         store, metrics = cloud.Store(), _metrics.make_metrics()
-        address, server = cloud.serve(
-            functools.partial(cloud.handle_store_request, store)
-        )
+        address, server = cloud.serve(functools.partial(handle, store))
         cloud.put(store, _keys.owner(SERVICE), b"me")
         owner = _ownership.Ownership(
             service=SERVICE,
@@ -181,3 +185,83 @@
     run = next(each for each in runs if each.job is job)
     _pool_fixtures.complete_run(owner.pool, run, "done")
     _ownership.request_commit(owner, urgent=True)
+
+
+def _submit_chunk(owner: _ownership.Ownership) -> list[workloads.Job]:
+    """Submit and plan as many jobs as share a transaction."""
+    for number in (2, 3):
+        _pool_fixtures.add_worker(owner.pool, f"w{number}")
+    jobs = [
+        _pool_fixtures.submit(
+            owner.pool, _pool_fixtures.make_step(), job_id=f"{number:016x}"
+        )
+        for number in range(15)
+    ]
+    workloads.make_plan(owner.pool, now=0.1)
+    return jobs
+
+
+async def _until_stored(
+    store: cloud.Store, jobs: list[workloads.Job], *, limit_s: float
+) -> None:
+    keys = {_keys.progress(SERVICE, job.spec.id) for job in jobs}
+    async with asyncio.timeout(limit_s):
+        while not keys <= store.keys.keys():
+            await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("status", [400, 413, 422])
+def test_a_rejected_record_costs_no_other_job(status: int) -> None:
+    """Guards against jobs never stored beside one that the store rejects.
+
+    A record above the store's limit was sent every 0.05 s for ever, together
+    with up to 14 others.
+    """
+    bad_key = _keys.progress(SERVICE, f"{7:016x}")
+
+    async def handle(
+        store: cloud.Store, request: object, body: dict[str, object]
+    ) -> object:
+        if any(row["key"] == bad_key for row in body.get("puts", ())):
+            return status, {}
+        return await cloud.handle_store_request(store, request, body)
+
+    async def scenario(
+        owner: _ownership.Ownership, store: cloud.Store
+    ) -> None:
+        jobs = _submit_chunk(owner)
+        bad = jobs.pop(7)
+        _ownership.request_commit(owner, urgent=True)
+        await _until_stored(store, jobs, limit_s=2.0)
+        async with asyncio.timeout(2.0):
+            while owner.jobs_in_commit:
+                await asyncio.sleep(0.01)
+        assert set(owner.set_aside.items) == {
+            (_set_aside.Kind.JOB, bad.spec.id)
+        }
+        assert bad.dirty
+        rejected = {"reason": "store_rejected"}
+        # Once with the chunk and once alone.
+        assert owner.metrics.retries.get(rejected) == 2
+
+    _run(scenario, handle)
+
+
+@pytest.mark.parametrize("status", [401, 408, 429, 500, 502, 503, 504, -1])
+def test_a_commit_of_unknown_outcome_sets_no_job_aside(status: int) -> None:
+    """Guards against jobs set aside for a failure of the store."""
+
+    async def scenario(
+        owner: _ownership.Ownership, store: cloud.Store
+    ) -> None:
+        store.refusal_status = status
+        jobs = _submit_chunk(owner)
+        _ownership.request_commit(owner, urgent=True)
+        await asyncio.sleep(0.3)
+        assert not owner.set_aside.items
+        assert len(owner.jobs_in_commit) == len(jobs)
+        store.refusal_status = 0
+        await _until_stored(store, jobs, limit_s=3.0)
+        assert not owner.set_aside.items
+
+    _run(scenario)
--- a/chestnuttide/platform/_kv_store.py
+++ b/chestnuttide/platform/_kv_store.py
@@ -20,6 +20,11 @@
 # keep arriving, as over a link that others fill, too.
 LISTING_TIMEOUT_S = 20.0
 
+# Responses that blame the transaction itself, as for a value above the store's
+# limit: nothing was changed, and the same transaction never succeeds. With any
+# other unexpected status, it may have taken effect.
+_REJECTED_STATUSES = frozenset({400, 413, 422})
+
 
 @attrs.frozen(kw_only=True, slots=True)
 class Item:
@@ -109,6 +114,12 @@
     code = "store_refused"
 
 
+class TransactionRejectedError(errors.SchedulerError):
+    """The store never accepts this transaction; nothing was changed."""
+
+    code = "transaction_rejected"
+
+
 class ConditionError(errors.RevisionConflictError):
     """An expected revision did not match; nothing was changed.
 
@@ -269,6 +280,8 @@
         If the lease has expired.
     StoreRefusedError
         If the store rejected the call or it was not sent; nothing changed.
+    TransactionRejectedError
+        If the store never accepts the transaction; nothing changed.
     errors.StoreUnavailableError
         If no valid response arrived; the transaction may still take effect.
     """
@@ -304,6 +317,12 @@
         raise ConditionError(items)
     if reply.status == 404:
         raise _lease_expired(transaction.lease)
+    if reply.status in _REJECTED_STATUSES:
+        raise TransactionRejectedError(
+            message="The store rejected a transaction with status "
+            f"{reply.status}.",
+            remedy="Shorten its values or correct its keys.",
+        )
     with _decoding():
         return _read_counter(_require_success(reply), "rev")
 
