Ask few peers to release a service, and pause when they refuse

Cause: release_through_peer asked all connected peers one after the other, and was called again 0.1 s later while the store failed. No command is sent meanwhile, lease renewals included, so that on a site of 99 instances most of the time was without commands while the store only answered 503.

Change: at most 8 peers chosen at random are asked, and after a round in which all refused the next one follows after 1 s. Counter: retries_total{reason="release_refused"}.

--- a/chestnuttide/node/_release.py
+++ b/chestnuttide/node/_release.py
@@ -1,6 +1,7 @@
 """Confirmation and release of an ownership."""
 
 import asyncio
+import random
 import time
 
 from chestnuttide import errors
@@ -29,10 +30,17 @@
 # disconnected too. Instances renew their leases more often than that.
 STORE_REACHABLE_S = 0.35
 
+# No command is sent while peers are asked, and runs keep their leases only if
+# most of the time is left for renewals, whatever the number of instances. If
+# the store fails for this instance alone, nearly every peer can release.
+MAX_PEERS_ASKED = 8
+REFUSED_PAUSE_S = 1.0
+
 
 async def confirm_loop(owner: _ownership.Ownership) -> None:
     """Check the ownership in the store if no commit has confirmed it."""
     confirmed = True
+    release_at = 0.0
     while True:
         await asyncio.sleep(CONFIRM_PERIOD_S / 10)
         sent_at = _clock.now()
@@ -54,7 +62,10 @@
                     error=str(error),
                 )
             confirmed = False
-            await release_through_peer(owner)
+            if _clock.now() >= release_at and await release_through_peer(
+                owner
+            ):
+                release_at = _clock.now() + REFUSED_PAUSE_S
             continue
         if item is None or item.revision != owner.fencing_token:
             LOG.warning(
@@ -70,10 +81,18 @@
         owner.confirmed_at = max(owner.confirmed_at, sent_at)
 
 
-async def release_through_peer(owner: _ownership.Ownership) -> None:
-    """Ask peers until one that reaches the store releases the ownership."""
+async def release_through_peer(owner: _ownership.Ownership) -> bool:
+    """Ask some peers until one that reaches the store releases the ownership.
+
+    Returns
+    -------
+    bool
+        Whether peers were asked and none of them may release it.
+    """
     owner.releasing = True
-    for name in _peers.connected_names(owner.session.peers):
+    refused = False
+    names = _peers.connected_names(owner.session.peers)
+    for name in random.sample(names, min(MAX_PEERS_ASKED, len(names))):
         try:
             reply = await _peers.call(
                 owner.session.peers,
@@ -95,7 +114,7 @@
                 error=str(error),
             )
             owner.deposed.set()
-            return
+            return False
         if reply.released:
             LOG.warning(
                 "Ownership was released through a peer.",
@@ -104,8 +123,12 @@
                 peer=name,
             )
             owner.deposed.set()
-            return
+            return False
+        refused = True
     owner.releasing = False
+    if refused:
+        owner.metrics.retries.inc({"reason": "release_refused"})
+    return refused
 
 
 def _release_transaction(
--- a/chestnuttide/node/tests/test_release.py
+++ b/chestnuttide/node/tests/test_release.py
@@ -1,12 +1,15 @@
 """Release of an ownership through peers while the store is unavailable."""
 
 import asyncio
+import types
 
 import pytest
 
 from chestnuttide import errors
+from chestnuttide.node import _clock
 from chestnuttide.node import _commits
 from chestnuttide.node import _messages
+from chestnuttide.node import _metrics
 from chestnuttide.node import _ownership
 from chestnuttide.node import _peers
 from chestnuttide.node import _release
@@ -31,10 +34,10 @@
             peers=None,
             count_unreadable=lambda kind: None,
         ),
-        store=None,
+        store=types.SimpleNamespace(failing_since=1.0),
         workers_http=None,
         pool=_pool_fixtures.make_pool(1),
-        metrics=None,
+        metrics=_metrics.make_metrics(),
     )
 
 
@@ -77,6 +80,65 @@
     assert owner.releasing is deposed
 
 
+@pytest.mark.parametrize(
+    "peers",
+    [
+        pytest.param(1, id="one-peer"),
+        pytest.param(98, id="as-many-as-the-largest-site"),
+    ],
+)
+def test_an_owner_renews_leases_while_all_peers_refuse_to_release_it(
+    peers: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against runs that expire while the store answers 503 for seconds.
+
+    No command was sent while each of 98 peers was asked in turn, and they were
+    asked again 0.1 s later.
+    """
+    calls: list[float] = []
+    pauses: list[float] = []
+
+    async def call(
+        peers: object, name: str, make_message: object
+    ) -> _messages.ReleaseReply:
+        calls.append(_clock.now())
+        await asyncio.sleep(0.01)
+        return _messages.ReleaseReply(call_id=1, released=False)
+
+    async def read_key(store: object, key: str) -> None:
+        raise platform.StoreRefusedError(message="503", remedy="wait")
+
+    async def observe(owner: _ownership.Ownership) -> None:
+        allowed_at = owner.confirmed_at
+        while _clock.now() < owner.confirmed_at + 2.5:
+            await asyncio.sleep(0.002)
+            now = _clock.now()
+            if _ownership.may_send_commands(owner):
+                pauses.append(now - allowed_at)
+                allowed_at = now
+
+    async def main() -> None:
+        owner = _make_owner()
+        owner.confirmed_at = _clock.now()
+        loop = asyncio.ensure_future(_release.confirm_loop(owner))
+        await observe(owner)
+        loop.cancel()
+        assert not owner.deposed.is_set()
+
+    names = [f"i{number}" for number in range(peers)]
+    monkeypatch.setattr(_peers, "call", call)
+    monkeypatch.setattr(_peers, "connected_names", lambda _: names)
+    monkeypatch.setattr(platform, "read_key", read_key)
+    asyncio.run(main())
+    # Asked again, as peers may reach the store by then.
+    assert calls[-1] - calls[0] > 0.5
+    assert len(calls) <= 3 * min(peers, _release.MAX_PEERS_ASKED)
+    # A poll that renews a lease is tried each 0.25 s.
+    assert max(pauses) < 0.5
+    assert sum(pause for pause in pauses if pause > 0.05) < 0.5
+
+
 def test_a_handed_over_service_is_recorded_as_released(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
