Bound the bytes of commits, and pause longer after failures

Cause: a transaction had up to 15 jobs whatever their size, all of a round were sent at once, each had to be answered within 0.7 s, and a failed one was encoded anew and sent again whole after 0.05 s for ever. Over a link of 5 Mbit/s the records that change together after an outage did not fit, and the link stayed full.

Change: transactions have at most 40 kB by estimate, unless one job has more. The pause after a failure doubles from 0.05 s to 0.5 s, and nothing counts as in flight meanwhile.

--- a/chestnuttide/node/_commits.py
+++ b/chestnuttide/node/_commits.py
@@ -9,6 +9,7 @@
 from chestnuttide.node import _clock
 from chestnuttide.node import _keys
 from chestnuttide.node import _ownership
+from chestnuttide.node import _send_window
 from chestnuttide.node import _set_aside
 from chestnuttide.node import _starts
 from chestnuttide import platform
@@ -27,7 +28,9 @@
 SLOW_DELAY_COMMITS = 2.0
 MAX_DELAY_S = 0.6
 
-RETRY_PAUSE_S = 0.05
+# Pause after a failure, doubled with each further one.
+RETRY_MINIMUM_S = 0.05
+RETRY_MAXIMUM_S = 0.5
 
 # Concurrent commit rounds. A round takes one round trip to the store.
 MAX_COMMIT_ROUNDS = 32
@@ -36,6 +39,13 @@
 # removal. One further entry of a transaction checks the owner's key.
 _ENTRIES_PER_JOB = 2
 
+# Bytes of the records in a transaction, unless a single job has more. A link
+# of 5 Mbit/s sends them in 64 ms, a tenth of the store's timeout. Values are
+# sent as base64, and each job has two entries with its keys.
+MAX_CHUNK_BYTES = 40_000
+_BASE64_RATIO = 4 / 3
+_KEY_BYTES = 200
+
 
 @attrs.frozen(kw_only=True, slots=True, eq=False)
 class _Batch:
@@ -111,6 +121,8 @@
     ]
     live = [job for job in dirty if not _has_ended(job)]
     ended = [job for job in dirty if _has_ended(job)]
+    # Starts wait for the records of planned runs.
+    live.sort(key=lambda job: not _has_planned_runs(job))
     for job in dirty:
         job.dirty = False
     owner.jobs_in_commit.update(job.spec.id for job in live)
@@ -126,13 +138,44 @@
     return job.state in workloads.TERMINAL_STATES
 
 
+def _has_planned_runs(job: workloads.Job) -> bool:
+    return any(
+        run.phase == workloads.Phase.PLANNED
+        for unit in job.units.values()
+        for run in unit.runs
+    )
+
+
+def _estimate_bytes(job: workloads.Job) -> int:
+    """Return roughly what a job adds to the body of a transaction."""
+    if _has_ended(job):
+        return 2 * _KEY_BYTES
+    try:
+        record = workloads.estimate_progress_bytes(job)
+    except Exception:
+        # The job is stored alone, and set aside if that fails, too.
+        return MAX_CHUNK_BYTES
+    return _KEY_BYTES + int(record * _BASE64_RATIO)
+
+
 def _chunks(
     jobs: list[workloads.Job],
 ) -> collections.abc.Iterator[list[workloads.Job]]:
     """Yield the jobs in groups that fit into one transaction."""
-    size = (platform.MAX_TRANSACTION_ENTRIES - 1) // _ENTRIES_PER_JOB
-    for start in range(0, len(jobs), size):
-        yield jobs[start : start + size]
+    most = (platform.MAX_TRANSACTION_ENTRIES - 1) // _ENTRIES_PER_JOB
+    chunk: list[workloads.Job] = []
+    chunk_bytes = 0
+    for job in jobs:
+        size = _estimate_bytes(job)
+        if chunk and (
+            len(chunk) == most or chunk_bytes + size > MAX_CHUNK_BYTES
+        ):
+            yield chunk
+            chunk, chunk_bytes = [], 0
+        chunk.append(job)
+        chunk_bytes += size
+    if chunk:
+        yield chunk
 
 
 async def _commit_jobs(
@@ -165,28 +208,31 @@
 async def _commit_until_stored(
     owner: _ownership.Ownership, jobs: list[workloads.Job], *, ended: bool
 ) -> None:
-    unanswered = False
+    """Store jobs, again after each failure.
+
+    Nothing counts as in flight during the pause, so that transactions that
+    fail hold up no others.
+    """
+    windows = owner.commit_windows
+    window = windows.ended if ended else windows.live
+    pause_s = RETRY_MINIMUM_S
     while not owner.deposed.is_set():
-        # A job that has ended since is stored by another transaction.
-        jobs = [job for job in jobs if _has_ended(job) == ended]
-        if not jobs:
-            return
-        batch = make_batch(owner, jobs)
-        sent_at = _clock.now()
+        size = sum(map(_estimate_bytes, jobs))
+        urgent = ended or any(map(_has_planned_runs, jobs))
         try:
-            revision = await platform.commit(
-                owner.store,
-                batch.transaction,
-                may_send=lambda: not owner.deposed.is_set(),
-            )
+            async with _send_window.hold(window, size, urgent=urgent):
+                # A job that has ended since is stored by another transaction.
+                jobs = [job for job in jobs if _has_ended(job) == ended]
+                if not jobs or owner.deposed.is_set():
+                    return
+                await _commit_once(owner, jobs)
         except platform.ConditionError as error:
             if not _adopt_revisions(owner, jobs, error.items):
                 return
-            continue
         except platform.TransactionRejectedError:
             raise
         except errors.SchedulerError as error:
-            if not unanswered:
+            if pause_s == RETRY_MINIMUM_S:
                 LOG.warning(
                     "Commit failed; trying again.",
                     service=owner.service,
@@ -194,15 +240,27 @@
                     error=str(error),
                 )
                 owner.metrics.retries.inc({"reason": "store_error"})
-            unanswered = True
-            await asyncio.sleep(RETRY_PAUSE_S)
-            continue
-        owner.confirmed_at = max(owner.confirmed_at, sent_at)
-        owner.store_latency_s = _clock.now() - sent_at
-        if unanswered:
-            LOG.info("Commits succeed again.", service=owner.service)
-        apply_batch(owner, batch, revision)
-        return
+            await asyncio.sleep(pause_s)
+            pause_s = min(RETRY_MAXIMUM_S, 2 * pause_s)
+        else:
+            if pause_s > RETRY_MINIMUM_S:
+                LOG.info("Commits succeed again.", service=owner.service)
+            return
+
+
+async def _commit_once(
+    owner: _ownership.Ownership, jobs: list[workloads.Job]
+) -> None:
+    batch = make_batch(owner, jobs)
+    sent_at = _clock.now()
+    revision = await platform.commit(
+        owner.store,
+        batch.transaction,
+        may_send=lambda: not owner.deposed.is_set(),
+    )
+    owner.confirmed_at = max(owner.confirmed_at, sent_at)
+    owner.store_latency_s = _clock.now() - sent_at
+    apply_batch(owner, batch, revision)
 
 
 def make_batch(
--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -33,6 +33,7 @@
 from chestnuttide.node import _ports
 from chestnuttide.node import _release
 from chestnuttide.node import _responses
+from chestnuttide.node import _send_window
 from chestnuttide.node import _session
 from chestnuttide.node import _set_aside
 from chestnuttide.node import _settings
@@ -416,6 +417,9 @@
         workers_http=daemon.workers_http,
         pool=_make_pool(session.settings, service),
         metrics=daemon.metrics,
+        commit_windows=_send_window.make_windows(
+            session.settings.capacity.link_mbps
+        ),
         former_owner_stopped=_claims.has_former_owner_stopped(
             session, service
         ),
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -8,6 +8,7 @@
 from chestnuttide.node import _cap_state
 from chestnuttide.node import _clock
 from chestnuttide.node import _metrics
+from chestnuttide.node import _send_window
 from chestnuttide.node import _session
 from chestnuttide.node import _set_aside
 from chestnuttide import platform
@@ -66,6 +67,8 @@
         Commit rounds in progress.
     jobs_in_commit : set of str
         Ids of live jobs whose progress is being stored.
+    commit_windows : CommitWindows
+        Bounds on the bytes of the commits in flight.
     store_latency_s : float
         Time that the store took for the last answered commit, in seconds.
     committed : asyncio.Event
@@ -126,6 +129,9 @@
     commit_urgent: bool = False
     commit_rounds: set[asyncio.Task[None]] = attrs.field(factory=set)
     jobs_in_commit: set[str] = attrs.field(factory=set)
+    commit_windows: _send_window.CommitWindows = attrs.field(
+        factory=_send_window.make_windows
+    )
     store_latency_s: float = 0.0
     committed: asyncio.Event = attrs.field(factory=asyncio.Event)
     plan_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
--- a/chestnuttide/node/tests/test_commits.py
+++ b/chestnuttide/node/tests/test_commits.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections.abc
 import functools
+import json
+import time
 
 import pytest
 
@@ -265,3 +267,154 @@
         assert not owner.set_aside.items
 
     _run(scenario)
+
+
+LINK_BYTES_PER_S = 5e6 / 8
+STORE_TIMEOUT_S = 0.7
+
+
+def _make_slow_link() -> collections.abc.Callable[
+    ..., collections.abc.Awaitable[object]
+]:
+    """Return a store behind a link of 5 Mbit/s that all requests share.
+
+    A request that the client has given up sends no more bytes.
+    """
+    sending = 0
+
+    async def handle(
+        store: cloud.Store, request: object, body: dict[str, object]
+    ) -> object:
+        nonlocal sending
+        remaining = len(json.dumps(body))
+        started_at = at = time.monotonic()
+        sending += 1
+        try:
+            while remaining > 0:
+                await asyncio.sleep(0.005)
+                now = time.monotonic()
+                remaining -= (now - at) * LINK_BYTES_PER_S / sending
+                at = now
+                if now - started_at > STORE_TIMEOUT_S:
+                    return None
+        finally:
+            sending -= 1
+        return await cloud.handle_store_request(store, request, body)
+
+    return handle
+
+
+def _submit_started(
+    owner: _ownership.Ownership, *, jobs: int, units: int, first: int = 0
+) -> list[workloads.Job]:
+    """Submit jobs whose records have about 59 bytes a unit."""
+    submitted = []
+    for number in range(first, first + jobs):
+        job = _pool_fixtures.submit(
+            owner.pool,
+            _pool_fixtures.make_step(count=units),
+            job_id=f"{number:016x}",
+        )
+        for unit in job.units.values():
+            unit.last_run = 1
+            unit.checkpoint = "c" * 38
+        assert len(job.units) == units
+        job.dirty = True
+        submitted.append(job)
+    return submitted
+
+
+def test_all_records_are_stored_over_a_slow_link() -> None:
+    """Guards against an owner that never stores its records after an outage.
+
+    15 records of 500 started units were one transaction of 600 kB, which a
+    link of 5 Mbit/s does not send within the store's timeout.
+    """
+
+    async def scenario(
+        owner: _ownership.Ownership, store: cloud.Store
+    ) -> None:
+        jobs = _submit_started(owner, jobs=15, units=500)
+        sizes = [len(workloads.encode_progress(job)) for job in jobs]
+        assert 25_000 < min(sizes)
+        _ownership.request_commit(owner, urgent=True)
+        # The link alone needs 1 s.
+        await _until_stored(store, jobs, limit_s=5.0)
+        assert not owner.set_aside.items
+
+    _run(scenario, _make_slow_link())
+
+
+def test_a_record_that_fails_holds_up_no_others() -> None:
+    """Guards against one large record that takes the link from all others."""
+    large_key = _keys.progress(SERVICE, f"{0:016x}")
+    attempts: list[float] = []
+
+    async def handle(
+        store: cloud.Store, request: object, body: dict[str, object]
+    ) -> object:
+        if any(row["key"] == large_key for row in body.get("puts", ())):
+            attempts.append(time.monotonic())
+            return 503, {}
+        return await cloud.handle_store_request(store, request, body)
+
+    async def scenario(
+        owner: _ownership.Ownership, store: cloud.Store
+    ) -> None:
+        (large,) = _submit_started(owner, jobs=1, units=2000)
+        others = _submit_started(owner, jobs=5, units=20, first=1)
+        _ownership.request_commit(owner, urgent=True)
+        await _until_stored(store, others, limit_s=1.0)
+        await asyncio.sleep(2.0)
+        # After 0, 0.05, 0.15, 0.35, 0.75, 1.25, 1.75 and 2.25 s.
+        assert 4 <= len(attempts) <= 8
+        assert large.spec.id in owner.jobs_in_commit
+
+    _run(scenario, handle)
+
+
+@pytest.mark.parametrize(
+    ("jobs", "units", "expected"),
+    [
+        pytest.param(31, 10, [15, 15, 1], id="by-entries"),
+        pytest.param(5, 150, [2, 2, 1], id="by-bytes"),
+        pytest.param(2, 2000, [1, 1], id="large-job-alone"),
+        pytest.param(0, 0, [], id="none"),
+    ],
+)
+def test_chunks_are_bounded_by_entries_and_by_bytes(
+    jobs: int, units: int, expected: list[int]
+) -> None:
+    """Guards against transactions too large for the store or for a link."""
+
+    async def scenario(
+        owner: _ownership.Ownership, store: cloud.Store
+    ) -> None:
+        submitted = _submit_started(owner, jobs=jobs, units=units)
+        chunks = list(_commits._chunks(submitted))
+        assert [len(chunk) for chunk in chunks] == expected
+        assert [job for chunk in chunks for job in chunk] == submitted
+
+    _run(scenario)
+
+
+def test_the_end_of_a_job_does_not_wait_for_the_bytes_in_flight() -> None:
+    """Guards against ends that wait for a large change of the same job."""
+
+    async def scenario(
+        owner: _ownership.Ownership, store: cloud.Store
+    ) -> None:
+        store.dropped_responses = 1
+        (job,) = _submit_started(owner, jobs=1, units=5000)
+        _ownership.request_commit(owner, urgent=True)
+        await asyncio.sleep(0.2)
+        assert store.dropped_responses == 0
+        window = owner.commit_windows.live
+        assert window.used_bytes > window.limit_bytes
+        job.state = workloads.JobState.COMPLETE
+        job.dirty = True
+        _ownership.request_commit(owner, urgent=True)
+        # The commit with the lost answer times out after 0.7 s.
+        await _until_shown(job, limit_s=0.4)
+
+    _run(scenario)
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -73,6 +73,7 @@
 encode_ended_job = _records.encode_ended_job
 encode_job = _records.encode_job
 encode_progress = _records.encode_progress
+estimate_progress_bytes = _records.estimate_progress_bytes
 encode_run_times = _run_time_records.encode_run_times
 end_incarnation = _incarnations.end_incarnation
 end_run = _lifecycle.end_run
@@ -169,6 +170,7 @@
     "encode_ended_job",
     "encode_job",
     "encode_progress",
+    "estimate_progress_bytes",
     "encode_run_times",
     "end_incarnation",
     "end_run",
--- a/chestnuttide/workloads/_records.py
+++ b/chestnuttide/workloads/_records.py
@@ -36,6 +36,19 @@
     return cbor2.dumps([_RECORD_VERSION, job.started, rows])
 
 
+def estimate_progress_bytes(job: _state.Job) -> int:
+    """Return roughly the size of a job's progress record, seldom too low."""
+    return 20 + sum(
+        40
+        + len(unit.checkpoint)
+        + 5 * len(unit.failed_runs)
+        + sum(10 + len(run.worker_key) for run in unit.runs)
+        + sum(20 + len(each.worker_key) for each in unit.crashes.values())
+        for unit in job.units.values()
+        if unit.last_run
+    )
+
+
 def _encode_crashes(unit: _state.Unit) -> list[list[list[object]]]:
     """Return the last column of a unit's row, which few units have."""
     if not unit.crashes:
