Go on with a watch from its last revision after a failure

A watch that failed (reset, no answer, 429, 503) listed its whole prefix again, each 0.1 to 0.5 s and on all instances at once; a listing of the cell also cleared members and owners. A watch from the last revision returns all later changes, so a listing showed nothing more. It is made at the start now, after 410, and after an answer to a watch that cannot be read, as the next one may be the same. These pause, too.

The pauses differ between instances (half to all of 0.1 s, up to 0.5 s). The watch after a failed one waits for 0.05 s, so that claims are not blocked for the 1.2 s of an idle watch, and its empty answer confirms 0.05 s at most: the callback is given the wait that was asked for.

The listing also ended owners that a peer behind had named after their removal. Their fencing tokens are remembered instead, and such a peer is not believed.

--- a/chestnuttide/node/_configuration.py
+++ b/chestnuttide/node/_configuration.py
@@ -46,7 +46,7 @@
         _watches.WATCH_WAIT_S, session.confirmation_limit_s
     )
 
-    def on_answer(sent_at: float, empty: bool) -> None:
+    def on_answer(sent_at: float, empty: bool, waited_s: float) -> None:
         if not readable:
             # The one in force is not the newest.
             return
@@ -55,7 +55,7 @@
             _access.confirmed_by_watch(
                 sent_at=sent_at,
                 answered_at=_clock.now(),
-                wait_s=wait_s,
+                wait_s=waited_s,
                 empty=empty,
             ),
         )
@@ -213,7 +213,7 @@
             continue
         apply_peers_config(session, reply, sent_at=sent_at, source=name)
         for service, instance, incarnation, fencing_token in reply.owners:
-            _session.adopt_owner(
+            _session.adopt_peers_owner(
                 session,
                 service,
                 _session.Owner(
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -100,6 +100,9 @@
         Owner of each service that has one.
     former_owners : dict of str to Owner
         Last owner of each service whose owner's key was removed.
+    ended_fencing_tokens : dict of str to int
+        Fencing token up to which each service's owners are known to have lost
+        their key; a peer may still name one of them.
     released : dict of str to int
         Fencing token of each service's last owner that sent no more commands
         before its key was removed.
@@ -151,6 +154,7 @@
     former_members: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     owners: dict[str, Owner] = attrs.field(factory=dict)
     former_owners: dict[str, Owner] = attrs.field(factory=dict)
+    ended_fencing_tokens: dict[str, int] = attrs.field(factory=dict)
     released: dict[str, int] = attrs.field(factory=dict)
     failed_fencing_tokens: dict[str, int] = attrs.field(factory=dict)
     handed_to: dict[str, tuple[str, float]] = attrs.field(factory=dict)
@@ -221,9 +225,13 @@
     def on_list(items: tuple[platform.Item, ...]) -> None:
         for name in list(session.members):
             _end_membership(session, name)
+        former = dict(session.owners)
         session.owners.clear()
         for item in items:
             apply_cell_item(session, item)
+        for service, owner in former.items():
+            if service not in session.owners:
+                _end_owners(session, service, owner.fencing_token)
         _update_peers(session)
 
     def on_item(item: platform.Item) -> None:
@@ -285,6 +293,7 @@
     if value is not None:
         adopt_owner(session, service, value)
         return
+    _end_owners(session, service, item.revision)
     former = session.owners.get(service)
     if former is not None and former.fencing_token < item.revision:
         del session.owners[service]
@@ -356,6 +365,13 @@
     return services
 
 
+def _end_owners(session: Session, service: str, fencing_token: int) -> None:
+    """Record that owners up to a fencing token have lost their key."""
+    session.ended_fencing_tokens[service] = max(
+        fencing_token, session.ended_fencing_tokens.get(service, 0)
+    )
+
+
 def _end_membership(session: Session, name: str) -> None:
     session.member_since.pop(name, None)
     member = session.members.pop(name, None)
@@ -392,6 +408,15 @@
     session.changed.set()
 
 
+def adopt_peers_owner(session: Session, service: str, owner: Owner) -> None:
+    """Record an owner that a peer names, unless it has lost its key.
+
+    No listing follows that would end it: the peer may be behind the watch.
+    """
+    if owner.fencing_token > session.ended_fencing_tokens.get(service, 0):
+        adopt_owner(session, service, owner)
+
+
 async def leave(session: Session) -> None:
     """End the lease, so that other instances take over at once."""
     if not session.lease:
--- a/chestnuttide/node/_watches.py
+++ b/chestnuttide/node/_watches.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import random
 
 from chestnuttide import errors
 from chestnuttide.node import _clock
@@ -15,11 +16,20 @@
 # acknowledgement.
 WATCH_WAIT_S = 1.2
 
-# Pauses after a failed call to the store.
+# The watch after a failed one returns after this time, so that an instance
+# soon knows that it has missed nothing.
+CATCH_UP_WAIT_S = 0.05
+
+# Longest pauses after a failed call to the store.
 RETRY_MINIMUM_S = 0.1
 RETRY_MAXIMUM_S = 0.5
 
-OnAnswer = collections.abc.Callable[[float, bool], None]
+OnAnswer = collections.abc.Callable[[float, bool, float], None]
+
+
+def retry_pause_s(retry_s: float, drawn: float) -> float:
+    """Return a pause of half to all of `retry_s`; `drawn` is from 0 to 1."""
+    return retry_s * (1.0 + drawn) / 2
 
 
 async def watch_prefix(
@@ -31,11 +41,16 @@
     on_working: collections.abc.Callable[[bool], None],
     pause_s: float = 0.0,
     wait_s: float = WATCH_WAIT_S,
-    on_answer: OnAnswer = lambda sent_at, empty: None,
+    on_answer: OnAnswer = lambda sent_at, empty, waited_s: None,
     revision: int = -1,
+    draw: collections.abc.Callable[[], float] = random.random,
 ) -> None:
     """Report the items under a prefix and all later changes until cancelled.
 
+    A watch from a known revision misses nothing, so a failed one is repeated.
+    The prefix is listed again only if the store has discarded its history or
+    gave an answer that cannot be read.
+
     Parameters
     ----------
     store : KvStore
@@ -53,11 +68,16 @@
     wait_s : float
         Time after which a watch without changes returns.
     on_answer : function
-        ``on_answer(sent_at, empty)`` is called after each answered call and
-        its changes, with when it was sent and whether it was a watch without
-        changes.
+        ``on_answer(sent_at, empty, waited_s)`` is called after each answered
+        call and its changes, with when it was sent, whether it was a watch
+        without changes, and after which time such a watch returns.
+    revision : int
+        Store revision to watch from; -1 to list the items first.
+    draw : function
+        Returns a random number from 0 to 1 for each pause after a failure.
     """
     retry_s = RETRY_MINIMUM_S
+    next_wait_s = wait_s
     while True:
         sent_at = _clock.now()
         try:
@@ -65,21 +85,24 @@
                 listed = await platform.read_all(store, prefix)
                 on_list(listed.items)
                 revision = listed.store_revision
-                on_answer(sent_at, False)
+                on_answer(sent_at, False, 0.0)
             else:
                 changes = await platform.watch_keys(
                     store,
                     prefix,
                     after_revision=revision,
-                    wait_s=wait_s,
+                    wait_s=next_wait_s,
                 )
                 for item in changes.items:
                     on_item(item)
-                on_answer(sent_at, not changes.items)
+                on_answer(sent_at, not changes.items, next_wait_s)
                 revision = max(revision, changes.store_revision)
                 await asyncio.sleep(pause_s)
-            retry_s = RETRY_MINIMUM_S
+                # A listing alone may be followed by a refused watch again.
+                retry_s = RETRY_MINIMUM_S
+            next_wait_s = wait_s
             on_working(True)
+            continue
         except platform.HistoryLostError:
             LOG.info(
                 "Store no longer has the watched revision; listing again.",
@@ -89,7 +112,9 @@
         except errors.SchedulerError as error:
             on_working(False)
             LOG.debug("Watch failed.", prefix=prefix, error=str(error))
-            # A new listing also shows changes that a broken watch has missed.
-            revision = -1
-            await asyncio.sleep(retry_s)
-            retry_s = min(RETRY_MAXIMUM_S, retry_s * 2)
+            if isinstance(error, platform.UnreadableChangesError):
+                revision = -1
+            next_wait_s = min(wait_s, CATCH_UP_WAIT_S)
+        # All instances fail at once; their next calls are spread.
+        await asyncio.sleep(retry_pause_s(retry_s, draw()))
+        retry_s = min(RETRY_MAXIMUM_S, retry_s * 2)
--- a/chestnuttide/node/tests/test_keys.py
+++ b/chestnuttide/node/tests/test_keys.py
@@ -10,6 +10,7 @@
 import pytest
 from tornado import httputil
 
+from chestnuttide import errors
 from chestnuttide.node import _clock
 from chestnuttide.node import _configuration
 from chestnuttide.node import _dispatch
@@ -380,6 +381,48 @@
     _run(monkeypatch, scenario)
 
 
+def test_a_late_answer_after_a_failure_confirms_its_own_wait(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a confirmation of a time that the store did not wait.
+
+    The watch that follows a failure waits for a moment only.
+    """
+
+    async def scenario(bed: Bed) -> None:
+        cloud.put(bed.store, _keys.CONFIG, _document(1, a=["ka"]))
+        watch_keys = platform.watch_keys
+        sent: list[float] = []
+
+        async def watch(
+            store: platform.KvStore, prefix: str, **options: object
+        ) -> object:
+            sent.append(bed.now)
+            if len(sent) == 1:
+                bed.now += 1.0
+                raise errors.StoreUnavailableError(
+                    message="No answer.", remedy="Retry later."
+                )
+            changes = await watch_keys(store, prefix, **options)
+            bed.now += 3.0
+            return changes
+
+        monkeypatch.setattr(platform, "watch_keys", watch)
+        follow = asyncio.ensure_future(
+            _configuration.follow_config(bed.session)
+        )
+        await _wait(lambda: len(sent) == 3)
+        assert (
+            bed.session.config_confirmed_at - sent[1]
+            <= _watches.CATCH_UP_WAIT_S
+        )
+        assert bed.session.config_confirmed_at >= sent[1]
+        follow.cancel()
+        await asyncio.gather(follow, return_exceptions=True)
+
+    _run(monkeypatch, scenario)
+
+
 async def _wait(condition: collections.abc.Callable[[], bool]) -> None:
     async with asyncio.timeout(10 * _watches.WATCH_WAIT_S):
         while not condition():
--- a/chestnuttide/node/tests/test_watches.py
+++ b/chestnuttide/node/tests/test_watches.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import collections.abc
+import contextlib
 import json
 import urllib.parse
 
@@ -10,7 +11,9 @@
 import pytest
 
 from chestnuttide import errors
+from chestnuttide.node import _keys
 from chestnuttide.node import _session
+from chestnuttide.node import _watches
 from chestnuttide.node.tests import _session_fixtures
 from chestnuttide import platform
 from chestnuttide.platform import _http
@@ -198,9 +201,185 @@
         await asyncio.sleep(0.01)
 
 
-async def _end(task: asyncio.Task[None]) -> None:
-    task.cancel()
-    await asyncio.wait([task])
+@attrs.define(kw_only=True)
+class _Seen:
+    """What a watch has reported.
+
+    Attributes
+    ----------
+    keys : set of str
+        Keys of items and changes.
+    listings : int
+        Number of listings.
+    working : list of bool
+        Whether calls succeeded.
+    answers : list of (bool, float)
+        Whether each answer was empty, and the wait that it may have had.
+    draws : int
+        Number of pauses drawn.
+    """
+
+    keys: set[str] = attrs.field(factory=set)
+    listings: int = 0
+    working: list[bool] = attrs.field(factory=list)
+    answers: list[tuple[bool, float]] = attrs.field(factory=list)
+    draws: int = 0
+
+
+@contextlib.asynccontextmanager
+async def _running(
+    work: collections.abc.Coroutine[None, None, None],
+) -> collections.abc.AsyncIterator[None]:
+    task = asyncio.create_task(work)
+    try:
+        yield
+    finally:
+        task.cancel()
+        await asyncio.wait([task])
+
+
+def _follow(
+    session: _session.Session, seen: _Seen, *, wait_s: float = WAIT_S
+) -> contextlib.AbstractAsyncContextManager[None]:
+    def on_list(items: tuple[platform.Item, ...]) -> None:
+        seen.listings += 1
+        seen.keys.update(item.key for item in items)
+
+    def draw() -> float:
+        seen.draws += 1
+        return 0.0
+
+    return _running(
+        _watches.watch_prefix(
+            session.store,
+            PREFIX,
+            on_list=on_list,
+            on_item=lambda item: seen.keys.add(item.key),
+            on_working=seen.working.append,
+            on_answer=lambda sent_at, empty, waited_s: seen.answers.append(
+                (empty, waited_s)
+            ),
+            wait_s=wait_s,
+            draw=draw,
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    ("failure", "lists"),
+    [
+        pytest.param("reset", 1, id="connection-is-reset"),
+        pytest.param("silent", 1, id="no-answer"),
+        pytest.param("cut", 1, id="answer-is-cut-off"),
+        pytest.param("429", 1, id="too-many-calls"),
+        pytest.param("503", 1, id="refused"),
+        pytest.param("410", 2, id="history-is-lost"),
+        pytest.param("unreadable", 2, id="unreadable-answer"),
+    ],
+)
+def test_a_failed_watch_goes_on_where_it_was(failure: str, lists: int) -> None:
+    """Guards against failures that have all instances list the prefix.
+
+    What is written meanwhile must arrive, and the work goes on.
+    """
+    store = _Store(failures=[failure] * 3, changes_at_failure=["p/b"])
+    _put(store, "p/a")
+
+    async def scenario(session: _session.Session) -> None:
+        seen = _Seen()
+        async with _follow(session, seen):
+            await _until(lambda: len(store.waits) > 3 and seen.working[-1])
+        assert seen.keys == {"p/a", "p/b"}
+        if lists == 1:
+            assert seen.listings == store.calls.count("list") == 1
+            assert store.calls[:4] == ["list"] + ["watch 1"] * 3
+            assert seen.working[:2] == [True, False]
+        else:
+            assert seen.listings == store.calls.count("list") == 4
+        assert seen.draws == 3
+
+    _run(store, scenario)
+
+
+def test_a_watch_works_again_as_soon_as_the_store_answers() -> None:
+    """Guards against claims that are blocked for the wait of a watch."""
+    store = _Store(failures=["503"])
+    _put(store, "p/a")
+
+    async def scenario(session: _session.Session) -> None:
+        seen = _Seen()
+        async with _follow(session, seen, wait_s=5.0):
+            async with asyncio.timeout(2.0):
+                await _until(lambda: len(store.waits) == 3)
+        assert seen.working == [True, False, True]
+        assert store.waits == [
+            5000,
+            int(_watches.CATCH_UP_WAIT_S * 1000),
+            5000,
+        ]
+        # The end of the first wait would confirm too much.
+        assert seen.answers == [
+            (False, 0.0),
+            (True, _watches.CATCH_UP_WAIT_S),
+        ]
+
+    _run(store, scenario)
+
+
+@pytest.mark.parametrize(
+    ("retry_s", "drawn", "expected"),
+    [
+        pytest.param(0.1, 0.0, 0.05, id="shortest"),
+        pytest.param(0.1, 1.0, 0.1, id="longest"),
+        pytest.param(0.5, 0.5, 0.375, id="between"),
+    ],
+)
+def test_pauses_differ_between_instances(
+    retry_s: float, drawn: float, expected: float
+) -> None:
+    """Guards against instances that repeat a refused call at once."""
+    assert _watches.retry_pause_s(retry_s, drawn) == pytest.approx(expected)
+
+
+@pytest.mark.parametrize(
+    ("fencing_token", "adopted"),
+    [
+        pytest.param(5, False, id="removed-one"),
+        pytest.param(7, False, id="one-before-the-removal"),
+        pytest.param(9, True, id="newer-one"),
+    ],
+)
+@pytest.mark.parametrize("listed", [False, True])
+def test_a_peer_brings_no_removed_owner_back(
+    fencing_token: int, adopted: bool, listed: bool
+) -> None:
+    """Guards against owners that a peer behind names and no listing ends."""
+
+    async def scenario(session: _session.Session) -> None:
+        owner = _session.Owner(
+            instance="b", incarnation="1", fencing_token=fencing_token
+        )
+        session.owners["s"] = attrs.evolve(
+            owner, fencing_token=7 if listed else 5
+        )
+        if listed:
+            async with _running(_session.follow_cell(session)):
+                await _until(lambda: session.cell_known)
+        else:
+            _session.apply_cell_item(
+                session,
+                platform.Item(
+                    key=_keys.OWNERS + "s", revision=8, removed=True
+                ),
+            )
+        assert not session.owners
+        _session.adopt_peers_owner(session, "s", owner)
+        assert (session.owners.get("s") == owner) is adopted
+        # What the store says is never behind.
+        _session.adopt_owner(session, "s", owner)
+        assert session.owners["s"] == owner
+
+    _run(_Store(), scenario)
 
 
 def test_a_large_answer_arrives_over_a_slow_connection() -> None:
--- a/chestnuttide/platform/__init__.py
+++ b/chestnuttide/platform/__init__.py
@@ -35,6 +35,7 @@
 TaskStart = _ports.TaskStart
 Tickets = _advisor.Tickets
 Transaction = _kv_store.Transaction
+UnreadableChangesError = _kv_store.UnreadableChangesError
 WatchResult = _ports.WatchResult
 WorkerAddress = _worker_commands.WorkerAddress
 WorkerAgent = _ports.WorkerAgent
@@ -88,6 +89,7 @@
     "TaskStart",
     "Tickets",
     "Transaction",
+    "UnreadableChangesError",
     "WatchResult",
     "WorkerAddress",
     "WorkerAgent",
--- a/chestnuttide/platform/_kv_store.py
+++ b/chestnuttide/platform/_kv_store.py
@@ -133,6 +133,10 @@
     code = "history_lost"
 
 
+class UnreadableChangesError(errors.StoreUnavailableError):
+    """The store has answered a watch with something that cannot be read."""
+
+
 @attrs.define(kw_only=True, slots=True, eq=False)
 class KvStore:
     """Connection to the metadata store.
@@ -234,6 +238,8 @@
     ------
     HistoryLostError
         If the store has discarded that history; list the prefix again.
+    UnreadableChangesError
+        If the answer cannot be read; the next one from there may be the same.
     """
     query = urllib.parse.urlencode(
         {
@@ -254,7 +260,7 @@
             message=f"The history after {after_revision} has been discarded.",
             remedy="List the prefix again.",
         )
-    with _decoding():
+    with _decoding(UnreadableChangesError):
         document = _require_success(reply)
         return Changes(
             items=tuple(
@@ -407,11 +413,15 @@
     store.unresponsive = unanswered
 
 
-def _decoding() -> contextlib.AbstractContextManager[None]:
+def _decoding(
+    error_class: type[
+        errors.StoreUnavailableError
+    ] = errors.StoreUnavailableError,
+) -> contextlib.AbstractContextManager[None]:
     return errors.decoding(
         "The store's response",
         "Read the written keys back before retrying.",
-        errors.StoreUnavailableError,
+        error_class,
     )
 
 
