Keep the pages of a watch's listing and apply it in slices

A listing before a watch started over with its first page after any failed page, and was then applied in one go, while polls and lease renewals waited.

The takeover's way of reading is in node/_listings.py and serves both: a page that does not arrive is read again, and an owner applies workers and jobs in slices of 0.02 s. Members and owners of the cell are still applied in one go, as the list replaces the former one.

Now the first page is read once and the loop runs at least each 0.3 s, as the test asks.

--- a/chestnuttide/node/_cap_shares.py
+++ b/chestnuttide/node/_cap_shares.py
@@ -160,7 +160,7 @@
         _cap_record.adopt_item(owner.session, item)
         owner.plan_requested.set()
 
-    def on_list(items: tuple[platform.Item, ...]) -> None:
+    async def on_list(items: tuple[platform.Item, ...]) -> None:
         # A listing may be older than a record that a peer has sent.
         owner.caps.unseen = not items
         for item in items:
--- a/chestnuttide/node/_configuration.py
+++ b/chestnuttide/node/_configuration.py
@@ -33,7 +33,7 @@
         if item.key == _keys.CONFIG and not item.removed:
             readable = adopt_config(session, item.value, source="store")
 
-    def on_list(items: tuple[platform.Item, ...]) -> None:
+    async def on_list(items: tuple[platform.Item, ...]) -> None:
         for item in items:
             on_item(item)
 
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -115,10 +115,14 @@
 
 
 async def _watch_work(owner: _ownership.Ownership, *, revision: int) -> None:
+    async def on_list(items: tuple[platform.Item, ...]) -> None:
+        await _takeover.apply_jobs(owner, items)
+        await _takeover.apply_cancellations(owner, items)
+
     await _watches.watch_prefix(
         owner.session.store,
         _keys.work(owner.service),
-        on_list=lambda items: _updates.apply_work_items(owner, items),
+        on_list=on_list,
         on_item=lambda item: _updates.apply_work_items(owner, (item,)),
         on_working=lambda working: None,
         pause_s=WATCH_BATCH_S,
@@ -129,13 +133,12 @@
 async def _watch_workers(
     owner: _ownership.Ownership, *, revision: int
 ) -> None:
-    def on_list(items: tuple[platform.Item, ...]) -> None:
+    async def on_list(items: tuple[platform.Item, ...]) -> None:
         names = {item.key.removeprefix(_keys.WORKERS) for item in items}
         for worker in owner.pool.workers.values():
             if worker.report.id not in names:
                 worker.listed = False
-        for item in items:
-            _updates.apply_worker_entry(owner, item)
+        await _takeover.apply_workers(owner, items)
 
     await _watches.watch_prefix(
         owner.session.store,
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -222,7 +222,7 @@
 async def follow_cell(session: Session) -> None:
     """Keep members and owners up to date until cancelled."""
 
-    def on_list(items: tuple[platform.Item, ...]) -> None:
+    async def on_list(items: tuple[platform.Item, ...]) -> None:
         for name in list(session.members):
             _end_membership(session, name)
         former = dict(session.owners)
--- a/chestnuttide/node/_takeover.py
+++ b/chestnuttide/node/_takeover.py
@@ -9,6 +9,7 @@
 from chestnuttide import errors
 from chestnuttide.node import _clock
 from chestnuttide.node import _keys
+from chestnuttide.node import _listings
 from chestnuttide.node import _ownership
 from chestnuttide.node import _polls
 from chestnuttide.node import _set_aside
@@ -20,10 +21,6 @@
 
 RETRY_S = 0.1
 
-# Records are applied for this long before other tasks of the loop run, such
-# as the renewal of the instance's lease.
-SLICE_S = 0.02
-
 
 @attrs.frozen(kw_only=True, slots=True)
 class Listed:
@@ -40,22 +37,6 @@
     work: int
 
 
-@attrs.define(kw_only=True, slots=True)
-class _Listing:
-    """The pages of a prefix that have been read.
-
-    Attributes
-    ----------
-    items : list of Item
-        Their items.
-    revision : int
-        Store revision of the first page; -1 before it.
-    """
-
-    items: list[platform.Item] = attrs.field(factory=list)
-    revision: int = -1
-
-
 async def take_over(owner: _ownership.Ownership) -> Listed | None:
     """Load the pool from the store; return None if deposed."""
     started_at = _clock.now()
@@ -108,17 +89,12 @@
     return Listed(workers=workers.revision, work=work.revision)
 
 
-async def _read(owner: _ownership.Ownership, prefix: str) -> _Listing:
-    """Read all pages of a prefix, unless the owner is deposed meanwhile.
-
-    A page that does not arrive is read again; the pages before it are kept.
-    """
-    listing = _Listing()
-    more = True
-    while more and not owner.deposed.is_set():
-        after = listing.items[-1].key if listing.items else ""
+async def _read(owner: _ownership.Ownership, prefix: str) -> _listings.Listing:
+    """Read all pages of a prefix, unless the owner is deposed meanwhile."""
+    listing = _listings.Listing()
+    while not listing.complete and not owner.deposed.is_set():
         try:
-            page = await platform.read_range(owner.store, prefix, after=after)
+            await _listings.read_next_page(owner.store, prefix, listing)
         except errors.SchedulerError as error:
             LOG.warning(
                 "Takeover cannot read the store; trying again.",
@@ -129,11 +105,6 @@
             )
             owner.metrics.retries.inc({"reason": "takeover_read"})
             await asyncio.sleep(RETRY_S)
-            continue
-        if listing.revision < 0:
-            listing.revision = page.store_revision
-        listing.items.extend(page.items)
-        more = page.more
     return listing
 
 
@@ -163,25 +134,20 @@
     work: list[platform.Item],
     progress: list[platform.Item],
 ) -> None:
-    await _apply_each(owner, workers, _updates.apply_worker_entry)
-    await _apply_each(owner, work, _updates.apply_job)
+    await apply_workers(owner, workers)
+    await apply_jobs(owner, work)
     prefix = _keys.progress(owner.service)
     known = {item.key for item in work}
-    await _apply_each(
-        owner,
+    await _listings.apply_in_slices(
         [
             item
             for item in progress
             if _keys.job(owner.service, item.key.removeprefix(prefix)) in known
         ],
-        _updates.apply_progress,
-    )
-    # Cancellations of the jobs, which are there by now.
-    await _apply_each(
-        owner,
-        work,
-        lambda owner, item: _updates.apply_work_items(owner, (item,)),
+        functools.partial(_updates.apply_progress, owner),
+        stopped=owner.deposed.is_set,
     )
+    await apply_cancellations(owner, work)
     for worker in list(owner.pool.workers.values()):
         if worker.listed:
             # Records may name incarnations that ended before the takeover.
@@ -195,19 +161,34 @@
             )
 
 
-async def _apply_each(
-    owner: _ownership.Ownership,
-    items: list[platform.Item],
-    apply: collections.abc.Callable[
-        [_ownership.Ownership, platform.Item], None
-    ],
+async def apply_workers(
+    owner: _ownership.Ownership, items: collections.abc.Iterable[platform.Item]
+) -> None:
+    """Apply the listed entries of workers."""
+    await _listings.apply_in_slices(
+        items,
+        functools.partial(_updates.apply_worker_entry, owner),
+        stopped=owner.deposed.is_set,
+    )
+
+
+async def apply_jobs(
+    owner: _ownership.Ownership, items: collections.abc.Iterable[platform.Item]
 ) -> None:
-    """Apply items in slices, unless the owner is deposed meanwhile."""
-    until = _clock.now() + SLICE_S
-    for item in items:
-        apply(owner, item)
-        if _clock.now() >= until:
-            await asyncio.sleep(0)
-            if owner.deposed.is_set():
-                return
-            until = _clock.now() + SLICE_S
+    """Apply the jobs of the service's listed items."""
+    await _listings.apply_in_slices(
+        items,
+        functools.partial(_updates.apply_job, owner),
+        stopped=owner.deposed.is_set,
+    )
+
+
+async def apply_cancellations(
+    owner: _ownership.Ownership, items: collections.abc.Iterable[platform.Item]
+) -> None:
+    """Apply the cancellations of listed jobs, which are there by now."""
+    await _listings.apply_in_slices(
+        items,
+        lambda item: _updates.apply_work_items(owner, (item,)),
+        stopped=owner.deposed.is_set,
+    )
--- a/chestnuttide/node/_watches.py
+++ b/chestnuttide/node/_watches.py
@@ -6,6 +6,7 @@
 
 from chestnuttide import errors
 from chestnuttide.node import _clock
+from chestnuttide.node import _listings
 from chestnuttide import platform
 from chestnuttide import telemetry
 
@@ -24,6 +25,9 @@
 RETRY_MINIMUM_S = 0.1
 RETRY_MAXIMUM_S = 0.5
 
+OnList = collections.abc.Callable[
+    [tuple[platform.Item, ...]], collections.abc.Awaitable[None]
+]
 OnAnswer = collections.abc.Callable[[float, bool, float], None]
 
 
@@ -36,7 +40,7 @@
     store: platform.KvStore,
     prefix: str,
     *,
-    on_list: collections.abc.Callable[[tuple[platform.Item, ...]], None],
+    on_list: OnList,
     on_item: collections.abc.Callable[[platform.Item], None],
     on_working: collections.abc.Callable[[bool], None],
     pause_s: float = 0.0,
@@ -58,11 +62,12 @@
     prefix : str
         Prefix of the keys.
     on_list : function
-        Called with all items after each listing.
+        Called with all items after each listing; may let other tasks run.
     on_item : function
         Called with each change.
     on_working : function
-        Called after each call to the store with whether it succeeded.
+        Called with True after each listing and each watch, and with False
+        after each failed call.
     pause_s : float
         Pause before the next watch, in which changes accumulate.
     wait_s : float
@@ -78,14 +83,18 @@
     """
     retry_s = RETRY_MINIMUM_S
     next_wait_s = wait_s
+    listing = _listings.Listing()
     while True:
         sent_at = _clock.now()
         try:
             if revision < 0:
-                listed = await platform.read_all(store, prefix)
-                on_list(listed.items)
-                revision = listed.store_revision
-                on_answer(sent_at, False, 0.0)
+                await _listings.read_next_page(store, prefix, listing)
+                if not listing.complete:
+                    continue
+                await on_list(tuple(listing.items))
+                revision = listing.revision
+                on_answer(listing.sent_at, False, 0.0)
+                listing = _listings.Listing()
             else:
                 changes = await platform.watch_keys(
                     store,
--- a/chestnuttide/node/tests/test_watches.py
+++ b/chestnuttide/node/tests/test_watches.py
@@ -5,6 +5,7 @@
 import collections.abc
 import contextlib
 import json
+import time
 import urllib.parse
 
 import attrs
@@ -12,11 +13,16 @@
 
 from chestnuttide import errors
 from chestnuttide.node import _keys
+from chestnuttide.node import _metrics
+from chestnuttide.node import _owner
+from chestnuttide.node import _ownership
 from chestnuttide.node import _session
+from chestnuttide.node import _updates
 from chestnuttide.node import _watches
 from chestnuttide.node.tests import _session_fixtures
 from chestnuttide import platform
 from chestnuttide.platform import _http
+from chestnuttide import workloads
 
 STORE_TIMEOUT_S = 0.2
 WAIT_S = 0.3
@@ -241,7 +247,7 @@
 def _follow(
     session: _session.Session, seen: _Seen, *, wait_s: float = WAIT_S
 ) -> contextlib.AbstractAsyncContextManager[None]:
-    def on_list(items: tuple[platform.Item, ...]) -> None:
+    async def on_list(items: tuple[platform.Item, ...]) -> None:
         seen.listings += 1
         seen.keys.update(item.key for item in items)
 
@@ -326,6 +332,110 @@
     _run(store, scenario)
 
 
+@pytest.mark.parametrize(
+    ("page_failures", "calls"),
+    [
+        pytest.param([], ["list", "list p/b", "list p/d"], id="no-failure"),
+        pytest.param(
+            ["reset"],
+            ["list", "list p/b", "list p/d"],
+            id="first-page-is-not-answered",
+        ),
+        pytest.param(
+            ["fine", "cut", "429"],
+            ["list", "list p/b", "list p/b", "list p/d"],
+            id="second-page-fails-twice",
+        ),
+    ],
+)
+def test_a_listing_keeps_the_pages_that_arrived(
+    page_failures: list[str], calls: list[str]
+) -> None:
+    """Guards against listings that start over until all pages arrive.
+
+    The watch goes on from the first page, as later ones may show less.
+    """
+    store = _Store(page_failures=page_failures)
+    for letter in "abcde":
+        _put(store, f"p/{letter}")
+
+    async def scenario(session: _session.Session) -> None:
+        seen = _Seen()
+        failures = len([each for each in page_failures if each != "fine"])
+        async with _follow(session, seen):
+            await _until(lambda: len(store.waits) == 1)
+            assert store.calls == [*calls, "watch 5"]
+            assert seen.working == [False] * failures + [True]
+            assert (seen.listings, len(seen.keys)) == (1, 5)
+
+    _run(store, scenario)
+
+
+@pytest.mark.parametrize(
+    ("watch", "prefix", "function"),
+    [
+        pytest.param(
+            _owner._watch_workers,
+            _keys.WORKERS,
+            "apply_worker_entry",
+            id="workers",
+        ),
+        pytest.param(
+            _owner._watch_work, _keys.job("s", ""), "apply_job", id="jobs"
+        ),
+    ],
+)
+def test_the_loop_runs_while_a_listing_is_applied(
+    watch: collections.abc.Callable[
+        ..., collections.abc.Coroutine[None, None, None]
+    ],
+    prefix: str,
+    function: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against calls and leases that time out behind a listing."""
+    store = _Store(failures=["410"])
+    for number in range(60):
+        _put(store, f"{prefix}{number:02d}")
+    applied: list[str] = []
+
+    def apply(owner: _ownership.Ownership, item: platform.Item) -> None:
+        applied.append(item.key)
+        time.sleep(0.01)
+
+    async def scenario(session: _session.Session) -> None:
+        monkeypatch.setattr(_updates, function, apply)
+        owner = _make_owner(session)
+        loop = asyncio.get_running_loop()
+        async with _running(watch(owner, revision=0)):
+            longest_s, turn_at = 0.0, loop.time()
+            while len(store.waits) < 2:
+                await asyncio.sleep(0.001)
+                longest_s = max(longest_s, loop.time() - turn_at)
+                turn_at = loop.time()
+        assert set(applied) == set(store.items)
+        assert longest_s < 0.3
+
+    _run(store, scenario)
+
+
+def _make_owner(session: _session.Session) -> _ownership.Ownership:
+    return _ownership.Ownership(
+        service="s",
+        fencing_token=1,
+        session=session,
+        store=session.store,
+        workers_http=session.store.http,
+        pool=workloads.Pool(
+            service="s",
+            limits=workloads.TimeLimits(
+                lease_s=2.5, early_s=0.0, stop_s=0.5, entry_expiry_s=6.0
+            ),
+        ),
+        metrics=_metrics.make_metrics(),
+    )
+
+
 @pytest.mark.parametrize(
     ("retry_s", "drawn", "expected"),
     [
