--- a/chestnuttide/node/tests/test_watches.py
+++ b/chestnuttide/node/tests/test_watches.py
@@ -1,12 +1,9 @@
 """Watches whose calls fail, and what the store is asked for afterwards."""
 
 import asyncio
-import base64
 import collections.abc
 import contextlib
-import json
 import time
-import urllib.parse
 
 import attrs
 import pytest
@@ -19,187 +16,12 @@
 from chestnuttide.node import _session
 from chestnuttide.node import _updates
 from chestnuttide.node import _watches
-from chestnuttide.node.tests import _session_fixtures
+from chestnuttide.node.tests import _failing_store
 from chestnuttide import platform
-from chestnuttide.platform import _http
 from chestnuttide import workloads
 
-STORE_TIMEOUT_S = 0.2
 WAIT_S = 0.3
 PREFIX = "p/"
-PAGE_ITEMS = 2
-
-# A watch of a slow store sends its answer in this many pieces.
-PIECES = 8
-
-LIMIT_S = 10.0
-
-
-@attrs.define(kw_only=True)
-class _Store:
-    """A store whose calls fail as listed.
-
-    Attributes
-    ----------
-    failures : list of str
-        What happens to each of the next watches: a status, ``reset``,
-        ``silent``, ``cut`` (in the middle of the answer), ``unreadable`` or
-        ``fine``.
-    page_failures : list of str
-        The same for the next pages.
-    piece_pause_s : float
-        Pause before each piece of an answer to a watch.
-    revision : int
-        Revision of the last change.
-    items : dict of str to (int, bytes)
-        Revision and value of each key.
-    changes_at_failure : list of str
-        Keys that are written when a watch fails.
-    calls : list of str
-        ``list`` with the key after which a page was read, or ``watch`` with
-        the revision.
-    waits : list of int
-        Waiting time of each watch in milliseconds.
-    closed : asyncio.Event
-        Set at the end of the test.
-    """
-
-    failures: list[str] = attrs.field(factory=list)
-    page_failures: list[str] = attrs.field(factory=list)
-    piece_pause_s: float = 0.0
-    revision: int = 0
-    items: dict[str, tuple[int, bytes]] = attrs.field(factory=dict)
-    changes_at_failure: list[str] = attrs.field(factory=list)
-    calls: list[str] = attrs.field(factory=list)
-    waits: list[int] = attrs.field(factory=list)
-    closed: asyncio.Event = attrs.field(factory=asyncio.Event)
-
-
-def _put(store: _Store, key: str, value: bytes = b"") -> None:
-    store.revision += 1
-    store.items[key] = (store.revision, value)
-
-
-def _rows(store: _Store, keys: list[str]) -> list[dict[str, object]]:
-    return [
-        {
-            "key": key,
-            "rev": store.items[key][0],
-            "value": base64.b64encode(store.items[key][1]).decode(),
-        }
-        for key in keys
-    ]
-
-
-def _list(store: _Store, query: dict[str, str]) -> dict[str, object]:
-    after = query.get("after", "")
-    store.calls.append(f"list {after}".strip())
-    keys = [key for key in sorted(store.items) if key > after]
-    return {
-        "items": _rows(store, keys[:PAGE_ITEMS]),
-        "hasMore": len(keys) > PAGE_ITEMS,
-        "storeRevision": store.revision,
-    }
-
-
-async def _watch(store: _Store, query: dict[str, str]) -> dict[str, object]:
-    after = int(query["after"])
-    loop = asyncio.get_running_loop()
-    until = loop.time() + int(query["waitMs"]) / 1000
-    while store.revision <= after and loop.time() < until:
-        await asyncio.sleep(0.01)
-    keys = [key for key, item in store.items.items() if item[0] > after]
-    return {"events": _rows(store, keys), "storeRevision": store.revision}
-
-
-async def _answer(
-    store: _Store, path: str, writer: asyncio.StreamWriter
-) -> bool:
-    """Answer a call; return whether the connection is kept."""
-    url = urllib.parse.urlsplit(path)
-    query = dict(urllib.parse.parse_qsl(url.query))
-    watching = url.path == "/v1/kv-watch"
-    if watching:
-        store.calls.append(f"watch {query['after']}")
-        store.waits.append(int(query["waitMs"]))
-    failures = store.failures if watching else store.page_failures
-    failure = failures.pop(0) if failures else "fine"
-    if failure != "fine" and watching:
-        for key in store.changes_at_failure:
-            _put(store, key)
-        store.changes_at_failure = []
-    status, body = 200, b""
-    if failure == "reset":
-        return False
-    if failure == "silent":
-        await store.closed.wait()
-        return False
-    if failure.isdigit():
-        status = int(failure)
-    elif failure == "unreadable":
-        body = b"{"
-    else:
-        document = await _watch(store, query) if watching else None
-        body = json.dumps(document or _list(store, query)).encode()
-    writer.write(
-        b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(body))
-    )
-    if failure == "cut":
-        writer.write(body[: len(body) // 2])
-        return False
-    size = len(body) // PIECES + 1
-    for start in range(0, len(body), size):
-        if watching:
-            await asyncio.sleep(store.piece_pause_s)
-        writer.write(body[start : start + size])
-        await writer.drain()
-    return True
-
-
-async def _serve(
-    store: _Store, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    try:
-        while True:
-            head = await reader.readuntil(b"\r\n\r\n")
-            path = head.split(b" ")[1].decode()
-            if not await _answer(store, path, writer):
-                return
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return
-    finally:
-        writer.close()
-
-
-def _run(
-    store: _Store,
-    scenario: collections.abc.Callable[
-        [_session.Session], collections.abc.Awaitable[None]
-    ],
-) -> None:
-    async def main() -> None:
-        server = await asyncio.start_server(
-            lambda reader, writer: _serve(store, reader, writer),
-            "127.0.0.1",
-            0,
-        )
-        address = server.sockets[0].getsockname()
-        session = _session_fixtures.make_session(
-            f"{address[0]}:{address[1]}",
-            timeout_s=STORE_TIMEOUT_S,
-            count=lambda kind, outcome: None,
-        )
-        try:
-            async with asyncio.timeout(LIMIT_S):
-                await scenario(session)
-        finally:
-            server.close()
-            store.closed.set()
-            # libcurl's transfers end with their connections.
-            await asyncio.sleep(0.1)
-            _http.close(session.store.http)
-
-    asyncio.run(main())
 
 
 async def _until(condition: collections.abc.Callable[[], bool]) -> None:
@@ -288,8 +110,10 @@
 
     What is written meanwhile must arrive, and the work goes on.
     """
-    store = _Store(failures=[failure] * 3, changes_at_failure=["p/b"])
-    _put(store, "p/a")
+    store = _failing_store.Store(
+        failures=[failure] * 3, changes_at_failure=["p/b"]
+    )
+    _failing_store.put(store, "p/a")
 
     async def scenario(session: _session.Session) -> None:
         seen = _Seen()
@@ -304,13 +128,13 @@
             assert seen.listings == store.calls.count("list") == 4
         assert seen.draws == 3
 
-    _run(store, scenario)
+    _failing_store.run(store, scenario)
 
 
 def test_a_watch_works_again_as_soon_as_the_store_answers() -> None:
     """Guards against claims that are blocked for the wait of a watch."""
-    store = _Store(failures=["503"])
-    _put(store, "p/a")
+    store = _failing_store.Store(failures=["503"])
+    _failing_store.put(store, "p/a")
 
     async def scenario(session: _session.Session) -> None:
         seen = _Seen()
@@ -329,7 +153,7 @@
             (True, _watches.CATCH_UP_WAIT_S),
         ]
 
-    _run(store, scenario)
+    _failing_store.run(store, scenario)
 
 
 @pytest.mark.parametrize(
@@ -355,9 +179,9 @@
 
     The watch goes on from the first page, as later ones may show less.
     """
-    store = _Store(page_failures=page_failures)
+    store = _failing_store.Store(page_failures=page_failures)
     for letter in "abcde":
-        _put(store, f"p/{letter}")
+        _failing_store.put(store, f"p/{letter}")
 
     async def scenario(session: _session.Session) -> None:
         seen = _Seen()
@@ -368,7 +192,7 @@
             assert seen.working == [False] * failures + [True]
             assert (seen.listings, len(seen.keys)) == (1, 5)
 
-    _run(store, scenario)
+    _failing_store.run(store, scenario)
 
 
 @pytest.mark.parametrize(
@@ -394,9 +218,9 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against calls and leases that time out behind a listing."""
-    store = _Store(failures=["410"])
+    store = _failing_store.Store(failures=["410"])
     for number in range(60):
-        _put(store, f"{prefix}{number:02d}")
+        _failing_store.put(store, f"{prefix}{number:02d}")
     applied: list[str] = []
 
     def apply(owner: _ownership.Ownership, item: platform.Item) -> None:
@@ -416,7 +240,7 @@
         assert set(applied) == set(store.items)
         assert longest_s < 0.3
 
-    _run(store, scenario)
+    _failing_store.run(store, scenario)
 
 
 def _make_owner(session: _session.Session) -> _ownership.Ownership:
@@ -489,13 +313,13 @@
         _session.adopt_owner(session, "s", owner)
         assert session.owners["s"] == owner
 
-    _run(_Store(), scenario)
+    _failing_store.run(_failing_store.Store(), scenario)
 
 
 def test_a_large_answer_arrives_over_a_slow_connection() -> None:
     """Guards against watches that are cut off while their bytes arrive."""
-    store = _Store(piece_pause_s=0.1)
-    _put(store, "p/a", b"v" * 10_000)
+    store = _failing_store.Store(piece_pause_s=0.1)
+    _failing_store.put(store, "p/a", b"v" * 10_000)
 
     async def scenario(session: _session.Session) -> None:
         changes = await platform.watch_keys(
@@ -503,7 +327,7 @@
         )
         assert [item.value for item in changes.items] == [b"v" * 10_000]
 
-    _run(store, scenario)
+    _failing_store.run(store, scenario)
 
 
 @pytest.mark.parametrize(
@@ -515,11 +339,11 @@
 )
 def test_a_silent_connection_ends_in_time(piece_pause_s: float) -> None:
     """Guards against watches that wait on connections that went silent."""
-    store = _Store(
+    store = _failing_store.Store(
         failures=["fine" if piece_pause_s else "silent"],
         piece_pause_s=piece_pause_s,
     )
-    _put(store, "p/a")
+    _failing_store.put(store, "p/a")
 
     async def scenario(session: _session.Session) -> None:
         loop = asyncio.get_running_loop()
@@ -528,6 +352,8 @@
             await platform.watch_keys(
                 session.store, PREFIX, after_revision=0, wait_s=WAIT_S
             )
-        assert loop.time() - started_at < 2 * (WAIT_S + STORE_TIMEOUT_S)
+        assert loop.time() - started_at < 2 * (
+            WAIT_S + _failing_store.STORE_TIMEOUT_S
+        )
 
-    _run(store, scenario)
+    _failing_store.run(store, scenario)
