--- a/chestnuttide/platform/__init__.py
+++ b/chestnuttide/platform/__init__.py
@@ -36,6 +36,7 @@
 Tickets = _advisor.Tickets
 Transaction = _kv_store.Transaction
 TransactionRejectedError = _kv_store.TransactionRejectedError
+UnreadableChangesError = _kv_store.UnreadableChangesError
 WatchResult = _ports.WatchResult
 WorkerAddress = _worker_commands.WorkerAddress
 WorkerAgent = _ports.WorkerAgent
@@ -90,6 +91,7 @@
     "Tickets",
     "Transaction",
     "TransactionRejectedError",
+    "UnreadableChangesError",
     "WatchResult",
     "WorkerAddress",
     "WorkerAgent",
--- a/chestnuttide/platform/_kv_store.py
+++ b/chestnuttide/platform/_kv_store.py
@@ -16,9 +16,10 @@
 # The store accepts at most 32 entries in one transaction.
 MAX_TRANSACTION_ENTRIES = 32
 
-# A page of a listing has up to 1 MB. It may take this long while its bytes
-# keep arriving, as over a link that others fill, too.
-LISTING_TIMEOUT_S = 20.0
+# A page of a listing has up to 1 MB, and a watch returns all changes at once.
+# Such an answer may take this long while its bytes keep arriving, as over a
+# link that others fill, too.
+LARGE_ANSWER_TIMEOUT_S = 20.0
 
 # Responses that blame the transaction itself, as for a value above the store's
 # limit: nothing was changed, and the same transaction never succeeds. With any
@@ -143,6 +144,10 @@
     code = "history_lost"
 
 
+class UnreadableChangesError(errors.StoreUnavailableError):
+    """The store has answered a watch with something that cannot be read."""
+
+
 @attrs.define(kw_only=True, slots=True, eq=False)
 class KvStore:
     """Connection to the metadata store.
@@ -154,7 +159,8 @@
     address : str
         ``ip:port`` of the store.
     timeout_s : float
-        Timeout of a call in seconds; a watch adds its wait time.
+        Timeout of a call in seconds; a watch adds its wait time. It limits
+        the time without a byte if the answer may be large.
     count : function
         Called with the kind and the outcome of each call, for metrics.
     failing_since : float
@@ -199,7 +205,7 @@
         store,
         "range",
         "/v1/kv-range?" + urllib.parse.urlencode(query),
-        is_listing=True,
+        may_be_large=True,
     )
     with _decoding():
         document = _require_success(reply)
@@ -236,10 +242,15 @@
 ) -> Changes:
     """Wait for changes after a revision and return them.
 
+    The wait and the timeout of a call are the longest time without a byte of
+    the answer, as its size does not depend on the link's speed.
+
     Raises
     ------
     HistoryLostError
         If the store has discarded that history; list the prefix again.
+    UnreadableChangesError
+        If the answer cannot be read; the next one from there may be the same.
     """
     query = urllib.parse.urlencode(
         {
@@ -248,13 +259,19 @@
             "waitMs": int(wait_s * 1000),
         }
     )
-    reply = await _call(store, "watch", f"/v1/kv-watch?{query}", wait_s=wait_s)
+    reply = await _call(
+        store,
+        "watch",
+        f"/v1/kv-watch?{query}",
+        wait_s=wait_s,
+        may_be_large=True,
+    )
     if reply.status == 410:
         raise HistoryLostError(
             message=f"The history after {after_revision} has been discarded.",
             remedy="List the prefix again.",
         )
-    with _decoding():
+    with _decoding(UnreadableChangesError):
         document = _require_success(reply)
         return Changes(
             items=tuple(
@@ -371,15 +388,17 @@
     body: dict[str, object] | None = None,
     may_send: collections.abc.Callable[[], bool] | None = None,
     wait_s: float = 0.0,
-    is_listing: bool = False,
+    may_be_large: bool = False,
 ) -> _http.Reply:
     limit_s = store.timeout_s + wait_s
     try:
         reply = await _http.fetch(
             store.http,
             url=f"http://{store.address}{path}",
-            timeout_s=LISTING_TIMEOUT_S if is_listing else limit_s,
-            stall_s=limit_s if is_listing else None,
+            timeout_s=wait_s + LARGE_ANSWER_TIMEOUT_S
+            if may_be_large
+            else limit_s,
+            stall_s=limit_s if may_be_large else None,
             method=method,
             body=None if body is None else json.dumps(body).encode(),
             headers={"Content-Type": "application/json"},
@@ -413,11 +432,15 @@
     store.unresponsive = unanswered
 
 
-def _decoding() -> contextlib.AbstractContextManager[None]:
+def _decoding(
+    error_class: type[
+        errors.StoreUnavailableError
+    ] = errors.StoreUnavailableError,
+) -> contextlib.AbstractContextManager[None]:
     return errors.decoding(
         "The store's response",
         "Read the written keys back before retrying.",
-        errors.StoreUnavailableError,
+        error_class,
     )
 
 
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -140,7 +140,9 @@
             continue
         try:
             for step in _waiting_steps(job, view):
-                planned, query = _plan_step(view, step, query_limit)
+                planned, query = _plan_step(
+                    view, step, query_limit=query_limit
+                )
                 runs.extend(planned)
                 if query is not None:
                     queries.append(query)
@@ -235,6 +237,7 @@
 def _plan_step(
     view: _free_capacity.CapacityView,
     step: _WaitingStep,
+    *,
     query_limit: _advisor_queries.QueryLimit | None,
 ) -> tuple[list[_state.Run], _advisor_queries.AdvisorQuery | None]:
     if step.job.spec.queue.advice is None:
