--- a/chestnuttide/node/_start_window.py
+++ b/chestnuttide/node/_start_window.py
@@ -219,8 +219,8 @@
 ) -> None:
     """Let the window grow after an answer in time, unless it is half empty.
 
-    A window that has outgrown its use would let a crowd out at once when the
-    owner becomes slow. The start counts as in flight until `record_end`.
+    A window far above its use would send a burst at once when the owner
+    becomes slow. The start counts as in flight until `record_end`.
     """
     _record_latency(window, latency_s)
     window.silent.pop(worker_key, None)
