Log which incarnation a call reached, and how a lease expired

The logs named neither the deadline and the acknowledgement of a poll that another incarnation answered, nor the clock of a start's answer, nor when and by what reckoning a lease was taken to have expired, so the three hypotheses could not be told apart.

No decision changes.

--- a/chestnuttide/node/_polls.py
+++ b/chestnuttide/node/_polls.py
@@ -183,12 +183,13 @@
     if deadline_ms is not None:
         workloads.record_lease(worker, deadline_ms, now=sent_at)
     first = not worker.last_reply_at
+    acknowledged = workloads.acknowledged_completion(worker)
     try:
         reply = await platform.poll_worker(
             owner.polls_http or owner.workers_http,
             _commands.worker_address(worker),
             fencing_token=owner.fencing_token,
-            acknowledged_completion=workloads.acknowledged_completion(worker),
+            acknowledged_completion=acknowledged,
             deadline_ms=deadline_ms,
             wait_s=wait_s,
             timeout_s=_poll_pacing.POLL_TIMEOUT_S,
@@ -211,6 +212,19 @@
         _commands.handle_rejection(owner, worker, reply, "hold")
         return Outcome.REJECTED
     if reply.born_ms != worker.report.born_ms:
+        LOG.warning(
+            "Poll was answered by another incarnation.",
+            worker=worker.key,
+            born_ms=reply.born_ms,
+            fence=owner.fencing_token,
+            deadline_ms=deadline_ms,
+            acknowledged=acknowledged,
+            clock_ms=reply.clock_ms,
+            known_clock_ms=worker.clock_ms,
+            running=len(reply.running),
+            ended=len(reply.ended),
+            took_s=round(_clock.now() - sent_at, 3),
+        )
         replace_incarnation(owner, worker, reply.born_ms)
         return Outcome.RESTARTED
     poll_reply = workloads.PollReply(
@@ -230,6 +244,15 @@
     for run, outcome in completions:
         _commands.log_completion(owner, run, outcome)
     if first:
+        LOG.info(
+            "Worker incarnation has answered.",
+            worker=worker.key,
+            fence=owner.fencing_token,
+            clock_ms=reply.clock_ms,
+            running=len(reply.running),
+            ended=len(reply.ended),
+            first_completion=reply.ended[0].number if reply.ended else 0,
+        )
         _stop_unanswered_starts(owner, worker)
     if completions or first:
         _handle_completions(owner, [run for run, _ in completions])
@@ -299,6 +322,15 @@
     for run in expired:
         _commands.log_completion(owner, run, "lapsed in silence")
     if expired:
+        now = _clock.now()
+        LOG.warning(
+            "Lease of a silent worker has expired.",
+            worker=worker.key,
+            runs=len(expired),
+            silent_s=round(now - worker.last_reply_at, 3),
+            expired_s=round(now - worker.lease_until, 3),
+            clock_ms=worker.clock_ms,
+        )
         owner.plan_requested.set()
         _ownership.request_commit(owner, urgent=False)
 
--- a/chestnuttide/node/_starts.py
+++ b/chestnuttide/node/_starts.py
@@ -305,6 +305,7 @@
     reply: platform.CommandReply,
 ) -> None:
     now = _clock.now()
+    known_clock_ms = worker.clock_ms
     if reply.clock_ms is not None:
         workloads.record_clock(worker, reply.clock_ms, now)
     if reply.status == 200:
@@ -320,6 +321,10 @@
             run=run.number,
             worker=run.worker_key,
             fence=owner.fencing_token,
+            deadline_ms=run.deadline_ms,
+            clock_ms=reply.clock_ms,
+            known_clock_ms=known_clock_ms,
+            sent_s=round(now - run.start_sent_at, 3),
             resumed=bool(run.checkpoint),
             on_trial=run.on_trial,
             age_s=round(now - run.job.accepted_at, 3),
