Add failing tests of records and releases of a former lifetime

- The removal of a dropped job's progress record names the key only.
If the same id is sent again, it removes the record of runs that have started.
- The release that an earlier owner recorded stands for the last one once an instance has listed the cell anew, so that a successor does not wait for the end of the last owner's authority.

--- a/chestnuttide/node/tests/test_claims.py
+++ b/chestnuttide/node/tests/test_claims.py
@@ -1,10 +1,19 @@
-"""Order in which instances claim a service."""
+"""Order in which instances claim a service, and what they take over."""
 
+import asyncio
+import collections.abc
+import functools
+
+import cbor2
 import pytest
 
 from chestnuttide.node import _claims
+from chestnuttide.node import _keys
 from chestnuttide.node import _session
 from chestnuttide.node import _settings
+from chestnuttide.node.tests import _session_fixtures
+from chestnuttide.platform import _http
+from standins import cloud
 
 SERVICE = "layout"
 
@@ -101,3 +110,95 @@
     session = _make_session({"a": own_cores}, own_cores=own_cores)
     session.ownerless_since[SERVICE] = 0.0
     assert _claims.should_claim(session, SERVICE, now) is claims
+
+
+def _run_with_store(
+    scenario: collections.abc.Callable[
+        [_session.Session, cloud.Store], collections.abc.Awaitable[None]
+    ],
+) -> None:
+    """Run a scenario with a session that follows the cell."""
+
+    async def main() -> None:
+        store = cloud.Store()
+        address, server = cloud.serve(
+            functools.partial(cloud.handle_store_request, store)
+        )
+        session = _session_fixtures.make_session(
+            address, timeout_s=0.7, count=lambda kind, outcome: None
+        )
+        following = asyncio.ensure_future(_session.follow_cell(session))
+        try:
+            async with asyncio.timeout(10.0):
+                await scenario(session, store)
+        finally:
+            following.cancel()
+            await asyncio.gather(following, return_exceptions=True)
+            server.stop()
+            # libcurl's transfers end with their connections.
+            await server.close_all_connections()
+            await asyncio.sleep(0.1)
+            _http.close(session.store.http)
+
+    asyncio.run(main())
+
+
+def _put_owner(store: cloud.Store, service: str, name: str) -> int:
+    """Store a service's owner and return its fencing token."""
+    cloud.put(store, _keys.owner(service), cbor2.dumps([name, name]))
+    return store.revision
+
+
+def _release(store: cloud.Store, fencing_token: int) -> None:
+    value = str(fencing_token).encode()
+    cloud.put(store, _keys.released(SERVICE), value)
+    cloud.remove(store, _keys.owner(SERVICE))
+
+
+async def _until_known(
+    session: _session.Session, store: cloud.Store, service: str
+) -> None:
+    """Wait until the session knows all that was stored before."""
+    _put_owner(store, service, "z")
+    while service not in session.owners:
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    ("seen", "lists_anew", "releases", "stopped"),
+    [
+        pytest.param(True, False, True, True, id="released"),
+        pytest.param(True, False, False, False, id="lost-its-key"),
+        pytest.param(True, True, False, False, id="lost-while-listing"),
+        pytest.param(False, True, False, False, id="never-seen"),
+    ],
+)
+def test_a_release_says_nothing_of_a_later_owner(
+    seen: bool, lists_anew: bool, releases: bool, stopped: bool
+) -> None:
+    """Guards against runs that start beside those of an owner that goes on.
+
+    The service went from ``b``, which released it, to ``c``. A successor that
+    takes ``c`` for stopped does not wait for the end of its authority.
+    """
+
+    async def scenario(session: _session.Session, store: cloud.Store) -> None:
+        first = _put_owner(store, SERVICE, "b")
+        await _until_known(session, store, "other-1")
+        _release(store, first)
+        await _until_known(session, store, "other-2")
+        second = _put_owner(store, SERVICE, "c")
+        if seen:
+            await _until_known(session, store, "other-3")
+        if releases:
+            _release(store, second)
+        else:
+            cloud.remove(store, _keys.owner(SERVICE))
+        if lists_anew:
+            # The watch in progress has not been answered yet.
+            store.compacted_revision = store.revision
+        await _until_known(session, store, "other-4")
+        assert SERVICE not in session.owners
+        assert _claims.has_former_owner_stopped(session, SERVICE) is stopped
+
+    _run_with_store(scenario)
--- a/chestnuttide/node/tests/test_commits.py
+++ b/chestnuttide/node/tests/test_commits.py
@@ -11,6 +11,7 @@
 from chestnuttide.node import _commits
 from chestnuttide.node import _keys
 from chestnuttide.node import _metrics
+from chestnuttide.node import _owner
 from chestnuttide.node import _ownership
 from chestnuttide.node import _set_aside
 from chestnuttide import platform
@@ -146,6 +147,54 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize(
+    ("lost_answers", "late_s"),
+    [
+        pytest.param(0, 0.0, id="in-the-same-round"),
+        pytest.param(1, 0.5, id="executed-late"),
+    ],
+)
+def test_a_repeated_job_keeps_its_record(
+    lost_answers: int, late_s: float
+) -> None:
+    """Guards against tasks that a takeover starts beside their former runs.
+
+    A job that was announced and not stored is dropped, and its record removed.
+    Then its caller sends the same id again, and its tasks start.
+    """
+
+    async def scenario(
+        owner: _ownership.Ownership, store: cloud.Store
+    ) -> None:
+        dropped = _plan_two_tasks(owner)
+        dropped.accepted = False
+        await _commits.commit_all(owner)
+        key = _keys.progress(SERVICE, dropped.spec.id)
+        assert key in store.keys
+        now = dropped.accepted_at + _owner.ANNOUNCED_JOB_LIMIT_S + 0.1
+        _owner._drop_unstored_jobs(owner, now)
+        assert not owner.pool.jobs
+        store.dropped_responses = lost_answers
+        store.commit_delay_s = late_s
+        if lost_answers:
+            removal = asyncio.ensure_future(_commits.commit_all(owner))
+            await _until(lambda: not store.dropped_responses)
+        repeated = _plan_two_tasks(owner)
+        await _commits.commit_all(owner)
+        if lost_answers:
+            await removal
+        assert repeated.progress_revision
+        assert store.keys[key].revision == repeated.progress_revision
+
+    _run(scenario)
+
+
+async def _until(condition: collections.abc.Callable[[], bool]) -> None:
+    async with asyncio.timeout(2.0):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
 def test_a_job_that_ends_early_does_not_block_its_chunk() -> None:
     """Guards against live jobs that are never stored again.
 
