Forget recorded releases when the cell is listed anew

A listing shows neither the owners that came and went unseen nor which of them the recorded release belongs to, so a successor took an owner that had only lost its key for stopped and did not allow for its authority of 5 s. Releases that the watch shows after the listing count as before; an owner that has gone at a listing becomes the last known one.

After a listing, a takeover of a service that was released properly may wait 5 s longer for the runs of workers that it cannot reach.

--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -99,13 +99,13 @@
     owners : dict of str to Owner
         Owner of each service that has one.
     former_owners : dict of str to Owner
-        Last owner of each service whose owner's key was removed.
+        Last known owner of each service whose owner's key was removed.
     ended_fencing_tokens : dict of str to int
         Fencing token up to which each service's owners are known to have lost
         their key; a peer may still name one of them.
     released : dict of str to int
         Fencing token of each service's last owner that sent no more commands
-        before its key was removed.
+        before its key was removed; only releases since the last listing.
     failed_fencing_tokens : dict of str to int
         Fencing token of this instance's last failed ownership, by service.
     handed_to : dict of str to (str, float)
@@ -232,6 +232,9 @@
         for service, owner in former.items():
             if service not in session.owners:
                 _end_owners(session, service, owner.fencing_token)
+                session.former_owners[service] = owner
+        # A listing does not show whether another owner came after a release.
+        session.released.clear()
         _update_peers(session)
 
     def on_item(item: platform.Item) -> None:
