Remove a record only at the revision that was meant

The removal of records names keys and expects only the owner's key. A job that was announced and not stored within 5 s is dropped and its progress record removed with the next commit, or later if the store executes the call late. If its caller sent the same id again meanwhile, that removed the record of runs that had started: until the job's next change, a new owner would have started its tasks anew.

Removals of progress records expect their revision now. A record that has been replaced stays, and the others of the transaction are removed with the next commit; a new test covers this.

test_a_progress_record_stored_late_is_removed compared a list of keys; it compares the same key with its revision now, which is stricter.

--- a/chestnuttide/node/_commits.py
+++ b/chestnuttide/node/_commits.py
@@ -39,6 +39,9 @@
 # removal. One further entry of a transaction checks the owner's key.
 _ENTRIES_PER_JOB = 2
 
+# A removed key takes one removal and at most one precondition.
+_ENTRIES_PER_KEY = 2
+
 # Bytes of the records in a transaction, unless a single job has more. A link
 # of 5 Mbit/s sends them in 64 ms, a tenth of the store's timeout. Values are
 # sent as base64, and each job has two entries with its keys.
@@ -337,9 +340,8 @@
         ended = state in workloads.TERMINAL_STATES
         if job.shown_state in workloads.TERMINAL_STATES and not ended:
             # Stored after the job ended, and no longer needed.
-            owner.obsolete_keys.append(
-                _keys.progress(owner.service, job.spec.id)
-            )
+            key = _keys.progress(owner.service, job.spec.id)
+            owner.obsolete_keys[key] = revision
             continue
         job.progress_revision = 0 if ended else revision
         if ended and job.shown_state != state:
@@ -367,19 +369,32 @@
 
 
 async def _remove_old_records(owner: _ownership.Ownership) -> None:
-    """Remove records of jobs whose state callers may no longer query."""
-    limit = platform.MAX_TRANSACTION_ENTRIES - 1
-    keys, owner.obsolete_keys = (
-        owner.obsolete_keys[:limit],
-        owner.obsolete_keys[limit:],
-    )
+    """Remove records that nobody needs, as many as one transaction takes.
+
+    A record that was replaced belongs to a job of the same id and stays.
+    """
+    expect = {_keys.owner(owner.service): owner.fencing_token}
+    removed: dict[str, int] = {}
+    for key, revision in owner.obsolete_keys.items():
+        entries = len(expect) + len(removed)
+        if entries + _ENTRIES_PER_KEY > platform.MAX_TRANSACTION_ENTRIES:
+            break
+        removed[key] = revision
+        if revision:
+            expect[key] = revision
+    for key in removed:
+        del owner.obsolete_keys[key]
     try:
         await platform.commit(
             owner.store,
-            platform.Transaction(
-                expect={_keys.owner(owner.service): owner.fencing_token},
-                remove=tuple(keys),
-            ),
+            platform.Transaction(expect=expect, remove=tuple(removed)),
+        )
+    except platform.ConditionError as error:
+        stored = {item.key: item.revision for item in error.items}
+        owner.obsolete_keys.update(
+            (key, revision)
+            for key, revision in removed.items()
+            if not revision or stored.get(key) == revision
         )
     except errors.SchedulerError as error:
         # The next owner finds them again.
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -306,7 +306,8 @@
                 workloads.stop_runs(owner.pool, unit)
             if job.progress_revision:
                 key = _keys.progress(owner.service, job.spec.id)
-                owner.obsolete_keys.append(key)
+                # The same id may be sent again and get a record of its own.
+                owner.obsolete_keys[key] = job.progress_revision
             del owner.pool.active[job.spec.id]
             del owner.pool.jobs[job.spec.id]
             # Its write may still take effect; a repeat is not refused.
@@ -327,7 +328,7 @@
     ]
     for job_id in old:
         del owner.pool.jobs[job_id]
-        owner.obsolete_keys.append(_keys.job(owner.service, job_id))
-        owner.obsolete_keys.append(_keys.cancel(owner.service, job_id))
+        owner.obsolete_keys[_keys.job(owner.service, job_id)] = 0
+        owner.obsolete_keys[_keys.cancel(owner.service, job_id)] = 0
     if old:
         _ownership.request_commit(owner, urgent=False)
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -91,8 +91,9 @@
         Instances that have an advisor query in progress.
     waiting_queries : tuple of AdvisorQuery
         Queries of the last planning round that wait for an instance.
-    obsolete_keys : list of str
-        Keys of records that can be removed from the store.
+    obsolete_keys : dict of str to int
+        Keys of records that can be removed from the store, each with the
+        revision that the removal expects; 0 for any.
     waiting_reported_at : float
         Monotonic time at which waiting tasks were last reported.
     waiting_checked_at : float
@@ -152,7 +153,7 @@
     )
     advisor_queries: set[str] = attrs.field(factory=set)
     waiting_queries: tuple[workloads.AdvisorQuery, ...] = ()
-    obsolete_keys: list[str] = attrs.field(factory=list)
+    obsolete_keys: dict[str, int] = attrs.field(factory=dict)
     waiting_reported_at: float = 0.0
     waiting_checked_at: float = 0.0
     long_wait_due_at: float = 0.0
--- a/chestnuttide/node/tests/test_commits.py
+++ b/chestnuttide/node/tests/test_commits.py
@@ -142,7 +142,8 @@
         batch = _commits.make_batch(owner, [job])
         job.shown_state = workloads.JobState.COMPLETE
         _commits.apply_batch(owner, batch, 99)
-        assert owner.obsolete_keys == [_keys.progress(SERVICE, job.spec.id)]
+        key = _keys.progress(SERVICE, job.spec.id)
+        assert owner.obsolete_keys == {key: 99}
 
     _run(scenario)
 
@@ -189,6 +190,27 @@
     _run(scenario)
 
 
+def test_a_replaced_record_keeps_no_other_in_the_store() -> None:
+    """Guards against records of ended jobs that stay for good."""
+
+    async def scenario(
+        owner: _ownership.Ownership, store: cloud.Store
+    ) -> None:
+        replaced, *others = (
+            _keys.progress(SERVICE, f"{number:016x}") for number in range(40)
+        )
+        for key in (replaced, *others):
+            cloud.put(store, key, b"")
+            owner.obsolete_keys[key] = store.revision
+        cloud.put(store, replaced, b"")
+        while owner.obsolete_keys:
+            await _commits.commit_all(owner)
+        assert replaced in store.keys
+        assert not store.keys.keys() & set(others)
+
+    _run(scenario)
+
+
 async def _until(condition: collections.abc.Callable[[], bool]) -> None:
     async with asyncio.timeout(2.0):
         while not condition():
