Give each incarnation of the stand-in worker a clock and a lease of its own

Change: the clock starts at a given reading with each restart, which also forgets the lease; leases are cut to the longest one (10 s); a seeded share of the calls is left unanswered and executed later, by whichever incarnation then lives; a waiting poll ends with its incarnation instead of being answered by the next one.

--- a/standins/cloud/_worker.py
+++ b/standins/cloud/_worker.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import json
+import random
 import time
 
 import attrs
@@ -74,6 +75,20 @@
         Tasks that were started while another run of them was in progress.
     clock_rate : float
         Rate of its clock, which may run up to 2% slow.
+    clock_origin_s, born_at_s : float
+        Reading of its clock at the start of the incarnation, and the
+        monotonic time of that reading.
+    longest_lease_s : float
+        Longest lease; one that is requested for longer is cut to it.
+    late_share : float
+        Share of the calls that are not answered and executed later, by
+        whichever incarnation then lives.
+    late_delay_s : (float, float)
+        Least and longest delay of these calls.
+    late_rng : Random or None
+        Decides which calls these are; None for no calls.
+    late_calls : set of Task
+        The calls that are still to be executed.
     on_start : function
         Called with each accepted start command before the run begins.
     on_completion : function
@@ -107,6 +122,13 @@
     starts: list[tuple[str, int]] = attrs.field(factory=list)
     overlaps: list[str] = attrs.field(factory=list)
     clock_rate: float = 1.0
+    clock_origin_s: float = 0.0
+    born_at_s: float = 0.0
+    longest_lease_s: float = 10.0
+    late_share: float = 0.0
+    late_delay_s: tuple[float, float] = (2.0, 12.0)
+    late_rng: random.Random | None = None
+    late_calls: set[asyncio.Task[None]] = attrs.field(factory=set)
     on_start: collections.abc.Callable[[dict[str, object]], None] = _ignore
     on_completion: collections.abc.Callable[[str, int, str], None] = _ignore
     on_acknowledged: collections.abc.Callable[[str, int, str], None] = _ignore
@@ -124,14 +146,19 @@
         worker.on_crash()
 
 
-def restart(worker: Worker) -> None:
-    """Start the next incarnation, which knows nothing of the former one."""
+def restart(worker: Worker, *, clock_origin_s: float = 0.0) -> None:
+    """Start the next incarnation, which knows nothing of the former one.
+
+    Its clock starts at `clock_origin_s`.
+    """
     worker.runs.clear()
     worker.highest_ended_runs.clear()
     worker.completions.clear()
     worker.next_completion = 1
     worker.last_expired_completion = 0
     worker.fencing_token = 0
+    worker.clock_origin_s = worker.lease_expires_s = clock_origin_s
+    worker.born_at_s = time.monotonic()
     worker.incarnation_ms += 1000
     worker.silent = False
 
@@ -178,7 +205,8 @@
 
 
 def _clock_s(worker: Worker) -> float:
-    return time.monotonic() * worker.clock_rate
+    elapsed_s = time.monotonic() - worker.born_at_s
+    return worker.clock_origin_s + elapsed_s * worker.clock_rate
 
 
 def _clock_ms(worker: Worker) -> int:
@@ -190,24 +218,58 @@
     request: httputil.HTTPServerRequest,
     body: dict[str, object],
 ) -> _http.Answer:
-    """Answer a command or a poll."""
+    """Answer a command or a poll, or execute it later."""
     if worker.silent:
         return None
+    expected = request.headers.get("Expect-Instance", worker.id)
+    rng = worker.late_rng
+    if rng is not None and rng.random() < worker.late_share:
+        call = _execute_late(
+            worker,
+            request.path,
+            expected,
+            body,
+            delay_s=rng.uniform(*worker.late_delay_s),
+        )
+        task = asyncio.ensure_future(call)
+        worker.late_calls.add(task)
+        task.add_done_callback(worker.late_calls.discard)
+        return None
+    return await _execute(worker, request.path, expected, body)
+
+
+async def _execute_late(
+    worker: Worker,
+    path: str,
+    expected: str,
+    body: dict[str, object],
+    *,
+    delay_s: float,
+) -> None:
+    await asyncio.sleep(delay_s)
+    if not worker.silent:
+        await _execute(worker, path, expected, {**body, "waitMs": 0})
+
+
+async def _execute(
+    worker: Worker, path: str, expected: str, body: dict[str, object]
+) -> _http.Answer:
     end_due_runs(worker)
     clock = {"clockMs": _clock_ms(worker), "born": worker.incarnation_ms}
-    if request.headers.get("Expect-Instance", worker.id) != worker.id:
+    if expected != worker.id:
         return 421, clock
     if body.get("fence", 0) < worker.fencing_token:
         return 409, {**clock, "reason": "fence"}
     worker.fencing_token = body.get("fence", 0)
     if "deadlineMs" in body:
-        deadline_s = body["deadlineMs"] / 1000
+        longest_s = _clock_s(worker) + worker.longest_lease_s
+        deadline_s = min(body["deadlineMs"] / 1000, longest_s)
         worker.lease_expires_s = max(worker.lease_expires_s, deadline_s)
-    if request.path == "/v1/hold":
+    if path == "/v1/hold":
         return await _poll(worker, body)
-    if request.path == "/v1/run-start":
+    if path == "/v1/run-start":
         return _start(worker, body, clock)
-    if request.path == "/v1/run-stop":
+    if path == "/v1/run-stop":
         key = (body["task"], body["run"])
         if key in worker.runs:
             _end_run(worker, key, "stopped")
@@ -242,6 +304,7 @@
 
 
 async def _poll(worker: Worker, body: dict[str, object]) -> _http.Answer:
+    incarnation_ms = worker.incarnation_ms
     seen = body["seenUpto"]
     for number, task, run, outcome, _ in worker.completions:
         if worker.last_expired_completion < number <= seen:
@@ -251,7 +314,8 @@
     while not worker.completions and time.monotonic() < deadline_s:
         await asyncio.sleep(0.01)
         end_due_runs(worker)
-    if worker.silent:
+    # A former incarnation's connections are gone.
+    if worker.silent or worker.incarnation_ms != incarnation_ms:
         return None
     now = time.monotonic()
     running = [
--- /dev/null
+++ b/standins/tests/test_cloud_worker.py
@@ -0,0 +1,189 @@
+"""The stand-in for a worker: its incarnations, leases and late calls."""
+
+import asyncio
+import collections.abc
+import random
+
+import pytest
+from tornado import httputil
+
+from standins import cloud
+from standins.cloud import _worker
+
+TASK = "00000000000000aa.0.0.0"
+
+
+def _make_worker(**fields: object) -> cloud.Worker:
+    return cloud.Worker(
+        id="i-0", service="layout", capacity={"cpu": 1000}, **fields
+    )
+
+
+async def _call(
+    worker: cloud.Worker, path: str, **body: object
+) -> tuple[int, dict[str, object]] | None:
+    request = httputil.HTTPServerRequest(
+        start_line=httputil.RequestStartLine("POST", path, "HTTP/1.1"),
+        headers=httputil.HTTPHeaders(
+            {"Host": "worker", "Expect-Instance": worker.id}
+        ),
+    )
+    return await cloud.handle_worker_request(
+        worker, request, {"fence": 1, **body}
+    )
+
+
+async def _poll(
+    worker: cloud.Worker, *, seen: int = 0, **body: object
+) -> dict[str, object]:
+    _, reply = await _call(worker, "/v1/hold", seenUpto=seen, **body)
+    return reply
+
+
+async def _start(
+    worker: cloud.Worker, *, deadline_ms: int, run: int = 1
+) -> tuple[int, dict[str, object]] | None:
+    return await _call(
+        worker,
+        "/v1/run-start",
+        task=TASK,
+        run=run,
+        spec="",
+        deadlineMs=deadline_ms,
+    )
+
+
+def _remaining_s(worker: cloud.Worker) -> float:
+    return worker.lease_expires_s - _worker._clock_s(worker)
+
+
+@pytest.mark.parametrize(
+    "origin_s", [pytest.param(each, id=f"{each}-s") for each in (0.0, 1e7)]
+)
+def test_an_incarnation_has_a_clock_and_a_lease_of_its_own(
+    origin_s: float,
+) -> None:
+    """Guards against stand-ins whose clock and lease outlive a restart."""
+
+    async def main() -> None:
+        worker = _make_worker()
+        former = await _poll(worker)
+        await _poll(worker, deadlineMs=former["clockMs"] + 2000)
+        cloud.restart(worker, clock_origin_s=origin_s)
+        assert _remaining_s(worker) <= 0.0
+        reply = await _poll(worker)
+        assert 0 <= reply["clockMs"] - origin_s * 1000 < 1000
+        assert reply["born"] > former["born"]
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("requested_s", "least_s", "most_s"),
+    [
+        pytest.param(2.0, 1.5, 2.0, id="shorter"),
+        pytest.param(1e6, 3.5, 4.0, id="longer-than-the-longest"),
+    ],
+)
+def test_a_lease_is_cut_to_the_longest_one(
+    requested_s: float, least_s: float, most_s: float
+) -> None:
+    """Guards against stand-ins that grant any lease, or shorten one."""
+
+    async def main() -> None:
+        worker = _make_worker(longest_lease_s=4.0)
+        clock_ms = (await _poll(worker))["clockMs"]
+        await _poll(worker, deadlineMs=clock_ms + int(requested_s * 1000))
+        await _poll(worker, deadlineMs=clock_ms + 10)
+        assert least_s <= _remaining_s(worker) <= most_s
+
+    asyncio.run(main())
+
+
+async def _wait_for_late_calls(worker: cloud.Worker) -> None:
+    await asyncio.gather(*worker.late_calls)
+
+
+async def _restart_at_once(worker: cloud.Worker) -> None:
+    cloud.restart(worker)
+
+
+async def _leave(worker: cloud.Worker) -> None:
+    """Let nothing happen before the late call."""
+
+
+async def _crash(worker: cloud.Worker) -> None:
+    cloud.crash(worker)
+
+
+async def _see_new_owner(worker: cloud.Worker) -> None:
+    worker.late_rng = None
+    cloud.restart(worker)
+    await _poll(worker, fence=2)
+
+
+@pytest.mark.parametrize(
+    ("meanwhile", "starts"),
+    [
+        pytest.param(_leave, 1, id="same-incarnation"),
+        pytest.param(_restart_at_once, 1, id="later-incarnation"),
+        pytest.param(_crash, 0, id="no-incarnation"),
+        pytest.param(_see_new_owner, 0, id="lower-fence"),
+    ],
+)
+def test_a_late_call_is_executed_without_an_answer(
+    meanwhile: collections.abc.Callable[
+        [cloud.Worker], collections.abc.Awaitable[None]
+    ],
+    starts: int,
+) -> None:
+    """Guards against stand-ins that execute calls at once or not at all."""
+
+    async def main() -> None:
+        worker = _make_worker(run_s=5.0)
+        clock_ms = (await _poll(worker))["clockMs"]
+        worker.late_share = 1.0
+        worker.late_delay_s = (0.05, 0.1)
+        worker.late_rng = random.Random(1)
+        answer = await _start(worker, deadline_ms=clock_ms + 2000)
+        assert answer is None and not worker.starts
+        await meanwhile(worker)
+        await _wait_for_late_calls(worker)
+        assert worker.starts == [(TASK, 1)] * starts
+
+    asyncio.run(main())
+
+
+def test_the_share_of_late_calls_follows_the_seed() -> None:
+    """Guards against late calls that a seed does not repeat."""
+
+    async def count(seed: int) -> int:
+        worker = _make_worker(
+            late_share=0.3,
+            late_delay_s=(0.0, 0.0),
+            late_rng=random.Random(seed),
+        )
+        answers = [
+            await _call(worker, "/v1/hold", seenUpto=0) for _ in range(200)
+        ]
+        await _wait_for_late_calls(worker)
+        return answers.count(None)
+
+    late = [asyncio.run(count(seed)) for seed in (1, 1, 2)]
+    assert late[0] == late[1] != late[2]
+    assert all(40 <= each <= 80 for each in late)
+
+
+def test_a_waiting_poll_ends_with_its_incarnation() -> None:
+    """Guards against polls that another incarnation answers at once."""
+
+    async def main() -> None:
+        worker = _make_worker()
+        waiting = asyncio.ensure_future(
+            _call(worker, "/v1/hold", seenUpto=0, waitMs=100)
+        )
+        await asyncio.sleep(0.02)
+        cloud.restart(worker)
+        assert await waiting is None
+
+    asyncio.run(main())
