Restart workers under their ids in the soak and execute some calls late

They have a seed of their own, so the faults of other seeds stay the same. Two runs at once are counted from the stand-ins' runs, as before. The bound on starts after a cancel counts a late start from the time of its arrival, since no owner can recall it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,12 @@
     )
     parser.add_argument("--nodes", type=int, default=5)
     parser.add_argument("--for-s", type=float, default=15.0)
+    parser.add_argument(
+        "--restarts",
+        action="store_true",
+        help="also restart workers under their ids and cut them soon, with "
+        "the seed of the run",
+    )
     parser.add_argument(
         "--failed",
         action="store_true",
@@ -47,6 +53,7 @@
                 seed,
                 nodes=options.nodes,
                 duration_s=options.for_s,
+                restart_seed=seed if options.restarts else None,
             )
         )
         _run.write_ledger(folder, ledger)
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -172,7 +172,8 @@
         record_violation(
             ledger, f"start of a job reported as {job.state}: {label}"
         )
-    since_cancel_s = time.monotonic() - job.cancelled_at
+    arrived_s = command.get("arrived_s", time.monotonic())
+    since_cancel_s = arrived_s - job.cancelled_at
     if job.cancelled_at and since_cancel_s > CANCEL_LIMIT_S:
         record_violation(
             ledger, f"start {since_cancel_s:.1f} s after cancel: {label}"
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -15,6 +15,14 @@
 from standins import cloud
 from standins import node_cell
 
+# Duration of the workers' runs, and the share of the calls to a worker that
+# are executed late around its restart.
+RUN_S = 0.2
+LATE_SHARE = 0.1
+
+# Readings of a clock at the start of an incarnation.
+CLOCK_ORIGINS_S = (0.0, 1e7)
+
 # Services between which configurations move the queue.
 SERVICES = (node_cell.SERVICE, "render")
 
@@ -167,7 +175,10 @@
 
 async def partition_worker(testbed: Testbed, rng: random.Random) -> None:
     """Block a worker's connections; held requests arrive after newer ones."""
-    proxy = rng.choice(testbed.worker_proxies)
+    await _cut_worker(rng.choice(testbed.worker_proxies), rng)
+
+
+async def _cut_worker(proxy: _proxy.Proxy, rng: random.Random) -> None:
     proxy.silent = rng.random() < 0.5
     proxy.deaf = not proxy.silent
     await asyncio.sleep(rng.uniform(0.5, 7.0))
@@ -189,6 +200,30 @@
     await asyncio.sleep(0.1)
 
 
+async def restart_and_cut_worker(testbed: Testbed, rng: random.Random) -> None:
+    """Restart a worker under its id, cut it soon, and delay some calls.
+
+    Calls that are sent during the short silence reach the new incarnation.
+    """
+    index = rng.randrange(len(testbed.cell.workers))
+    worker = testbed.cell.workers[index]
+    proxy = testbed.worker_proxies[index]
+    worker.run_s = rng.choice((0.2, 2.0, 8.0))
+    worker.late_share = LATE_SHARE
+    worker.late_rng = random.Random(rng.random())
+    await asyncio.sleep(rng.uniform(1.0, 3.0))
+    if not worker.silent:
+        proxy.silent = True
+        cloud.restart(worker, clock_origin_s=rng.choice(CLOCK_ORIGINS_S))
+        await asyncio.sleep(rng.uniform(0.1, 0.6))
+        node_cell.register_worker(testbed.cell, index)
+        _proxy.clear_faults(proxy)
+    await asyncio.sleep(rng.uniform(0.1, 1.0))
+    await _cut_worker(proxy, rng)
+    worker.late_rng = None
+    worker.run_s = RUN_S
+
+
 async def resize_worker(testbed: Testbed, rng: random.Random) -> None:
     """Shrink a worker's capacity for some seconds."""
     index = rng.randrange(len(testbed.cell.workers))
@@ -267,15 +302,23 @@
 )
 
 
+# Injected beside the others, with seeds of their own.
+RESTART_FAULTS: tuple[Fault, ...] = (restart_and_cut_worker,)
+
+
 async def inject(
-    testbed: Testbed, rng: random.Random, *, duration_s: float
+    testbed: Testbed,
+    rng: random.Random,
+    *,
+    duration_s: float,
+    faults: tuple[Fault, ...] = FAULTS,
 ) -> None:
     """Inject overlapping faults; return when all have ended."""
     started_at_s = time.monotonic()
     running: list[asyncio.Task[None]] = []
     while time.monotonic() - started_at_s < duration_s:
         await asyncio.sleep(rng.expovariate(1.0))
-        fault = rng.choice(FAULTS)
+        fault = rng.choice(faults)
         testbed.ledger.faults.append(
             f"{time.monotonic():.3f} {fault.__name__}"
         )
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -39,7 +39,12 @@
 
 
 async def run_seed(
-    folder: pathlib.Path, seed: int, *, nodes: int, duration_s: float
+    folder: pathlib.Path,
+    seed: int,
+    *,
+    nodes: int,
+    duration_s: float,
+    restart_seed: int | None = None,
 ) -> _checks.Ledger:
     """Run one seed and return the observations.
 
@@ -53,6 +58,8 @@
         Number of daemons.
     duration_s : float
         Seconds during which faults are injected.
+    restart_seed : int or None
+        Seed of restarts of workers that are cut soon; None for none.
     """
     rng = random.Random(seed)
     async with _run_testbed(folder, nodes=nodes) as testbed:
@@ -74,7 +81,17 @@
                 random.Random(rng.random()),
             )
         )
-        await _faults.inject(testbed, rng, duration_s=duration_s)
+        injections = [_faults.inject(testbed, rng, duration_s=duration_s)]
+        if restart_seed is not None:
+            injections.append(
+                _faults.inject(
+                    testbed,
+                    random.Random(restart_seed),
+                    duration_s=duration_s,
+                    faults=_faults.RESTART_FAULTS,
+                )
+            )
+        await asyncio.gather(*injections)
         stop.set()
         await arrivals
         await _finish_jobs(testbed, callers, jobs)
@@ -95,6 +112,7 @@
             service=service,
             capacity={"cpu": WORKER_CPU_MILLIS, "memMb": 8000, "gpu": 0},
             clock_rate=CLOCK_RATES[number % len(CLOCK_RATES)],
+            run_s=_faults.RUN_S,
         )
         for number, service in enumerate(
             _faults.SERVICES * WORKERS_PER_SERVICE
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -94,6 +94,18 @@
             "cancel",
             id="cancelled",
         ),
+        pytest.param(
+            {"cancelled_at": 1.0},
+            {**_command("a.0.0.0"), "arrived_s": 0.9},
+            "",
+            id="late-and-sent-before-the-cancel",
+        ),
+        pytest.param(
+            {"cancelled_at": 1.0},
+            {**_command("a.0.0.0"), "arrived_s": 4.1},
+            "cancel",
+            id="late-and-sent-after-the-cancel",
+        ),
     ],
 )
 def test_forbidden_starts_are_reported(
