Fence the calls to each incarnation of a worker

Cause: calls name the id alone. One that was sent for the former incarnation took effect in the next one, which has seen no fencing token, whenever it arrived there; and incarnations were put in order by their start times, a time of day that may jump back.

Change: the calls to each incarnation carry a fencing token above those of the calls to the ones before it, the revision of the owner's last transaction, or of a write of its own if there was none since. An incarnation is used once it has answered a poll with its token. Only a poll reply decides which incarnation lives; entries are taken in the order of their revisions. A 409 for a token that is not the newest of its worker no longer deposes the owner, and ends the run of a start. A reply that one of a later incarnation has overtaken is dropped, and a start in doubt is left to the incarnation that it was moved to.

--- a/chestnuttide/node/_commands.py
+++ b/chestnuttide/node/_commands.py
@@ -1,5 +1,7 @@
 """Stop and throttle commands to workers, and handling of rejections."""
 
+import functools
+
 from chestnuttide import errors
 from chestnuttide.node import _clock
 from chestnuttide.node import _ownership
@@ -100,21 +102,49 @@
     _ownership.request_commit(owner, urgent=False)
 
 
+def may_send(
+    owner: _ownership.Ownership,
+    worker: workloads.Worker,
+    fence: int,
+) -> bool:
+    """Return whether a call to a worker incarnation may be sent now."""
+    if (
+        not fence
+        or worker.fencing_token != fence
+        or not _ownership.may_send_commands(owner)
+    ):
+        return False
+    return True
+
+
 def handle_rejection(
     owner: _ownership.Ownership,
     worker: workloads.Worker,
     reply: platform.CommandReply,
     kind: str,
+    *,
+    address: platform.WorkerAddress,
+    fence: int,
 ) -> None:
+    """Act on a rejected call, which was sent to `address` with `fence`."""
     owner.metrics.commands.inc(
         {"kind": kind, "outcome": f"{reply.status} {reply.reason}".strip()}
     )
     if reply.status == 409 and reply.reason == "fence":
+        if workloads.is_outdated_token(owner.pool, worker, fence):
+            LOG.info(
+                "Command was rejected: another incarnation has answered.",
+                kind=kind,
+                worker=worker.key,
+                fence=fence,
+            )
+            workloads.withdraw_outdated_token(owner.pool, worker)
+            return
         LOG.warning(
             "Deposed: a worker has seen a higher fencing token.",
             service=owner.service,
             worker=worker.key,
-            fence=owner.fencing_token,
+            fence=fence,
         )
         owner.deposed.set()
     elif reply.status == 421:
@@ -155,15 +185,18 @@
     number: int,
 ) -> bool:
     """Send a stop; return whether the worker has acknowledged it."""
+    address, fence = worker_address(worker), worker.fencing_token
+    if not fence:
+        return False
     try:
         reply = await platform.stop_run(
             owner.workers_http,
-            worker_address(worker),
+            address,
             task=task,
             run=number,
-            fencing_token=owner.fencing_token,
+            fencing_token=fence,
             timeout_s=COMMAND_TIMEOUT_S,
-            may_send=lambda: _ownership.may_send_commands(owner),
+            may_send=functools.partial(may_send, owner, worker, fence),
         )
     except errors.PlatformError as error:
         # The next poll lists the run again, and the stop is resent.
@@ -176,7 +209,9 @@
         )
         return False
     if reply.status != 200:
-        handle_rejection(owner, worker, reply, "stop")
+        handle_rejection(
+            owner, worker, reply, "stop", address=address, fence=fence
+        )
         return False
     owner.metrics.commands.inc({"kind": "stop", "outcome": "200"})
     return True
@@ -196,18 +231,21 @@
     worker: workloads.Worker,
     run: workloads.Run,
 ) -> None:
+    address, fence = worker_address(worker), worker.fencing_token
+    if not fence:
+        return
     percent = run.speed_percent
     run.sent_speed_percent = percent
     try:
         reply = await platform.throttle_run(
             owner.workers_http,
-            worker_address(worker),
+            address,
             task=run.task,
             run=run.number,
             percent=percent,
-            fencing_token=owner.fencing_token,
+            fencing_token=fence,
             timeout_s=COMMAND_TIMEOUT_S,
-            may_send=lambda: _ownership.may_send_commands(owner),
+            may_send=functools.partial(may_send, owner, worker, fence),
         )
     except errors.PlatformError as error:
         # Resent after the next poll.
@@ -227,4 +265,6 @@
     )
     if reply.status != 200:
         run.sent_speed_percent = -1
-        handle_rejection(owner, worker, reply, "pace")
+        handle_rejection(
+            owner, worker, reply, "pace", address=address, fence=fence
+        )
--- a/chestnuttide/node/_commits.py
+++ b/chestnuttide/node/_commits.py
@@ -7,6 +7,7 @@
 
 from chestnuttide import errors
 from chestnuttide.node import _clock
+from chestnuttide.node import _fencing
 from chestnuttide.node import _keys
 from chestnuttide.node import _ownership
 from chestnuttide.node import _send_window
@@ -263,6 +264,7 @@
     )
     owner.confirmed_at = max(owner.confirmed_at, sent_at)
     owner.store_latency_s = _clock.now() - sent_at
+    _fencing.record_transaction(owner, revision)
     apply_batch(owner, batch, revision)
 
 
--- a/chestnuttide/node/_keys.py
+++ b/chestnuttide/node/_keys.py
@@ -26,6 +26,11 @@
     return f"{OWNERS}{service}"
 
 
+def fence(service: str) -> str:
+    """Return the key whose writes raise the fencing token of a service."""
+    return f"fences/{service}"
+
+
 def released(service: str) -> str:
     """Return the key with the fencing token that was released last."""
     return f"{RELEASED}{service}"
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -63,6 +63,12 @@
         Which workers its instance polls now, and how late its loop is.
     confirmed_at : float
         Send time of the last call to the store that confirmed the ownership.
+    newest_fencing_token : int
+        Revision of the last transaction that had the ownership as a
+        condition. It is above the tokens of all calls so far, and below that
+        of the next owner.
+    raising : Task or None
+        The transaction in progress that only raises it.
     deposed : asyncio.Event
         Set when another instance may have taken over.
     commit_requested : asyncio.Event
@@ -135,6 +141,10 @@
     polls_http: platform.HttpClient | None = None
     pacing: _poll_pacing.Pacing = attrs.field(factory=_poll_pacing.Pacing)
     confirmed_at: float = 0.0
+    newest_fencing_token: int = attrs.field(
+        default=attrs.Factory(lambda self: self.fencing_token, takes_self=True)
+    )
+    raising: asyncio.Task[None] | None = None
     deposed: asyncio.Event = attrs.field(factory=asyncio.Event)
     commit_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
     commit_urgent: bool = False
--- a/chestnuttide/node/_polls.py
+++ b/chestnuttide/node/_polls.py
@@ -7,6 +7,7 @@
 from chestnuttide import errors
 from chestnuttide.node import _clock
 from chestnuttide.node import _commands
+from chestnuttide.node import _fencing
 from chestnuttide.node import _ownership
 from chestnuttide.node import _poll_pacing
 from chestnuttide.node import _poll_turns
@@ -71,6 +72,9 @@
             await asyncio.sleep(_commands.WORKER_RETRY_PAUSE_S)
             _expire_runs(owner, worker)
             continue
+        if not await _fencing.ensure_token(owner, worker):
+            _expire_runs(owner, worker)
+            continue
         outcome = await _try_poll(owner, worker)
         now = _clock.now()
         if outcome == Outcome.REPLY:
@@ -174,7 +178,8 @@
 async def _poll(
     owner: _ownership.Ownership, worker: workloads.Worker, *, wait_s: float
 ) -> Outcome:
-    if not _ownership.may_send_commands(owner):
+    address, fence = _commands.worker_address(worker), worker.fencing_token
+    if not fence or not _ownership.may_send_commands(owner):
         return Outcome.WITHHELD
     sent_at = _clock.now()
     deadline_ms = workloads.poll_lease_deadline_ms(
@@ -187,18 +192,22 @@
     try:
         reply = await platform.poll_worker(
             owner.polls_http or owner.workers_http,
-            _commands.worker_address(worker),
-            fencing_token=owner.fencing_token,
+            address,
+            fencing_token=fence,
             acknowledged_completion=acknowledged,
             deadline_ms=deadline_ms,
             wait_s=wait_s,
             timeout_s=_poll_pacing.POLL_TIMEOUT_S,
-            may_send=lambda: _ownership.may_send_commands(owner),
+            may_send=functools.partial(
+                _commands.may_send, owner, worker, fence
+            ),
         )
     except errors.PlatformError as error:
         LOG.debug("Poll failed.", worker=worker.key, error=str(error))
         now = _clock.now()
-        if not _ownership.may_send_commands(owner):
+        if worker.fencing_token != fence or not _ownership.may_send_commands(
+            owner
+        ):
             return Outcome.WITHHELD
         if now - sent_at < wait_s + _poll_pacing.POLL_TIMEOUT_S:
             workloads.record_broken_connection(worker, now=now)
@@ -209,14 +218,22 @@
     if owner.deposed.is_set():
         return Outcome.WITHHELD
     if isinstance(reply, platform.CommandReply):
-        _commands.handle_rejection(owner, worker, reply, "hold")
+        _commands.handle_rejection(
+            owner, worker, reply, "hold", address=address, fence=fence
+        )
         return Outcome.REJECTED
+    if sent_at < worker.ended_at:
+        # A reply of a later incarnation has overtaken this one.
+        return Outcome.WITHHELD
+    if worker.fencing_token != fence:
+        # Calls for another incarnation may have taken effect after it.
+        return Outcome.WITHHELD
     if reply.born_ms != worker.report.born_ms:
         LOG.warning(
             "Poll was answered by another incarnation.",
             worker=worker.key,
             born_ms=reply.born_ms,
-            fence=owner.fencing_token,
+            fence=fence,
             deadline_ms=deadline_ms,
             acknowledged=acknowledged,
             clock_ms=reply.clock_ms,
@@ -227,6 +244,10 @@
         )
         replace_incarnation(owner, worker, reply.born_ms)
         return Outcome.RESTARTED
+    for other in workloads.ended_incarnations(
+        owner.pool, worker, polled_at=sent_at
+    ):
+        replace_incarnation(owner, other, reply.born_ms)
     poll_reply = workloads.PollReply(
         clock_ms=reply.clock_ms,
         running=reply.running,
@@ -247,7 +268,7 @@
         LOG.info(
             "Worker incarnation has answered.",
             worker=worker.key,
-            fence=owner.fencing_token,
+            fence=fence,
             clock_ms=reply.clock_ms,
             running=len(reply.running),
             ended=len(reply.ended),
@@ -348,5 +369,7 @@
             run=run.number,
             worker=run.worker_key,
         )
-        ensure_poll_loop(owner, owner.pool.workers[run.worker_key])
+    for successor in workloads.list_incarnations(owner.pool, worker.report.id):
+        if successor.report.born_ms == born_ms:
+            ensure_poll_loop(owner, successor)
     _commands.end_incarnation(owner, worker, "restarted")
--- a/chestnuttide/node/_starts.py
+++ b/chestnuttide/node/_starts.py
@@ -162,8 +162,9 @@
     worker: workloads.Worker,
     run: workloads.Run,
 ) -> None:
+    address, fence = _commands.worker_address(worker), worker.fencing_token
     try:
-        reply = await _call_worker(owner, worker, run)
+        reply = await _call_worker(owner, worker, run, address, fence)
     except errors.PlatformError as error:
         if error.sent:
             if run.phase == workloads.Phase.START_SENT:
@@ -184,13 +185,19 @@
         return
     if owner.deposed.is_set() or run not in run.unit.runs:
         return
-    _handle_start_reply(owner, worker, run, reply)
+    if reply.status != 200:
+        _commands.handle_rejection(
+            owner, worker, reply, "start", address=address, fence=fence
+        )
+    _handle_start_reply(owner, worker, run, reply, fence)
 
 
 async def _call_worker(
     owner: _ownership.Ownership,
     worker: workloads.Worker,
     run: workloads.Run,
+    address: platform.WorkerAddress,
+    fence: int,
 ) -> platform.CommandReply:
     """Send a start, and let the window learn from what became of it."""
     sent_at = _clock.now()
@@ -199,21 +206,21 @@
     try:
         reply = await platform.start_run(
             owner.workers_http,
-            _commands.worker_address(worker),
+            address,
             task=run.task,
             run=run.number,
             payload=run.job.spec.payload,
             deadline_ms=run.deadline_ms,
-            fencing_token=owner.fencing_token,
+            fencing_token=fence,
             checkpoint=run.checkpoint,
             ticket=ticket,
             timeout_s=_commands.COMMAND_TIMEOUT_S,
             may_send=lambda: (
-                _ownership.may_send_commands(owner)
-                and workloads.may_send_start(run)
+                workloads.may_send_start(run)
                 and _arrives_with_ticket(owner, run, _clock.now())
                 # A newer one is not in the request.
                 and run.ticket == ticket
+                and _commands.may_send(owner, worker, fence)
             ),
         )
     except errors.PlatformError:
@@ -274,6 +281,8 @@
         await _polls.poll_worker(owner, worker, wait_s=0.0)
     if (
         run.phase != workloads.Phase.UNCERTAIN
+        # The worker has restarted, and its new incarnation settles the run.
+        or run.worker_key != worker.key
         or not _ownership.may_send_commands(owner)
     ):
         return
@@ -303,6 +312,7 @@
     worker: workloads.Worker,
     run: workloads.Run,
     reply: platform.CommandReply,
+    fence: int,
 ) -> None:
     now = _clock.now()
     known_clock_ms = worker.clock_ms
@@ -320,7 +330,7 @@
             task=run.task,
             run=run.number,
             worker=run.worker_key,
-            fence=owner.fencing_token,
+            fence=fence,
             deadline_ms=run.deadline_ms,
             clock_ms=reply.clock_ms,
             known_clock_ms=known_clock_ms,
@@ -335,7 +345,6 @@
                 now - run.job.accepted_at,
             )
         return
-    _commands.handle_rejection(owner, worker, reply, "start")
     if reply.reason == "ticket":
         step = run.job.advice.get(run.unit.key[:2])
         known, _ = (
@@ -347,5 +356,6 @@
             del step.tickets[worker.key]
     if reply.reason == "room":
         run.unit.avoided.add(worker.key)
-    if reply.reason != "fence":
+    # A new owner settles the run; its own call may have started it.
+    if not owner.deposed.is_set():
         _commands.end_run(owner, run, "never")
--- a/chestnuttide/node/_takeover.py
+++ b/chestnuttide/node/_takeover.py
@@ -12,7 +12,6 @@
 from chestnuttide.node import _listings
 from chestnuttide.node import _ownership
 from chestnuttide.node import _polls
-from chestnuttide.node import _set_aside
 from chestnuttide.node import _updates
 from chestnuttide import platform
 from chestnuttide import telemetry
@@ -148,17 +147,6 @@
         stopped=owner.deposed.is_set,
     )
     await apply_cancellations(owner, work)
-    for worker in list(owner.pool.workers.values()):
-        if worker.listed:
-            # Records may name incarnations that ended before the takeover.
-            _set_aside.attempt(
-                owner.set_aside,
-                _set_aside.Kind.WORKER,
-                worker.report.id,
-                functools.partial(
-                    _updates.end_former_incarnations, owner, worker
-                ),
-            )
 
 
 async def apply_workers(
--- a/chestnuttide/node/_updates.py
+++ b/chestnuttide/node/_updates.py
@@ -63,6 +63,10 @@
 def _apply_worker_entry(
     owner: _ownership.Ownership, worker_id: str, item: platform.Item
 ) -> None:
+    if workloads.is_old_entry(owner.pool, worker_id, item.revision):
+        LOG.info("Worker entry has been superseded.", worker=worker_id)
+        return
+    workloads.record_entry(owner.pool, worker_id, item.revision)
     if item.removed:
         _set_aside.remove(owner.set_aside, _set_aside.Kind.ENTRY, worker_id)
         _unlist(owner, worker_id)
@@ -81,13 +85,6 @@
     if report.service != owner.service:
         _unlist(owner, worker_id)
         return
-    current = workloads.list_incarnations(owner.pool, worker_id)
-    if any(each.report.born_ms > report.born_ms for each in current):
-        LOG.info(
-            "Worker entry is older than the worker's incarnation.",
-            worker=worker_id,
-        )
-        return
     key = workloads.worker_key(report)
     known = owner.pool.workers.get(key)
     draining = known is not None and known.report.draining
@@ -97,7 +94,7 @@
         now=_clock.now(),
         lease_until=_former_lease_expiry(owner),
     )
-    end_former_incarnations(owner, worker)
+    workloads.record_entry(owner.pool, worker_id, item.revision)
     # A takeover's lines would use up the limit of log lines.
     if owner.ready and (known is None or draining != report.draining):
         LOG.info(
@@ -117,14 +114,6 @@
         _polls.ensure_poll_loop(owner, worker)
 
 
-def end_former_incarnations(
-    owner: _ownership.Ownership, worker: workloads.Worker
-) -> None:
-    """Replace the former incarnations of a listed worker."""
-    for former in workloads.former_incarnations(owner.pool, worker.report):
-        _polls.replace_incarnation(owner, former, worker.report.born_ms)
-
-
 def apply_job(owner: _ownership.Ownership, item: platform.Item) -> None:
     prefix = _keys.job(owner.service, "")
     if not item.key.startswith(prefix) or item.removed:
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -4,6 +4,7 @@
 from chestnuttide.workloads import _advisor_queries
 from chestnuttide.workloads import _crashes
 from chestnuttide.workloads import _expectations
+from chestnuttide.workloads import _fencing
 from chestnuttide.workloads import _incarnations
 from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _planning
@@ -62,6 +63,7 @@
 adopt_snapshot = _run_time_records.adopt_snapshot
 apply_poll_reply = _poll_replies.apply_poll_reply
 apply_progress = _records.apply_progress
+assign_fencing_token = _fencing.assign_fencing_token
 begin_start = _starts.begin_start
 cancel_job = _lifecycle.cancel_job
 confirm_start = _poll_replies.confirm_start
@@ -80,13 +82,15 @@
 encode_run_times = _run_time_records.encode_run_times
 end_incarnation = _incarnations.end_incarnation
 end_run = _lifecycle.end_run
+ended_incarnations = _incarnations.ended_incarnations
 evacuate = _supervision.evacuate
 expected_run_s = _expectations.expected_run_s
 expire_worker_lease = _poll_replies.expire_worker_lease
 explain_wait = _waiting.explain_wait
 find_stalled = _supervision.find_stalled
-former_incarnations = _incarnations.former_incarnations
 has_valid_ticket = _starts.has_valid_ticket
+is_old_entry = _worker_index.is_old_entry
+is_outdated_token = _fencing.is_outdated
 is_removable = _poll_replies.is_removable
 is_unsent = _starts.is_unsent
 is_usable = _planning.is_usable
@@ -104,6 +108,7 @@
 observe_admissions = _admission.observe
 record_broken_connection = _poll_replies.record_broken_connection
 record_clock = _poll_replies.record_clock
+record_entry = _worker_index.record_entry
 record_lease = _poll_replies.record_lease
 record_query = _advisor_queries.record_query
 record_query_result = _advisor_queries.record_query_result
@@ -123,6 +128,7 @@
 update_stored_completion = _poll_replies.update_stored_completion
 update_top_priority = _supervision.update_top_priority
 update_worker = _poll_replies.update_worker
+withdraw_outdated_token = _fencing.withdraw_outdated_token
 worker_key = _state.worker_key
 
 __all__ = [
@@ -165,6 +171,7 @@
     "adopt_snapshot",
     "apply_poll_reply",
     "apply_progress",
+    "assign_fencing_token",
     "begin_start",
     "cancel_job",
     "confirm_start",
@@ -183,13 +190,15 @@
     "encode_run_times",
     "end_incarnation",
     "end_run",
+    "ended_incarnations",
     "evacuate",
     "expected_run_s",
     "expire_worker_lease",
     "explain_wait",
     "find_stalled",
-    "former_incarnations",
     "has_valid_ticket",
+    "is_old_entry",
+    "is_outdated_token",
     "is_removable",
     "is_unsent",
     "is_usable",
@@ -207,6 +216,7 @@
     "observe_admissions",
     "record_broken_connection",
     "record_clock",
+    "record_entry",
     "record_lease",
     "record_query",
     "record_query_result",
@@ -226,5 +236,6 @@
     "update_stored_completion",
     "update_top_priority",
     "update_worker",
+    "withdraw_outdated_token",
     "worker_key",
 ]
--- a/chestnuttide/workloads/_incarnations.py
+++ b/chestnuttide/workloads/_incarnations.py
@@ -3,8 +3,8 @@
 import attrs
 
 from chestnuttide.workloads import _crashes
+from chestnuttide.workloads import _fencing
 from chestnuttide.workloads import _lifecycle
-from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
 from chestnuttide.workloads import _worker_index
 
@@ -14,15 +14,21 @@
 NEVER_EXPIRES_MS = 2**62
 
 
-def former_incarnations(
-    pool: _state.Pool, report: _specs.WorkerReport
+def ended_incarnations(
+    pool: _state.Pool, worker: _state.Worker, *, polled_at: float
 ) -> list[_state.Worker]:
-    """Return the incarnations that a worker's report shows to have ended."""
+    """Return the incarnations that a worker's poll reply shows to have ended.
+
+    Only a reply tells which incarnation lives: start times are times of day,
+    which may jump back, and entries arrive late. One that the owner learned of
+    after the poll was sent may be newer than the reply.
+    """
     return [
-        worker
-        for worker in _worker_index.list_incarnations(pool, report.id)
-        if worker.report.born_ms < report.born_ms
-        and (worker.listed or worker.runs)
+        other
+        for other in _worker_index.list_incarnations(pool, worker.report.id)
+        if other is not worker
+        and other.known_since < polled_at
+        and (other.listed or other.runs)
     ]
 
 
@@ -37,6 +43,7 @@
         The ended runs.
     """
     worker.listed = False
+    worker.ended_at = now
     _crashes.record_crash(pool, worker)
     lost = [
         run
@@ -55,8 +62,8 @@
 ) -> list[_state.Run]:
     """Move the runs that a new incarnation may have started over to it.
 
-    A start that no poll reply of the former incarnation has listed may have
-    reached the new one. Its run is uncertain until a poll reply of the new
+    A start may have reached the new incarnation unless its run is located in
+    the former one. The run is uncertain until a poll reply of the new
     incarnation lists it, or until a stop for it is answered. The new
     incarnation gets no further runs before the store lists it, because its
     capacity may differ.
@@ -78,10 +85,11 @@
             listed=False,
         )
         _worker_index.add_worker(pool, successor)
+    _fencing.withdraw_outdated_token(pool, successor)
     moved = [
         run
         for run in worker.runs.values()
-        if run.phase != _state.Phase.PLANNED and not run.listed
+        if run.phase != _state.Phase.PLANNED and not run.located
     ]
     for run in moved:
         _state.deallocate(worker, run)
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -221,7 +221,7 @@
 def _record_running(
     worker: _state.Worker, run: _state.Run, row: RunReport, now: float
 ) -> None:
-    run.listed = True
+    run.listed = run.located = True
     if run.phase != _state.Phase.RUNNING:
         run.phase = _state.Phase.RUNNING
         run.confirmed_at = now
@@ -348,7 +348,10 @@
         )
         _worker_index.add_worker(pool, worker)
     worker.report = report
-    worker.listed = True
+    for other in _worker_index.list_incarnations(pool, report.id):
+        # The store lists one incarnation at a time. A poll reply tells
+        # whether the others have ended.
+        other.listed = other is worker
     if not report.draining:
         worker.draining_since = 0.0
     elif not worker.draining_since:
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -93,6 +93,10 @@
         Whether a stored record contains the run.
     listed : bool
         Whether a poll reply of its worker incarnation has listed it.
+    located : bool
+        Whether its worker incarnation is known to have started it. Before
+        that, a later incarnation of the same id may have, whose lease is not
+        known.
     proven : bool
         Whether a poll reply has listed it `PROVEN_RUN_S` after its start,
         and its unit has not been lost in too many crashes.
@@ -136,6 +140,7 @@
     start_sent_at: float = 0.0
     recorded: bool = False
     listed: bool = False
+    located: bool = False
     proven: bool = False
     on_trial: bool = False
     confirmed_at: float = 0.0
@@ -401,6 +406,9 @@
         on trial.
     kept_free_until : float
         Monotonic time until which only trials start on it.
+    fencing_token : int
+        Fencing token of the owner's calls to it; 0 until there is one above
+        those of the calls to its former incarnations.
     last_reply_at : float
         Monotonic time of the last poll reply to this owner; 0 before the
         first.
@@ -410,6 +418,8 @@
     lease_until : float
         Monotonic time by which all its runs have ended unless its lease is
         renewed.
+    ended_at : float
+        Monotonic time at which it was found to have ended; 0 before that.
     last_completion : int
         Number of the last completion that was applied to its job.
     unstored : deque of UnstoredCompletion
@@ -459,10 +469,12 @@
     unproven_runs: int = 0
     trials: int = 0
     kept_free_until: float = 0.0
+    fencing_token: int = 0
     last_reply_at: float = 0.0
     clock_ms: int = 0
     clock_at: float | None = None
     lease_until: float = 0.0
+    ended_at: float = 0.0
     last_completion: int = 0
     unstored: collections.deque[UnstoredCompletion] = attrs.field(
         factory=collections.deque
@@ -482,6 +494,25 @@
     penalty: float = 0.0
 
 
+@attrs.define(kw_only=True, slots=True, eq=False)
+class Incarnations:
+    """The incarnations of one worker.
+
+    Attributes
+    ----------
+    workers : dict of str to Worker
+        Those that the pool has, by key.
+    last_fencing_token : int
+        Highest fencing token of calls to any of them.
+    entry_revision : int
+        Store revision of the last applied entry.
+    """
+
+    workers: dict[str, Worker] = attrs.field(factory=dict)
+    last_fencing_token: int = 0
+    entry_revision: int = 0
+
+
 @attrs.frozen(kw_only=True, slots=True)
 class TimeLimits:
     """Time limits of the deployment, in seconds.
@@ -540,8 +571,10 @@
         Jobs by id, including ended ones while callers may query them.
     workers : dict of str to Worker
         Worker incarnations by key.
-    incarnations : dict of str to dict of str to Worker
-        The same by worker id and key; see ``_worker_index``.
+    incarnations : dict of str to Incarnations
+        The same by worker id; see ``_worker_index``.
+    forgotten_fencing_token : int
+        Highest fencing token of calls to workers that the pool no longer has.
     active : dict of str to Job
         Jobs that are not in a terminal state.
     top_priority : int
@@ -572,7 +605,8 @@
     policy: LoadPolicy = LoadPolicy()
     jobs: dict[str, Job] = attrs.field(factory=dict)
     workers: dict[str, Worker] = attrs.field(factory=dict)
-    incarnations: dict[str, dict[str, Worker]] = attrs.field(factory=dict)
+    incarnations: dict[str, Incarnations] = attrs.field(factory=dict)
+    forgotten_fencing_token: int = 0
     active: dict[str, Job] = attrs.field(factory=dict)
     top_priority: int = 0
     unknown_runs: dict[str, set[RunKey]] = attrs.field(factory=dict)
--- a/chestnuttide/workloads/tests/_pool_fixtures.py
+++ b/chestnuttide/workloads/tests/_pool_fixtures.py
@@ -6,6 +6,7 @@
 from chestnuttide import workloads
 
 LEASE_S = 2.5
+FENCING_TOKEN = 7
 UNIX_S = 1_000_000.0
 
 
@@ -65,6 +66,7 @@
     worker = workloads.update_worker(
         pool, report, now=0.0, lease_until=LEASE_S
     )
+    workloads.assign_fencing_token(pool, worker, FENCING_TOKEN)
     worker.last_reply_at = 0.001
     workloads.record_clock(worker, 1000, 0.0)
     return worker
