Reckon the longest lease where an earlier call may have set it

Cause: a poll or a start for the former incarnation carries a deadline on its clock. The next one's clock starts at another value; where it is lower, the deadline lies far ahead, and the worker grants its longest lease (6 or 10 s). The owner went on with its own 2.5 s. A new owner assumed 2.5 s for all runs that it found.

Change: a run that no poll reply of its incarnation has listed is kept for the longest lease after the last call that may have renewed it. At its first reply an incarnation may hold the longest lease if a call for a former one, or of a former owner, may have been executed until then. The record of a job says of its longer runs that their lease is known, so that a new owner waits for the longest lease of the others only.

Why it works: from the first reply to the new fencing token on, no earlier call takes effect, and until then no lease can be longer than the longest.

--- a/chestnuttide/node/_commands.py
+++ b/chestnuttide/node/_commands.py
@@ -106,14 +106,22 @@
     owner: _ownership.Ownership,
     worker: workloads.Worker,
     fence: int,
+    *,
+    renews_lease: bool = False,
 ) -> bool:
-    """Return whether a call to a worker incarnation may be sent now."""
+    """Return whether a call to a worker incarnation may be sent now.
+
+    Called right before it is sent, so that the lease which it may grant is
+    reckoned from then on.
+    """
     if (
         not fence
         or worker.fencing_token != fence
         or not _ownership.may_send_commands(owner)
     ):
         return False
+    if renews_lease:
+        workloads.record_sent_lease(owner.pool, worker, now=_clock.now())
     return True
 
 
--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -447,6 +447,7 @@
             lease_s=min(
                 _ownership.RUN_LEASE_S, bounds.worker_lease_max_ms / 1000
             ),
+            longest_lease_s=bounds.worker_lease_max_ms / 1000,
             # Occurrences do not start early; the tolerance is left for
             # clock differences.
             early_s=0.0,
--- a/chestnuttide/node/_polls.py
+++ b/chestnuttide/node/_polls.py
@@ -199,7 +199,11 @@
             wait_s=wait_s,
             timeout_s=_poll_pacing.POLL_TIMEOUT_S,
             may_send=functools.partial(
-                _commands.may_send, owner, worker, fence
+                _commands.may_send,
+                owner,
+                worker,
+                fence,
+                renews_lease=deadline_ms is not None,
             ),
         )
     except errors.PlatformError as error:
--- a/chestnuttide/node/_starts.py
+++ b/chestnuttide/node/_starts.py
@@ -220,7 +220,7 @@
                 and _arrives_with_ticket(owner, run, _clock.now())
                 # A newer one is not in the request.
                 and run.ticket == ticket
-                and _commands.may_send(owner, worker, fence)
+                and _commands.may_send(owner, worker, fence, renews_lease=True)
             ),
         )
     except errors.PlatformError:
--- a/chestnuttide/node/_takeover.py
+++ b/chestnuttide/node/_takeover.py
@@ -39,6 +39,7 @@
 async def take_over(owner: _ownership.Ownership) -> Listed | None:
     """Load the pool from the store; return None if deposed."""
     started_at = _clock.now()
+    _updates.record_former_owner(owner)
     owner.metrics.takeovers.inc({"outcome": "started"})
     LOG.info(
         "Takeover has started.",
--- a/chestnuttide/node/_updates.py
+++ b/chestnuttide/node/_updates.py
@@ -25,16 +25,30 @@
 _MIN_CLOCK_RATE = 0.98
 
 
-def _former_lease_expiry(owner: _ownership.Ownership) -> float:
-    """Return when all leases granted by the former owner have expired.
+def record_former_owner(owner: _ownership.Ownership) -> None:
+    """Record until when a former owner may have sent calls to workers.
 
-    A former owner that has not stopped may renew leases until its authority
-    ends.
+    One that has not stopped may send them until its authority ends.
     """
-    until = _clock.now() + owner.pool.limits.lease_s / _MIN_CLOCK_RATE
+    owner.pool.former_calls_until = _clock.now()
     if not owner.former_owner_stopped:
-        until += _ownership.AUTHORITY_S
-    return until
+        owner.pool.former_calls_until += _ownership.AUTHORITY_S
+
+
+def _former_lease_expiry(owner: _ownership.Ownership) -> float:
+    """Return when all leases that the former owner knew have expired."""
+    lease_s = owner.pool.limits.lease_s / _MIN_CLOCK_RATE
+    return owner.pool.former_calls_until + lease_s
+
+
+def _longest_lease_expiry(owner: _ownership.Ownership) -> float:
+    """Return when all leases granted for the former owner have expired.
+
+    A worker that has restarted takes a deadline of its former incarnation for
+    one that is far ahead.
+    """
+    longest_s = workloads.longest_lease_s(owner.pool.limits)
+    return owner.pool.former_calls_until + workloads.CALL_S + longest_s
 
 
 def apply_worker_entry(
@@ -270,6 +284,7 @@
             job,
             item.value,
             lease_until=_former_lease_expiry(owner),
+            unlocated_lease_until=_longest_lease_expiry(owner),
             now=_clock.now(),
             now_unix_s=_clock.unix_time(),
         )
--- a/chestnuttide/node/tests/test_incarnations.py
+++ b/chestnuttide/node/tests/test_incarnations.py
@@ -65,7 +65,9 @@
         workers_http=None,
         pool=workloads.Pool(
             service=service,
-            limits=workloads.TimeLimits(lease_s=2.5),
+            limits=workloads.TimeLimits(
+                lease_s=2.5, longest_lease_s=world.longest_lease_s
+            ),
         ),
         metrics=_metrics.make_metrics(),
         confirmed_at=math.inf,
@@ -155,6 +157,7 @@
     bed.owner.deposed.set()
     owner = _make_owner(bed.world)
     owner.former_owner_stopped = stopped
+    _updates.record_former_owner(owner)
     bed.owner = owner
     await asyncio.sleep(_restarting_worker.STORE_S)
     for worker in bed.world.workers.values():
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -28,6 +28,7 @@
 AdmissionVerdict = _admission.Verdict
 Advice = _specs.Advice
 AdvisorQuery = _advisor_queries.AdvisorQuery
+CALL_S = _poll_replies.CALL_S
 COUNTED_REASONS = _waiting.COUNTED_REASONS
 CapWait = _waiting_tasks.CapWait
 Crash = _state.Crash
@@ -96,6 +97,7 @@
 is_usable = _planning.is_usable
 describe_admission = _admission.list_row
 lease_deadline_ms = _poll_replies.lease_deadline_ms
+longest_lease_s = _poll_replies.longest_lease_s
 list_incarnations = _worker_index.list_incarnations
 list_run_times = _run_time_rows.list_run_times
 list_waiting_tasks = _waiting_tasks.list_waiting_tasks
@@ -110,6 +112,7 @@
 record_clock = _poll_replies.record_clock
 record_entry = _worker_index.record_entry
 record_lease = _poll_replies.record_lease
+record_sent_lease = _poll_replies.record_sent_lease
 record_query = _advisor_queries.record_query
 record_query_result = _advisor_queries.record_query_result
 record_stop_answer = _stops.record_stop_answer
@@ -136,6 +139,7 @@
     "AdmissionVerdict",
     "Advice",
     "AdvisorQuery",
+    "CALL_S",
     "COUNTED_REASONS",
     "CapWait",
     "Crash",
@@ -204,6 +208,7 @@
     "is_usable",
     "describe_admission",
     "lease_deadline_ms",
+    "longest_lease_s",
     "list_incarnations",
     "list_run_times",
     "list_waiting_tasks",
@@ -218,6 +223,7 @@
     "record_clock",
     "record_entry",
     "record_lease",
+    "record_sent_lease",
     "record_query",
     "record_query_result",
     "record_stop_answer",
--- a/chestnuttide/workloads/_incarnations.py
+++ b/chestnuttide/workloads/_incarnations.py
@@ -85,6 +85,9 @@
             listed=False,
         )
         _worker_index.add_worker(pool, successor)
+    successor.unlocated_lease_until = max(
+        successor.unlocated_lease_until, worker.unlocated_lease_until
+    )
     _fencing.withdraw_outdated_token(pool, successor)
     moved = [
         run
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -1,5 +1,6 @@
 """Applies the poll replies of workers, and keeps track of their leases."""
 
+import math
 import typing
 
 import attrs
@@ -17,6 +18,18 @@
 # Added to the computed expiry of a lease, to cover rounding.
 EXPIRY_MARGIN_S = 0.1
 
+# Longest time between the sending of a call and its execution by a worker,
+# unless its answer is lost.
+CALL_S = 0.4
+
+# Longest time after which a call whose answer was lost is executed; the
+# platform says "seconds".
+LATE_CALL_S = 15.0
+
+# A run that is listed for this long gets into its job's record as one whose
+# lease is known. Most runs are shorter and cost no further write.
+LEASE_RECORD_S = 4.0
+
 
 class RunReport(typing.Protocol):
     """A run that a worker lists as running; see ``platform.RunReport``."""
@@ -141,12 +154,43 @@
 def record_lease(
     worker: _state.Worker, deadline_ms: int, *, now: float
 ) -> None:
-    """Extend the recorded lease by a command that may have been executed."""
+    """Extend the recorded lease by a command that may have been executed.
+
+    It holds for the incarnation that the command is meant for; see
+    `record_sent_lease`.
+    """
     remaining_s = (deadline_ms - worker.clock_ms) / 1000
     until = worker.clock_at + remaining_s / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
     worker.lease_until = max(worker.lease_until, until, now)
 
 
+def longest_lease_s(limits: _state.TimeLimits) -> float:
+    """Return the longest time for which a worker may hold any lease."""
+    return limits.longest_lease_s / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
+
+
+def record_sent_lease(
+    pool: _state.Pool, worker: _state.Worker, *, now: float
+) -> None:
+    """Record that a command which renews leases is being sent.
+
+    A later incarnation of the worker may execute it. The deadline is far ahead
+    of its clock, which has started anew, so it grants its longest lease.
+    """
+    worker.unlocated_lease_until = max(
+        worker.unlocated_lease_until,
+        now + CALL_S + longest_lease_s(pool.limits),
+    )
+    pool.renewals[worker.report.id] = now
+
+
+def lease_end(worker: _state.Worker, run: _state.Run) -> float:
+    """Return the time by which a run has ended unless its lease is renewed."""
+    if run.located:
+        return worker.lease_until
+    return max(worker.lease_until, worker.unlocated_lease_until)
+
+
 def record_broken_connection(worker: _state.Worker, *, now: float) -> None:
     """Record that a worker's connection broke, as it does in a crash.
 
@@ -175,6 +219,8 @@
     if worker.lost_at or not worker.last_reply_at:
         _crashes.refute_crash(pool, worker)
         worker.lost_at = 0.0
+    if not worker.last_reply_at:
+        _inherit_lease(pool, worker, now)
     worker.last_reply_at = now
     worker.broken_at = 0.0
     completions: list[tuple[_state.Run, str]] = []
@@ -218,6 +264,27 @@
     return completions
 
 
+def _inherit_lease(
+    pool: _state.Pool, worker: _state.Worker, now: float
+) -> None:
+    """Record the lease that a worker may hold at its first reply.
+
+    Until it has seen the fencing token of this reply's poll, it may have
+    executed calls for its former incarnation, of this or a former owner, and
+    granted any lease. A run whose lease the former owner knew rules that out.
+    """
+    if any(run.located for run in worker.runs.values()):
+        return
+    sent_until = max(
+        pool.renewals.get(worker.report.id, -math.inf), pool.former_calls_until
+    )
+    granted_at = min(now, sent_until + LATE_CALL_S)
+    inherited = granted_at + longest_lease_s(pool.limits)
+    if inherited > now:
+        worker.inherited_lease_until = inherited
+        worker.lease_until = max(worker.lease_until, inherited)
+
+
 def _record_running(
     worker: _state.Worker, run: _state.Run, row: RunReport, now: float
 ) -> None:
@@ -248,6 +315,13 @@
         _state.prove_run(worker, run)
     if row.checkpoint and row.checkpoint != run.checkpoint:
         run.checkpoint = row.checkpoint
+    if (
+        not run.lease_known
+        and listed_s >= LEASE_RECORD_S
+        and now >= worker.inherited_lease_until
+    ):
+        run.lease_known = True
+        _state.mark_changed(run.job)
 
 
 def _infer_completion(run: _state.Run, reply: PollReply) -> str:
@@ -313,7 +387,7 @@
     expired = [
         run
         for run in worker.runs.values()
-        if run.phase != _state.Phase.PLANNED
+        if run.phase != _state.Phase.PLANNED and now >= lease_end(worker, run)
     ]
     if expired:
         worker.lost_at = now
@@ -343,6 +417,7 @@
     key = _state.worker_key(report)
     worker = pool.workers.get(key)
     if worker is None:
+        _forget_renewals(pool, now)
         worker = _state.Worker(
             key=key, report=report, lease_until=lease_until, known_since=now
         )
@@ -357,3 +432,14 @@
     elif not worker.draining_since:
         worker.draining_since = now
     return worker
+
+
+def _forget_renewals(pool: _state.Pool, now: float) -> None:
+    """Forget calls to workers that have left, which no longer matter."""
+    past = now - LATE_CALL_S - longest_lease_s(pool.limits)
+    for worker_id in [
+        worker_id
+        for worker_id, sent_at in pool.renewals.items()
+        if sent_at < past and worker_id not in pool.incarnations
+    ]:
+        del pool.renewals[worker_id]
--- a/chestnuttide/workloads/_records.py
+++ b/chestnuttide/workloads/_records.py
@@ -29,7 +29,7 @@
             sorted(unit.failed_runs),
             unit.checkpoint,
             [[run.index, run.number, run.worker_key] for run in unit.runs],
-            *_encode_crashes(unit),
+            *_encode_rare_columns(unit),
         ]
         for unit in job.units.values()
         if unit.last_run
@@ -44,28 +44,31 @@
         + len(unit.checkpoint)
         + 5 * len(unit.failed_runs)
         + sum(10 + len(run.worker_key) for run in unit.runs)
+        + 6 * sum(run.lease_known for run in unit.runs)
         + sum(20 + len(each.worker_key) for each in unit.crashes.values())
         for unit in job.units.values()
         if unit.last_run
     )
 
 
-def _encode_crashes(unit: _state.Unit) -> list[list[list[object]]]:
-    """Return the last column of a unit's row, which few units have."""
-    if not unit.crashes:
-        return []
-    return [
+def _encode_rare_columns(unit: _state.Unit) -> list[list[list[object]]]:
+    """Return the last columns of a unit's row, which few units have."""
+    crashes = [
         [
-            [
-                number,
-                crash.worker_key,
-                crash.index,
-                crash.suspects,
-                crash.started,
-            ]
-            for number, crash in unit.crashes.items()
+            number,
+            crash.worker_key,
+            crash.index,
+            crash.suspects,
+            crash.started,
         ]
+        for number, crash in unit.crashes.items()
     ]
+    known_leases = [
+        [run.index, run.number] for run in unit.runs if run.lease_known
+    ]
+    if known_leases:
+        return [crashes, known_leases]
+    return [crashes] if crashes else []
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -89,6 +92,8 @@
     crashes : list of (int, str, int, int, bool)
         Run number, worker incarnation, index, suspects and whether the run
         had started, for each crash.
+    known_leases : list of (int, int)
+        Index and number of each run whose lease is known.
     """
 
     key: tuple[int, int, int]
@@ -98,6 +103,7 @@
     checkpoint: str
     runs: list[tuple[int, int, str]]
     crashes: list[tuple[int, str, int, int, bool]]
+    known_leases: list[tuple[int, int]]
 
 
 def _decode_progress(
@@ -128,8 +134,9 @@
             "failed_runs": failed,
             "checkpoint": saved,
             "runs": runs,
-            # Few units have this column.
+            # Few units have these columns.
             "crashes": row[8] if len(row) > 8 else [],
+            "known_leases": row[9] if len(row) > 9 else [],
         },
         _UnitRecord,
     )
@@ -158,6 +165,7 @@
     record: bytes,
     *,
     lease_until: float,
+    unlocated_lease_until: float = 0.0,
     now: float,
     now_unix_s: float,
 ) -> None:
@@ -165,7 +173,8 @@
 
     Each restored run is uncertain and allocates capacity of its worker until
     a poll reply shows whether it runs. A worker that is not listed gets a
-    placeholder, whose lease expires at `lease_until`.
+    placeholder. If its worker stays silent, a run whose lease the former owner
+    knew has ended by `lease_until`, and any other by the later of the two.
 
     Raises
     ------
@@ -201,6 +210,10 @@
             if worker is None:
                 worker = _make_placeholder(key, lease_until)
                 _worker_index.add_worker(pool, worker)
+            worker.unlocated_lease_until = max(
+                worker.unlocated_lease_until, unlocated_lease_until
+            )
+            lease_known = (member, number) in stored.known_leases
             run = _state.Run(
                 job=job,
                 unit=unit,
@@ -213,6 +226,8 @@
                 # A worker that has seen this owner's fencing token rejects
                 # starts of former owners, so any poll reply is conclusive.
                 deadline_ms=-1,
+                located=lease_known,
+                lease_known=lease_known,
                 on_trial=_crashes.is_suspect(unit),
                 stopping=unit.state == _state.UnitState.DONE,
             )
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import math
 import typing
 
 import attrs
@@ -97,6 +98,9 @@
         Whether its worker incarnation is known to have started it. Before
         that, a later incarnation of the same id may have, whose lease is not
         known.
+    lease_known : bool
+        Whether its record says that it is located and that its worker holds
+        no longer lease than the owner's calls request.
     proven : bool
         Whether a poll reply has listed it `PROVEN_RUN_S` after its start,
         and its unit has not been lost in too many crashes.
@@ -141,6 +145,7 @@
     recorded: bool = False
     listed: bool = False
     located: bool = False
+    lease_known: bool = False
     proven: bool = False
     on_trial: bool = False
     confirmed_at: float = 0.0
@@ -416,8 +421,13 @@
         Reading of the worker's clock, and its monotonic time; `clock_at` is
         None before the first reading.
     lease_until : float
-        Monotonic time by which all its runs have ended unless its lease is
-        renewed.
+        Monotonic time by which its located runs have ended unless its lease
+        is renewed.
+    unlocated_lease_until : float
+        The same for runs that may have started in a later incarnation.
+    inherited_lease_until : float
+        Monotonic time until which a lease may last that calls for a former
+        incarnation, or of a former owner, have granted; 0 if there is none.
     ended_at : float
         Monotonic time at which it was found to have ended; 0 before that.
     last_completion : int
@@ -474,6 +484,8 @@
     clock_ms: int = 0
     clock_at: float | None = None
     lease_until: float = 0.0
+    unlocated_lease_until: float = 0.0
+    inherited_lease_until: float = 0.0
     ended_at: float = 0.0
     last_completion: int = 0
     unstored: collections.deque[UnstoredCompletion] = attrs.field(
@@ -521,6 +533,8 @@
     ----------
     lease_s : float
         Lease that each start and each poll requests.
+    longest_lease_s : float
+        Longest lease that a worker grants, on its clock.
     early_s : float
         How long before its due time an occurrence may start.
     stop_s : float
@@ -530,6 +544,7 @@
     """
 
     lease_s: float = 6.0
+    longest_lease_s: float = 10.0
     early_s: float = 0.25
     stop_s: float = 0.9
     entry_expiry_s: float = 6.0
@@ -573,6 +588,10 @@
         Worker incarnations by key.
     incarnations : dict of str to Incarnations
         The same by worker id; see ``_worker_index``.
+    renewals : dict of str to float
+        Monotonic time of the last call that renews leases, by worker id.
+    former_calls_until : float
+        Monotonic time until which a former owner may have sent calls.
     forgotten_fencing_token : int
         Highest fencing token of calls to workers that the pool no longer has.
     active : dict of str to Job
@@ -606,6 +625,8 @@
     jobs: dict[str, Job] = attrs.field(factory=dict)
     workers: dict[str, Worker] = attrs.field(factory=dict)
     incarnations: dict[str, Incarnations] = attrs.field(factory=dict)
+    renewals: dict[str, float] = attrs.field(factory=dict)
+    former_calls_until: float = -math.inf
     forgotten_fencing_token: int = 0
     active: dict[str, Job] = attrs.field(factory=dict)
     top_priority: int = 0
--- a/chestnuttide/workloads/_waiting_tasks.py
+++ b/chestnuttide/workloads/_waiting_tasks.py
@@ -14,6 +14,7 @@
 
 from chestnuttide.workloads import _crashes
 from chestnuttide.workloads import _lifecycle
+from chestnuttide.workloads import _poll_replies
 from chestnuttide.workloads import _room
 from chestnuttide.workloads import _round_history
 from chestnuttide.workloads import _specs
@@ -262,7 +263,7 @@
     polled = f"last reply {now - worker.last_reply_at:.2f} s ago"
     if not worker.last_reply_at:
         polled = "no reply yet"
-    lease_s = worker.lease_until - now
+    lease_s = _poll_replies.lease_end(worker, run) - now
     return (
         reasons.UNCERTAIN,
         f"{name}: {what}; {polled}; its lease runs for {lease_s:.2f} s",
--- a/chestnuttide/workloads/tests/test_incarnations.py
+++ b/chestnuttide/workloads/tests/test_incarnations.py
@@ -1,12 +1,17 @@
 """Workers that restart under their id: fencing tokens, leases and records."""
 
 import attrs
+import cbor2
 import pytest
 
 from chestnuttide import workloads
 from chestnuttide.workloads.tests import _pool_fixtures
 
 UNIX_S = _pool_fixtures.UNIX_S
+LONGEST_S = 10.0
+
+# The longest lease on a clock that runs 2% slow, and the margin for rounding.
+LONGEST_BOUND_S = LONGEST_S / 0.98 + 0.1
 
 
 def _restart(pool: workloads.Pool, born_ms: int) -> workloads.Worker:
@@ -16,6 +21,15 @@
     return workloads.update_worker(pool, report, now=1.0, lease_until=0.0)
 
 
+def _start_run(pool: workloads.Pool, *, listed: bool) -> workloads.Run:
+    _pool_fixtures.submit(pool, _pool_fixtures.make_step())
+    (run,) = _pool_fixtures.start_all(pool)
+    if listed:
+        row = _pool_fixtures.RunReport(task=run.task, run=run.number)
+        _pool_fixtures.apply_reply(pool, run.worker_key, running=(row,))
+    return run
+
+
 @pytest.mark.parametrize(
     ("newest", "token"),
     [
@@ -86,3 +100,141 @@
     other.listed = True
     found = workloads.ended_incarnations(pool, living, polled_at=1.0)
     assert found == ([other] if ended else [])
+
+
+@pytest.mark.parametrize(
+    ("listed", "now", "expired"),
+    [
+        pytest.param(True, 3.0, False, id="listed-before-its-lease-ends"),
+        pytest.param(True, 3.3, True, id="listed-after-its-lease"),
+        pytest.param(False, 3.3, False, id="may-run-in-a-later-incarnation"),
+        pytest.param(False, 10.8, False, id="within-the-longest-lease"),
+        pytest.param(False, 10.9, True, id="after-the-longest-lease"),
+    ],
+)
+def test_a_run_that_no_reply_has_listed_may_hold_the_longest_lease(
+    listed: bool, now: float, expired: bool
+) -> None:
+    """Guards against a second run while a restarted worker runs the first.
+
+    The deadline of a call for the former incarnation lies far ahead of the
+    new one's clock, which grants its longest lease.
+    """
+    pool = _pool_fixtures.make_pool(1)
+    run = _start_run(pool, listed=listed)
+    worker = pool.workers[run.worker_key]
+    worker.lease_until = 3.25
+    workloads.record_sent_lease(pool, worker, now=0.1)
+    ended = workloads.expire_worker_lease(
+        pool, worker, now=now, now_unix_s=UNIX_S
+    )
+    assert bool(ended) == expired
+
+
+@pytest.mark.parametrize(
+    ("renewed_at", "former_calls_until", "inherits"),
+    [
+        pytest.param(None, None, False, id="first-of-its-id"),
+        pytest.param(99.0, None, True, id="former-one-was-called"),
+        pytest.param(70.0, None, False, id="called-long-ago"),
+        pytest.param(None, 99.0, True, id="after-a-takeover"),
+        pytest.param(None, 70.0, False, id="long-after-a-takeover"),
+    ],
+)
+@pytest.mark.parametrize(
+    "lease_known",
+    [pytest.param(True, id="known"), pytest.param(False, id="unknown")],
+)
+def test_the_first_reply_of_an_incarnation_bounds_an_inherited_lease(
+    renewed_at: float | None,
+    former_calls_until: float | None,
+    inherits: bool,
+    lease_known: bool,
+) -> None:
+    """Guards against a lease reckoned shorter than the worker holds it.
+
+    Before it has seen the new fencing token, an incarnation may execute calls
+    for its former one.
+    """
+    pool = _pool_fixtures.make_pool(1)
+    run = _start_run(pool, listed=lease_known)
+    worker = pool.workers[run.worker_key]
+    worker.last_reply_at = 0.0
+    worker.lease_until = 90.0
+    if renewed_at is not None:
+        pool.renewals["w0"] = renewed_at
+    if former_calls_until is not None:
+        pool.former_calls_until = former_calls_until
+    row = _pool_fixtures.RunReport(task=run.task, run=run.number)
+    _pool_fixtures.apply_reply(
+        pool, run.worker_key, running=(row,), sent_at=100.0
+    )
+    until = 90.0
+    if inherits and not lease_known:
+        until = 100.01 + LONGEST_BOUND_S
+    assert worker.lease_until == pytest.approx(until, abs=0.001)
+
+
+def _restore(
+    job: workloads.Job, record: bytes
+) -> tuple[workloads.Pool, workloads.Run]:
+    pool = _pool_fixtures.make_pool(0)
+    restored = workloads.add_job(pool, job.spec, now=0.0, now_unix_s=UNIX_S)
+    workloads.apply_progress(
+        pool,
+        restored,
+        record,
+        lease_until=20.0,
+        unlocated_lease_until=30.0,
+        now=5.0,
+        now_unix_s=UNIX_S,
+    )
+    (unit,) = restored.units.values()
+    (run,) = unit.runs
+    return pool, run
+
+
+@pytest.mark.parametrize(
+    ("listed_s", "inherited_until", "until"),
+    [
+        pytest.param(None, 0.0, 30.0, id="start-not-listed"),
+        pytest.param(1.0, 0.0, 30.0, id="listed-only-just"),
+        pytest.param(5.0, 50.0, 30.0, id="worker-inherited-a-lease"),
+        pytest.param(5.0, 0.0, 20.0, id="lease-known"),
+    ],
+)
+def test_a_new_owner_waits_for_the_longest_lease_unless_it_is_known(
+    listed_s: float | None, inherited_until: float, until: float
+) -> None:
+    """Guards against a second run after a change of owner behind a cut."""
+    pool = _pool_fixtures.make_pool(1)
+    run = _start_run(pool, listed=False)
+    worker = pool.workers[run.worker_key]
+    worker.inherited_lease_until = inherited_until
+    run.job.dirty = False
+    if listed_s is not None:
+        row = _pool_fixtures.RunReport(task=run.task, run=run.number)
+        _pool_fixtures.apply_reply(
+            pool, worker.key, running=(row,), sent_at=0.1 + listed_s
+        )
+    # The next owner can only tell from the record.
+    assert run.job.dirty == (until == 20.0)
+    successor, restored = _restore(run.job, workloads.encode_progress(run.job))
+    (silent,) = successor.workers.values()
+    for now in (until - 0.1, until + 0.1):
+        ended = workloads.expire_worker_lease(
+            successor, silent, now=now, now_unix_s=UNIX_S
+        )
+        assert ended == ([restored] if now > until else [])
+
+
+def test_a_record_without_leases_is_read_as_if_none_were_known() -> None:
+    """Guards against records of the former release that cannot be read."""
+    pool = _pool_fixtures.make_pool(1)
+    run = _start_run(pool, listed=True)
+    run.lease_known = True
+    version, started, rows = cbor2.loads(workloads.encode_progress(run.job))
+    assert len(rows[0]) == 10
+    former = cbor2.dumps([version, started, [row[:8] for row in rows]])
+    _, restored = _restore(run.job, former)
+    assert not restored.located
