Acknowledge nothing while a start is not listed

Cause: completions are numbered from 1 in each incarnation. A poll with the former incarnation's acknowledgement made the next one forget the end of a run whose start had reached it, and the task ran again after it was done.

Change: a poll acknowledges completions only if every run sent to the worker has been listed by the incarnation that the poll is meant for. A worker with completions that could not be acknowledged is polled again after 50 ms.

--- a/chestnuttide/node/_polls.py
+++ b/chestnuttide/node/_polls.py
@@ -22,6 +22,10 @@
 # are once stored. A slow store delays the next poll by this time at most.
 COMPLETION_COMMIT_WAIT_S = 0.1
 
+# Pause before the next poll of a worker whose completions may not be
+# acknowledged before a start is settled.
+WITHHELD_PAUSE_S = 0.05
+
 
 class Outcome(enum.StrEnum):
     """How a poll has ended.
@@ -66,6 +70,8 @@
             return
         if worker.stored_completion < worker.last_completion:
             await _wait_for_commit(owner)
+        elif workloads.withholds_acknowledgement(worker):
+            await asyncio.sleep(WITHHELD_PAUSE_S)
         if not worker.report.address or not _ownership.may_send_commands(
             owner
         ):
@@ -129,6 +135,7 @@
     once its lease has expired.
     """
     wait_s = _poll_wait_s(owner, worker)
+    withheld = workloads.withholds_acknowledgement(worker)
     waits_there = _poll_pacing.may_wait(owner.pacing, busy=bool(worker.runs))
     try:
         outcome = await poll_worker(
@@ -139,8 +146,9 @@
         LOG.exception("Poll has failed.", worker=worker.key)
         return Outcome.FAULT
     if outcome == Outcome.REPLY and not waits_there:
-        # The poll has renewed the lease, so the wait may follow it.
-        await asyncio.sleep(wait_s)
+        # The poll has renewed the lease, so the wait may follow it. It has
+        # also listed the start that kept completions unacknowledged.
+        await asyncio.sleep(0.0 if withheld else wait_s)
     return outcome
 
 
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -132,6 +132,7 @@
 update_top_priority = _supervision.update_top_priority
 update_worker = _poll_replies.update_worker
 withdraw_outdated_token = _fencing.withdraw_outdated_token
+withholds_acknowledgement = _poll_replies.withholds_acknowledgement
 worker_key = _state.worker_key
 
 __all__ = [
@@ -243,5 +244,6 @@
     "update_top_priority",
     "update_worker",
     "withdraw_outdated_token",
+    "withholds_acknowledgement",
     "worker_key",
 ]
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -142,15 +142,34 @@
 def acknowledged_completion(worker: _state.Worker) -> int:
     """Return the number up to which a poll may acknowledge completions.
 
-    A worker that failed to answer may have restarted, and a new incarnation
-    numbers its completions from 1. The number stored for the former
-    incarnation does not apply to them.
+    The worker may have restarted, and a new incarnation numbers its
+    completions from 1. The number stored for the former incarnation does not
+    apply to them. Nothing is acknowledged to a worker that failed to answer,
+    nor while a start may have reached a new incarnation.
     """
     if worker.failed_polls or worker.late_polls:
         return 0
+    # The completion that settles a start may be behind a full list.
+    if not worker.more_completions and any(
+        not run.located and run.phase != _state.Phase.PLANNED
+        for run in worker.runs.values()
+    ):
+        return 0
     return worker.stored_completion
 
 
+def withholds_acknowledgement(worker: _state.Worker) -> bool:
+    """Return whether the worker lists completions that no poll acknowledges.
+
+    It answers each poll at once then.
+    """
+    return (
+        worker.lists_completions
+        and worker.stored_completion > 0
+        and not acknowledged_completion(worker)
+    )
+
+
 def record_lease(
     worker: _state.Worker, deadline_ms: int, *, now: float
 ) -> None:
@@ -222,6 +241,8 @@
     if not worker.last_reply_at:
         _inherit_lease(pool, worker, now)
     worker.last_reply_at = now
+    worker.lists_completions = bool(reply.ended)
+    worker.more_completions = reply.more_ended
     worker.broken_at = 0.0
     completions: list[tuple[_state.Run, str]] = []
 
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -430,6 +430,10 @@
         incarnation, or of a former owner, have granted; 0 if there is none.
     ended_at : float
         Monotonic time at which it was found to have ended; 0 before that.
+    lists_completions : bool
+        Whether its last poll reply listed completions.
+    more_completions : bool
+        Whether its last poll reply had no room for further ones.
     last_completion : int
         Number of the last completion that was applied to its job.
     unstored : deque of UnstoredCompletion
@@ -487,6 +491,8 @@
     unlocated_lease_until: float = 0.0
     inherited_lease_until: float = 0.0
     ended_at: float = 0.0
+    lists_completions: bool = False
+    more_completions: bool = False
     last_completion: int = 0
     unstored: collections.deque[UnstoredCompletion] = attrs.field(
         factory=collections.deque
--- a/chestnuttide/workloads/tests/test_incarnations.py
+++ b/chestnuttide/workloads/tests/test_incarnations.py
@@ -175,6 +175,26 @@
     assert worker.lease_until == pytest.approx(until, abs=0.001)
 
 
+@pytest.mark.parametrize(
+    ("listed", "acknowledged"),
+    [
+        pytest.param(True, 3, id="listed"),
+        pytest.param(False, 0, id="may-have-reached-a-new-incarnation"),
+    ],
+)
+def test_nothing_is_acknowledged_while_a_start_is_not_listed(
+    listed: bool, acknowledged: int
+) -> None:
+    """Guards against completions of a new incarnation that nobody has read."""
+    pool = _pool_fixtures.make_pool(1)
+    run = _start_run(pool, listed=listed)
+    worker = pool.workers[run.worker_key]
+    worker.stored_completion = 3
+    worker.lists_completions = True
+    assert workloads.acknowledged_completion(worker) == acknowledged
+    assert workloads.withholds_acknowledgement(worker) is not listed
+
+
 def _restore(
     job: workloads.Job, record: bytes
 ) -> tuple[workloads.Pool, workloads.Run]:
--- a/chestnuttide/workloads/tests/test_poll_replies.py
+++ b/chestnuttide/workloads/tests/test_poll_replies.py
@@ -428,3 +428,48 @@
     job.stored_change = job.change if stored else 0
     workloads.update_stored_completion(worker)
     assert workloads.is_removable(worker) is removable
+
+
+@pytest.mark.parametrize(
+    "phase",
+    [
+        pytest.param(workloads.Phase.UNCERTAIN, id="restored-by-a-takeover"),
+        pytest.param(workloads.Phase.RUNNING, id="started-and-ended-between"),
+    ],
+)
+def test_a_full_list_of_completions_is_acknowledged(
+    phase: workloads.Phase,
+) -> None:
+    """Guards against a worker that lists the same completions for ever.
+
+    While it lists as many as fit into a reply, the run's may be behind them,
+    so that only an acknowledgement gets the run settled.
+    """
+    pool = _pool_fixtures.make_pool(1)
+    _pool_fixtures.submit(pool, _pool_fixtures.make_step())
+    (run,) = _pool_fixtures.start_all(pool)
+    run.phase = phase
+    run.deadline_ms = -1
+    worker = pool.workers[run.worker_key]
+    rows = [
+        _pool_fixtures.Completion(
+            number=number, task="other.0.0.0", run=number, result="lapsed"
+        )
+        for number in range(1, 501)
+    ]
+    rows.append(
+        _pool_fixtures.Completion(
+            number=501, task=run.task, run=run.number, result="done"
+        )
+    )
+    for number in range(5):
+        acknowledged = workloads.acknowledged_completion(worker)
+        left = [row for row in rows if row.number > acknowledged]
+        _pool_fixtures.apply_reply(
+            pool,
+            worker.key,
+            ended=tuple(left[:500]),
+            more_ended=len(left) >= 500,
+            sent_at=1.0 + number,
+        )
+    assert run.unit.state == workloads.UnitState.DONE
