Take a 421 only from the address that the worker still has

Cause: a worker's entry may give a new address while a call to the old one is under way. The 421 from there ended all runs at once, and they started elsewhere beside the first ones.

Change: a 421 ends the runs of a worker only if the call was sent to the address that the worker has now.

--- a/chestnuttide/node/_commands.py
+++ b/chestnuttide/node/_commands.py
@@ -155,6 +155,13 @@
             fence=fence,
         )
         owner.deposed.set()
+    elif reply.status == 421 and address != worker_address(worker):
+        LOG.info(
+            "Command was rejected at a former address.",
+            kind=kind,
+            worker=worker.key,
+            address=address.address,
+        )
     elif reply.status == 421:
         end_incarnation(
             owner, worker, "its address belongs to another incarnation"
--- a/chestnuttide/node/tests/test_fencing.py
+++ b/chestnuttide/node/tests/test_fencing.py
@@ -198,3 +198,36 @@
         assert run.unit.state == workloads.UnitState.WAITING
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("moved", "ended"),
+    [
+        pytest.param(True, False, id="from-its-former-address"),
+        pytest.param(False, True, id="from-its-address"),
+    ],
+)
+def test_a_421_ends_runs_only_at_the_address_that_it_came_from(
+    monkeypatch: pytest.MonkeyPatch, moved: bool, ended: bool
+) -> None:
+    """Guards against a second run of a task whose worker lives elsewhere."""
+    owner, _ = _make_owner(monkeypatch)
+
+    async def main() -> None:
+        _pool_fixtures.submit(owner.pool, _pool_fixtures.make_step())
+        (run,) = _pool_fixtures.start_all(owner.pool)
+        worker = owner.pool.workers[run.worker_key]
+        address = _commands.worker_address(worker)
+        if moved:
+            worker.report = attrs.evolve(worker.report, address="127.0.0.1:2")
+        _commands.handle_rejection(
+            owner,
+            worker,
+            platform.CommandReply(status=421),
+            "hold",
+            address=address,
+            fence=TOKEN,
+        )
+        assert (run not in run.unit.runs) == ended
+
+    asyncio.run(main())
