Send the speed of fillers anew after a restart or a takeover

Cause: a throttle command of a former owner, or for a former incarnation, may have taken effect, but a moved or restored run counted as running at full speed. A filler paced down to 0 percent stayed there, counted as stalled and was stopped.

Change: the speed of a moved run, and of a restored filler, counts as not sent. test_the_speed_of_a_filler_is_sent_anew fails without the change.

--- a/chestnuttide/workloads/_incarnations.py
+++ b/chestnuttide/workloads/_incarnations.py
@@ -99,6 +99,8 @@
         run.worker_key = key
         run.phase = _state.Phase.UNCERTAIN
         run.stop_sent_at = run.stop_acknowledged_at = 0.0
+        # Throttle commands to the former incarnation may have reached it too.
+        run.sent_speed_percent = -1
         if run.deadline_ms >= 0:
             run.deadline_ms = NEVER_EXPIRES_MS
         _state.mark_changed(run.job)
--- a/chestnuttide/workloads/_records.py
+++ b/chestnuttide/workloads/_records.py
@@ -214,13 +214,14 @@
                 worker.unlocated_lease_until, unlocated_lease_until
             )
             lease_known = (member, number) in stored.known_leases
+            step = job.spec.steps[unit.key[1]]
             run = _state.Run(
                 job=job,
                 unit=unit,
                 index=member,
                 number=number,
                 worker_key=key,
-                need=_state.allocated_need(job.spec.steps[unit.key[1]]),
+                need=_state.allocated_need(step),
                 phase=_state.Phase.UNCERTAIN,
                 checkpoint=unit.checkpoint,
                 # A worker that has seen this owner's fencing token rejects
@@ -230,6 +231,8 @@
                 lease_known=lease_known,
                 on_trial=_crashes.is_suspect(unit),
                 stopping=unit.state == _state.UnitState.DONE,
+                # The former owner may have throttled it.
+                sent_speed_percent=-1 if step.filler else 100,
             )
             unit.runs.append(run)
             _state.allocate(worker, run)
--- a/chestnuttide/workloads/tests/test_incarnations.py
+++ b/chestnuttide/workloads/tests/test_incarnations.py
@@ -258,3 +258,32 @@
     former = cbor2.dumps([version, started, [row[:8] for row in rows]])
     _, restored = _restore(run.job, former)
     assert not restored.located
+
+
+@pytest.mark.parametrize(
+    "how",
+    [
+        pytest.param("moved", id="worker-restarted"),
+        pytest.param("restored", id="owner-changed"),
+    ],
+)
+def test_the_speed_of_a_filler_is_sent_anew(how: str) -> None:
+    """Guards against fillers that stay throttled and count as stalled.
+
+    A throttle command of a former owner, or for a former incarnation, may
+    have taken effect.
+    """
+    pool = _pool_fixtures.make_pool(1)
+    _pool_fixtures.submit(pool, _pool_fixtures.make_step(filler=True))
+    (run,) = _pool_fixtures.start_all(pool)
+    if how == "moved":
+        former = pool.workers[run.worker_key]
+        workloads.start_incarnation(pool, former, 2)
+    else:
+        pool, run = _restore(run.job, workloads.encode_progress(run.job))
+    row = _pool_fixtures.RunReport(task=run.task, run=run.number)
+    _pool_fixtures.apply_reply(
+        pool, run.worker_key, running=(row,), sent_at=6.0
+    )
+    worker = pool.workers[run.worker_key]
+    assert workloads.throttle_fillers(worker) == [run]
