Restart and cut half of the workers of the soak in a series

The soak restarted one worker at a time, with cuts of random length. The stand-ins check tickets as the platform does: each is valid for a time in one incarnation. A queue without advice, whose starts need none, can be chosen.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,6 +28,17 @@
         help="also restart workers under their ids and cut them soon, with "
         "the seed of the run",
     )
+    parser.add_argument(
+        "--recut",
+        action="store_true",
+        help="restart half of the workers and cut them soon, in a series, "
+        "instead of the faults at random",
+    )
+    parser.add_argument(
+        "--no-advice",
+        action="store_true",
+        help="let starts need no tickets",
+    )
     parser.add_argument(
         "--failed",
         action="store_true",
@@ -54,6 +65,8 @@
                 nodes=options.nodes,
                 duration_s=options.for_s,
                 restart_seed=seed if options.restarts else None,
+                recut=options.recut,
+                advised=not options.no_advice,
             )
         )
         _run.write_ledger(folder, ledger)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -49,6 +49,8 @@
         Keys of the newest configuration, and withdrawn ones.
     version : int
         Version of the newest configuration.
+    advised : bool
+        Whether starts of the queue need a ticket.
     """
 
     cell: node_cell.Cell
@@ -59,6 +61,7 @@
     advisor_proxy: _proxy.Proxy
     keys: _keys.Keys = attrs.field(factory=_keys.Keys)
     version: int = 1
+    advised: bool = True
 
 
 Fault = collections.abc.Callable[
@@ -68,15 +71,19 @@
 
 def _pick_node(testbed: Testbed, rng: random.Random) -> node_cell.Node:
     """Return the owner with probability 0.5, else any daemon."""
-    if rng.random() < 0.5:
-        owner = testbed.cell.store.keys.get(f"cell/owners/{node_cell.SERVICE}")
-        for node in testbed.cell.nodes:
-            if owner is not None and node.name.encode() in owner.value:
-                return node
-    return rng.choice(testbed.cell.nodes)
+    owner = _find_owner(testbed) if rng.random() < 0.5 else None
+    return owner or rng.choice(testbed.cell.nodes)
 
 
-def _restart_if_ended(testbed: Testbed, node: node_cell.Node) -> None:
+def _find_owner(testbed: Testbed) -> node_cell.Node | None:
+    owner = testbed.cell.store.keys.get(f"cell/owners/{node_cell.SERVICE}")
+    for node in testbed.cell.nodes:
+        if owner is not None and node.name.encode() in owner.value:
+            return node
+    return None
+
+
+def restart_if_ended(testbed: Testbed, node: node_cell.Node) -> None:
     """Restart an ended daemon unless another fault already has."""
     if node.process.poll() is None:
         return
@@ -85,10 +92,22 @@
 
 async def kill(testbed: Testbed, rng: random.Random) -> None:
     """Kill a daemon and restart it."""
-    node = _pick_node(testbed, rng)
+    await _kill_and_restart(testbed, _pick_node(testbed, rng), rng)
+
+
+async def kill_owner(testbed: Testbed, rng: random.Random) -> None:
+    """Kill the owner of the queue's first service, and restart it."""
+    node = _find_owner(testbed)
+    if node is not None:
+        await _kill_and_restart(testbed, node, rng)
+
+
+async def _kill_and_restart(
+    testbed: Testbed, node: node_cell.Node, rng: random.Random
+) -> None:
     node.process.kill()
     await asyncio.sleep(rng.uniform(0.1, 2.0))
-    _restart_if_ended(testbed, node)
+    restart_if_ended(testbed, node)
 
 
 async def kill_all(testbed: Testbed, rng: random.Random) -> None:
@@ -97,7 +116,7 @@
         node.process.kill()
     await asyncio.sleep(rng.uniform(0.1, 1.5))
     for node in testbed.cell.nodes:
-        _restart_if_ended(testbed, node)
+        restart_if_ended(testbed, node)
 
 
 async def pause(testbed: Testbed, rng: random.Random) -> None:
@@ -125,7 +144,7 @@
                 testbed.ledger,
                 f"{node.name} exited with status {process.returncode}",
             )
-        _restart_if_ended(testbed, node)
+        restart_if_ended(testbed, node)
 
 
 async def partition_from_store(testbed: Testbed, rng: random.Random) -> None:
@@ -263,6 +282,7 @@
                 services=services,
                 workspaces=_keys.list_workspaces(testbed.keys),
                 caps=_caps.CAPS,
+                advised=testbed.advised,
             ),
         )
         await asyncio.sleep(rng.uniform(0.0, 0.3))
@@ -326,7 +346,7 @@
     await asyncio.gather(*running)
     for node in testbed.cell.nodes:
         node.process.send_signal(signal.SIGCONT)
-        _restart_if_ended(testbed, node)
+        restart_if_ended(testbed, node)
     for proxy in [*testbed.worker_proxies, *testbed.store_proxies.values()]:
         _proxy.clear_faults(proxy)
     testbed.cell.store.refusal_status = 0
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -15,6 +15,7 @@
 from soak import _faults
 from soak import _keys
 from soak import _proxy
+from soak import _recut
 from standins import cloud
 from standins import harness
 from standins import node_cell
@@ -45,6 +46,8 @@
     nodes: int,
     duration_s: float,
     restart_seed: int | None = None,
+    recut: bool = False,
+    advised: bool = True,
 ) -> _checks.Ledger:
     """Run one seed and return the observations.
 
@@ -60,9 +63,14 @@
         Seconds during which faults are injected.
     restart_seed : int or None
         Seed of restarts of workers that are cut soon; None for none.
+    recut : bool
+        Whether half of the workers restart and are cut, in a series, instead
+        of the faults at random.
+    advised : bool
+        Whether the advisor decides which workers may run the queue's steps.
     """
     rng = random.Random(seed)
-    async with _run_testbed(folder, nodes=nodes) as testbed:
+    async with _run_testbed(folder, nodes=nodes, advised=advised) as testbed:
         callers = _callers.Callers(
             ledger=testbed.ledger,
             nodes=testbed.cell.nodes,
@@ -81,7 +89,8 @@
                 random.Random(rng.random()),
             )
         )
-        injections = [_faults.inject(testbed, rng, duration_s=duration_s)]
+        inject = _recut.inject if recut else _faults.inject
+        injections = [inject(testbed, rng, duration_s=duration_s)]
         if restart_seed is not None:
             injections.append(
                 _faults.inject(
@@ -101,11 +110,11 @@
 
 @contextlib.asynccontextmanager
 async def _run_testbed(
-    folder: pathlib.Path, *, nodes: int
+    folder: pathlib.Path, *, nodes: int, advised: bool
 ) -> collections.abc.AsyncIterator[_faults.Testbed]:
     ledger = _checks.Ledger()
     closers: list[collections.abc.Callable[[], None]] = []
-    store, advisor = cloud.Store(), cloud.Advisor()
+    store = cloud.Store()
     workers = [
         cloud.Worker(
             id=f"i-{number}",
@@ -119,6 +128,8 @@
         )
     ]
 
+    advisor = cloud.Advisor(workers=workers)
+
     async def serve(handler: object, state: object) -> _proxy.Proxy:
         address, server = cloud.serve(functools.partial(handler, state))
         closers.append(server.stop)
@@ -140,6 +151,7 @@
         store_proxies={},
         worker_proxies=[],
         advisor_proxy=advisor_proxy,
+        advised=advised,
     )
     for worker in workers:
         _checks.observe_worker(
@@ -158,6 +170,7 @@
             1,
             workspaces=_keys.list_workspaces(testbed.keys),
             caps=_caps.CAPS,
+            advised=advised,
         ),
     )
     restarts: set[asyncio.Task[None]] = set()
--- a/standins/cloud/_worker.py
+++ b/standins/cloud/_worker.py
@@ -18,6 +18,9 @@
 # Completions in one reply; the others follow once these are acknowledged.
 MAX_LISTED_COMPLETIONS = 500
 
+# Begins the tickets that a worker checks.
+TICKET_PREFIX = "checked-"
+
 
 def _ignore(*event: object) -> None:
     """Default of the observer callbacks."""
@@ -102,6 +105,8 @@
         Highest completion number when the lease was last found expired.
     silent : bool
         Whether requests get no response.
+    tickets : dict of str to float
+        Monotonic time at which each ticket of this incarnation expires.
     is_deadly : function
         Called with the task of each started run; returns whether the worker
         crashes under it.
@@ -135,6 +140,7 @@
     on_acknowledged: collections.abc.Callable[[str, int, str], None] = _ignore
     last_expired_completion: int = 0
     silent: bool = False
+    tickets: dict[str, float] = attrs.field(factory=dict)
     is_deadly: collections.abc.Callable[[str], bool] = _is_never_deadly
     on_crash: collections.abc.Callable[[], None] = _ignore
 
@@ -158,12 +164,30 @@
     worker.next_completion = 1
     worker.last_expired_completion = 0
     worker.fencing_token = 0
+    worker.tickets.clear()
     worker.clock_origin_s = worker.lease_expires_s = clock_origin_s
     worker.born_at_s = time.monotonic()
     worker.incarnation_ms += 1000
     worker.silent = False
 
 
+def issue_ticket(worker: Worker, *, validity_s: float) -> str:
+    """Return a ticket for starts in the worker's present incarnation."""
+    now = time.monotonic()
+    for ticket, until in list(worker.tickets.items()):
+        if until < now:
+            del worker.tickets[ticket]
+    ticket = f"{TICKET_PREFIX}{worker.id}-{worker.incarnation_ms}-{now}"
+    worker.tickets[ticket] = now + validity_s
+    return ticket
+
+
+def _is_valid_ticket(worker: Worker, ticket: str) -> bool:
+    if not ticket.startswith(TICKET_PREFIX):
+        return True
+    return time.monotonic() <= worker.tickets.get(ticket, 0.0)
+
+
 def encode_entry(worker: Worker, address: str) -> bytes:
     """Return the value of the worker's store entry."""
     return json.dumps(
@@ -292,6 +316,8 @@
         return 409, {**clock, "reason": "old"}
     if body["deadlineMs"] < clock["clockMs"]:
         return 409, {**clock, "reason": "late"}
+    if not _is_valid_ticket(worker, body.get("ticket", "")):
+        return 409, {**clock, "reason": "ticket"}
     if any(key[0] == task for key in worker.runs):
         worker.overlaps.append(task)
     worker.on_start(body)
--- a/standins/node_cell.py
+++ b/standins/node_cell.py
@@ -85,6 +85,7 @@
     caps: dict[str, int] | None = None,
     open_prefix: str = "",
     max_body_bytes: int = 65536,
+    advised: bool = True,
 ) -> bytes:
     """Return a configuration with a queue and a version probe.
 
@@ -109,7 +110,10 @@
         Path prefix of a queue that needs no key; empty for none.
     max_body_bytes : int
         Largest body of a caller's request.
+    advised : bool
+        Whether the advisor decides which workers may run the queue's steps.
     """
+    advice = {"advice": {"decideMs": 20.0, "eachMs": 0.3, "validityMs": 2000}}
     paths = [("q1", prefix), ("v", f"/v{version}/")]
     if open_prefix:
         paths.append(("open", open_prefix))
@@ -139,11 +143,7 @@
                     "stretch": 1.5,
                     "targetLatencyMs": 250,
                     "public": path != prefix,
-                    "advice": {
-                        "decideMs": 20.0,
-                        "eachMs": 0.3,
-                        "validityMs": 2000,
-                    },
+                    **(advice if advised else {}),
                 }
                 for name, path in paths
             ],
--- a/standins/tests/test_cloud_worker.py
+++ b/standins/tests/test_cloud_worker.py
@@ -41,7 +41,7 @@
 
 
 async def _start(
-    worker: cloud.Worker, *, deadline_ms: int, run: int = 1
+    worker: cloud.Worker, *, deadline_ms: int, run: int = 1, ticket: str = ""
 ) -> tuple[int, dict[str, object]] | None:
     return await _call(
         worker,
@@ -50,6 +50,7 @@
         run=run,
         spec="",
         deadlineMs=deadline_ms,
+        ticket=ticket,
     )
 
 
@@ -154,6 +155,49 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ("validity_s", "restarts", "reason"),
+    [
+        pytest.param(2.0, False, "", id="valid"),
+        pytest.param(0.0, False, "ticket", id="expired"),
+        pytest.param(2.0, True, "ticket", id="of-a-former-incarnation"),
+    ],
+)
+def test_a_ticket_is_valid_for_a_time_in_one_incarnation(
+    validity_s: float, restarts: bool, reason: str
+) -> None:
+    """Guards against stand-ins that accept starts which workers reject."""
+
+    async def main() -> None:
+        worker = _make_worker()
+        ticket = _worker.issue_ticket(worker, validity_s=validity_s)
+        if restarts:
+            cloud.restart(worker)
+        status, reply = await _start(worker, deadline_ms=10**9, ticket=ticket)
+        assert (status, reply.get("reason", "")) == (
+            409 if reason else 200,
+            reason,
+        )
+
+    asyncio.run(main())
+
+
+def test_the_advisor_issues_tickets_that_its_workers_check() -> None:
+    """Guards against soaks in which any ticket is valid for ever."""
+
+    async def main() -> None:
+        worker = _make_worker()
+        advisor = cloud.Advisor(workers=[worker], refused={"i-1"})
+        _, reply = await cloud.handle_advisor_request(
+            advisor, None, {"workers": ["i-0", "i-1", "i-2"]}
+        )
+        tickets = dict(reply["good"])
+        assert set(tickets) == {"i-0", "i-2"}
+        assert set(worker.tickets) == {tickets["i-0"]}
+
+    asyncio.run(main())
+
+
 def test_the_share_of_late_calls_follows_the_seed() -> None:
     """Guards against late calls that a seed does not repeat."""
 
