Wait for a start without an answer as long as it may be executed

Callers see two runs of a task at once. A start to a worker that crashes gets no answer, and the platform may execute it seconds later, in the worker's next incarnation. If that one is cut off before it answers a poll, no owner reaches it: the task was started elsewhere once the longest lease had passed since the start was sent, and the late start then ran beside it.

A run whose start was sent and not answered now waits, on a silent worker, for the longest time after which such a start is executed (15 s) and the longest lease after that. Starts that were answered or listed wait as before.

After a change of owner, each restored run whose lease the record does not name as known counts as unanswered: the former owner may have ended before it could record that an answer was missing. test_a_new_owner_waits_for_a_late_start_... replaces the test that asked for the longest lease alone; it bounds the wait from both sides as before.

--- a/chestnuttide/node/_commands.py
+++ b/chestnuttide/node/_commands.py
@@ -39,6 +39,7 @@
         run=run.number,
         how=outcome,
         worker=run.worker_key,
+        unanswered=run.unanswered,
         percent=run.percent,
         failures=run.unit.failures,
         crashes=[
--- a/chestnuttide/node/_starts.py
+++ b/chestnuttide/node/_starts.py
@@ -151,9 +151,8 @@
     try:
         await _send_start(owner, worker, run)
     except Exception:
-        # Polls find out whether the start took effect.
         if run.phase == workloads.Phase.START_SENT:
-            run.phase = workloads.Phase.UNCERTAIN
+            workloads.record_unanswered_start(run)
         raise
 
 
@@ -167,8 +166,7 @@
         reply = await _call_worker(owner, worker, run, address, fence)
     except errors.PlatformError as error:
         if error.sent:
-            if run.phase == workloads.Phase.START_SENT:
-                run.phase = workloads.Phase.UNCERTAIN
+            workloads.record_unanswered_start(run)
             owner.metrics.retries.inc({"reason": "start_unanswered"})
         LOG.warning(
             "Start was not answered.",
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -113,6 +113,7 @@
 record_entry = _worker_index.record_entry
 record_lease = _poll_replies.record_lease
 record_sent_lease = _poll_replies.record_sent_lease
+record_unanswered_start = _poll_replies.record_unanswered_start
 record_query = _advisor_queries.record_query
 record_query_result = _advisor_queries.record_query_result
 record_stop_answer = _stops.record_stop_answer
@@ -228,6 +229,7 @@
     "record_query",
     "record_query_result",
     "record_stop_answer",
+    "record_unanswered_start",
     "refresh_run_times",
     "release_due_occurrences",
     "remove_worker",
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -207,7 +207,31 @@
     """Return the time by which a run has ended unless its lease is renewed."""
     if run.located:
         return worker.lease_until
-    return max(worker.lease_until, worker.unlocated_lease_until)
+    until = worker.unlocated_lease_until
+    if run.unanswered:
+        until += _late_start_s(run)
+    return max(worker.lease_until, until)
+
+
+def _late_start_s(run: _state.Run) -> float:
+    """Return how long after it was sent an unanswered start may be executed.
+
+    A worker rejects one whose ticket is not valid any more.
+    """
+    advice = run.job.spec.queue.advice
+    if advice is None:
+        return LATE_CALL_S
+    return min(LATE_CALL_S, advice.validity_s / MIN_CLOCK_RATE)
+
+
+def record_unanswered_start(run: _state.Run) -> None:
+    """Record that a start was sent and not answered, or that this is unclear.
+
+    Poll replies find out whether it took effect.
+    """
+    run.unanswered = True
+    if run.phase == _state.Phase.START_SENT:
+        run.phase = _state.Phase.UNCERTAIN
 
 
 def record_broken_connection(worker: _state.Worker, *, now: float) -> None:
--- a/chestnuttide/workloads/_records.py
+++ b/chestnuttide/workloads/_records.py
@@ -174,7 +174,9 @@
     Each restored run is uncertain and allocates capacity of its worker until
     a poll reply shows whether it runs. A worker that is not listed gets a
     placeholder. If its worker stays silent, a run whose lease the former owner
-    knew has ended by `lease_until`, and any other by the later of the two.
+    knew has ended by `lease_until`. The start of any other may have had no
+    answer, and counts as unanswered: the former owner may have ended before it
+    could record that.
 
     Raises
     ------
@@ -228,6 +230,7 @@
                 # starts of former owners, so any poll reply is conclusive.
                 deadline_ms=-1,
                 located=lease_known,
+                unanswered=not lease_known,
                 lease_known=lease_known,
                 on_trial=_crashes.is_suspect(unit),
                 stopping=unit.state == _state.UnitState.DONE,
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -98,6 +98,10 @@
         Whether its worker incarnation is known to have started it. Before
         that, a later incarnation of the same id may have, whose lease is not
         known.
+    unanswered : bool
+        Whether its start was sent and had no answer that this owner knows
+        of. The worker may execute such a start seconds later, also in a later
+        incarnation.
     lease_known : bool
         Whether its record says that it is located and that its worker holds
         no longer lease than the owner's calls request.
@@ -145,6 +149,7 @@
     recorded: bool = False
     listed: bool = False
     located: bool = False
+    unanswered: bool = False
     lease_known: bool = False
     proven: bool = False
     on_trial: bool = False
--- a/chestnuttide/workloads/tests/test_incarnations.py
+++ b/chestnuttide/workloads/tests/test_incarnations.py
@@ -131,6 +131,63 @@
     assert bool(ended) == expired
 
 
+def _start_uncertain_run(
+    pool: workloads.Pool, advice: workloads.Advice | None
+) -> workloads.Run:
+    """Start a run whose start is not answered."""
+    job = _pool_fixtures.submit(pool, _pool_fixtures.make_step())
+    (run,) = workloads.make_plan(pool, now=0.1).runs
+    # It was planned without advice, for which it would have waited.
+    queue = attrs.evolve(job.spec.queue, advice=advice)
+    job.spec = attrs.evolve(job.spec, queue=queue)
+    workloads.begin_start(pool, run, now=0.1)
+    workloads.record_unanswered_start(run)
+    return run
+
+
+@pytest.mark.parametrize(
+    ("validity_s", "late_s"),
+    [
+        pytest.param(None, 15.0, id="queue-without-advice"),
+        pytest.param(2.0, 2.0 / 0.98, id="ticket-that-expires"),
+        pytest.param(60.0, 15.0, id="ticket-that-outlasts-the-call"),
+    ],
+)
+@pytest.mark.parametrize(
+    "way",
+    [
+        pytest.param("silent", id="its-worker-is-silent"),
+        pytest.param("moved", id="its-worker-has-restarted"),
+        pytest.param("restored", id="its-owner-has-changed"),
+    ],
+)
+def test_an_unanswered_start_may_be_executed_late(
+    way: str, validity_s: float | None, late_s: float
+) -> None:
+    """Guards against a second run before the first one has even begun."""
+    advice = None
+    if validity_s is not None:
+        advice = workloads.Advice(
+            decide_s=0.02, per_worker_s=0.0, validity_s=validity_s
+        )
+    pool = _pool_fixtures.make_pool(1)
+    run = _start_uncertain_run(pool, advice)
+    worker = pool.workers[run.worker_key]
+    workloads.record_sent_lease(pool, worker, now=0.1)
+    until = 0.1 + workloads.CALL_S + LONGEST_BOUND_S + late_s
+    if way == "moved":
+        workloads.start_incarnation(pool, worker, 2)
+    elif way == "restored":
+        pool, run = _restore(run.job, workloads.encode_progress(run.job))
+        until = 30.0 + late_s
+    silent = pool.workers[run.worker_key]
+    for now in (until - 0.05, until + 0.05):
+        ended = workloads.expire_worker_lease(
+            pool, silent, now=now, now_unix_s=UNIX_S
+        )
+        assert ended == ([run] if now > until else [])
+
+
 @pytest.mark.parametrize(
     ("renewed_at", "former_calls_until", "inherits"),
     [
@@ -217,16 +274,20 @@
 @pytest.mark.parametrize(
     ("listed_s", "inherited_until", "until"),
     [
-        pytest.param(None, 0.0, 30.0, id="start-not-listed"),
-        pytest.param(1.0, 0.0, 30.0, id="listed-only-just"),
-        pytest.param(5.0, 50.0, 30.0, id="worker-inherited-a-lease"),
+        pytest.param(None, 0.0, 45.0, id="start-not-listed"),
+        pytest.param(1.0, 0.0, 45.0, id="listed-only-just"),
+        pytest.param(5.0, 50.0, 45.0, id="worker-inherited-a-lease"),
         pytest.param(5.0, 0.0, 20.0, id="lease-known"),
     ],
 )
-def test_a_new_owner_waits_for_the_longest_lease_unless_it_is_known(
+def test_a_new_owner_waits_for_a_late_start_unless_a_lease_is_known(
     listed_s: float | None, inherited_until: float, until: float
 ) -> None:
-    """Guards against a second run after a change of owner behind a cut."""
+    """Guards against a second run after a change of owner behind a cut.
+
+    The former owner may have ended before a start without an answer, which is
+    executed up to 15 s late and granted the longest lease then.
+    """
     pool = _pool_fixtures.make_pool(1)
     run = _start_run(pool, listed=False)
     worker = pool.workers[run.worker_key]
@@ -258,6 +319,7 @@
     former = cbor2.dumps([version, started, [row[:8] for row in rows]])
     _, restored = _restore(run.job, former)
     assert not restored.located
+    assert restored.unanswered
 
 
 @pytest.mark.parametrize(
