--- a/chestnuttide/node/_polls.py
+++ b/chestnuttide/node/_polls.py
@@ -360,6 +360,7 @@
             "Lease of a silent worker has expired.",
             worker=worker.key,
             runs=len(expired),
+            unanswered=sum(run.unanswered for run in expired),
             silent_s=round(now - worker.last_reply_at, 3),
             expired_s=round(now - worker.lease_until, 3),
             clock_ms=worker.clock_ms,
