Tell the next owner of owners before one that released its service

Callers see two runs of a task. An owner that is cut off from the store renews leases for up to 5 s more. If its successor releases the service within that time, the next owner took the release for the end of all former calls and counted runs whose leases it knew as ended 2.65 s after its own takeover.

The released key now holds the time for which owners before may send commands, if there are any, and the next owner counts from there. It is also handed on through peers. The bound of a former owner's leases gets the margin that all other leases have: it was up to 0.05 s short on a clock that is 2% slow.

The new cases of test_release.py and test_claims.py fail without the change, as the released key held the token only.

--- a/chestnuttide/node/_claims.py
+++ b/chestnuttide/node/_claims.py
@@ -84,11 +84,23 @@
 
 def has_former_owner_stopped(session: _session.Session, service: str) -> bool:
     """Return whether the last owner of a service has recorded its release."""
+    return _find_release(session, service) is not None
+
+
+def former_calls_s(session: _session.Session, service: str) -> float:
+    """Return for how long owners before a stopped one may send commands."""
+    release = _find_release(session, service)
+    return 0.0 if release is None else release.former_calls_ms / 1000
+
+
+def _find_release(
+    session: _session.Session, service: str
+) -> _session.ReleaseRecord | None:
     former = session.former_owners.get(service)
-    return (
-        former is not None
-        and session.released.get(service) == former.fencing_token
-    )
+    release = session.released.get(service)
+    if former is None or release is None:
+        return None
+    return release if release.fencing_token == former.fencing_token else None
 
 
 async def claim(
--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -424,6 +424,7 @@
         former_owner_stopped=_claims.has_former_owner_stopped(
             session, service
         ),
+        former_calls_s=_claims.former_calls_s(session, service),
     )
     daemon.owned[service] = owner
     running[service] = asyncio.ensure_future(_owner.run_ownership(owner))
--- a/chestnuttide/node/_messages.py
+++ b/chestnuttide/node/_messages.py
@@ -265,11 +265,15 @@
         Service to release.
     fencing_token : int
         Fencing token of the ownership.
+    former_calls_ms : int
+        Time for which owners before the sender may still send commands, in
+        milliseconds.
     """
 
     call_id: int
     service: str
     fencing_token: int
+    former_calls_ms: int = 0
 
 
 @attrs.frozen(kw_only=True, slots=True)
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -119,6 +119,9 @@
     former_owner_stopped : bool
         Whether the former owner sent its last command before this ownership
         started.
+    former_calls_s : float
+        Time from the start of this ownership for which owners before one that
+        has stopped may send commands, in seconds.
     stopping : bool
         Whether no new run is planned because the service is handed over.
     hand_over_lock : Lock
@@ -172,6 +175,7 @@
     ready: bool = False
     releasing: bool = False
     former_owner_stopped: bool = False
+    former_calls_s: float = 0.0
     stopping: bool = False
     hand_over_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     set_aside: _set_aside.Register = attrs.field(
@@ -183,6 +187,14 @@
     )
 
 
+def former_authority_s(owner: Ownership) -> float:
+    """Return for how long former owners may send commands, in seconds.
+
+    It counts from the start of the ownership.
+    """
+    return owner.former_calls_s if owner.former_owner_stopped else AUTHORITY_S
+
+
 def may_send_commands(owner: Ownership) -> bool:
     """Return whether a command may be sent now.
 
--- a/chestnuttide/node/_release.py
+++ b/chestnuttide/node/_release.py
@@ -1,6 +1,7 @@
 """Confirmation and release of an ownership."""
 
 import asyncio
+import math
 import random
 import time
 
@@ -101,6 +102,7 @@
                     call_id=call_id,
                     service=owner.service,
                     fencing_token=owner.fencing_token,
+                    former_calls_ms=_former_calls_ms(owner),
                 ),
             )
         except errors.PeerNotConnectedError as error:
@@ -131,17 +133,33 @@
     return refused
 
 
+def _former_calls_ms(owner: _ownership.Ownership) -> int:
+    """Return for how long owners before this one may send commands.
+
+    One that lost the store goes on until its authority ends, and its leases
+    may last for longer than those of this owner.
+    """
+    left_s = owner.pool.former_calls_until - _clock.now()
+    if left_s == -math.inf:
+        # The takeover has not begun.
+        left_s = _ownership.former_authority_s(owner)
+    return max(0, math.ceil(left_s * 1000))
+
+
 def _release_transaction(
-    service: str, fencing_token: int
+    service: str, fencing_token: int, *, former_calls_ms: int
 ) -> platform.Transaction:
     """Return the transaction that releases an ownership.
 
     Its owner sends no more commands, which the released key records.
     """
     key = _keys.owner(service)
+    value = _session.encode_release(
+        fencing_token, former_calls_ms=former_calls_ms
+    )
     return platform.Transaction(
         expect={key: fencing_token},
-        put={_keys.released(service): str(fencing_token).encode()},
+        put={_keys.released(service): value},
         remove=(key,),
     )
 
@@ -156,7 +174,11 @@
         try:
             await platform.commit(
                 session.store,
-                _release_transaction(message.service, message.fencing_token),
+                _release_transaction(
+                    message.service,
+                    message.fencing_token,
+                    former_calls_ms=message.former_calls_ms,
+                ),
             )
             released = True
         except platform.ConditionError:
@@ -184,7 +206,11 @@
         try:
             revision = await platform.commit(
                 owner.store,
-                _release_transaction(owner.service, owner.fencing_token),
+                _release_transaction(
+                    owner.service,
+                    owner.fencing_token,
+                    former_calls_ms=_former_calls_ms(owner),
+                ),
             )
         except errors.SchedulerError as error:
             LOG.warning(
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -67,6 +67,23 @@
     fencing_token: int
 
 
+@attrs.frozen(kw_only=True, slots=True)
+class ReleaseRecord:
+    """What the store has of a released ownership.
+
+    Attributes
+    ----------
+    fencing_token : int
+        Fencing token of the ownership.
+    former_calls_ms : int
+        Time after the release for which owners before that one may send
+        commands, in milliseconds.
+    """
+
+    fencing_token: int
+    former_calls_ms: int
+
+
 @attrs.define(kw_only=True, slots=True, eq=False)
 class Session:
     """An instance's membership and its view of the cell.
@@ -103,9 +120,9 @@
     ended_fencing_tokens : dict of str to int
         Fencing token up to which each service's owners are known to have lost
         their key; a peer may still name one of them.
-    released : dict of str to int
-        Fencing token of each service's last owner that sent no more commands
-        before its key was removed; only releases since the last listing.
+    released : dict of str to ReleaseRecord
+        Release of each service's last owner that sent no more commands before
+        its key was removed; only releases since the last listing.
     failed_fencing_tokens : dict of str to int
         Fencing token of this instance's last failed ownership, by service.
     handed_to : dict of str to (str, float)
@@ -155,7 +172,7 @@
     owners: dict[str, Owner] = attrs.field(factory=dict)
     former_owners: dict[str, Owner] = attrs.field(factory=dict)
     ended_fencing_tokens: dict[str, int] = attrs.field(factory=dict)
-    released: dict[str, int] = attrs.field(factory=dict)
+    released: dict[str, ReleaseRecord] = attrs.field(factory=dict)
     failed_fencing_tokens: dict[str, int] = attrs.field(factory=dict)
     handed_to: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     ownerless_since: dict[str, float] = attrs.field(factory=dict)
@@ -304,14 +321,33 @@
         LOG.info("Service lost its owner.", service=service)
 
 
+def encode_release(fencing_token: int, *, former_calls_ms: int) -> bytes:
+    """Encode the record of a released ownership.
+
+    A former release of this program cannot read a record with two numbers,
+    and takes the owner for one that may go on.
+    """
+    if former_calls_ms:
+        return b"%d %d" % (fencing_token, former_calls_ms)
+    return b"%d" % fencing_token
+
+
+def _decode_release(value: bytes) -> ReleaseRecord:
+    fencing_token, _, former_calls_ms = value.partition(b" ")
+    return ReleaseRecord(
+        fencing_token=int(fencing_token),
+        former_calls_ms=int(former_calls_ms or 0),
+    )
+
+
 def _decode_cell_item(
     item: platform.Item,
-) -> Member | Owner | _directory.Directory | int:
-    """Return the decoded value of an item; an int is a fencing token."""
+) -> Member | Owner | ReleaseRecord | _directory.Directory:
+    """Return the decoded value of an item."""
     if item.key == _keys.DIRECTORY:
         return _directory.decode(item.value, item.revision)
     if item.key.startswith(_keys.RELEASED):
-        return int(item.value)
+        return _decode_release(item.value)
     if item.key.startswith(_keys.MEMBERS):
         address, _, cores, link_mbps = cbor2.loads(item.value)
         if not model.is_address(address):
--- a/chestnuttide/node/_updates.py
+++ b/chestnuttide/node/_updates.py
@@ -21,23 +21,20 @@
 # Number of steps whose needs are logged when a job is queued.
 LOGGED_STEPS = 4
 
-# A worker's clock may run 2% slow.
-_MIN_CLOCK_RATE = 0.98
-
 
 def record_former_owner(owner: _ownership.Ownership) -> None:
     """Record until when a former owner may have sent calls to workers.
 
     One that has not stopped may send them until its authority ends.
     """
-    owner.pool.former_calls_until = _clock.now()
-    if not owner.former_owner_stopped:
-        owner.pool.former_calls_until += _ownership.AUTHORITY_S
+    owner.pool.former_calls_until = (
+        _clock.now() + _ownership.former_authority_s(owner)
+    )
 
 
 def _former_lease_expiry(owner: _ownership.Ownership) -> float:
     """Return when all leases that the former owner knew have expired."""
-    lease_s = owner.pool.limits.lease_s / _MIN_CLOCK_RATE
+    lease_s = workloads.lease_bound_s(owner.pool.limits.lease_s)
     return owner.pool.former_calls_until + lease_s
 
 
--- a/chestnuttide/node/tests/test_claims.py
+++ b/chestnuttide/node/tests/test_claims.py
@@ -149,8 +149,12 @@
     return store.revision
 
 
-def _release(store: cloud.Store, fencing_token: int) -> None:
-    value = str(fencing_token).encode()
+def _release(
+    store: cloud.Store, fencing_token: int, former_calls_ms: int = 0
+) -> None:
+    value = _session.encode_release(
+        fencing_token, former_calls_ms=former_calls_ms
+    )
     cloud.put(store, _keys.released(SERVICE), value)
     cloud.remove(store, _keys.owner(SERVICE))
 
@@ -202,3 +206,26 @@
         assert _claims.has_former_owner_stopped(session, SERVICE) is stopped
 
     _run_with_store(scenario)
+
+
+@pytest.mark.parametrize(
+    ("former_calls_ms", "goes_on_s"),
+    [
+        pytest.param(0, 0.0, id="all-have-stopped"),
+        pytest.param(3200, 3.2, id="an-earlier-owner-goes-on"),
+    ],
+)
+def test_a_release_tells_of_the_owners_before(
+    former_calls_ms: int, goes_on_s: float
+) -> None:
+    """Guards against an earlier owner that a release hides."""
+
+    async def scenario(session: _session.Session, store: cloud.Store) -> None:
+        first = _put_owner(store, SERVICE, "b")
+        await _until_known(session, store, "other-1")
+        _release(store, first, former_calls_ms)
+        await _until_known(session, store, "other-2")
+        assert _claims.has_former_owner_stopped(session, SERVICE)
+        assert _claims.former_calls_s(session, SERVICE) == goes_on_s
+
+    _run_with_store(scenario)
--- a/chestnuttide/node/tests/test_release.py
+++ b/chestnuttide/node/tests/test_release.py
@@ -1,6 +1,7 @@
 """Release of an ownership through peers while the store is unavailable."""
 
 import asyncio
+import time
 import types
 
 import pytest
@@ -24,7 +25,8 @@
 UNANSWERED = errors.MeshError(message="unanswered", remedy="wait")
 
 
-def _make_owner() -> _ownership.Ownership:
+def _make_owner(**fields: object) -> _ownership.Ownership:
+    fields.setdefault("former_owner_stopped", True)
     return _ownership.Ownership(
         service="s",
         fencing_token=7,
@@ -38,6 +40,7 @@
         workers_http=None,
         pool=_pool_fixtures.make_pool(1),
         metrics=_metrics.make_metrics(),
+        **fields,
     )
 
 
@@ -165,6 +168,74 @@
     assert transaction.put == {"cell/released/s": b"7"}
 
 
+@pytest.mark.parametrize(
+    ("former_calls_left_s", "fields", "least_s", "most_s"),
+    [
+        pytest.param(None, {}, 5.0, 5.0, id="before-its-takeover"),
+        pytest.param(
+            None,
+            {"former_owner_stopped": True, "former_calls_s": 2.0},
+            2.0,
+            2.0,
+            id="before-its-takeover-from-an-owner-that-stopped",
+        ),
+        pytest.param(1.0, {}, 0.5, 1.0, id="within-a-former-authority"),
+        pytest.param(-0.1, {}, 0.0, 0.0, id="after-all-former-authorities"),
+    ],
+)
+@pytest.mark.parametrize(
+    "through_peer",
+    [
+        pytest.param(False, id="by-itself"),
+        pytest.param(True, id="through-a-peer"),
+    ],
+)
+def test_a_release_records_how_long_former_owners_may_go_on(
+    monkeypatch: pytest.MonkeyPatch,
+    former_calls_left_s: float | None,
+    fields: dict[str, object],
+    least_s: float,
+    most_s: float,
+    through_peer: bool,
+) -> None:
+    """Guards against two runs behind an owner that was cut from the store.
+
+    A successor that released the service while that owner still renewed
+    leases hid it from the next one, which waited for its own leases only.
+    """
+    committed: list[platform.Transaction] = []
+
+    async def commit(
+        store: object, transaction: platform.Transaction, **_: object
+    ) -> int:
+        committed.append(transaction)
+        return 9
+
+    async def call(
+        peers: object, name: str, make_message: object
+    ) -> _messages.ReleaseReply:
+        peer = _make_owner().session
+        peer.store = types.SimpleNamespace(
+            failing_since=0.0, last_response_at=time.monotonic()
+        )
+        return await _release.release_for_peer(peer, make_message(1))
+
+    monkeypatch.setattr(platform, "commit", commit)
+    monkeypatch.setattr(_peers, "call", call)
+    monkeypatch.setattr(_peers, "connected_names", lambda peers: ["b"])
+    owner = _make_owner(**{"former_owner_stopped": False, **fields})
+    if former_calls_left_s is not None:
+        owner.pool.former_calls_until = _clock.now() + former_calls_left_s
+    release = _release.hand_over
+    if through_peer:
+        release = _release.release_through_peer
+    asyncio.run(release(owner))
+    (transaction,) = committed
+    record = _session._decode_release(transaction.put["cell/released/s"])
+    assert record.fencing_token == 7
+    assert least_s <= record.former_calls_ms / 1000 <= most_s
+
+
 @pytest.mark.parametrize(
     "stored",
     [
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -96,6 +96,7 @@
 is_unsent = _starts.is_unsent
 is_usable = _planning.is_usable
 describe_admission = _admission.list_row
+lease_bound_s = _poll_replies.lease_bound_s
 lease_deadline_ms = _poll_replies.lease_deadline_ms
 longest_lease_s = _poll_replies.longest_lease_s
 list_incarnations = _worker_index.list_incarnations
@@ -209,6 +210,7 @@
     "is_unsent",
     "is_usable",
     "describe_admission",
+    "lease_bound_s",
     "lease_deadline_ms",
     "longest_lease_s",
     "list_incarnations",
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -179,13 +179,18 @@
     `record_sent_lease`.
     """
     remaining_s = (deadline_ms - worker.clock_ms) / 1000
-    until = worker.clock_at + remaining_s / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
+    until = worker.clock_at + lease_bound_s(remaining_s)
     worker.lease_until = max(worker.lease_until, until, now)
 
 
+def lease_bound_s(lease_s: float) -> float:
+    """Return the longest time that a lease lasts on a worker's clock."""
+    return lease_s / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
+
+
 def longest_lease_s(limits: _state.TimeLimits) -> float:
     """Return the longest time for which a worker may hold any lease."""
-    return limits.longest_lease_s / MIN_CLOCK_RATE + EXPIRY_MARGIN_S
+    return lease_bound_s(limits.longest_lease_s)
 
 
 def record_sent_lease(
