Let the simulated workers check tickets

A start on a queue with advice is rejected (409, ticket) unless its ticket was issued for the incarnation that executes it and is still valid on its clock; the bed queries an advisor that issues tickets for whichever incarnation lives. The check at the end of each test waits for 30 s instead of 12 s, because a task may wait for a late start for longer than that.

--- a/chestnuttide/node/tests/_restart_bed.py
+++ b/chestnuttide/node/tests/_restart_bed.py
@@ -122,14 +122,18 @@
 
 def _start_loops(bed: Bed, owner: _ownership.Ownership) -> None:
     start_loop(bed, _commits.commit_loop(owner))
-    start_loop(bed, _plan(owner))
+    start_loop(bed, _plan(bed, owner))
 
 
-async def _plan(owner: _ownership.Ownership) -> None:
+async def _plan(bed: Bed, owner: _ownership.Ownership) -> None:
     while not owner.deposed.is_set():
         now = asyncio.get_running_loop().time()
-        if workloads.make_plan(owner.pool, now=now).runs:
+        plan = workloads.make_plan(owner.pool, now=now)
+        if plan.runs:
             _ownership.request_commit(owner, urgent=True)
+        for query in plan.queries:
+            workloads.record_query(query)
+            start_loop(bed, _query_advisor(bed, query))
         _starts.supervise(owner)
         workloads.settle_crashes(owner.pool, now=now, now_unix_s=now)
         for worker in owner.pool.workers.values():
@@ -137,6 +141,21 @@
         await asyncio.sleep(PLAN_PERIOD_S)
 
 
+async def _query_advisor(bed: Bed, query: workloads.AdvisorQuery) -> None:
+    """Get tickets for the incarnations that live when they are issued."""
+    await asyncio.sleep(query.duration_s)
+    step = f"{query.job.spec.id}.{query.occurrence}.{query.step}"
+    tickets = {
+        worker.report.id: _restarting_worker.issue_ticket(
+            bed.world, bed.world.workers[worker.report.id], step
+        )
+        for worker in query.workers
+    }
+    workloads.record_query_result(
+        query, tickets, now=bed.world.loop.time(), retry_s=0.2
+    )
+
+
 async def _report_workers(bed: Bed) -> None:
     while True:
         await asyncio.sleep(HEARTBEAT_S)
@@ -152,11 +171,27 @@
     _updates.apply_worker_entry(bed.owner, entry)
 
 
-def submit(bed: Bed, number: int, duration_s: float) -> str:
-    """Submit a job of one task, and return the task's name."""
+def submit(
+    bed: Bed,
+    number: int,
+    duration_s: float,
+    *,
+    validity_s: float | None = None,
+) -> str:
+    """Submit a job of one task, and return the task's name.
+
+    Its queue has advice if its tickets have a validity.
+    """
+    advice = None
+    if validity_s is not None:
+        advice = workloads.Advice(
+            decide_s=0.02, per_worker_s=0.0, validity_s=validity_s
+        )
     spec = _pool_fixtures.make_spec(
-        _pool_fixtures.make_step(), job_id=f"{number:016x}"
+        _pool_fixtures.make_step(), job_id=f"{number:016x}", advice=advice
     )
+    if validity_s is not None:
+        bed.world.validity_s[f"{spec.id}.0.0"] = validity_s
     key = _keys.job(bed.owner.service, spec.id)
     _restarting_worker.put(bed.world, key, workloads.encode_job(spec))
     _updates.apply_job(bed.owner, bed.world.items[key])
@@ -230,8 +265,8 @@
         assert not faults
         if not _list_unfinished(bed, tasks):
             break
-    # A repetition would start within the longest lease of a worker.
-    await asyncio.sleep(12.0)
+    # A repetition would start within the longest wait for a silent worker.
+    await asyncio.sleep(30.0)
     assert not _restarting_worker.find_faults(bed.world)
     assert not _list_unfinished(bed, tasks)
 
--- a/chestnuttide/node/tests/_restarting_worker.py
+++ b/chestnuttide/node/tests/_restarting_worker.py
@@ -122,6 +122,25 @@
     polled: bool = False
 
 
+@attrs.frozen(kw_only=True, eq=False)
+class Ticket:
+    """The advisor's ticket for the tasks of a step.
+
+    Attributes
+    ----------
+    step : str
+        The step.
+    life : Incarnation or None
+        The incarnation that accepts it; None if the worker was down.
+    issued_at : float
+        When it was issued.
+    """
+
+    step: str
+    life: Incarnation | None
+    issued_at: float
+
+
 @attrs.define(kw_only=True, eq=False)
 class Worker:
     """A worker, whichever incarnation of it lives.
@@ -181,6 +200,15 @@
         Calls that are executed later.
     stopped : set of (str, int)
         Runs of which a stop was acknowledged.
+    validity_s : dict of str to float
+        Validity of the tickets of each step that needs one.
+    tickets : dict of str to Ticket
+        Tickets that were issued.
+    rejected : list of (str, int, str)
+        Task, run and reason of each start that a worker rejected.
+    executes_undecidable : bool
+        Whether late calls are executed after which no owner could keep a task
+        to one run; see `_is_undecidable`.
     """
 
     loop: _virtual_time.VirtualLoop
@@ -196,6 +224,10 @@
     revision: int = 100
     late: set[asyncio.Task[None]] = attrs.field(factory=set)
     stopped: set[tuple[str, int]] = attrs.field(factory=set)
+    validity_s: dict[str, float] = attrs.field(factory=dict)
+    tickets: dict[str, Ticket] = attrs.field(factory=dict)
+    rejected: list[tuple[str, int, str]] = attrs.field(factory=list)
+    executes_undecidable: bool = False
 
 
 def add_worker(
@@ -259,6 +291,32 @@
     worker.cut_until = world.loop.time() + seconds
 
 
+def issue_ticket(world: World, worker: Worker, step: str) -> str:
+    """Issue a ticket for the worker's present incarnation."""
+    name = f"t{len(world.tickets)}"
+    world.tickets[name] = Ticket(
+        step=step, life=worker.life, issued_at=world.loop.time()
+    )
+    return name
+
+
+def _is_valid_ticket(
+    world: World, life: Incarnation, call: dict[str, object]
+) -> bool:
+    """Return whether a start has a valid ticket or needs none.
+
+    The validity passes on the worker's own clock.
+    """
+    step = call["task"].rpartition(".")[0]
+    if step not in world.validity_s:
+        return True
+    ticket = world.tickets.get(call["ticket"])
+    if ticket is None or ticket.step != step or ticket.life is not life:
+        return False
+    age_s = (world.loop.time() - ticket.issued_at) * life.rate
+    return age_s <= world.validity_s[step]
+
+
 def make_entry(worker: Worker) -> platform.Item:
     """Return the worker's entry in the store."""
     value = {
@@ -335,7 +393,10 @@
         if number > life.last_lapsed_completion:
             record.acknowledged_at = world.loop.time()
     if kind == "start":
-        return _start(world, worker, life, call, late=deadline_ms < clock_ms)
+        reason = _start(world, worker, life, call, late=deadline_ms < clock_ms)
+        if reason:
+            world.rejected.append((call["task"], call["run"], reason))
+        return (409, reason) if reason else (200, "")
     if kind == "stop":
         task, run = call["task"], call["run"]
         if (task, run) in life.runs:
@@ -351,14 +412,17 @@
     call: dict[str, object],
     *,
     late: bool,
-) -> tuple[int, str]:
+) -> str:
+    """Start a run; return the reason of a rejection, or ""."""
     task, run = call["task"], call["run"]
     if (task, run) in life.runs:
-        return 200, ""
+        return ""
     if run <= life.highest_runs.get(task, 0):
-        return 409, "old"
+        return "old"
     if late:
-        return 409, "late"
+        return "late"
+    if not _is_valid_ticket(world, life, call):
+        return "ticket"
     now = world.loop.time()
     record = RunRecord(
         task=task,
@@ -370,7 +434,7 @@
     )
     life.runs[(task, run)] = record
     world.history.append(record)
-    return 200, ""
+    return ""
 
 
 def _is_undecidable(
@@ -381,7 +445,7 @@
     The call forgets completions of an incarnation that has not told of them
     yet, or starts a run there whose stop a former one has acknowledged.
     """
-    if life.polled:
+    if life.polled or world.executes_undecidable:
         return False
     if kind == "start":
         return (call["task"], call["run"]) in world.stopped
