--- a/chestnuttide/node/tests/_restart_bed.py
+++ b/chestnuttide/node/tests/_restart_bed.py
@@ -339,7 +339,9 @@
     bed.world.fate = fate
 
 
-def crash_and_restart(bed: Bed, *, origin_ms: int) -> None:
+def crash_and_restart(
+    bed: Bed, *, origin_ms: int, silent_s: float = SILENT_S
+) -> None:
     """Crash the first worker at once, and restart it after a silence."""
     _restarting_worker.crash(bed.world, bed.world.workers["w0"])
     start_loop(
@@ -347,7 +349,7 @@
         _restarting_worker.restart(
             bed.world,
             bed.world.workers["w0"],
-            silent_s=SILENT_S,
+            silent_s=silent_s,
             born_ms=3_000_000,
             origin_ms=origin_ms,
         ),
