--- a/chestnuttide/node/tests/_restarting_worker.py
+++ b/chestnuttide/node/tests/_restarting_worker.py
@@ -263,6 +263,8 @@
     settle(world, life)
     for record in life.runs.values():
         record.ended_at, record.how = world.loop.time(), "crashed"
+    # A poll that waits in it may settle it once more.
+    life.runs.clear()
     worker.life = None
 
 
