--- a/chestnuttide/node/tests/_restarting_worker.py
+++ b/chestnuttide/node/tests/_restarting_worker.py
@@ -20,6 +20,7 @@
 HALF_TRIP_S = 0.0025
 STORE_S = 0.005
 STEP_S = 0.01
+IDLE_STEP_S = 0.05
 
 SERVICE = "workshop"
 
@@ -526,9 +527,10 @@
             execute_later(world, worker, kind, call, fate.delay_s)
         return None
     while not _is_reachable(world, worker):
-        if world.loop.time() >= due_at:
+        now = world.loop.time()
+        if now >= due_at:
             return None
-        await asyncio.sleep(STEP_S)
+        await asyncio.sleep(max(STEP_S, min(worker.cut_until, due_at) - now))
     life = worker.life
     if _is_undecidable(world, life, kind, call):
         return None
@@ -563,7 +565,7 @@
 ) -> None:
     waits_until = world.loop.time() + wait_s
     while not life.ended and world.loop.time() < waits_until:
-        await asyncio.sleep(STEP_S)
+        await asyncio.sleep(STEP_S if life.runs else IDLE_STEP_S)
         settle(world, life)
 
 
