Test that the mark of an unanswered start outlasts two owners and no more

It stays in the record that the next owner stores, and a run that a poll lists, or whose stop was answered, waits no longer for it.

--- a/chestnuttide/workloads/tests/test_incarnations.py
+++ b/chestnuttide/workloads/tests/test_incarnations.py
@@ -188,6 +188,56 @@
         assert ended == ([run] if now > until else [])
 
 
+def test_the_owner_after_the_next_knows_of_an_unanswered_start() -> None:
+    """Guards against a record that the next owner stores without it."""
+    pool = _pool_fixtures.make_pool(1)
+    run = _start_uncertain_run(pool, None)
+    for _ in range(2):
+        pool, run = _restore(run.job, workloads.encode_progress(run.job))
+    assert run.unanswered
+    (silent,) = pool.workers.values()
+    until = 30.0 + 15.0
+    for now in (until - 0.05, until + 0.05):
+        ended = workloads.expire_worker_lease(
+            pool, silent, now=now, now_unix_s=UNIX_S
+        )
+        assert ended == ([run] if now > until else [])
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param("listed", id="listed-by-a-poll"),
+        pytest.param("never", id="stop-answered"),
+    ],
+)
+def test_an_unanswered_start_that_is_settled_costs_no_wait(
+    answer: str,
+) -> None:
+    """Guards against tasks that wait for starts that cannot be late."""
+    pool = _pool_fixtures.make_pool(1)
+    run = _start_uncertain_run(pool, None)
+    worker = pool.workers[run.worker_key]
+    workloads.record_sent_lease(pool, worker, now=0.1)
+    running = ()
+    if answer == "listed":
+        running = (_pool_fixtures.RunReport(task=run.task, run=run.number),)
+    else:
+        workloads.record_stop_answer(run, worker, now=0.5)
+    completions = _pool_fixtures.apply_reply(pool, worker.key, running=running)
+    assert [result for _, result in completions] == (
+        [] if answer == "listed" else ["never"]
+    )
+    assert not workloads.expire_worker_lease(
+        pool, worker, now=worker.lease_until - 0.01, now_unix_s=UNIX_S
+    )
+    workloads.expire_worker_lease(
+        pool, worker, now=worker.lease_until, now_unix_s=UNIX_S
+    )
+    assert not run.unit.runs
+    assert worker.lease_until < 3.0
+
+
 @pytest.mark.parametrize(
     ("renewed_at", "former_calls_until", "inherits"),
     [
