Let a late start count for all runs that no reply has listed

Callers see two runs of a task. A start without an answer is executed late in an incarnation that no owner has reached, and renews the lease of all that runs there. A run that this incarnation had started and answered was taken for lapsed after the longest lease, and went on beside its second run. A start that was in flight while its owner was paused counted as answered.

The wait for late starts now holds for all unlocated runs of a worker, and a start in flight counts as one without an answer.

--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -324,8 +324,8 @@
 def encode_release(fencing_token: int, *, former_calls_ms: int) -> bytes:
     """Encode the record of a released ownership.
 
-    A former release of this program cannot read a record with two numbers,
-    and takes the owner for one that may go on.
+    Older versions of this program cannot read a record with two numbers, and
+    take the owner for one that may go on.
     """
     if former_calls_ms:
         return b"%d %d" % (fencing_token, former_calls_ms)
--- a/chestnuttide/node/_starts.py
+++ b/chestnuttide/node/_starts.py
@@ -151,7 +151,7 @@
     try:
         await _send_start(owner, worker, run)
     except Exception:
-        if run.phase == workloads.Phase.START_SENT:
+        if run.phase != workloads.Phase.RUNNING:
             workloads.record_unanswered_start(run)
         raise
 
--- a/chestnuttide/node/tests/test_late_starts.py
+++ b/chestnuttide/node/tests/test_late_starts.py
@@ -32,6 +32,7 @@
     delay_s: float,
     validity_s: float | None = None,
     duration_s: float = 9.0,
+    silent_s: float = _restart_bed.SILENT_S,
 ) -> tuple[str, float]:
     """Crash the first worker as a start arrives, which is executed late.
 
@@ -44,7 +45,9 @@
 
     def decide() -> _restarting_worker.Fate:
         sent_at.append(bed.world.loop.time() - _restarting_worker.HALF_TRIP_S)
-        _restart_bed.crash_and_restart(bed, origin_ms=origin_ms)
+        _restart_bed.crash_and_restart(
+            bed, origin_ms=origin_ms, silent_s=silent_s
+        )
         return _restarting_worker.Fate(answered=False, delay_s=delay_s)
 
     task = _restart_bed.submit(bed, 2, duration_s, validity_s=validity_s)
@@ -418,3 +421,45 @@
         _restart_bed.cut_and_offer_another(bed, seconds=40.0)
 
     _restart_bed.run(monkeypatch, scenario, longest_lease_s=longest_lease_s)
+
+
+@_restart_bed.LEASES
+@pytest.mark.parametrize(
+    "delay_s", [pytest.param(each, id=f"{each}-s-late") for each in (2.0, 5.0)]
+)
+@pytest.mark.parametrize(
+    "validity_s",
+    [
+        pytest.param(None, id="queue-without-advice"),
+        pytest.param(2.0, id="queue-with-advice"),
+    ],
+)
+def test_an_unanswered_start_renews_the_lease_of_other_runs(
+    monkeypatch: pytest.MonkeyPatch,
+    longest_lease_s: float,
+    delay_s: float,
+    validity_s: float | None,
+) -> None:
+    """Guards against a wait that only the run of that start keeps."""
+
+    async def scenario(bed: _restart_bed.Bed) -> None:
+        worker = bed.world.workers["w0"]
+        await asyncio.sleep(3.0)
+        await _crash_under_a_start(
+            bed,
+            origin_ms=_restart_bed.LOWER_MS,
+            delay_s=delay_s,
+            duration_s=1.0,
+            silent_s=0.05,
+        )
+        assert await _restart_bed.until(lambda: _has_restarted(worker), 3.0)
+        task = _restart_bed.submit(bed, 3, 18.0, validity_s=validity_s)
+        assert await _restart_bed.until(
+            lambda: _restart_bed.runs_of(bed, task), 3.0
+        )
+        # Its answer is on its way.
+        await asyncio.sleep(2 * _restarting_worker.HALF_TRIP_S)
+        assert not worker.life.polled
+        _restart_bed.cut_and_offer_another(bed, seconds=40.0)
+
+    _restart_bed.run(monkeypatch, scenario, longest_lease_s=longest_lease_s)
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -210,19 +210,26 @@
 
 def lease_end(worker: _state.Worker, run: _state.Run) -> float:
     """Return the time by which a run has ended unless its lease is renewed."""
-    if run.located:
-        return worker.lease_until
-    until = worker.unlocated_lease_until
-    if run.unanswered:
-        until += _late_start_s(run)
-    return max(worker.lease_until, until)
+    return worker.lease_until if run.located else unlocated_lease_end(worker)
+
+
+def unlocated_lease_end(worker: _state.Worker) -> float:
+    """Return the same for the runs that a later incarnation may execute."""
+    late_s = max(map(_late_start_s, worker.runs.values()), default=0.0)
+    return max(worker.lease_until, worker.unlocated_lease_until + late_s)
 
 
 def _late_start_s(run: _state.Run) -> float:
-    """Return how long after it was sent an unanswered start may be executed.
+    """Return how long after it was sent a run's start may be executed.
 
-    A worker rejects one whose ticket is not valid any more.
+    A start without an answer may also renew the lease of the other runs of an
+    incarnation that the owner does not know of. A worker rejects one whose
+    ticket is not valid any more.
     """
+    if run.located or not (
+        run.unanswered or run.phase == _state.Phase.START_SENT
+    ):
+        return 0.0
     advice = run.job.spec.queue.advice
     if advice is None:
         return LATE_CALL_S
@@ -230,7 +237,7 @@
 
 
 def record_unanswered_start(run: _state.Run) -> None:
-    """Record that a start was sent and not answered, or that this is unclear.
+    """Record that a start was sent and that its outcome is unknown.
 
     Poll replies find out whether it took effect.
     """
@@ -434,10 +441,12 @@
     """End the runs of an unresponsive worker whose lease has expired."""
     if not worker.runs or now < worker.lease_until:
         return []
+    unlocated_end = unlocated_lease_end(worker)
     expired = [
         run
         for run in worker.runs.values()
-        if run.phase != _state.Phase.PLANNED and now >= lease_end(worker, run)
+        if run.phase != _state.Phase.PLANNED
+        and (run.located or now >= unlocated_end)
     ]
     if expired:
         worker.lost_at = now
--- a/chestnuttide/workloads/tests/test_incarnations.py
+++ b/chestnuttide/workloads/tests/test_incarnations.py
@@ -238,6 +238,21 @@
     assert worker.lease_until < 3.0
 
 
+def test_a_start_in_flight_may_be_executed_late() -> None:
+    """Guards against an owner that was paused while a start was under way."""
+    pool = _pool_fixtures.make_pool(1)
+    _pool_fixtures.submit(pool, _pool_fixtures.make_step())
+    (run,) = workloads.make_plan(pool, now=0.1).runs
+    worker = workloads.begin_start(pool, run, now=0.1)
+    workloads.record_sent_lease(pool, worker, now=0.1)
+    until = 0.1 + workloads.CALL_S + LONGEST_BOUND_S + 15.0
+    for now in (until - 0.05, until + 0.05):
+        ended = workloads.expire_worker_lease(
+            pool, worker, now=now, now_unix_s=UNIX_S
+        )
+        assert ended == ([run] if now > until else [])
+
+
 @pytest.mark.parametrize(
     ("renewed_at", "former_calls_until", "inherits"),
     [
