Expect the member key's revision when joining

A join without an answer may be executed late. Its write replaced the member key of the next join and moved it to its own lease, which nobody renews. The key went with that lease, while the instance renewed the other one: it was no member any more, and claimed no service, for good.

Each write expects the revision that it replaces: none at first, and after a conflict the one in the answer. The ordinary join takes one call as before; one beside the key of the former process takes a second.

--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -226,16 +226,41 @@
             capacity.link_mbps,
         ]
     )
-    await platform.commit(
-        session.store,
-        platform.Transaction(put_leased={key: value}, lease=lease),
-    )
+    await _write_member(session.store, key, value, lease)
     session.lease = lease
     session.joined_at = _clock.now()
     LOG.info("Joined the cell.", lease=lease, address=session.address)
     session.changed.set()
 
 
+async def _write_member(
+    store: platform.KvStore, key: str, value: bytes, lease: int
+) -> None:
+    """Write the member key under a lease.
+
+    An earlier write may be executed late, and the key would end with the lease
+    of that write. Each one therefore expects a revision that it replaces.
+    """
+    expected = 0
+    while True:
+        try:
+            await platform.commit(
+                store,
+                platform.Transaction(
+                    expect={key: expected},
+                    put_leased={key: value},
+                    lease=lease,
+                ),
+            )
+        except platform.ConditionError as error:
+            stored = {item.key: item.revision for item in error.items}
+            if stored.get(key, 0) == expected:
+                raise
+            expected = stored.get(key, 0)
+        else:
+            return
+
+
 async def follow_cell(session: Session) -> None:
     """Keep members and owners up to date until cancelled."""
 
