End only the lease that a refused claim carried

A claim that is answered 404 dropped the session's lease whatever it was then. If the answer was late and the instance had joined anew, the new lease was no longer renewed: all its keys expired 1.2 s later, and its services changed their owner.

The claim remembers its lease and drops that one only.

test_a_late_refusal_of_a_claim_ends_no_later_lease: the case of an instance that has joined anew fails without the change.

--- a/chestnuttide/node/_claims.py
+++ b/chestnuttide/node/_claims.py
@@ -122,18 +122,25 @@
     """
     key = _keys.owner(service)
     value = cbor2.dumps([session.settings.instance, session.incarnation])
+    lease = session.lease
     try:
         revision = await platform.commit(
             session.store,
             platform.Transaction(
                 expect={key: replaced},
                 put_leased={key: value},
-                lease=session.lease,
+                lease=lease,
             ),
         )
     except errors.LeaseExpiredError:
-        LOG.warning("Claim failed: the lease has expired.", service=service)
-        session.lease = 0
+        LOG.warning(
+            "Claim failed: the lease has expired.",
+            service=service,
+            lease=lease,
+        )
+        # The answer may be late, and the instance has joined anew since.
+        if session.lease == lease:
+            session.lease = 0
     except errors.SchedulerError as error:
         # If only the answer was lost, the watch shows the claim.
         LOG.info("Claim failed.", service=service, error=str(error))
--- a/chestnuttide/node/tests/test_claims.py
+++ b/chestnuttide/node/tests/test_claims.py
@@ -3,15 +3,18 @@
 import asyncio
 import collections.abc
 import functools
+import typing
 
 import cbor2
 import pytest
 
+from chestnuttide import errors
 from chestnuttide.node import _claims
 from chestnuttide.node import _keys
 from chestnuttide.node import _session
 from chestnuttide.node import _settings
 from chestnuttide.node.tests import _session_fixtures
+from chestnuttide import platform
 from chestnuttide.platform import _http
 from standins import cloud
 
@@ -229,3 +232,29 @@
         assert _claims.former_calls_s(session, SERVICE) == goes_on_s
 
     _run_with_store(scenario)
+
+
+@pytest.mark.parametrize(
+    ("present", "kept"),
+    [
+        pytest.param(1, 0, id="the-same-lease"),
+        pytest.param(2, 2, id="the-instance-has-joined-anew"),
+        pytest.param(0, 0, id="known-to-have-expired"),
+    ],
+)
+def test_a_late_refusal_of_a_claim_ends_no_later_lease(
+    present: int, kept: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an instance that drops the lease of all its keys."""
+    session = _make_session({"a": 1.0})
+
+    async def refuse(
+        store: object, transaction: platform.Transaction
+    ) -> typing.NoReturn:
+        assert transaction.lease == 1
+        session.lease = present
+        raise errors.LeaseExpiredError(message="It has ended.", remedy="Join.")
+
+    monkeypatch.setattr(platform, "commit", refuse)
+    asyncio.run(_claims.claim(session, SERVICE))
+    assert session.lease == kept
