Restore the progress of a job that is stored after a takeover's listing

A former owner may store a job's progress before the job itself is stored, and may start its runs until its authority ends. A takeover that had listed the jobs before left the progress out. The job came by the watch or a notice, its first commit adopted the revision of the record and replaced it, and its tasks started beside their runs.

The record is kept until its job is known. Completions of its runs wait for that too, and are not acknowledged, for as long as a call of the former owner may be late. A job whose restored runs may execute is not dropped as unstored.

test_a_job_that_is_stored_after_the_listing_keeps_its_runs (3 cases) and test_a_completion_waits_for_its_job (2) fail without the change.

--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -301,7 +301,11 @@
 
 def _drop_unstored_jobs(owner: _ownership.Ownership, now: float) -> None:
     for job in list(owner.pool.active.values()):
-        if not job.accepted and now - job.accepted_at > ANNOUNCED_JOB_LIMIT_S:
+        if (
+            not job.accepted
+            and now - job.accepted_at > ANNOUNCED_JOB_LIMIT_S
+            and not _may_have_been_started(job)
+        ):
             for unit in job.units.values():
                 workloads.stop_runs(owner.pool, unit)
             if job.progress_revision:
@@ -317,6 +321,21 @@
             )
 
 
+def _may_have_been_started(job: workloads.Job) -> bool:
+    """Return whether a former owner may have started runs of a job.
+
+    It has seen the job stored then, so the watch shows it soon.
+    """
+    return job.restored and (
+        job.started
+        or any(
+            run.phase != workloads.Phase.PLANNED
+            for unit in job.units.values()
+            for run in unit.runs
+        )
+    )
+
+
 def _drop_ended_jobs(owner: _ownership.Ownership, unix_time: float) -> None:
     retention_s = owner.session.settings.bounds.status_s + STATUS_MARGIN_S
     old = [
--- a/chestnuttide/node/_takeover.py
+++ b/chestnuttide/node/_takeover.py
@@ -77,6 +77,7 @@
         service=owner.service,
         fence=owner.fencing_token,
         jobs=len(owner.pool.active),
+        awaited_jobs=len(owner.pool.awaited_progress),
         workers=len(owner.pool.workers),
         items=[len(each.items) for each in (workers, work, progress)],
         value_bytes=[
@@ -136,14 +137,8 @@
 ) -> None:
     await apply_workers(owner, workers)
     await apply_jobs(owner, work)
-    prefix = _keys.progress(owner.service)
-    known = {item.key for item in work}
     await _listings.apply_in_slices(
-        [
-            item
-            for item in progress
-            if _keys.job(owner.service, item.key.removeprefix(prefix)) in known
-        ],
+        progress,
         functools.partial(_updates.apply_progress, owner),
         stopped=owner.deposed.is_set,
     )
--- a/chestnuttide/node/_updates.py
+++ b/chestnuttide/node/_updates.py
@@ -151,6 +151,7 @@
     record: workloads.JobSpec | workloads.EndedJob,
 ) -> None:
     if isinstance(record, workloads.EndedJob):
+        owner.pool.awaited_progress.pop(job_id, None)
         job = _make_ended_job(job_id, owner.service, record)
         owner.pool.jobs[job_id] = job
     else:
@@ -180,6 +181,7 @@
     _set_aside.add_unreadable(
         owner.set_aside, _set_aside.Kind.RECORD, job_id, error
     )
+    owner.pool.awaited_progress.pop(job_id, None)
     owner.pool.active.pop(job_id, None)
     job = owner.pool.jobs.pop(job_id, None)
     if job is not None:
@@ -191,12 +193,17 @@
 def _add_job(
     owner: _ownership.Ownership, record: workloads.JobSpec
 ) -> workloads.Job:
-    return workloads.add_job(
+    job = workloads.add_job(
         owner.pool,
         record,
         now=_clock.now(),
         now_unix_s=_clock.unix_time() + owner.pool.limits.early_s,
     )
+    # The takeover has read it before the job was stored.
+    progress = owner.pool.awaited_progress.pop(record.id, None)
+    if progress is not None:
+        _restore_progress(owner, record.id, *progress)
+    return job
 
 
 def apply_job_notice(
@@ -270,23 +277,36 @@
 
 def apply_progress(owner: _ownership.Ownership, item: platform.Item) -> None:
     job_id = item.key.removeprefix(_keys.progress(owner.service))
-    job = owner.pool.active.get(job_id)
-    if job is None:
-        LOG.warning("Progress record without a job is ignored.", job=job_id)
+    if job_id in owner.pool.active:
+        try:
+            _restore_progress(owner, job_id, item.revision, item.value)
+        except Exception as error:
+            _leave_out_record(owner, item.key, job_id, error)
         return
-    job.progress_revision = item.revision
-    try:
-        workloads.apply_progress(
-            owner.pool,
-            job,
-            item.value,
-            lease_until=_former_lease_expiry(owner),
-            unlocated_lease_until=_longest_lease_expiry(owner),
-            now=_clock.now(),
-            now_unix_s=_clock.unix_time(),
-        )
-    except Exception as error:
-        _leave_out_record(owner, item.key, job_id, error)
+    if job_id in owner.pool.jobs or _set_aside.is_set_aside(
+        owner.set_aside, _set_aside.Kind.RECORD, job_id
+    ):
+        LOG.warning("Progress record is ignored.", job=job_id)
+        return
+    LOG.debug("Progress record waits for its job.", job=job_id)
+    owner.pool.awaited_progress[job_id] = (item.revision, item.value)
+
+
+def _restore_progress(
+    owner: _ownership.Ownership, job_id: str, revision: int, record: bytes
+) -> None:
+    job = owner.pool.active[job_id]
+    job.progress_revision = revision
+    job.restored = True
+    workloads.apply_progress(
+        owner.pool,
+        job,
+        record,
+        lease_until=_former_lease_expiry(owner),
+        unlocated_lease_until=_longest_lease_expiry(owner),
+        now=_clock.now(),
+        now_unix_s=_clock.unix_time(),
+    )
 
 
 def _apply_cancel(owner: _ownership.Ownership, item: platform.Item) -> None:
--- a/chestnuttide/node/tests/test_takeover.py
+++ b/chestnuttide/node/tests/test_takeover.py
@@ -10,14 +10,20 @@
 import pytest
 
 from chestnuttide import errors
+from chestnuttide.node import _clock
+from chestnuttide.node import _keys
+from chestnuttide.node import _messages
 from chestnuttide.node import _metrics
 from chestnuttide.node import _owner
 from chestnuttide.node import _ownership
 from chestnuttide.node import _session
+from chestnuttide.node import _takeover
+from chestnuttide.node import _updates
 from chestnuttide.node.tests import _session_fixtures
 from chestnuttide import platform
 from chestnuttide.platform import _http
 from chestnuttide import workloads
+from chestnuttide.workloads.tests import _pool_fixtures
 
 SERVICE = "layout"
 FENCE = 7
@@ -254,3 +260,69 @@
         assert loop.time() - started_at < 2.0
 
     _run(store, scenario)
+
+
+def _make_former_job() -> workloads.Job:
+    """Return a job with a run, as its former owner knows it."""
+    pool = _pool_fixtures.make_pool(1)
+    job = _pool_fixtures.submit(pool, _pool_fixtures.make_step())
+    _pool_fixtures.start_all(pool)
+    return job
+
+
+def _learn_of_job(
+    owner: _ownership.Ownership, job: workloads.Job, way: str
+) -> None:
+    record = workloads.encode_job(job.spec)
+    if way == "watch":
+        key = _keys.job(SERVICE, job.spec.id)
+        item = platform.Item(key=key, value=record, revision=21)
+        _updates.apply_work_items(owner, (item,))
+        return
+    _updates.apply_job_notice(
+        owner,
+        _messages.JobNotice(
+            service=SERVICE,
+            job_id=job.spec.id,
+            value=record,
+            stored=way == "stored",
+        ),
+    )
+
+
+@pytest.mark.parametrize("way", ["watch", "stored", "announced"])
+def test_a_job_that_is_stored_after_the_listing_keeps_its_runs(
+    way: str,
+) -> None:
+    """Guards against tasks that start beside runs of the former owner.
+
+    The former owner has stored the job's progress before the job was stored,
+    and may send its starts until its authority ends.
+    """
+    former = _make_former_job()
+
+    async def scenario(session: _session.Session) -> None:
+        owner = _make_owner(session)
+        _updates.record_former_owner(owner)
+        progress = platform.Item(
+            key=_keys.progress(SERVICE, former.spec.id),
+            value=workloads.encode_progress(former),
+            revision=20,
+        )
+        await _takeover._apply(owner, [], [], [progress])
+        owner.ready = True
+        owner.confirmed_at = _clock.now()
+        _learn_of_job(owner, former, way)
+        job = owner.pool.jobs[former.spec.id]
+        assert job.progress_revision == 20
+        (unit,) = job.units.values()
+        assert [run.key for run in unit.runs] == [
+            run.key for unit in former.units.values() for run in unit.runs
+        ]
+        assert not workloads.make_plan(owner.pool, now=_clock.now()).runs
+        job.accepted_at -= 2 * _owner.ANNOUNCED_JOB_LIMIT_S
+        _owner._drop_unstored_jobs(owner, _clock.now())
+        assert owner.pool.jobs[former.spec.id] is job
+        assert not owner.obsolete_keys
+
+    _run(_SlowStore(), scenario)
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -163,7 +163,7 @@
 
     It answers each poll at once then.
     """
-    return (
+    return worker.awaits_job or (
         worker.lists_completions
         and worker.stored_completion > 0
         and not acknowledged_completion(worker)
@@ -277,6 +277,7 @@
     if not worker.last_reply_at:
         _inherit_lease(pool, worker, now)
     worker.last_reply_at = now
+    worker.awaits_job = False
     worker.lists_completions = bool(reply.ended)
     worker.more_completions = reply.more_ended
     worker.broken_at = 0.0
@@ -290,12 +291,14 @@
             pool, run, result, checkpoint, now=now, now_unix_s=now_unix_s
         )
 
-    completed_keys = set()
+    completed_keys = {(row.task, row.run) for row in reply.ended}
     for row in reply.ended:
-        completed_keys.add((row.task, row.run))
         if row.number <= worker.last_completion:
             continue
         run = worker.runs.get((row.task, row.run))
+        if run is None and _awaits_job(pool, row, now):
+            worker.awaits_job = True
+            break
         if run is not None:
             complete(run, row.result, row.checkpoint)
             worker.unstored.append(
@@ -321,6 +324,19 @@
     return completions
 
 
+def _awaits_job(pool: _state.Pool, row: Completion, now: float) -> bool:
+    """Return whether the job of a completion may still become known.
+
+    The completion is neither used nor acknowledged before that. Its run was
+    started by a former owner, whose calls end at a known time.
+    """
+    job_id = row.task.partition(".")[0]
+    return (
+        job_id in pool.awaited_progress
+        and now < pool.former_calls_until + LATE_CALL_S
+    )
+
+
 def _inherit_lease(
     pool: _state.Pool, worker: _state.Worker, now: float
 ) -> None:
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -343,6 +343,8 @@
         End time; 0 before.
     progress_revision : int
         Store revision of its progress record; 0 if there is none.
+    restored : bool
+        Whether its progress is that of a former owner.
     """
 
     spec: _specs.JobSpec
@@ -362,6 +364,7 @@
     stored_change: int = 0
     ended_unix_s: float = 0.0
     progress_revision: int = 0
+    restored: bool = False
 
     @property
     def is_long_running(self) -> bool:
@@ -435,6 +438,9 @@
         incarnation, or of a former owner, have granted; 0 if there is none.
     ended_at : float
         Monotonic time at which it was found to have ended; 0 before that.
+    awaits_job : bool
+        Whether its last reply listed a completion of a job that may still
+        become known.
     lists_completions : bool
         Whether its last poll reply listed completions.
     more_completions : bool
@@ -496,6 +502,7 @@
     unlocated_lease_until: float = 0.0
     inherited_lease_until: float = 0.0
     ended_at: float = 0.0
+    awaits_job: bool = False
     lists_completions: bool = False
     more_completions: bool = False
     last_completion: int = 0
@@ -613,6 +620,9 @@
         Listed runs that belong to no known job, by worker incarnation. They
         have to be stopped. Their need is unknown, so no new runs are placed
         on their workers.
+    awaited_progress : dict of str to (int, bytes)
+        Revision and value of each progress record whose job is not known yet,
+        by job id.
     unanswered_starts : dict of str to set of (str, int)
         Runs whose start was not answered before their lease expired, by
         worker id. A later incarnation could still execute the start.
@@ -642,6 +652,7 @@
     active: dict[str, Job] = attrs.field(factory=dict)
     top_priority: int = 0
     unknown_runs: dict[str, set[RunKey]] = attrs.field(factory=dict)
+    awaited_progress: dict[str, tuple[int, bytes]] = attrs.field(factory=dict)
     unanswered_starts: dict[str, set[RunKey]] = attrs.field(factory=dict)
     crashed_units: dict[tuple[str, UnitKey], tuple[Job, Unit]] = attrs.field(
         factory=dict
--- a/chestnuttide/workloads/tests/test_poll_replies.py
+++ b/chestnuttide/workloads/tests/test_poll_replies.py
@@ -473,3 +473,59 @@
             sent_at=1.0 + number,
         )
     assert run.unit.state == workloads.UnitState.DONE
+
+
+@pytest.mark.parametrize(
+    ("former_calls_until", "acknowledged"),
+    [
+        pytest.param(0.0, 1, id="may-become-known"),
+        pytest.param(-20.0, 2, id="has-not-become-known-in-time"),
+    ],
+)
+def test_a_completion_waits_for_its_job(
+    former_calls_until: float, acknowledged: int
+) -> None:
+    """Guards against a task that starts again after an end nobody used.
+
+    A takeover has read the job's progress before the job was stored.
+    """
+    pool = _pool_fixtures.make_pool(1)
+    (key,) = pool.workers
+    worker = pool.workers[key]
+    job = _pool_fixtures.submit(pool, _pool_fixtures.make_step(count=2))
+    first, last = _pool_fixtures.start_all(pool)
+    running = tuple(
+        _pool_fixtures.RunReport(task=run.task, run=1) for run in (first, last)
+    )
+    _pool_fixtures.apply_reply(pool, key, running=running, sent_at=0.9)
+    pool.former_calls_until = former_calls_until
+    pool.awaited_progress["00000000000000bb"] = (1, b"")
+    awaited = _pool_fixtures.Completion(
+        number=2, task="00000000000000bb.0.0.0", run=1, result="done"
+    )
+    ended = (
+        _pool_fixtures.Completion(
+            number=1, task=first.task, run=1, result="done"
+        ),
+        awaited,
+        _pool_fixtures.Completion(
+            number=3, task=last.task, run=1, result="done"
+        ),
+    )
+    _pool_fixtures.apply_reply(pool, key, ended=ended)
+    job.stored_change = job.change
+    waits = acknowledged == 1
+    assert worker.awaits_job is waits
+    assert workloads.withholds_acknowledgement(worker) is waits
+    workloads.update_stored_completion(worker)
+    assert workloads.acknowledged_completion(worker) == (1 if waits else 3)
+    # The later completion is not taken for a lost run.
+    assert (last in last.unit.runs) is waits
+
+    del pool.awaited_progress["00000000000000bb"]
+    _pool_fixtures.apply_reply(pool, key, ended=ended[1:], sent_at=1.1)
+    job.stored_change = job.change
+    workloads.update_stored_completion(worker)
+    assert workloads.acknowledged_completion(worker) == 3
+    assert job.state == workloads.JobState.COMPLETE
+    assert not worker.awaits_job
