Take no owner from a peer that ended before the own listing

A peer that is behind may name an owner whose key was removed before this instance listed the cell. The instance knew of no removal, took it, and no event followed that would end it: it never claimed the service again.

What the listing and the watch have covered is known by its revision. An owner with a fencing token up to that which they do not name has ended.

--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -117,6 +117,8 @@
         Owner of each service that has one.
     former_owners : dict of str to Owner
         Last known owner of each service whose owner's key was removed.
+    cell_revision : int
+        Store revision up to which members and owners are known.
     ended_fencing_tokens : dict of str to int
         Fencing token up to which each service's owners are known to have lost
         their key; a peer may still name one of them.
@@ -171,6 +173,7 @@
     former_members: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     owners: dict[str, Owner] = attrs.field(factory=dict)
     former_owners: dict[str, Owner] = attrs.field(factory=dict)
+    cell_revision: int = 0
     ended_fencing_tokens: dict[str, int] = attrs.field(factory=dict)
     released: dict[str, ReleaseRecord] = attrs.field(factory=dict)
     failed_fencing_tokens: dict[str, int] = attrs.field(factory=dict)
@@ -288,12 +291,16 @@
             LOG.info("Cell watch changed.", working=working)
         session.cell_known = working
 
+    def on_revision(revision: int) -> None:
+        session.cell_revision = max(session.cell_revision, revision)
+
     await _watches.watch_prefix(
         session.store,
         _keys.CELL,
         on_list=on_list,
         on_item=on_item,
         on_working=on_working,
+        on_revision=on_revision,
     )
 
 
@@ -475,9 +482,11 @@
 def adopt_peers_owner(session: Session, service: str, owner: Owner) -> None:
     """Record an owner that a peer names, unless it has lost its key.
 
-    No listing follows that would end it: the peer may be behind the watch.
+    No listing follows that would end it: the peer may be behind the watch. An
+    owner that was listed or watched is known from there if its key exists.
     """
-    if owner.fencing_token > session.ended_fencing_tokens.get(service, 0):
+    ended = session.ended_fencing_tokens.get(service, 0)
+    if owner.fencing_token > max(ended, session.cell_revision):
         adopt_owner(session, service, owner)
 
 
--- a/chestnuttide/node/_watches.py
+++ b/chestnuttide/node/_watches.py
@@ -46,6 +46,7 @@
     pause_s: float = 0.0,
     wait_s: float = WATCH_WAIT_S,
     on_answer: OnAnswer = lambda sent_at, empty, waited_s: None,
+    on_revision: collections.abc.Callable[[int], None] = lambda revision: None,
     revision: int = -1,
     draw: collections.abc.Callable[[], float] = random.random,
 ) -> None:
@@ -76,6 +77,9 @@
         ``on_answer(sent_at, empty, waited_s)`` is called after each answered
         call and its changes, with when it was sent, whether it was a watch
         without changes, and after which time such a watch returns.
+    on_revision : function
+        Called after each answered call with the store revision up to which
+        all changes have been reported.
     revision : int
         Store revision to watch from; -1 to list the items first.
     draw : function
@@ -93,6 +97,7 @@
                     continue
                 await on_list(tuple(listing.items))
                 revision = listing.revision
+                on_revision(revision)
                 on_answer(listing.sent_at, False, 0.0)
                 listing = _listings.Listing()
             else:
@@ -106,6 +111,7 @@
                     on_item(item)
                 on_answer(sent_at, not changes.items, next_wait_s)
                 revision = max(revision, changes.store_revision)
+                on_revision(revision)
                 await asyncio.sleep(pause_s)
                 # A listing alone may be followed by a refused watch again.
                 retry_s = RETRY_MINIMUM_S
--- a/chestnuttide/node/tests/test_watches.py
+++ b/chestnuttide/node/tests/test_watches.py
@@ -6,6 +6,7 @@
 import time
 
 import attrs
+import cbor2
 import pytest
 
 from chestnuttide import errors
@@ -22,6 +23,7 @@
 
 WAIT_S = 0.3
 PREFIX = "p/"
+MEMBER = cbor2.dumps(["127.0.0.1:9", "1", 1.0, 10.0])
 
 
 async def _until(condition: collections.abc.Callable[[], bool]) -> None:
@@ -316,6 +318,44 @@
     _failing_store.run(_failing_store.Store(), scenario)
 
 
+@pytest.mark.parametrize(
+    ("fencing_token", "adopted"),
+    [
+        pytest.param(5, False, id="ended-before"),
+        pytest.param(6, False, id="last-before"),
+        pytest.param(7, True, id="newer-one"),
+    ],
+)
+@pytest.mark.parametrize(
+    "watched",
+    [pytest.param(False, id="listed"), pytest.param(True, id="watched")],
+)
+def test_a_peer_brings_no_owner_that_has_never_been_known(
+    watched: bool, fencing_token: int, adopted: bool
+) -> None:
+    """Guards against an owner that ended before the instance's listing.
+
+    An instance that is back under its name has seen no removal, and would
+    never claim the service.
+    """
+    store = _failing_store.Store(revision=2 if watched else 6)
+
+    async def scenario(session: _session.Session) -> None:
+        async with _running(_session.follow_cell(session)):
+            await _until(lambda: session.cell_known)
+            if watched:
+                store.revision = 5
+                _failing_store.put(store, _keys.member("c"), MEMBER)
+                await _until(lambda: "c" in session.members)
+        owner = _session.Owner(
+            instance="b", incarnation="1", fencing_token=fencing_token
+        )
+        _session.adopt_peers_owner(session, "s", owner)
+        assert (session.owners.get("s") == owner) is adopted
+
+    _failing_store.run(store, scenario)
+
+
 def test_a_large_answer_arrives_over_a_slow_connection() -> None:
     """Guards against watches that are cut off while their bytes arrive."""
     store = _failing_store.Store(piece_pause_s=0.1)
