Expect the job's record when cancelling it

The cancellation was written without a condition. One that is executed late, after its job has ended and was removed, stayed in the store and cancelled the next job of the same id. One that crossed the job's end stayed as well.

The write expects the revision of the job's record that was read before, without a further call. If the record has changed, the job is read again, so one that ended meanwhile is answered as before.

--- a/chestnuttide/node/_submission.py
+++ b/chestnuttide/node/_submission.py
@@ -45,6 +45,10 @@
 # changes when a queue gets its first job in a service, and seldom otherwise.
 MAX_DIRECTORY_ATTEMPTS = 8
 
+# Attempts of a cancellation whose job changes meanwhile. Its record changes
+# when it ends and when it is removed.
+MAX_CANCEL_ATTEMPTS = 3
+
 # Outcomes of a write after which no other instance is asked.
 CERTAIN_OUTCOMES = ("stored", "exists", "foreign")
 
@@ -360,31 +364,56 @@
 ) -> _responses.Response:
     """Cancel a job if the caller's workspace may."""
     try:
-        for service in _lookups.list_all_services(context, queue):
-            item = await platform.read_key(
-                context.session.store, _keys.job(service, job_id)
-            )
-            if item is not None:
-                break
-        else:
-            return _responses.unknown_job("cancel", job_id)
-        record = workloads.decode_job(item.value)
-        if not _may_see(workspace, queue, record):
-            return _responses.refuse_access(
-                "cancel", "other_workspace", job=job_id
-            )
-        if not isinstance(record, workloads.EndedJob):
+        for _ in range(MAX_CANCEL_ATTEMPTS):
+            response = await _try_cancel(context, queue, job_id, workspace)
+            if response is not None:
+                return response
+        reason = "its record keeps changing"
+    except errors.SchedulerError as error:
+        reason = str(error)
+    return _responses.make_refusal(
+        "cancel",
+        503,
+        "store_unavailable",
+        f"The job may go on: {reason}",
+        job=job_id,
+        retry_after_s=_responses.RETRY_AFTER_S,
+    )
+
+
+async def _try_cancel(
+    context: _responses.ApiContext,
+    queue: workloads.Queue,
+    job_id: str,
+    workspace: str,
+) -> _responses.Response | None:
+    """Cancel a job; return None if its record has changed meanwhile.
+
+    The write expects the record: one that is executed late, after the job was
+    removed, would cancel the next job of the same id.
+    """
+    for service in _lookups.list_all_services(context, queue):
+        item = await platform.read_key(
+            context.session.store, _keys.job(service, job_id)
+        )
+        if item is not None:
+            break
+    else:
+        return _responses.unknown_job("cancel", job_id)
+    record = workloads.decode_job(item.value)
+    if not _may_see(workspace, queue, record):
+        return _responses.refuse_access(
+            "cancel", "other_workspace", job=job_id
+        )
+    if not isinstance(record, workloads.EndedJob):
+        try:
             await platform.commit(
                 context.session.store,
-                platform.Transaction(put={_keys.cancel(service, job_id): b""}),
+                platform.Transaction(
+                    expect={item.key: item.revision},
+                    put={_keys.cancel(service, job_id): b""},
+                ),
             )
-    except errors.SchedulerError as error:
-        return _responses.make_refusal(
-            "cancel",
-            503,
-            "store_unavailable",
-            f"The job may go on: {error}",
-            job=job_id,
-            retry_after_s=_responses.RETRY_AFTER_S,
-        )
+        except platform.ConditionError:
+            return None
     return _responses.Response(status=200, body={}, call="cancel", job=job_id)
