Count on a release only if no other owner came after it

An instance behind its watch may not know that another owner came and died since: it claimed the service, counted on the older release and started tasks beside the runs of the owner in between. A watch that gives only the newest event of each key shows the same.

Each claim removes the record of the release before it, in its own transaction. One that counts on a release expects that record, so it fails if another claim came between; the next attempt counts on nothing. A failed claim also adopts the owner that the answer names, instead of trying again each 0.1 s until the watch has caught up. No further call is made. While releases are mixed, a claim of the one before does not remove the record, as bad as today.

test_a_claim_behind_its_watch_does_not_count_on_an_old_release (4 cases) fails without the change. test_handover read the record after the takeover of a larger instance; it now finds its write in the store's history, and that the claim has removed it.

--- a/chestnuttide/node/_claims.py
+++ b/chestnuttide/node/_claims.py
@@ -83,16 +83,10 @@
 
 
 def has_former_owner_stopped(session: _session.Session, service: str) -> bool:
-    """Return whether the last owner of a service has recorded its release."""
+    """Return whether the last known owner of a service has released it."""
     return _find_release(session, service) is not None
 
 
-def former_calls_s(session: _session.Session, service: str) -> float:
-    """Return for how long owners before a stopped one may send commands."""
-    release = _find_release(session, service)
-    return 0.0 if release is None else release.former_calls_ms / 1000
-
-
 def _find_release(
     session: _session.Session, service: str
 ) -> _session.ReleaseRecord | None:
@@ -103,6 +97,24 @@
     return release if release.fencing_token == former.fencing_token else None
 
 
+def release_before(
+    session: _session.Session, service: str, fencing_token: int
+) -> _session.ReleaseRecord | None:
+    """Return the release that a claim of this instance has followed at once.
+
+    Parameters
+    ----------
+    session : Session
+        The session.
+    service : str
+        The service.
+    fencing_token : int
+        Fencing token of the claimed ownership.
+    """
+    claimed, release = session.claimed_after_release.get(service, (0, None))
+    return release if claimed == fencing_token else None
+
+
 async def claim(
     session: _session.Session, service: str, *, replaced: int = 0
 ) -> None:
@@ -110,6 +122,9 @@
 
     If the answer is lost, the watch of the cell shows the outcome.
 
+    A claim removes the record of the release before it. One that expects the
+    record therefore follows the release at once, also if the watch is behind.
+
     Parameters
     ----------
     session : _session.Session
@@ -123,12 +138,17 @@
     key = _keys.owner(service)
     value = cbor2.dumps([session.settings.instance, session.incarnation])
     lease = session.lease
+    expect, released = {key: replaced}, _keys.released(service)
+    release = None if replaced else _find_release(session, service)
+    if release is not None:
+        expect[released] = release.revision
     try:
         revision = await platform.commit(
             session.store,
             platform.Transaction(
-                expect={key: replaced},
+                expect=expect,
                 put_leased={key: value},
+                remove=(released,),
                 lease=lease,
             ),
         )
@@ -141,10 +161,18 @@
         # The answer may be late, and the instance has joined anew since.
         if session.lease == lease:
             session.lease = 0
+    except platform.ConditionError as error:
+        LOG.info("Claim failed.", service=service, error=str(error))
+        stored = {item.key: item.revision for item in error.items}
+        if release is not None and stored.get(released) != release.revision:
+            session.released.pop(service, None)
+        _session.adopt_conflicting_owner(session, service, error.items)
     except errors.SchedulerError as error:
         # If only the answer was lost, the watch shows the claim.
         LOG.info("Claim failed.", service=service, error=str(error))
     else:
+        if release is not None:
+            session.claimed_after_release[service] = (revision, release)
         _session.apply_cell_item(
             session,
             platform.Item(key=key, value=value, revision=revision),
--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -408,6 +408,7 @@
         session.failed_fencing_tokens[service] = fencing_token
         return
     _worker_clients.open_clients(daemon.workers)
+    release = _claims.release_before(session, service, fencing_token)
     owner = _ownership.Ownership(
         service=service,
         fencing_token=fencing_token,
@@ -421,10 +422,8 @@
         commit_windows=_send_window.make_windows(
             session.settings.capacity.link_mbps
         ),
-        former_owner_stopped=_claims.has_former_owner_stopped(
-            session, service
-        ),
-        former_calls_s=_claims.former_calls_s(session, service),
+        former_owner_stopped=release is not None,
+        former_calls_s=release.former_calls_ms / 1000 if release else 0.0,
     )
     daemon.owned[service] = owner
     running[service] = asyncio.ensure_future(_owner.run_ownership(owner))
--- a/chestnuttide/node/_session.py
+++ b/chestnuttide/node/_session.py
@@ -78,10 +78,13 @@
     former_calls_ms : int
         Time after the release for which owners before that one may send
         commands, in milliseconds.
+    revision : int
+        Store revision of the record.
     """
 
     fencing_token: int
     former_calls_ms: int
+    revision: int
 
 
 @attrs.define(kw_only=True, slots=True, eq=False)
@@ -125,6 +128,9 @@
     released : dict of str to ReleaseRecord
         Release of each service's last owner that sent no more commands before
         its key was removed; only releases since the last listing.
+    claimed_after_release : dict of str to (int, ReleaseRecord)
+        Fencing token of this instance's last claim of each service that is
+        certain to have followed a release at once, and that release.
     failed_fencing_tokens : dict of str to int
         Fencing token of this instance's last failed ownership, by service.
     handed_to : dict of str to (str, float)
@@ -176,6 +182,9 @@
     cell_revision: int = 0
     ended_fencing_tokens: dict[str, int] = attrs.field(factory=dict)
     released: dict[str, ReleaseRecord] = attrs.field(factory=dict)
+    claimed_after_release: dict[str, tuple[int, ReleaseRecord]] = attrs.field(
+        factory=dict
+    )
     failed_fencing_tokens: dict[str, int] = attrs.field(factory=dict)
     handed_to: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     ownerless_since: dict[str, float] = attrs.field(factory=dict)
@@ -337,8 +346,10 @@
             session.former_members.pop(name, None)
         return
     if item.key.startswith(_keys.RELEASED):
-        if value is not None:
-            service = item.key.removeprefix(_keys.RELEASED)
+        service = item.key.removeprefix(_keys.RELEASED)
+        if value is None:
+            session.released.pop(service, None)
+        else:
             session.released[service] = value
         return
     service = item.key.removeprefix(_keys.OWNERS)
@@ -364,11 +375,13 @@
     return b"%d" % fencing_token
 
 
-def _decode_release(value: bytes) -> ReleaseRecord:
-    fencing_token, _, former_calls_ms = value.partition(b" ")
+def decode_release(item: platform.Item) -> ReleaseRecord:
+    """Decode the record of a released ownership."""
+    fencing_token, _, former_calls_ms = item.value.partition(b" ")
     return ReleaseRecord(
         fencing_token=int(fencing_token),
         former_calls_ms=int(former_calls_ms or 0),
+        revision=item.revision,
     )
 
 
@@ -379,7 +392,7 @@
     if item.key == _keys.DIRECTORY:
         return _directory.decode(item.value, item.revision)
     if item.key.startswith(_keys.RELEASED):
-        return _decode_release(item.value)
+        return decode_release(item)
     if item.key.startswith(_keys.MEMBERS):
         address, _, cores, link_mbps = cbor2.loads(item.value)
         if not model.is_address(address):
@@ -490,6 +503,18 @@
         adopt_owner(session, service, owner)
 
 
+def adopt_conflicting_owner(
+    session: Session, service: str, items: tuple[platform.Item, ...]
+) -> None:
+    """Adopt the owner of a service from the items of a failed claim."""
+    for item in items:
+        ended = session.ended_fencing_tokens.get(service, 0)
+        if item.key == _keys.owner(service) and item.revision > max(
+            ended, session.cell_revision
+        ):
+            apply_cell_item(session, item)
+
+
 async def leave(session: Session) -> None:
     """End the lease, so that other instances take over at once."""
     if not session.lease:
--- a/chestnuttide/node/tests/test_claims.py
+++ b/chestnuttide/node/tests/test_claims.py
@@ -119,8 +119,10 @@
     scenario: collections.abc.Callable[
         [_session.Session, cloud.Store], collections.abc.Awaitable[None]
     ],
+    *,
+    follows: bool = True,
 ) -> None:
-    """Run a scenario with a session that follows the cell."""
+    """Run a scenario with a session that follows the cell, or is behind."""
 
     async def main() -> None:
         store = cloud.Store()
@@ -130,7 +132,9 @@
         session = _session_fixtures.make_session(
             address, timeout_s=0.7, count=lambda kind, outcome: None
         )
-        following = asyncio.ensure_future(_session.follow_cell(session))
+        following = asyncio.ensure_future(
+            _session.follow_cell(session) if follows else asyncio.sleep(0)
+        )
         try:
             async with asyncio.timeout(10.0):
                 await scenario(session, store)
@@ -212,15 +216,13 @@
 
 
 @pytest.mark.parametrize(
-    ("former_calls_ms", "goes_on_s"),
+    "former_calls_ms",
     [
-        pytest.param(0, 0.0, id="all-have-stopped"),
-        pytest.param(3200, 3.2, id="an-earlier-owner-goes-on"),
+        pytest.param(0, id="all-have-stopped"),
+        pytest.param(3200, id="an-earlier-owner-goes-on"),
     ],
 )
-def test_a_release_tells_of_the_owners_before(
-    former_calls_ms: int, goes_on_s: float
-) -> None:
+def test_a_release_tells_of_the_owners_before(former_calls_ms: int) -> None:
     """Guards against an earlier owner that a release hides."""
 
     async def scenario(session: _session.Session, store: cloud.Store) -> None:
@@ -228,8 +230,11 @@
         await _until_known(session, store, "other-1")
         _release(store, first, former_calls_ms)
         await _until_known(session, store, "other-2")
-        assert _claims.has_former_owner_stopped(session, SERVICE)
-        assert _claims.former_calls_s(session, SERVICE) == goes_on_s
+        session.lease, _ = await platform.grant_lease(session.store, ttl_s=10)
+        await _claims.claim(session, SERVICE)
+        token = session.owners[SERVICE].fencing_token
+        release = _claims.release_before(session, SERVICE, token)
+        assert release.former_calls_ms == former_calls_ms
 
     _run_with_store(scenario)
 
@@ -258,3 +263,66 @@
     monkeypatch.setattr(platform, "commit", refuse)
     asyncio.run(_claims.claim(session, SERVICE))
     assert session.lease == kept
+
+
+async def _claim_anew(
+    session: _session.Session, store: cloud.Store, ends: str
+) -> None:
+    """Let another instance own the service, and end that as given."""
+    other = _session_fixtures.make_session(
+        session.store.address, timeout_s=0.7, count=lambda kind, outcome: None
+    )
+    other.incarnation = "c"
+    other.lease, _ = await platform.grant_lease(other.store, ttl_s=10.0)
+    await _claims.claim(other, SERVICE)
+    assert _claims.owns_service(other, SERVICE)
+    if ends == "dies":
+        cloud.remove(store, _keys.owner(SERVICE))
+    elif ends == "releases":
+        _release(store, other.owners[SERVICE].fencing_token)
+    _http.close(other.store.http)
+
+
+@pytest.mark.parametrize(
+    ("ends", "claimed", "stopped"),
+    [
+        pytest.param("", True, True, id="nobody-since"),
+        pytest.param("dies", True, False, id="another-has-died"),
+        pytest.param("releases", True, False, id="another-has-released"),
+        pytest.param("lives", False, False, id="another-owns-it"),
+    ],
+)
+def test_a_claim_behind_its_watch_does_not_count_on_an_old_release(
+    ends: str, claimed: bool, stopped: bool
+) -> None:
+    """Guards against runs that start beside those of an owner in between.
+
+    The watch has shown that ``b`` released the service, and nothing since.
+    """
+
+    async def scenario(session: _session.Session, store: cloud.Store) -> None:
+        session.incarnation = "a"
+        session.lease, _ = await platform.grant_lease(session.store, ttl_s=10)
+        first = _put_owner(store, SERVICE, "b")
+        _release(store, first)
+        session.former_owners[SERVICE] = _session.Owner(
+            instance="b", incarnation="b", fencing_token=first
+        )
+        for item in await _read_cell(session):
+            _session.apply_cell_item(session, item)
+        assert _claims.has_former_owner_stopped(session, SERVICE)
+        if ends:
+            await _claim_anew(session, store, ends)
+        for _ in range(2):
+            if SERVICE not in session.owners:
+                await _claims.claim(session, SERVICE)
+        assert _claims.owns_service(session, SERVICE) is claimed
+        token = session.owners[SERVICE].fencing_token
+        release = _claims.release_before(session, SERVICE, token)
+        assert (release is not None) is stopped
+
+    _run_with_store(scenario, follows=False)
+
+
+async def _read_cell(session: _session.Session) -> tuple[platform.Item, ...]:
+    return (await platform.read_all(session.store, _keys.CELL)).items
--- a/chestnuttide/node/tests/test_handover.py
+++ b/chestnuttide/node/tests/test_handover.py
@@ -446,7 +446,10 @@
                 ),
                 limit_s=6.0,
             )
-            assert _keys.released(SERVICE) in cell.store.keys
+            # The claim has removed the record of the release.
+            released = _keys.released(SERVICE)
+            assert released in {key for _, key in cell.store.history}
+            assert released not in cell.store.keys
             for job_id in jobs[4:]:
                 assert await node_cell.submit(small, job_id) == 200
             for job_id in jobs:
--- a/chestnuttide/node/tests/test_release.py
+++ b/chestnuttide/node/tests/test_release.py
@@ -231,7 +231,10 @@
         release = _release.release_through_peer
     asyncio.run(release(owner))
     (transaction,) = committed
-    record = _session._decode_release(transaction.put["cell/released/s"])
+    key = "cell/released/s"
+    record = _session.decode_release(
+        platform.Item(key=key, value=transaction.put[key])
+    )
     assert record.fencing_token == 7
     assert least_s <= record.former_calls_ms / 1000 <= most_s
 
