--- a/chestnuttide/node/tests/test_incarnations.py
+++ b/chestnuttide/node/tests/test_incarnations.py
@@ -453,6 +453,9 @@
         rate=rng.choice((0.98, 1.0)),
     )
     await asyncio.sleep(rng.uniform(0.0, 0.3))
+    if worker.life is None:
+        # A start has crashed it anew.
+        return
     _restart_bed.list_worker(bed, worker)
     if rng.random() < 0.6:
         await asyncio.sleep(rng.uniform(0.0, 1.0))
