Extend no lease by a start with an invalid ticket in the stand-in

The stand-in for a worker took the deadline of every start, also of one that it answered with `ticket`. By PROTOCOL.md a deadline is also taken from a start that receives `old` or `room`, which leaves out `ticket`. Runs of the soak could so hold leases that no worker of the platform would grant.

--- a/standins/cloud/_worker.py
+++ b/standins/cloud/_worker.py
@@ -287,14 +287,11 @@
     if body.get("fence", 0) < worker.fencing_token:
         return 409, {**clock, "reason": "fence"}
     worker.fencing_token = body.get("fence", 0)
-    if "deadlineMs" in body:
-        longest_s = _clock_s(worker) + worker.longest_lease_s
-        deadline_s = min(body["deadlineMs"] / 1000, longest_s)
-        worker.lease_expires_s = max(worker.lease_expires_s, deadline_s)
-    if path == "/v1/hold":
-        return await _poll(worker, body)
     if path == "/v1/run-start":
         return _start(worker, body, clock)
+    _extend_lease(worker, body)
+    if path == "/v1/hold":
+        return await _poll(worker, body)
     if path == "/v1/run-stop":
         key = (body["task"], body["run"])
         if key in worker.runs:
@@ -306,18 +303,30 @@
     return 200, clock
 
 
+def _extend_lease(worker: Worker, body: dict[str, object]) -> None:
+    """Extend the lease by a call that is executed or answered with `old`."""
+    if "deadlineMs" not in body:
+        return
+    longest_s = _clock_s(worker) + worker.longest_lease_s
+    deadline_s = min(body["deadlineMs"] / 1000, longest_s)
+    worker.lease_expires_s = max(worker.lease_expires_s, deadline_s)
+
+
 def _start(
     worker: Worker, body: dict[str, object], clock: dict[str, object]
 ) -> _http.Answer:
     task, run = body["task"], body["run"]
     if (task, run) in worker.runs:
+        _extend_lease(worker, body)
         return 200, clock
     if run <= worker.highest_ended_runs.get(task, 0):
+        _extend_lease(worker, body)
         return 409, {**clock, "reason": "old"}
     if body["deadlineMs"] < clock["clockMs"]:
         return 409, {**clock, "reason": "late"}
     if not _is_valid_ticket(worker, body.get("ticket", "")):
         return 409, {**clock, "reason": "ticket"}
+    _extend_lease(worker, body)
     if any(key[0] == task for key in worker.runs):
         worker.overlaps.append(task)
     worker.on_start(body)
--- a/standins/tests/test_cloud_worker.py
+++ b/standins/tests/test_cloud_worker.py
@@ -182,6 +182,29 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ("deadline_ms", "ticket", "ended_run", "reason", "extended"),
+    [
+        pytest.param(10**9, "", 0, "", True, id="accepted"),
+        pytest.param(10**9, "", 1, "old", True, id="old"),
+        pytest.param(10**9, "checked-x", 0, "ticket", False, id="ticket"),
+        pytest.param(-1, "", 0, "late", False, id="late"),
+    ],
+)
+def test_a_start_extends_the_lease_if_accepted_or_old(
+    deadline_ms: int, ticket: str, ended_run: int, reason: str, extended: bool
+) -> None:
+    """Guards against stand-ins whose leases are longer than the platform's."""
+
+    async def main() -> None:
+        worker = _make_worker(highest_ended_runs={TASK: ended_run})
+        _, reply = await _start(worker, deadline_ms=deadline_ms, ticket=ticket)
+        assert reply.get("reason", "") == reason
+        assert (worker.lease_expires_s > 0.0) == extended
+
+    asyncio.run(main())
+
+
 def test_the_advisor_issues_tickets_that_its_workers_check() -> None:
     """Guards against soaks in which any ticket is valid for ever."""
 
