Describe each call that a stand-in worker executes

The daemons' logs do not say which incarnation a call reached, nor what its deadline did to the lease there. A worker reports each call that it executes: time, incarnation, its clock, path, fence, deadline, acknowledgement, task, run, the lease before and after it, the answer and the runs in it.

--- a/standins/cloud/_worker.py
+++ b/standins/cloud/_worker.py
@@ -112,6 +112,8 @@
         crashes under it.
     on_crash : function
         Called when it crashes under a task.
+    on_call : function
+        Called with a description of each call that was executed.
     """
 
     id: str
@@ -143,6 +145,7 @@
     tickets: dict[str, float] = attrs.field(factory=dict)
     is_deadly: collections.abc.Callable[[str], bool] = _is_never_deadly
     on_crash: collections.abc.Callable[[], None] = _ignore
+    on_call: collections.abc.Callable[[dict[str, object]], None] = _ignore
 
 
 def crash(worker: Worker) -> None:
@@ -279,6 +282,36 @@
 
 async def _execute(
     worker: Worker, path: str, expected: str, body: dict[str, object]
+) -> _http.Answer:
+    """Execute a call and describe it to the observer."""
+    call = {
+        "unix_s": round(time.time(), 3),
+        "worker": worker.id,
+        "incarnation": worker.incarnation_ms,
+        "clock_ms": _clock_ms(worker),
+        "path": path,
+        "fence": body.get("fence", 0),
+        "deadline_ms": body.get("deadlineMs"),
+        "seen": body.get("seenUpto"),
+        "task": body.get("task", ""),
+        "run": body.get("run", 0),
+        "late": "arrived_s" in body,
+        "lease_before_ms": int(worker.lease_expires_s * 1000),
+    }
+    answer = await _apply(worker, path, expected, body)
+    status, document = answer or (0, {})
+    call["lease_ms"] = int(worker.lease_expires_s * 1000)
+    call["status"] = status
+    call["reason"] = document.get("reason", "")
+    call["running"] = [row[:2] for row in document.get("running", ())]
+    call["ended"] = [row[:4] for row in document.get("ended", ())]
+    call["answered_unix_s"] = round(time.time(), 3)
+    worker.on_call(call)
+    return answer
+
+
+async def _apply(
+    worker: Worker, path: str, expected: str, body: dict[str, object]
 ) -> _http.Answer:
     end_due_runs(worker)
     clock = {"clockMs": _clock_ms(worker), "born": worker.incarnation_ms}
--- a/standins/tests/test_cloud_worker.py
+++ b/standins/tests/test_cloud_worker.py
@@ -205,6 +205,30 @@
     asyncio.run(main())
 
 
+def test_executed_calls_are_described() -> None:
+    """Guards against traces that lack what a call carried."""
+
+    async def main() -> None:
+        calls: list[dict[str, object]] = []
+        worker = _make_worker(on_call=calls.append, longest_lease_s=4.0)
+        await _start(worker, deadline_ms=10**9, run=2)
+        await _poll(worker, seen=3)
+        cloud.restart(worker)
+        await _start(worker, deadline_ms=-1)
+        start, poll, late = calls
+        assert (start["task"], start["run"], start["status"]) == (TASK, 2, 200)
+        assert start["deadline_ms"] == 10**9
+        assert start["lease_before_ms"] == 0
+        assert 3500 <= start["lease_ms"] - start["clock_ms"] <= 4100
+        assert (poll["path"], poll["seen"]) == ("/v1/hold", 3)
+        assert poll["deadline_ms"] is None
+        assert poll["running"] == [[TASK, 2]]
+        assert late["incarnation"] > start["incarnation"]
+        assert (late["status"], late["reason"]) == (409, "late")
+
+    asyncio.run(main())
+
+
 def test_the_advisor_issues_tickets_that_its_workers_check() -> None:
     """Guards against soaks in which any ticket is valid for ever."""
 
