Let the soak repeat one condition of its series of restarts

`--recut` drew the loss of calls, the end of the owner and the share of late calls, so a condition could not be played again by itself. Options set them: the silence, the cut, the network's latency, the delay of a worker's entry, calls held back or lost, an owner killed or stopped and when, the share of late calls, and the longest lease. `calls.log` beside the daemons' logs has one line for each call that a worker executed. The daemons of the soak are now set to the longest lease that the workers grant: they took the default of 6 s where the stand-ins grant 10 s.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,11 +7,14 @@
 import sys
 import time
 
+from soak import _recut
 from soak import _run
 from soak import _seeds
 
 OUTPUT = pathlib.Path("build") / "soak"
 
+_CHOICES = {"always": True, "never": False, "random": None}
+
 
 def main(arguments: list[str]) -> int:
     """Run the seeds; return 0 only if all passed."""
@@ -34,11 +37,21 @@
         help="restart half of the workers and cut them soon, in a series, "
         "instead of the faults at random",
     )
+    _add_series_options(parser)
+    parser.add_argument(
+        "--longest-lease-s", type=float, default=_run.LONGEST_LEASE_S
+    )
     parser.add_argument(
         "--no-advice",
         action="store_true",
         help="let starts need no tickets",
     )
+    parser.add_argument(
+        "--output",
+        type=pathlib.Path,
+        default=OUTPUT,
+        help="folder of the logs",
+    )
     parser.add_argument(
         "--failed",
         action="store_true",
@@ -53,7 +66,7 @@
         seeds = sorted(_seeds.FAILED)
     passed = failed = 0
     for seed in seeds:
-        folder = OUTPUT / str(seed)
+        folder = options.output / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
         for old in folder.glob("*.log"):
             old.unlink()
@@ -65,8 +78,9 @@
                 nodes=options.nodes,
                 duration_s=options.for_s,
                 restart_seed=seed if options.restarts else None,
-                recut=options.recut,
+                series=_make_series(options) if options.recut else None,
                 advised=not options.no_advice,
+                longest_lease_s=options.longest_lease_s,
             )
         )
         _run.write_ledger(folder, ledger)
@@ -84,5 +98,60 @@
     return 1 if failed else 0
 
 
+def _add_series_options(parser: argparse.ArgumentParser) -> None:
+    """Add the options of ``--recut``."""
+    default = _recut.Series()
+    parser.add_argument("--silent-s", type=float, default=default.silent_s)
+    parser.add_argument(
+        "--entry-delay-s",
+        type=float,
+        default=default.entry_delay_s,
+        help="time from a worker's return to its entry in the store",
+    )
+    parser.add_argument("--cut-s", type=float, default=default.cut_s)
+    parser.add_argument("--latency-s", type=float, default=default.latency_s)
+    parser.add_argument(
+        "--kill-after-s",
+        type=float,
+        default=default.kill_after_s,
+        help="time from the workers' return to the kill of the owner",
+    )
+    parser.add_argument(
+        "--owner-stops",
+        action="store_true",
+        help="let the owner stop gracefully instead of killing it",
+    )
+    for name, text in (
+        ("held", "calls during a silence reach the next incarnation"),
+        ("killed", "the owner is killed before the cut"),
+    ):
+        parser.add_argument(
+            f"--{name}",
+            choices=sorted(_CHOICES),
+            default="random",
+            help=f"whether {text}",
+        )
+    parser.add_argument(
+        "--late-share",
+        type=float,
+        default=None,
+        help="share of the calls that are executed late; default: random",
+    )
+
+
+def _make_series(options: argparse.Namespace) -> _recut.Series:
+    return _recut.Series(
+        silent_s=options.silent_s,
+        entry_delay_s=options.entry_delay_s,
+        cut_s=options.cut_s,
+        latency_s=options.latency_s,
+        held=_CHOICES[options.held],
+        killed=_CHOICES[options.killed],
+        kill_after_s=options.kill_after_s,
+        owner_stops=options.owner_stops,
+        late_share=options.late_share,
+    )
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:]))
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -132,6 +132,17 @@
     node = _pick_node(testbed, rng)
     if rng.random() < 0.3:
         node.process.send_signal(signal.SIGHUP)
+    await _stop_and_restart(testbed, node)
+
+
+async def stop_owner(testbed: Testbed) -> None:
+    """Stop the owner of the queue's first service, and restart it."""
+    node = _find_owner(testbed)
+    if node is not None:
+        await _stop_and_restart(testbed, node)
+
+
+async def _stop_and_restart(testbed: Testbed, node: node_cell.Node) -> None:
     node.process.send_signal(signal.SIGTERM)
     process = node.process
     for _ in range(120):
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -35,6 +35,9 @@
 RECONNECT_LIMIT_S = 3.0
 CONFIG_LIMIT_S = 2.0
 
+# Longest lease that the workers grant.
+LONGEST_LEASE_S = 10.0
+
 # Rates of the workers' clocks, which may run up to 2% slow.
 CLOCK_RATES = (1.0, 0.98, 0.99, 1.0)
 
@@ -46,8 +49,9 @@
     nodes: int,
     duration_s: float,
     restart_seed: int | None = None,
-    recut: bool = False,
+    series: _recut.Series | None = None,
     advised: bool = True,
+    longest_lease_s: float = LONGEST_LEASE_S,
 ) -> _checks.Ledger:
     """Run one seed and return the observations.
 
@@ -63,14 +67,18 @@
         Seconds during which faults are injected.
     restart_seed : int or None
         Seed of restarts of workers that are cut soon; None for none.
-    recut : bool
-        Whether half of the workers restart and are cut, in a series, instead
-        of the faults at random.
+    series : Series or None
+        Restarts and cuts of half of the workers, instead of the faults at
+        random; None for these.
     advised : bool
         Whether the advisor decides which workers may run the queue's steps.
+    longest_lease_s : float
+        Longest lease that the workers grant, which the daemons are set to.
     """
     rng = random.Random(seed)
-    async with _run_testbed(folder, nodes=nodes, advised=advised) as testbed:
+    async with _run_testbed(
+        folder, nodes=nodes, advised=advised, longest_lease_s=longest_lease_s
+    ) as testbed:
         callers = _callers.Callers(
             ledger=testbed.ledger,
             nodes=testbed.cell.nodes,
@@ -89,7 +97,9 @@
                 random.Random(rng.random()),
             )
         )
-        inject = _recut.inject if recut else _faults.inject
+        inject = _faults.inject
+        if series is not None:
+            inject = functools.partial(_recut.inject, series=series)
         injections = [inject(testbed, rng, duration_s=duration_s)]
         if restart_seed is not None:
             injections.append(
@@ -110,7 +120,11 @@
 
 @contextlib.asynccontextmanager
 async def _run_testbed(
-    folder: pathlib.Path, *, nodes: int, advised: bool
+    folder: pathlib.Path,
+    *,
+    nodes: int,
+    advised: bool,
+    longest_lease_s: float,
 ) -> collections.abc.AsyncIterator[_faults.Testbed]:
     ledger = _checks.Ledger()
     closers: list[collections.abc.Callable[[], None]] = []
@@ -122,6 +136,8 @@
             capacity={"cpu": WORKER_CPU_MILLIS, "memMb": 8000, "gpu": 0},
             clock_rate=CLOCK_RATES[number % len(CLOCK_RATES)],
             run_s=_faults.RUN_S,
+            longest_lease_s=longest_lease_s,
+            on_call=functools.partial(_log_call, folder / "calls.log"),
         )
         for number, service in enumerate(
             _faults.SERVICES * WORKERS_PER_SERVICE
@@ -191,7 +207,10 @@
                     await listen(proxy),
                     advisor_address,
                     harness.find_ports(ports, node_cell.PORTS_PER_NODE),
-                    bounds=_keys.BOUNDS,
+                    bounds={
+                        **_keys.BOUNDS,
+                        "worker_lease_max_ms": longest_lease_s * 1000,
+                    },
                 )
             )
         for node in cell.nodes:
@@ -213,6 +232,12 @@
             close()
 
 
+def _log_call(path: pathlib.Path, call: dict[str, object]) -> None:
+    """Append a call that a worker has executed to a file of JSON lines."""
+    with path.open("a", encoding="utf-8") as log:
+        log.write(json.dumps(call) + "\n")
+
+
 def _restart_after_crash(
     cell: node_cell.Cell, restarts: set[asyncio.Task[None]], number: int
 ) -> None:
