--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -7,6 +7,7 @@
 import pytest
 
 from soak import _checks
+from soak import _recut
 from soak import _run
 from standins import cloud
 
@@ -26,6 +27,21 @@
     assert ledger.violations == []
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_invariants_hold_through_restarts_that_are_cut_soon(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    """Guards against long runs that start again while their worker is cut."""
+    series = _recut.Series(
+        entry_delay_s=0.3, cut_s=5.0, held=True, killed=False, late_share=0.0
+    )
+    ledger = asyncio.run(
+        _run.run_seed(tmp_path, seed, nodes=4, duration_s=3.0, series=series)
+    )
+    assert any("cut of" in fault for fault in ledger.faults)
+    assert ledger.violations == []
+
+
 def test_the_ledger_lists_the_faults(tmp_path: pathlib.Path) -> None:
     """Guards against a failed seed whose faults are not known afterwards."""
     ledger = _checks.Ledger(faults=["1.0 kill"])
