Let a member of a gang that has done its work wait for the others

Callers see gang jobs that end late, and work thrown away.

Such a member now counts as hung only once no member makes progress. Others are judged as before.

Two of the five cases of test_a_member_of_a_gang_waits_for_the_others failed before, those in which the others go on or have only just ended.

--- a/chestnuttide/workloads/_supervision.py
+++ b/chestnuttide/workloads/_supervision.py
@@ -93,7 +93,7 @@
     # A gang works only once its last member has started. Progress is only
     # known up to the last poll reply.
     since = max(
-        run.progress_at, *(each.confirmed_at for each in run.unit.runs)
+        _last_progress_at(run), *(each.confirmed_at for each in run.unit.runs)
     )
     stalled_s = worker.last_reply_at - since
     if step.lasting:
@@ -112,6 +112,16 @@
     return stalled_s > _stall_limit_s(pool, run, step, now) * factor
 
 
+def _last_progress_at(run: _state.Run) -> float:
+    """Return when a run, or those that it waits for, last made progress.
+
+    A member of a gang that has done its work waits for the others.
+    """
+    if run.percent < 100:
+        return run.progress_at
+    return max(each.progress_at for each in run.unit.runs)
+
+
 def _stall_limit_s(
     pool: _state.Pool, run: _state.Run, step: _specs.StepSpec, now: float
 ) -> float:
--- a/chestnuttide/workloads/tests/test_supervision.py
+++ b/chestnuttide/workloads/tests/test_supervision.py
@@ -32,6 +32,38 @@
     assert bool(workloads.find_stalled(pool, now=99.0)) == stalled
 
 
+@pytest.mark.parametrize(
+    ("percents", "progress_at", "stalled"),
+    [
+        pytest.param((100, 80), (1.0, 5.5), (), id="others-go-on"),
+        pytest.param((100, 100), (1.0, 5.5), (), id="all-have-just-ended"),
+        pytest.param((100, 80), (1.0, 2.0), (0, 1), id="others-hang"),
+        pytest.param((50, 100), (2.0, 5.5), (0,), id="one-hangs-below"),
+        pytest.param((100, 100), (1.0, 2.0), (0, 1), id="all-hang-at-the-end"),
+    ],
+)
+def test_a_member_of_a_gang_waits_for_the_others(
+    percents: tuple[int, ...],
+    progress_at: tuple[float, ...],
+    stalled: tuple[int, ...],
+) -> None:
+    """Guards against gangs that are stopped just before they end.
+
+    A member that has done its work stays at 100 percent until all have.
+    """
+    pool = _pool_fixtures.make_pool(len(percents))
+    step = _pool_fixtures.make_step(count=len(percents), gang=True)
+    _pool_fixtures.submit(pool, step)
+    runs = _pool_fixtures.start_all(pool, now=0.5)
+    for run, percent, at in zip(runs, percents, progress_at, strict=True):
+        run.percent = percent
+        run.progress_at = at
+    for worker in pool.workers.values():
+        worker.last_reply_at = 6.0
+    found = workloads.find_stalled(pool, now=6.0)
+    assert {run.index for run in found} == set(stalled)
+
+
 POLL_S = 0.5
 CONFIRMED_AT_S = 0.1
 
