Bound the lease of an answered start by the clock of its answer

Whichever incarnation has answered, its lease ends by the latest deadline that the owner's calls have requested, on the clock that the answer tells. The wait ends by then, unless others may have called the worker: another incarnation of it has been called, or the owner has known the worker for less than the time of a late call and the longest lease.

--- a/chestnuttide/node/_starts.py
+++ b/chestnuttide/node/_starts.py
@@ -318,7 +318,7 @@
         workloads.record_clock(worker, reply.clock_ms, now)
     if reply.status == 200:
         first = not run.job.started
-        workloads.confirm_start(run, now=now)
+        workloads.confirm_start(run, now=now, clock_ms=reply.clock_ms)
         if run.on_trial:
             _ownership.start_command(owner, _end_trial(owner, worker, run))
         owner.metrics.commands.inc({"kind": "start", "outcome": "200"})
--- a/chestnuttide/workloads/_incarnations.py
+++ b/chestnuttide/workloads/_incarnations.py
@@ -1,5 +1,7 @@
 """Handles the runs of a worker that restarts under the same id."""
 
+import math
+
 import attrs
 
 from chestnuttide.workloads import _crashes
@@ -74,6 +76,7 @@
         The moved runs.
     """
     _crashes.record_crash(pool, worker)
+    worker.earlier_leases_until = math.inf
     report = attrs.evolve(worker.report, born_ms=born_ms)
     key = _state.worker_key(report)
     successor = pool.workers.get(key)
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -181,6 +181,7 @@
     remaining_s = (deadline_ms - worker.clock_ms) / 1000
     until = worker.clock_at + lease_bound_s(remaining_s)
     worker.lease_until = max(worker.lease_until, until, now)
+    worker.latest_deadline_ms = max(worker.latest_deadline_ms, deadline_ms)
 
 
 def lease_bound_s(lease_s: float) -> float:
@@ -210,11 +211,28 @@
 
 def lease_end(worker: _state.Worker, run: _state.Run) -> float:
     """Return the time by which a run has ended unless its lease is renewed."""
-    return worker.lease_until if run.located else unlocated_lease_end(worker)
+    return _lease_end(worker, run, _unlocated_lease_end(worker))
+
+
+def _lease_end(
+    worker: _state.Worker, run: _state.Run, unlocated_end: float
+) -> float:
+    if run.located:
+        return worker.lease_until
+    if not run.answered_at:
+        return unlocated_end
+    # Whichever incarnation has answered, its lease ends by the latest deadline
+    # on the clock that it told, unless others have called it.
+    remaining_s = (worker.latest_deadline_ms - run.answer_clock_ms) / 1000
+    answered_end = max(
+        run.answered_at + lease_bound_s(max(0.0, remaining_s)),
+        worker.earlier_leases_until,
+    )
+    return max(worker.lease_until, min(unlocated_end, answered_end))
 
 
-def unlocated_lease_end(worker: _state.Worker) -> float:
-    """Return the same for the runs that a later incarnation may execute."""
+def _unlocated_lease_end(worker: _state.Worker) -> float:
+    """Return the latest end of runs that a later incarnation may execute."""
     late_s = max(map(_late_start_s, worker.runs.values()), default=0.0)
     return max(worker.lease_until, worker.unlocated_lease_until + late_s)
 
@@ -435,8 +453,22 @@
         pool.unknown_runs.pop(worker.key, None)
 
 
-def confirm_start(run: _state.Run, *, now: float) -> None:
-    """Record that the worker has accepted a run's start."""
+def confirm_start(
+    run: _state.Run, *, now: float, clock_ms: int | None = None
+) -> None:
+    """Record that the worker has accepted a run's start.
+
+    Parameters
+    ----------
+    run : Run
+        The run.
+    now : float
+        Monotonic time of the answer.
+    clock_ms : int or None
+        Reading of the worker's clock in the answer, if it has one.
+    """
+    if clock_ms is not None:
+        run.answer_clock_ms, run.answered_at = clock_ms, now
     if run.phase in (_state.Phase.START_SENT, _state.Phase.UNCERTAIN):
         run.phase = _state.Phase.RUNNING
         run.confirmed_at = now
@@ -457,12 +489,12 @@
     """End the runs of an unresponsive worker whose lease has expired."""
     if not worker.runs or now < worker.lease_until:
         return []
-    unlocated_end = unlocated_lease_end(worker)
+    unlocated_end = _unlocated_lease_end(worker)
     expired = [
         run
         for run in worker.runs.values()
         if run.phase != _state.Phase.PLANNED
-        and (run.located or now >= unlocated_end)
+        and now >= _lease_end(worker, run, unlocated_end)
     ]
     if expired:
         worker.lost_at = now
@@ -494,8 +526,14 @@
     if worker is None:
         _forget_renewals(pool, now)
         worker = _state.Worker(
-            key=key, report=report, lease_until=lease_until, known_since=now
+            key=key,
+            report=report,
+            lease_until=lease_until,
+            known_since=now,
+            earlier_leases_until=_earlier_leases_until(pool, report, now),
         )
+        for other in _worker_index.list_incarnations(pool, report.id):
+            other.earlier_leases_until = math.inf
         _worker_index.add_worker(pool, worker)
     worker.report = report
     for other in _worker_index.list_incarnations(pool, report.id):
@@ -509,6 +547,20 @@
     return worker
 
 
+def _earlier_leases_until(
+    pool: _state.Pool, report: _specs.WorkerReport, now: float
+) -> float:
+    """Return when the leases have expired that others' calls have granted.
+
+    Owners before this one, and of other services, may have called a worker of
+    which this owner learns now.
+    """
+    if report.id in pool.renewals or report.id in pool.incarnations:
+        return math.inf
+    sent_until = max(now, pool.former_calls_until)
+    return sent_until + LATE_CALL_S + longest_lease_s(pool.limits)
+
+
 def _forget_renewals(pool: _state.Pool, now: float) -> None:
     """Forget calls to workers that have left, which no longer matter."""
     past = now - LATE_CALL_S - longest_lease_s(pool.limits)
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -90,6 +90,9 @@
         Newest known checkpoint.
     start_sent_at, confirmed_at : float
         Monotonic times in seconds; 0 if not known.
+    answer_clock_ms, answered_at : int, float
+        Reading of the clock in the answer that accepted its start, and the
+        monotonic time of that answer; 0 before.
     recorded : bool
         Whether a stored record contains the run.
     listed : bool
@@ -154,6 +157,8 @@
     proven: bool = False
     on_trial: bool = False
     confirmed_at: float = 0.0
+    answer_clock_ms: int = 0
+    answered_at: float = 0.0
     deadline_ms: int = 0
     percent: float = 0.0
     latency_ms_or_cpu: float = 0.0
@@ -433,6 +438,12 @@
         is renewed.
     unlocated_lease_until : float
         The same for runs that may have started in a later incarnation.
+    latest_deadline_ms : int
+        Latest expiry of a lease that calls to it have requested, on its clock.
+    earlier_leases_until : float
+        Monotonic time by which all leases have expired that calls may have
+        granted which this owner sent to no incarnation of the worker;
+        infinite if it has called another incarnation.
     inherited_lease_until : float
         Monotonic time until which a lease may last that calls for a former
         incarnation, or of a former owner, have granted; 0 if there is none.
@@ -500,6 +511,8 @@
     clock_at: float | None = None
     lease_until: float = 0.0
     unlocated_lease_until: float = 0.0
+    latest_deadline_ms: int = 0
+    earlier_leases_until: float = math.inf
     inherited_lease_until: float = 0.0
     ended_at: float = 0.0
     awaits_job: bool = False
--- a/chestnuttide/workloads/tests/test_incarnations.py
+++ b/chestnuttide/workloads/tests/test_incarnations.py
@@ -1,5 +1,7 @@
 """Workers that restart under their id: fencing tokens, leases and records."""
 
+import math
+
 import attrs
 import cbor2
 import pytest
@@ -238,6 +240,69 @@
     assert worker.lease_until < 3.0
 
 
+@pytest.mark.parametrize(
+    ("clock_ms", "earlier_until", "until"),
+    [
+        pytest.param(1150, 0.0, 0.3 + 2.47 / 0.98 + 0.1, id="known-clock"),
+        pytest.param(2_000, 0.0, 0.3 + 1.62 / 0.98 + 0.1, id="higher-clock"),
+        pytest.param(-(10**6), 0.0, 10.8, id="lower-clock"),
+        pytest.param(1150, 5.0, 5.0, id="others-have-called-the-worker"),
+        pytest.param(1150, math.inf, 10.8, id="worker-has-restarted"),
+        pytest.param(None, 0.0, 10.8, id="answer-without-a-clock"),
+    ],
+)
+def test_the_clock_of_an_answer_bounds_the_lease_of_its_run(
+    clock_ms: int | None, earlier_until: float, until: float
+) -> None:
+    """Guards against tasks that count as lost beside a lost worker.
+
+    An incarnation that the owner does not know of may have answered; its clock
+    tells what the deadlines of the owner's calls mean there.
+    """
+    pool = _pool_fixtures.make_pool(1)
+    _pool_fixtures.submit(pool, _pool_fixtures.make_step())
+    (run,) = workloads.make_plan(pool, now=0.1).runs
+    worker = workloads.begin_start(pool, run, now=0.1)
+    workloads.record_sent_lease(pool, worker, now=0.1)
+    workloads.record_lease(worker, 3620, now=0.12)
+    workloads.confirm_start(run, now=0.3, clock_ms=clock_ms)
+    worker.earlier_leases_until = earlier_until
+    worker.lease_until = 0.0
+    for now in (until - 0.05, until + 0.05):
+        ended = workloads.expire_worker_lease(
+            pool, worker, now=now, now_unix_s=UNIX_S
+        )
+        assert ended == ([run] if now > until else [])
+
+
+@pytest.mark.parametrize(
+    ("now", "former_calls_until", "called", "until"),
+    [
+        pytest.param(50.0, -math.inf, False, 50.0, id="new-worker"),
+        pytest.param(50.0, 53.0, False, 53.0, id="former-owner-goes-on"),
+        pytest.param(50.0, 53.0, True, math.inf, id="called-before"),
+    ],
+)
+def test_others_may_have_called_a_worker(
+    now: float, former_calls_until: float, called: bool, until: float
+) -> None:
+    """Guards against a lease of which this owner's calls tell nothing."""
+    pool = _pool_fixtures.make_pool(1)
+    (known,) = pool.workers.values()
+    report = attrs.evolve(known.report, id="w9")
+    pool.former_calls_until = former_calls_until
+    if called:
+        pool.renewals["w9"] = 40.0
+    worker = workloads.update_worker(pool, report, now=now, lease_until=0.0)
+    assert worker.earlier_leases_until == pytest.approx(
+        until + 15.0 + LONGEST_BOUND_S
+    )
+    successor = attrs.evolve(report, born_ms=2)
+    later = workloads.update_worker(pool, successor, now=now, lease_until=0.0)
+    assert worker.earlier_leases_until == math.inf
+    assert later.earlier_leases_until == math.inf
+
+
 def test_a_start_in_flight_may_be_executed_late() -> None:
     """Guards against an owner that was paused while a start was under way."""
     pool = _pool_fixtures.make_pool(1)
