Keep the end of the owner in a series of restarts of the soak

The task that ended the owner had no reference, so that its failure was lost, and drew from the generator of the series only if an owner was found, so that a seed did not repeat the same series. Found by review.

--- a/soak/_recut.py
+++ b/soak/_recut.py
@@ -27,7 +27,7 @@
 KILL_SHARE = 0.5
 HELD_SHARE = 0.7
 
-# Least and highest share of the calls that are executed late.
+# Shares of the calls that are executed late, of which each round takes one.
 LATE_SHARES = (0.0, 0.1)
 
 
@@ -121,14 +121,9 @@
     _note(testbed, f"restart of {numbers}, calls held={series.held}")
     await _restart(testbed, numbers, rng, series)
     await asyncio.sleep(series.kill_after_s)
-    if series.killed:
-        how = "stopped" if series.owner_stops else "killed"
-        _note(testbed, f"owner is {how}")
-        asyncio.ensure_future(
-            _faults.stop_owner(testbed)
-            if series.owner_stops
-            else _faults.kill_owner(testbed, rng)
-        )
+    owner_ends = asyncio.ensure_future(
+        _end_owner(testbed, random.Random(rng.random()), series)
+    )
     await asyncio.sleep(CUT_AFTER_S - series.kill_after_s)
     _note(testbed, f"cut of {numbers}")
     for proxy in proxies:
@@ -141,6 +136,20 @@
         worker.run_s = _faults.RUN_S
     _note(testbed, f"end of the cut of {numbers}")
     await asyncio.sleep(PAUSE_S)
+    await owner_ends
+
+
+async def _end_owner(
+    testbed: _faults.Testbed, rng: random.Random, series: Series
+) -> None:
+    if not series.killed:
+        return
+    if series.owner_stops:
+        _note(testbed, "owner is stopped")
+        await _faults.stop_owner(testbed)
+    else:
+        _note(testbed, "owner is killed")
+        await _faults.kill_owner(testbed, rng)
 
 
 def _note(testbed: _faults.Testbed, text: str) -> None:
