Test in virtual time that the clock of an answer bounds its lease

The four cases of test_an_answered_start_on_a_lost_worker_is_replaced_soon fail if the clock of the answer is not passed on. Docstrings say more exactly what may have called a worker.";

--- a/chestnuttide/node/tests/_restarting_worker.py
+++ b/chestnuttide/node/tests/_restarting_worker.py
@@ -342,7 +342,8 @@
     )
 
 
-def _clock_ms(world: World, life: Incarnation) -> int:
+def read_clock_ms(world: World, life: Incarnation) -> int:
+    """Return the reading of an incarnation's clock."""
     elapsed_s = world.loop.time() - life.born_at
     return life.origin_ms + int(elapsed_s * 1000 * life.rate)
 
@@ -388,7 +389,7 @@
     if call["fencing_token"] < life.fencing_token:
         return 409, "fence"
     life.fencing_token = call["fencing_token"]
-    clock_ms = _clock_ms(world, life)
+    clock_ms = read_clock_ms(world, life)
     deadline_ms = call.get("deadline_ms")
     if deadline_ms is not None:
         longest_ms = clock_ms + world.longest_lease_s * 1000
@@ -556,7 +557,7 @@
         if kind == "stop" and status == 200:
             world.stopped.add((call["task"], call["run"]))
         reply = platform.CommandReply(
-            status=status, reason=reason, clock_ms=_clock_ms(world, life)
+            status=status, reason=reason, clock_ms=read_clock_ms(world, life)
         )
     await asyncio.sleep(HALF_TRIP_S)
     return reply
@@ -574,7 +575,7 @@
 def _make_poll_reply(world: World, life: Incarnation) -> platform.PollReply:
     now = world.loop.time()
     return platform.PollReply(
-        clock_ms=_clock_ms(world, life),
+        clock_ms=read_clock_ms(world, life),
         born_ms=life.born_ms,
         running=tuple(
             platform.RunReport(
--- a/chestnuttide/node/tests/test_late_starts.py
+++ b/chestnuttide/node/tests/test_late_starts.py
@@ -477,3 +477,70 @@
         _restart_bed.cut_and_offer_another(bed, seconds=40.0)
 
     _restart_bed.run(monkeypatch, scenario, longest_lease_s=longest_lease_s)
+
+
+# Time after which calls of others can no longer have renewed a worker's lease.
+SETTLED_S = 30.0
+
+
+@_restart_bed.LEASES
+@pytest.mark.parametrize(
+    "validity_s",
+    [
+        pytest.param(None, id="queue-without-advice"),
+        pytest.param(2.0, id="queue-with-advice"),
+    ],
+)
+def test_an_answered_start_on_a_lost_worker_is_replaced_soon(
+    monkeypatch: pytest.MonkeyPatch,
+    longest_lease_s: float,
+    validity_s: float | None,
+) -> None:
+    """Guards against tasks that stand still beside free workers."""
+
+    async def scenario(bed: _restart_bed.Bed) -> None:
+        await asyncio.sleep(SETTLED_S)
+        task = _restart_bed.submit(bed, 2, 9.0, validity_s=validity_s)
+        assert await _restart_bed.until(
+            lambda: _restart_bed.runs_of(bed, task), 3.0
+        )
+        # Its answer is on its way, and no poll has listed the run.
+        await asyncio.sleep(2 * _restarting_worker.HALF_TRIP_S)
+        _restart_bed.cut_and_offer_another(bed, seconds=40.0)
+        assert await _restart_bed.until(
+            lambda: len(_restart_bed.runs_of(bed, task)) == 2, 4.5
+        )
+
+    _restart_bed.run(monkeypatch, scenario, longest_lease_s=longest_lease_s)
+
+
+@_restart_bed.LEASES
+@pytest.mark.parametrize(
+    "ahead_ms",
+    [
+        pytest.param(each, id=f"clock-{each}-ms-ahead")
+        for each in (-4_000, -1_000, 0, 1_000, 2_400, 500_000)
+    ],
+)
+def test_the_clock_of_an_unknown_incarnation_bounds_its_lease(
+    monkeypatch: pytest.MonkeyPatch, longest_lease_s: float, ahead_ms: int
+) -> None:
+    """Guards against a lease that lasts longer than the owner expects."""
+
+    async def scenario(bed: _restart_bed.Bed) -> None:
+        worker = bed.world.workers["w0"]
+        await asyncio.sleep(SETTLED_S)
+        await _restart_bed.submit_and_start(bed, 1, 9.0)
+        await asyncio.sleep(3.0)
+        await _restart_bed.wait_between_polls(bed, worker)
+        clock_ms = _restarting_worker.read_clock_ms(bed.world, worker.life)
+        _restart_bed.crash_and_restart(
+            bed, origin_ms=clock_ms + ahead_ms, silent_s=0.1
+        )
+        assert await _restart_bed.until(lambda: _has_restarted(worker), 3.0)
+        task = _restart_bed.submit(bed, 2, 12.0)
+        await _restart_bed.until(lambda: _restart_bed.runs_of(bed, task), 1.0)
+        await asyncio.sleep(2 * _restarting_worker.HALF_TRIP_S)
+        _restart_bed.cut_and_offer_another(bed, seconds=40.0)
+
+    _restart_bed.run(monkeypatch, scenario, longest_lease_s=longest_lease_s)
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -222,7 +222,8 @@
     if not run.answered_at:
         return unlocated_end
     # Whichever incarnation has answered, its lease ends by the latest deadline
-    # on the clock that it told, unless others have called it.
+    # on the clock that it told, unless other owners, or calls for another
+    # incarnation, may have reached it.
     remaining_s = (worker.latest_deadline_ms - run.answer_clock_ms) / 1000
     answered_end = max(
         run.answered_at + lease_bound_s(max(0.0, remaining_s)),
@@ -550,10 +551,10 @@
 def _earlier_leases_until(
     pool: _state.Pool, report: _specs.WorkerReport, now: float
 ) -> float:
-    """Return when the leases have expired that others' calls have granted.
+    """Return when the leases have expired that other owners' calls granted.
 
-    Owners before this one, and of other services, may have called a worker of
-    which this owner learns now.
+    Owners before this one, and those of other services until now, may have
+    called a worker of which this owner learns.
     """
     if report.id in pool.renewals or report.id in pool.incarnations:
         return math.inf
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -100,7 +100,7 @@
     located : bool
         Whether its worker incarnation is known to have started it. Before
         that, a later incarnation of the same id may have, whose lease is not
-        known.
+        known unless the clock of its answer bounds it.
     unanswered : bool
         Whether its start was sent and had no answer that this owner knows
         of. The worker may execute such a start seconds later, also in a later
@@ -441,9 +441,9 @@
     latest_deadline_ms : int
         Latest expiry of a lease that calls to it have requested, on its clock.
     earlier_leases_until : float
-        Monotonic time by which all leases have expired that calls may have
-        granted which this owner sent to no incarnation of the worker;
-        infinite if it has called another incarnation.
+        Monotonic time by which all leases have expired that calls of other
+        owners may have granted; infinite if this owner may have called another
+        incarnation, or has called the id before it learned of this one.
     inherited_lease_until : float
         Monotonic time until which a lease may last that calls for a former
         incarnation, or of a former owner, have granted; 0 if there is none.
