Hold only the units of jobs that run or can run next

Daemons grew to 860 MB where their settings allow 300; 10^9 occurrences since 1970 take all memory of a machine.

Cause: the cost of a job followed what it states, or has done. An owner created the units of all due occurrences and of all tasks of a step at once, when the job was announced and at each takeover, visited all of them in each planning round, and kept a row for each task that had ever started in the record. The owner stalled, lost its lease, and the next one followed.

Change: workloads._units releases an occurrence while few tasks of its job wait, creates units when planning reaches them and drops those that are done; the record keeps a bit mask of these. Overdue occurrences are limited further while the service is busy, and queue by their release. A job whose record is nearly as large as the store's largest value starts no more tasks until some have ended. Jobs stored by former releases are restored under the same bounds. Tasks held back are reported as "backlog".

--- a/chestnuttide/node/_advisor_queries.py
+++ b/chestnuttide/node/_advisor_queries.py
@@ -71,6 +71,7 @@
         query
         for query in owner.waiting_queries
         if query.job.spec.id in owner.pool.active
+        and workloads.is_query_open(query)
     ]
     waiting = []
     short, long = _free_instances(owner)
--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -456,6 +456,7 @@
             * bounds.worker_heartbeat_ms
             / 1000,
         ),
+        value_bytes=settings.store.value_bytes,
     )
 
 
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -161,6 +161,8 @@
             await asyncio.sleep(SUPERVISION_PERIOD_S)
             continue
         started_at = _clock.now()
+        # Starts make room for occurrences that were held back.
+        _release_occurrences(owner, started_at, _clock.unix_time())
         caps = _cap_shares.make_round(owner, started_at)
         plan = workloads.make_plan(
             owner.pool,
@@ -306,7 +308,7 @@
             and now - job.accepted_at > ANNOUNCED_JOB_LIMIT_S
             and not _may_have_been_started(job)
         ):
-            for unit in job.units.values():
+            for unit in list(job.units.values()):
                 workloads.stop_runs(owner.pool, unit)
             if job.progress_revision:
                 key = _keys.progress(owner.service, job.spec.id)
--- a/chestnuttide/node/_settings.py
+++ b/chestnuttide/node/_settings.py
@@ -47,10 +47,13 @@
         ``ip:port``.
     min_lease_ms : int
         Shortest lease that the store grants, in milliseconds.
+    value_bytes : int
+        Largest value that the store takes.
     """
 
     address: str
     min_lease_ms: int = 1000
+    value_bytes: int = 1_048_576
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -329,6 +332,7 @@
         "intake.body_bytes_per_s": settings.intake.body_bytes_per_s > 0,
         "intake.answer_s": settings.intake.answer_s > 0,
         "store.min_lease_ms": settings.store.min_lease_ms > 0,
+        "store.value_bytes": settings.store.value_bytes > 0,
         "log_lines_per_s": settings.log_lines_per_s > 0,
         "log_level": settings.log_level
         in ("debug", "info", "warning", "error"),
--- a/chestnuttide/node/_updates.py
+++ b/chestnuttide/node/_updates.py
@@ -185,7 +185,7 @@
     owner.pool.active.pop(job_id, None)
     job = owner.pool.jobs.pop(job_id, None)
     if job is not None:
-        for unit in job.units.values():
+        for unit in list(job.units.values()):
             for run in list(unit.runs):
                 workloads.drop_run(owner.pool, run)
 
--- a/chestnuttide/node/tests/test_commits.py
+++ b/chestnuttide/node/tests/test_commits.py
@@ -386,6 +386,7 @@
             _pool_fixtures.make_step(count=units),
             job_id=f"{number:016x}",
         )
+        _pool_fixtures.create_all_units(job)
         for unit in job.units.values():
             unit.last_run = 1
             unit.checkpoint = "c" * 38
--- a/chestnuttide/node/tests/test_polls.py
+++ b/chestnuttide/node/tests/test_polls.py
@@ -190,6 +190,7 @@
         for worker in pool.workers.values()
         if worker.report.id not in bed.silent
     ]
+    _pool_fixtures.create_all_units(job)
     for worker, unit in zip(workers[-busy:], job.units.values(), strict=True):
         run = _state.Run(
             job=job,
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -19,6 +19,7 @@
 from chestnuttide.workloads import _state
 from chestnuttide.workloads import _stops
 from chestnuttide.workloads import _supervision
+from chestnuttide.workloads import _units
 from chestnuttide.workloads import _waiting
 from chestnuttide.workloads import _waiting_tasks
 from chestnuttide.workloads import _worker_health
@@ -91,6 +92,7 @@
 find_stalled = _supervision.find_stalled
 has_valid_ticket = _starts.has_valid_ticket
 is_old_entry = _worker_index.is_old_entry
+is_query_open = _advisor_queries.is_open
 is_outdated_token = _fencing.is_outdated
 is_removable = _poll_replies.is_removable
 is_unsent = _starts.is_unsent
@@ -119,7 +121,7 @@
 record_query_result = _advisor_queries.record_query_result
 record_stop_answer = _stops.record_stop_answer
 refresh_run_times = _run_observations.refresh
-release_due_occurrences = _lifecycle.release_due_occurrences
+release_due_occurrences = _units.release_due_occurrences
 remove_worker = _worker_index.remove_worker
 requested_by_workspace = _state.requested_by_workspace
 remember_doubtful = _admission.remember_doubtful
@@ -206,6 +208,7 @@
     "has_valid_ticket",
     "is_old_entry",
     "is_outdated_token",
+    "is_query_open",
     "is_removable",
     "is_unsent",
     "is_usable",
--- a/chestnuttide/workloads/_advisor_queries.py
+++ b/chestnuttide/workloads/_advisor_queries.py
@@ -115,6 +115,11 @@
     return min(TICKET_MARGIN_S, advice.validity_s / 2)
 
 
+def is_open(query: AdvisorQuery) -> bool:
+    """Return whether a query's step may still need its result."""
+    return (query.occurrence, query.step) in query.job.steps
+
+
 def record_query(query: AdvisorQuery) -> None:
     """Record that an advisor query is in flight."""
     advice = query.job.advice[(query.occurrence, query.step)]
@@ -141,6 +146,8 @@
     retry_s : float
         Delay after a failure before the step is queried again, in seconds.
     """
+    if not is_open(query):
+        return
     advice = query.job.advice.setdefault(
         (query.occurrence, query.step), _state.StepAdvice()
     )
--- a/chestnuttide/workloads/_free_capacity.py
+++ b/chestnuttide/workloads/_free_capacity.py
@@ -115,6 +115,8 @@
         for this order.
     relative_run_times : dict of (str, bool) to float
         Run times on workers, see `_pace.Pace`.
+    full_records : set of str
+        Jobs of which no further task starts, because their records are full.
     starts_left : float
         Runs that may still be planned while starts wait to be sent; less than
         0 once urgent work has taken more.
@@ -138,6 +140,7 @@
     reserving_priorities: set[int] = attrs.field(factory=set)
     caps: workspaces.Round | None = None
     capped_units: set[_state.Unit] = attrs.field(factory=set)
+    full_records: set[str] = attrs.field(factory=set)
     starts_left: float = math.inf
 
 
@@ -149,9 +152,7 @@
     caps: workspaces.Round | None = None,
 ) -> CapacityView:
     """Return the free capacity at the start of a planning round."""
-    listed = [each for each in pool.workers.values() if each.listed]
-    capacity = sum(each.report.capacity.cpu_millis for each in listed)
-    used = sum(each.used.cpu_millis for each in listed)
+    used, capacity = cpu_use(pool)
     busy = used >= BUSY_SHARE * capacity
     spare = (1.0 - URGENT_RESERVE_SHARE) * capacity - used
     late = _objectives.find_late_jobs(pool, now=now)
@@ -170,6 +171,21 @@
     )
 
 
+def cpu_use(pool: _state.Pool) -> tuple[int, int]:
+    """Return the processors in use and all of the workers that are listed.
+
+    Returns
+    -------
+    int, int
+        Thousandths of a processor.
+    """
+    listed = [each for each in pool.workers.values() if each.listed]
+    return (
+        sum(each.used.cpu_millis for each in listed),
+        sum(each.report.capacity.cpu_millis for each in listed),
+    )
+
+
 def may_plan_starts(view: CapacityView, job: _state.Job) -> bool:
     """Return whether a job's runs may be planned while starts wait."""
     queue = job.spec.queue
--- a/chestnuttide/workloads/_lifecycle.py
+++ b/chestnuttide/workloads/_lifecycle.py
@@ -1,10 +1,9 @@
 """Life cycle of jobs and units, from acceptance to completion."""
 
-import collections.abc
-
 from chestnuttide.workloads import _run_observations
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
+from chestnuttide.workloads import _units
 
 # Delay before a failed unit is planned again. Without it, a worker on which
 # everything fails could use up the unit's attempts before it is quarantined.
@@ -30,76 +29,10 @@
     job = _state.Job(spec=spec, accepted_at=now)
     pool.jobs[spec.id] = job
     pool.active[spec.id] = job
-    release_due_occurrences(pool, job, now_unix_s)
+    _units.release_due_occurrences(pool, job, now_unix_s)
     return job
 
 
-def release_due_occurrences(
-    pool: _state.Pool,
-    job: _state.Job,
-    now_unix_s: float,
-    now: float | None = None,
-) -> None:
-    """Create the units of all occurrences that are due.
-
-    Parameters
-    ----------
-    pool : Pool
-        The pool.
-    job : Job
-        The job.
-    now_unix_s : float
-        Wall time.
-    now : float or None
-        Monotonic time from which the units wait; None for the time at which
-        this owner learned of the job.
-    """
-    idle_since = job.accepted_at if now is None else now
-    total = max(1, job.spec.occurrences)
-    while job.occurrences_due < total:
-        occurrence = job.occurrences_due
-        if job.spec.occurrences:
-            due = job.spec.first_due_unix_s
-            due += occurrence * job.spec.interval_s
-            if now_unix_s < due:
-                return
-        job.occurrences_due += 1
-        for number, step in enumerate(job.spec.steps):
-            for unit in _make_units(occurrence, number, step):
-                unit.idle_since = idle_since
-                _state.add_unit(job, unit)
-
-
-def _make_units(
-    occurrence: int, number: int, step: _specs.StepSpec
-) -> collections.abc.Iterator[_state.Unit]:
-    if step.gang:
-        yield _state.Unit(
-            key=(occurrence, number, 0), indexes=tuple(range(step.count))
-        )
-        return
-    for index in range(step.count):
-        yield _state.Unit(key=(occurrence, number, index), indexes=(index,))
-
-
-def is_step_ready(job: _state.Job, occurrence: int, number: int) -> bool:
-    """Return whether all steps that a step depends on are done."""
-    for predecessor in job.spec.steps[number].after:
-        progress = job.steps[(occurrence, predecessor)]
-        if progress.done < progress.total:
-            return False
-    return True
-
-
-def step_units(
-    job: _state.Job, occurrence: int, number: int
-) -> collections.abc.Iterator[_state.Unit]:
-    """Return the units of a step of an occurrence that is due."""
-    step = job.spec.steps[number]
-    for index in range(1 if step.gang else step.count):
-        yield job.units[(occurrence, number, index)]
-
-
 def step_of(unit: _state.Unit, job: _state.Job) -> _specs.StepSpec:
     """Return the step of a unit."""
     return job.spec.steps[unit.key[1]]
@@ -123,7 +56,8 @@
     job.ended_unix_s = now_unix_s
     _state.mark_changed(job)
     pool.active.pop(job.spec.id, None)
-    for unit in job.units.values():
+    # Dropping the last run of a unit that is done drops the unit.
+    for unit in list(job.units.values()):
         stop_runs(pool, unit)
 
 
@@ -147,6 +81,8 @@
         _state.deallocate(worker, run)
     if run in run.unit.runs:
         run.unit.runs.remove(run)
+        if run.unit.state == _state.UnitState.DONE:
+            _units.drop_done(run.job, run.unit)
 
 
 def end_run(
@@ -191,6 +127,7 @@
         _state.set_unit_state(job, unit, _state.UnitState.DONE)
         job.steps[unit.key[:2]].done_at = now
         stop_runs(pool, unit, except_number=run.number if step.gang else None)
+        _units.drop_done(job, unit)
         _complete_if_done(pool, job, now_unix_s)
         return
     if result == "failed":
@@ -221,11 +158,15 @@
 
 def _record_failure(pool: _state.Pool, run: _state.Run, *, now: float) -> None:
     unit = run.unit
+    long_running = step_of(unit, run.job).lasting
     if run.number not in unit.failed_runs:
+        if long_running:
+            # It has no limit of attempts, and may fail for weeks.
+            unit.failed_runs.clear()
         unit.failed_runs.add(run.number)
         unit.failures += 1
+    unit.avoided.intersection_update(pool.workers)
     unit.avoided.add(run.worker_key)
-    long_running = step_of(unit, run.job).lasting
     unit.not_before = now + (
         LONG_RUNNING_RETRY_DELAY_S if long_running else RETRY_DELAY_S
     )
@@ -254,5 +195,5 @@
 ) -> None:
     if job.occurrences_due < max(1, job.spec.occurrences):
         return
-    if all(each.done == each.total for each in job.steps.values()):
+    if not any(job.open_occurrences.values()):
         _end_job(pool, job, _state.JobState.COMPLETE, now_unix_s)
--- a/chestnuttide/workloads/_ordering.py
+++ b/chestnuttide/workloads/_ordering.py
@@ -41,7 +41,21 @@
         job.spec.id in view.past_worth,
         queue.priority,
         job.spec.id in view.past_objective,
-        job.accepted_at + (job.objective_s or queue.latency_objective_s),
+        _waits_since(job) + (job.objective_s or queue.latency_objective_s),
+    )
+
+
+def _waits_since(job: _state.Job) -> float:
+    """Return the time from which a job's place in its queue counts.
+
+    That of a schedule counts from the release of what waits. Its acceptance
+    may be weeks ago, and would put a backlog before all other jobs.
+    """
+    if not job.spec.occurrences:
+        return job.accepted_at
+    return min(
+        (each.idle_since for each in job.steps.values() if each.waiting),
+        default=job.accepted_at,
     )
 
 
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -18,11 +18,12 @@
 from chestnuttide.workloads import _advisor_queries
 from chestnuttide.workloads import _crashes
 from chestnuttide.workloads import _free_capacity
-from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _ordering
+from chestnuttide.workloads import _records
 from chestnuttide.workloads import _round_history
 from chestnuttide.workloads import _state
 from chestnuttide.workloads import _trials
+from chestnuttide.workloads import _units
 from chestnuttide import workspaces
 
 # Least share of the named workers that the advisor is expected to allow. A
@@ -43,6 +44,16 @@
 # because the owner itself was late.
 MAX_LATE_POLLS = 3
 
+# Units of a step that wait for a cap, beyond which planning creates no more.
+# What they need together tells other services which part of the cap is wanted.
+MAX_CAPPED_UNITS = 64
+
+# No further unit of a job is created once its progress record has this share
+# of the largest value that the store takes. Its size follows from the tasks
+# that run. Records of jobs with fewer units than LARGE_JOB_UNITS are small.
+MAX_RECORD_SHARE = 0.7
+LARGE_JOB_UNITS = 100
+
 # Workers with free capacity for a task of a step: score and worker, by key.
 _ScoredWorkers: typing.TypeAlias = dict[str, tuple[float, _state.Worker]]
 
@@ -62,8 +73,9 @@
     failed : tuple of (Job, Exception)
         Jobs that could not be planned, and why.
     put_off : Counter of str
-        Starts that this round has put off first, by reason: ``cap``, and
-        ``share`` for workspaces that are over their share.
+        Starts that this round has put off first, by reason: ``cap``,
+        ``share`` for workspaces that are over their share, and ``record``
+        for jobs whose record is full.
     """
 
     runs: tuple[_state.Run, ...]
@@ -87,9 +99,12 @@
     demand : Demand
         Requirements of each of its tasks.
     waiting : list of Unit
-        Units that are ready to start.
+        Units that are ready to start; those that placing them creates are
+        added.
     risks : dict of Unit to float
         Risks of those that start on trial.
+    uncreated : bool
+        Whether units may be created for its other tasks.
     """
 
     job: _state.Job
@@ -97,6 +112,7 @@
     demand: _free_capacity.Demand
     waiting: list[_state.Unit]
     risks: dict[_state.Unit, float]
+    uncreated: bool
 
 
 def make_plan(
@@ -154,6 +170,8 @@
             # The caller sets the job aside; the others are planned.
             failed.append((job, error))
     put_off = _record_put_off(pool, view)
+    put_off["record"] = len(view.full_records - pool.full_records)
+    pool.full_records = view.full_records
     _record_round(pool, view, runs)
     return Plan(
         runs=tuple(runs),
@@ -170,6 +188,8 @@
 ) -> None:
     """Record what reports of waiting tasks need of this round."""
     pool.rounds.planned_at = view.now
+    used, capacity = _free_capacity.cpu_use(pool)
+    pool.rounds.busy = used >= _free_capacity.BUSY_SHARE * capacity
     pool.rounds.reserved = view.reserved
     pool.rounds.holders = view.holders
     pool.rounds.spare_cpu_millis = view.spare_cpu_millis
@@ -215,19 +235,23 @@
 def _waiting_steps(
     job: _state.Job, view: _free_capacity.CapacityView
 ) -> collections.abc.Iterator[_WaitingStep]:
+    record_full = _is_record_full(view.pool, job)
+    if record_full:
+        view.full_records.add(job.spec.id)
     for key, progress in job.steps.items():
         if not progress.waiting:
             continue
-        if not _lifecycle.is_step_ready(job, *key):
+        if not _units.is_step_ready(job, *key):
             continue
         waiting = [
             unit
-            for unit in _lifecycle.step_units(job, *key)
+            for unit in _units.step_units(job, *key)
             if unit.state == _state.UnitState.WAITING
             and view.now >= unit.not_before
             and _crashes.may_start(unit)
         ]
-        if waiting:
+        uncreated = progress.created < progress.total and not record_full
+        if waiting or uncreated:
             yield _WaitingStep(
                 job=job,
                 key=key,
@@ -238,9 +262,24 @@
                     for unit in waiting
                     if unit.crashes and (risk := _crashes.trial_risk(unit))
                 },
+                uncreated=uncreated,
             )
 
 
+def _is_record_full(pool: _state.Pool, job: _state.Job) -> bool:
+    """Return whether a job's record leaves no room for further units."""
+    if len(job.units) < LARGE_JOB_UNITS:
+        return False
+    size = _records.estimate_progress_bytes(job)
+    return size > MAX_RECORD_SHARE * pool.value_bytes
+
+
+def _count_uncreated_tasks(step: _WaitingStep) -> int:
+    if not step.uncreated:
+        return 0
+    return _units.count_uncreated_tasks(step.job, *step.key)
+
+
 def _plan_step(
     view: _free_capacity.CapacityView,
     step: _WaitingStep,
@@ -275,6 +314,8 @@
         and unit not in suspects
         and unit not in view.capped_units
     )
+    if others or not view.capped_units.intersection(step.waiting):
+        others += _count_uncreated_tasks(step)
     query = None
     allowed = None
     if others:
@@ -603,14 +644,18 @@
         for worker, _ in _fitting_workers(view, step, candidates)
     )
     runs: list[_state.Run] = []
-    unplaced = 0
-    for unit in step.waiting:
+    unplaced = capped = 0
+    placeable = True
+    for unit in _units_in_turn(step, lambda: placeable):
         if not _free_capacity.may_plan_starts(view, step.job):
-            break
+            return runs, unplaced
         if not _free_capacity.is_within_cap(view, step.job, unit, step.demand):
             # It needs neither a reservation nor advice until its turn.
-            placed, waits = [], True
-        elif unit in step.risks:
+            capped += 1
+            placeable = capped < MAX_CAPPED_UNITS
+            continue
+        waits = False
+        if unit in step.risks:
             placed, waits = _place_on_trial(
                 view, step, candidates, unit, advice
             )
@@ -618,12 +663,31 @@
                 _update_score(view, step, scored, run.worker_key)
         else:
             placed = _place_unit(view, step, scored, unit, advice)
-            waits = False
+            placeable = placeable and bool(placed)
         runs.extend(placed)
         unplaced += 0 if placed or waits else len(unit.indexes)
+    if not capped:
+        unplaced += _count_uncreated_tasks(step)
     return runs, unplaced
 
 
+def _units_in_turn(
+    step: _WaitingStep, may_create: collections.abc.Callable[[], bool]
+) -> collections.abc.Iterator[_state.Unit]:
+    """Yield the waiting units of a step, and then those that it creates.
+
+    The units of a step are alike, so no more of them are created once one was
+    not placed.
+    """
+    yield from tuple(step.waiting)
+    while step.uncreated and may_create():
+        unit = _units.create_next_unit(step.job, *step.key)
+        if unit is None:
+            return
+        step.waiting.append(unit)
+        yield unit
+
+
 def _place_on_trial(
     view: _free_capacity.CapacityView,
     step: _WaitingStep,
--- a/chestnuttide/workloads/_records.py
+++ b/chestnuttide/workloads/_records.py
@@ -7,12 +7,15 @@
 from chestnuttide import errors
 from chestnuttide import model
 from chestnuttide.workloads import _crashes
-from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
+from chestnuttide.workloads import _units
 from chestnuttide.workloads import _worker_index
 
+# Records with a summary of what is done have the later version. Others stay as
+# former releases read them.
 _RECORD_VERSION = 1
+_SUMMARY_VERSION = 2
 
 _RECORD_REMEDY = "Remove it, or run the release that wrote it."
 
@@ -34,20 +37,58 @@
         for unit in job.units.values()
         if unit.last_run
     ]
-    return cbor2.dumps([_RECORD_VERSION, job.started, rows])
+    summary = _encode_summary(job)
+    if summary is None:
+        return cbor2.dumps([_RECORD_VERSION, job.started, rows])
+    return cbor2.dumps([_SUMMARY_VERSION, job.started, rows, summary])
+
+
+def _encode_summary(job: _state.Job) -> list[object] | None:
+    """Return what a record holds of units that are done and were dropped.
+
+    Returns
+    -------
+    list or None
+        The number of released occurrences, those of them that are open, and
+        the dropped units of these as rows of occurrence, step and bit mask.
+        None if no unit was dropped.
+    """
+    finished = [
+        [*key, _encode_mask(progress.finished)]
+        for key, progress in job.steps.items()
+        if progress.finished
+    ]
+    if not finished and len(job.open_occurrences) == job.occurrences_due:
+        return None
+    return [job.occurrences_due, list(job.open_occurrences), finished]
+
+
+def _encode_mask(mask: int) -> bytes:
+    return mask.to_bytes((mask.bit_length() + 7) // 8, "little")
 
 
 def estimate_progress_bytes(job: _state.Job) -> int:
     """Return roughly the size of a job's progress record, seldom too low."""
-    return 20 + sum(
-        40
-        + len(unit.checkpoint)
-        + 5 * len(unit.failed_runs)
-        + sum(10 + len(run.worker_key) for run in unit.runs)
-        + 6 * sum(run.lease_known for run in unit.runs)
-        + sum(20 + len(each.worker_key) for each in unit.crashes.values())
-        for unit in job.units.values()
-        if unit.last_run
+    summary = sum(
+        25 + progress.finished.bit_length() // 8
+        for progress in job.steps.values()
+        if progress.finished
+    )
+    if summary or len(job.open_occurrences) < job.occurrences_due:
+        summary += 10 + 9 * len(job.open_occurrences)
+    return (
+        20
+        + summary
+        + sum(
+            40
+            + len(unit.checkpoint)
+            + 5 * len(unit.failed_runs)
+            + sum(10 + len(run.worker_key) for run in unit.runs)
+            + 6 * sum(run.lease_known for run in unit.runs)
+            + sum(20 + len(each.worker_key) for each in unit.crashes.values())
+            for unit in job.units.values()
+            if unit.last_run
+        )
     )
 
 
@@ -106,10 +147,34 @@
     known_leases: list[tuple[int, int]]
 
 
-def _decode_progress(
-    spec: _specs.JobSpec, record: bytes
-) -> tuple[bool, list[_UnitRecord]]:
-    """Return whether a job has started, and the progress of its units.
+@attrs.frozen(kw_only=True, slots=True)
+class _ProgressRecord:
+    """Stored progress of a job.
+
+    Attributes
+    ----------
+    started : bool
+        Whether any task has started.
+    units : list of _UnitRecord
+        Units that have started.
+    released : int
+        Number of occurrences that were released.
+    open_occurrences : list of int
+        Those that are not done, and perhaps some that are.
+    finished : dict of (int, int) to int
+        Bit masks of the units that are done and have no `_UnitRecord`, by
+        occurrence and step.
+    """
+
+    started: bool
+    units: list[_UnitRecord]
+    released: int
+    open_occurrences: list[int]
+    finished: dict[tuple[int, int], int]
+
+
+def _decode_progress(spec: _specs.JobSpec, record: bytes) -> _ProgressRecord:
+    """Return the stored progress of a job.
 
     Raises
     ------
@@ -119,9 +184,57 @@
     with errors.decoding(
         f"The progress record of job {spec.id}", _RECORD_REMEDY
     ):
-        _, started, rows = cbor2.loads(record)
+        _, started, rows, *summary = cbor2.loads(record)
         units = [_decode_unit(spec, row) for row in rows]
-    return bool(started), units
+        # Former releases kept each unit that had started.
+        released = max((unit.key[0] + 1 for unit in units), default=0)
+        open_occurrences = list(range(released))
+        finished: dict[tuple[int, int], int] = {}
+        if summary:
+            released, open_occurrences, finished = _decode_summary(
+                spec, summary[0]
+            )
+        known = set(open_occurrences)
+        for unit in units:
+            occurrence, step, index = unit.key
+            if occurrence not in known:
+                raise ValueError(f"occurrence {occurrence} is not open")
+            if finished.get((occurrence, step), 0) >> index & 1:
+                raise ValueError(f"unit {unit.key} is finished")
+    return _ProgressRecord(
+        started=bool(started),
+        units=units,
+        released=released,
+        open_occurrences=open_occurrences,
+        finished=finished,
+    )
+
+
+def _decode_summary(
+    spec: _specs.JobSpec, summary: list[object]
+) -> tuple[int, list[int], dict[tuple[int, int], int]]:
+    released, open_occurrences, rows = _CONVERTER.structure(
+        summary, tuple[int, list[int], list[tuple[int, int, bytes]]]
+    )
+    if not 0 <= released <= max(1, spec.occurrences):
+        raise ValueError(f"{released} occurrences cannot be released")
+    for occurrence in open_occurrences:
+        if not 0 <= occurrence < released:
+            raise ValueError(f"occurrence {occurrence} is not released")
+    finished = {}
+    for occurrence, step, mask in rows:
+        if occurrence not in open_occurrences:
+            raise ValueError(f"occurrence {occurrence} is not open")
+        finished[(occurrence, step)] = value = int.from_bytes(mask, "little")
+        if value.bit_length() > _count_units(spec, step):
+            raise ValueError(f"step {step} has fewer units")
+    return released, open_occurrences, finished
+
+
+def _count_units(spec: _specs.JobSpec, step: int) -> int:
+    if not 0 <= step < len(spec.steps):
+        raise ValueError(f"there is no step {step}")
+    return 1 if spec.steps[step].gang else spec.steps[step].count
 
 
 def _decode_unit(spec: _specs.JobSpec, row: list[object]) -> _UnitRecord:
@@ -143,10 +256,7 @@
     occurrence, step, index = unit.key
     if not 0 <= occurrence < max(1, spec.occurrences):
         raise ValueError(f"there is no occurrence {occurrence}")
-    if not 0 <= step < len(spec.steps):
-        raise ValueError(f"there is no step {step}")
-    units = 1 if spec.steps[step].gang else spec.steps[step].count
-    if not 0 <= index < units:
+    if not 0 <= index < _count_units(spec, step):
         raise ValueError(f"there is no unit {index} in step {step}")
     for _, _, key in unit.runs:
         _split_worker_key(key)
@@ -183,13 +293,18 @@
     errors.ProtocolError
         If the record cannot be read; the job is unchanged.
     """
-    started, units = _decode_progress(job.spec, record)
-    job.started = started
-    if started:
+    progress = _decode_progress(job.spec, record)
+    job.started = progress.started
+    if job.started:
         job.state = job.shown_state = _state.JobState.RUNNING
-    _restore_occurrences(pool, job, units, now_unix_s)
-    for stored in units:
-        unit = job.units[stored.key]
+    _units.restore_occurrences(
+        job,
+        released=progress.released,
+        open_occurrences=progress.open_occurrences,
+        finished=progress.finished,
+    )
+    for stored in progress.units:
+        unit = _units.ensure_unit(job, stored.key)
         _state.set_unit_state(job, unit, stored.state)
         unit.last_run = stored.last_run
         unit.failed_runs = set(stored.failed_runs)
@@ -239,23 +354,8 @@
             )
             unit.runs.append(run)
             _state.allocate(worker, run)
-
-
-def _restore_occurrences(
-    pool: _state.Pool,
-    job: _state.Job,
-    units: list[_UnitRecord],
-    now_unix_s: float,
-) -> None:
-    """Create the units of all occurrences that the record contains.
-
-    The former owner's clock may have been ahead, so an occurrence in the
-    record may not be due by this owner's clock yet.
-    """
-    released = max((unit.key[0] + 1 for unit in units), default=0)
-    due_s = job.spec.first_due_unix_s
-    due_s += (released - 1) * job.spec.interval_s
-    _lifecycle.release_due_occurrences(pool, job, max(now_unix_s, due_s))
+    _units.drop_restored(job)
+    _units.release_due_occurrences(pool, job, now_unix_s)
 
 
 def _make_placeholder(key: str, lease_until: float) -> _state.Worker:
--- a/chestnuttide/workloads/_round_history.py
+++ b/chestnuttide/workloads/_round_history.py
@@ -27,6 +27,8 @@
         Jobs for which it reserved that capacity, by worker.
     spare_cpu_millis : float
         Processors that it left to work that is not urgent.
+    busy : bool
+        Whether the service is busy after it.
     starts : dict of int to Counter of int
         Tasks whose start was planned, by the second of the plan on the
         monotonic clock and the second of the job's acceptance on the wall
@@ -37,6 +39,7 @@
     reserved: dict[str, model.Resources] = attrs.field(factory=dict)
     holders: dict[str, set[str]] = attrs.field(factory=dict)
     spare_cpu_millis: float = math.inf
+    busy: bool = False
     starts: dict[int, collections.Counter[int]] = attrs.field(factory=dict)
 
 
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import functools
 import math
 import typing
 
@@ -285,14 +286,26 @@
 
 @attrs.define(kw_only=True, slots=True, eq=False)
 class StepProgress:
-    """Counts of a step's units; spares a planning round from visiting each.
+    """Units of a step in one occurrence, and their counts.
+
+    A step may state many more units than can run. Only those exist that a
+    planning round has reached and that are not done; see ``_units``.
 
     Attributes
     ----------
     total : int
         Number of units of the step.
     waiting, done : int
-        Number of units in these states.
+        Number of units in these states, also of those that do not exist.
+    units : dict of int to Unit
+        The units that exist, by index.
+    created : int
+        Number of units that were created so far, in the order of their
+        indexes.
+    finished : int
+        Bit mask of the indexes of units that were done and then dropped.
+    idle_since : float
+        Monotonic time at which this owner learned of the step.
     reserved_since : float
         Monotonic time at which full workers were first reserved for it while
         the service was not busy; 0 before.
@@ -304,6 +317,10 @@
     total: int
     waiting: int
     done: int = 0
+    units: dict[int, Unit] = attrs.field(factory=dict)
+    created: int = 0
+    finished: int = 0
+    idle_since: float = 0.0
     reserved_since: float = 0.0
     done_at: float = 0.0
 
@@ -321,12 +338,17 @@
     shown_state : JobState
         Last stored state, which callers see.
     units : dict of (int, int, int) to Unit
-        Units of the occurrences that are due.
+        Units that exist, of the open occurrences.
     steps : dict of (int, int) to StepProgress
-        Counts of units by occurrence and step; `add_unit` and
-        `set_unit_state` update them.
+        Progress of each step of the open occurrences, by occurrence and step;
+        `set_unit_state` updates the counts.
     occurrences_due : int
-        Number of occurrences whose units exist.
+        Number of occurrences that were released.
+    occurrences_held : int
+        Number of occurrences that are due and not released yet.
+    open_occurrences : dict of int to int
+        Number of units that are not done, by occurrence; those that were
+        released and are not here are done.
     advice : dict of (int, int) to StepAdvice
         Results of advisor queries by occurrence and step.
     accepted_at : float
@@ -358,6 +380,8 @@
     units: dict[UnitKey, Unit] = attrs.field(factory=dict)
     steps: dict[tuple[int, int], StepProgress] = attrs.field(factory=dict)
     occurrences_due: int = 0
+    occurrences_held: int = 0
+    open_occurrences: dict[int, int] = attrs.field(factory=dict)
     advice: dict[tuple[int, int], StepAdvice] = attrs.field(factory=dict)
     accepted_at: float = 0.0
     accepted: bool = False
@@ -371,7 +395,7 @@
     progress_revision: int = 0
     restored: bool = False
 
-    @property
+    @functools.cached_property
     def is_long_running(self) -> bool:
         """Whether it has tasks that run until it is cancelled."""
         return any(step.lasting for step in self.spec.steps)
@@ -649,6 +673,11 @@
         their workspaces.
     over_share : set of str
         Workspaces that were over their share of all capacity then.
+    value_bytes : int
+        Largest value that the store takes.
+    full_records : set of str
+        Jobs of which no further task started then, because their records
+        are nearly as large as that.
     rounds : RoundHistory
         What planning rounds have left behind, for reports.
     """
@@ -673,6 +702,8 @@
     run_times: _run_times.RunTimes | None = None
     capped_units: set[Unit] = attrs.field(factory=set)
     over_share: set[str] = attrs.field(factory=set)
+    value_bytes: int = 1_048_576
+    full_records: set[str] = attrs.field(factory=set)
     rounds: _round_history.RoundHistory = attrs.field(
         factory=_round_history.RoundHistory
     )
@@ -689,24 +720,15 @@
     job.change += 1
 
 
-def add_unit(job: Job, unit: Unit) -> None:
-    """Add a waiting unit to its job."""
-    job.units[unit.key] = unit
-    progress = job.steps.get(unit.key[:2])
-    if progress is None:
-        job.steps[unit.key[:2]] = StepProgress(total=1, waiting=1)
-    else:
-        progress.total += 1
-        progress.waiting += 1
-
-
 def set_unit_state(job: Job, unit: Unit, state: UnitState) -> None:
     """Set a unit's state and update the counts of its step."""
     progress = job.steps[unit.key[:2]]
     progress.waiting += (state == UnitState.WAITING) - (
         unit.state == UnitState.WAITING
     )
-    progress.done += (state == UnitState.DONE) - (unit.state == UnitState.DONE)
+    done = (state == UnitState.DONE) - (unit.state == UnitState.DONE)
+    progress.done += done
+    job.open_occurrences[unit.key[0]] -= done
     unit.state = state
 
 
--- a/chestnuttide/workloads/_waiting.py
+++ b/chestnuttide/workloads/_waiting.py
@@ -6,9 +6,9 @@
 import typing
 
 from chestnuttide.workloads import _crashes
-from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _planning
 from chestnuttide.workloads import _state
+from chestnuttide.workloads import _units
 
 
 class WaitReason(enum.StrEnum):
@@ -18,8 +18,10 @@
     task may start, VERDICT the confirmation that its workers have crashed, CAP
     room under the part of its workspace's cap that the service holds, SHARE
     its turn after workspaces that are not over their share, DELAY the end of
-    its pause after a failure, and CAPACITY free capacity or its turn in the
-    next planning round. Tasks are counted by these, the `COUNTED_REASONS`.
+    its pause after a failure, CAPACITY free capacity or its turn in the next
+    planning round, and BACKLOG earlier occurrences of its job, or the end of
+    some of the many tasks of its job that run. Tasks are counted by these,
+    the `COUNTED_REASONS`.
 
     For a single task, `_waiting_tasks` tells more: TICKET is a ticket of a
     worker that is allowed, LENT a part of the cap that is held by a service
@@ -38,6 +40,7 @@
     SHARE = "share"
     DELAY = "delay"
     CAPACITY = "capacity"
+    BACKLOG = "backlog"
     TICKET = "ticket"
     LENT = "lent"
     WORKER = "worker"
@@ -58,6 +61,7 @@
     WaitReason.SHARE,
     WaitReason.DELAY,
     WaitReason.CAPACITY,
+    WaitReason.BACKLOG,
 )
 
 
@@ -113,14 +117,14 @@
     for key, progress in job.steps.items():
         if not progress.waiting:
             continue
-        if not _lifecycle.is_step_ready(job, *key):
+        if not _units.is_step_ready(job, *key):
             continue
         other = WaitReason.CAPACITY
         if not _has_ticket(job, key, usable, now):
             other = WaitReason.ADVICE
         elif job.spec.workspace in pool.over_share:
             other = WaitReason.SHARE
-        for unit in _lifecycle.step_units(job, *key):
+        for unit in _units.step_units(job, *key):
             if unit.state == _state.UnitState.WAITING:
                 reason = _crash_reason(unit) or other
                 if unit.not_before > now and reason == other:
@@ -128,6 +132,13 @@
                 if unit in pool.capped_units:
                     reason = WaitReason.CAP
                 counts[reason] += len(unit.indexes)
+        uncreated = _units.count_uncreated_tasks(job, *key)
+        if uncreated:
+            full = job.spec.id in pool.full_records
+            counts[WaitReason.BACKLOG if full else other] += uncreated
+    if job.occurrences_held:
+        tasks = sum(step.count for step in job.spec.steps)
+        counts[WaitReason.BACKLOG] += job.occurrences_held * tasks
     return counts
 
 
--- a/chestnuttide/workloads/_waiting_tasks.py
+++ b/chestnuttide/workloads/_waiting_tasks.py
@@ -19,6 +19,7 @@
 from chestnuttide.workloads import _round_history
 from chestnuttide.workloads import _specs
 from chestnuttide.workloads import _state
+from chestnuttide.workloads import _units
 from chestnuttide.workloads import _waiting
 
 # Wait after which a task that does not last is reported. The platform treats
@@ -153,9 +154,32 @@
 
 
 def _take_longest(idle: list[_Idle]) -> list[_Idle]:
+    longest = _order(idle)
+    return _order([*longest, *_create_alike(longest)])
+
+
+def _order(idle: list[_Idle]) -> list[_Idle]:
     return heapq.nsmallest(MAX_REPORTED, idle, key=lambda each: each.since)
 
 
+def _create_alike(longest: list[_Idle]) -> list[_Idle]:
+    """Create units that have waited for as long as others of their steps."""
+    # Units without a run so far have all waited since their step was ready.
+    steps = {
+        (each.job.spec.id, *each.unit.key[:2]): each
+        for each in longest
+        if not each.unit.last_run
+    }
+    created = []
+    for (_, *key), idle in steps.items():
+        while len(idle.job.steps[tuple(key)].units) < MAX_REPORTED:
+            unit = _units.create_next_unit(idle.job, *key)
+            if unit is None:
+                break
+            created.append(attrs.evolve(idle, unit=unit))
+    return created
+
+
 def _list_idle(
     pool: _state.Pool, jobs: collections.abc.Iterable[_state.Job], now: float
 ) -> collections.abc.Iterator[_Idle]:
@@ -163,7 +187,7 @@
         for key, progress in job.steps.items():
             if progress.done == progress.total:
                 continue
-            if not _lifecycle.is_step_ready(job, *key):
+            if not _units.is_step_ready(job, *key):
                 continue
             ready_at = max(
                 (
@@ -172,7 +196,7 @@
                 ),
                 default=0.0,
             )
-            for unit in _lifecycle.step_units(job, *key):
+            for unit in _units.step_units(job, *key):
                 since = _find_idle_since(pool, unit)
                 if since is not None:
                     since = min(now, max(since, ready_at))
--- a/chestnuttide/workloads/tests/_pool_fixtures.py
+++ b/chestnuttide/workloads/tests/_pool_fixtures.py
@@ -4,6 +4,7 @@
 
 from chestnuttide import model
 from chestnuttide import workloads
+from chestnuttide.workloads import _units
 
 LEASE_S = 2.5
 FENCING_TOKEN = 7
@@ -115,6 +116,13 @@
     return job
 
 
+def create_all_units(job: workloads.Job) -> None:
+    """Create the units that planning would only create when it places them."""
+    for key in job.steps:
+        while _units.create_next_unit(job, *key) is not None:
+            pass
+
+
 def start_all(
     pool: workloads.Pool, *, now: float = 0.1
 ) -> list[workloads.Run]:
--- a/chestnuttide/workloads/tests/test_properties.py
+++ b/chestnuttide/workloads/tests/test_properties.py
@@ -22,7 +22,8 @@
             "filler": filler,
             "spread_limit": limit,
         },
-        strategies.integers(1, 4),
+        # The units of larger steps are created and dropped while they run.
+        strategies.sampled_from((1, 2, 3, 4, 150)),
         strategies.sampled_from((500, 1500, 4000)),
         strategies.booleans(),
         strategies.booleans(),
@@ -41,9 +42,18 @@
                 for unit in job.units.values()
                 if unit.key[:2] == key
             )
-            assert progress.waiting == states[workloads.UnitState.WAITING]
-            assert progress.done == states[workloads.UnitState.DONE]
-            assert progress.total == states.total()
+            uncreated = progress.total - progress.created
+            dropped = progress.finished.bit_count()
+            waiting = states[workloads.UnitState.WAITING] + uncreated
+            assert progress.waiting == waiting
+            assert progress.done == states[workloads.UnitState.DONE] + dropped
+            assert progress.total == states.total() + uncreated + dropped
+        for occurrence, left in job.open_occurrences.items():
+            assert left == sum(
+                progress.total - progress.done
+                for key, progress in job.steps.items()
+                if key[0] == occurrence
+            )
     for worker in pool.workers.values():
         runs = list(worker.runs.values())
         steps = [workloads.step_of(run.unit, run.job) for run in runs]
