--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,6 +9,7 @@
 from bench import _control_cost
 from bench import _decisions
 from bench import _figures
+from bench import _job_bounds
 from bench import _plan_round
 from bench import _policies
 from bench import _request_path
@@ -22,6 +23,7 @@
     "policies": _policies.measure,
     "decisions": _decisions.measure,
     "plan_round": _plan_round.measure,
+    "job_bounds": _job_bounds.measure,
 }
 
 
