Poll a worker before a task that lasts starts there

Cause: the poll of an idle worker waits there for 2 s, so that a start was sent to a worker that had been gone for as long. Such a start may be executed until its ticket expires, in an incarnation that nobody knows, which then grants its longest lease of 6 or 10 s. Then the task was suspected of the crash, and waited for the tickets of a trial. The lease's end was noticed up to 1 s late.

Change: before a task that lasts starts, its worker answers a poll sent after its ticket was received; the start goes elsewhere otherwise. The ticket is then valid in no later incarnation, so an unanswered start costs the lease that it requested, 2.65 s. Tickets for such tasks are requested before the lease of their silent worker ends, whose end the supervision notices within 0.1 s. The record of a task that lasts names its lease as known at once.

--- a/chestnuttide/node/_advisor_queries.py
+++ b/chestnuttide/node/_advisor_queries.py
@@ -174,8 +174,9 @@
         workers=len(workers),
         good=-1 if tickets is None else len(tickets),
     )
+    now = _clock.now()
     workloads.record_query_result(
-        query, tickets, now=_clock.now() - age_s, retry_s=RETRY_S
+        query, tickets, now=now - age_s, retry_s=RETRY_S, received_at=now
     )
     owner.plan_requested.set()
     _start_waiting_queries(owner)
--- a/chestnuttide/node/_owner.py
+++ b/chestnuttide/node/_owner.py
@@ -15,6 +15,7 @@
 from chestnuttide.node import _handover
 from chestnuttide.node import _keys
 from chestnuttide.node import _ownership
+from chestnuttide.node import _polls
 from chestnuttide.node import _release
 from chestnuttide.node import _run_time_snapshots
 from chestnuttide.node import _set_aside
@@ -205,6 +206,7 @@
     parts: dict[str, collections.abc.Callable[[], None]] = {
         "priorities": lambda: _update_top_priority(owner),
         "occurrences": lambda: _release_occurrences(owner, now, unix_time),
+        "silent workers": lambda: _polls.expire_silent_leases(owner),
         "stalled runs": lambda: _stop_stalled_runs(owner, now),
         "deadly tasks": lambda: _give_up_deadly_tasks(owner, now, unix_time),
         "run times": lambda: _run_time_snapshots.supervise(owner, now),
--- a/chestnuttide/node/_polls.py
+++ b/chestnuttide/node/_polls.py
@@ -116,6 +116,12 @@
     owner: _ownership.Ownership, worker: workloads.Worker
 ) -> None:
     """Count a failed poll, and pause before the next one."""
+    count_failure(worker)
+    await asyncio.sleep(_poll_pacing.retry_pause_s(worker.failed_polls))
+
+
+def count_failure(worker: workloads.Worker) -> None:
+    """Count a failed poll; the worker gets no new runs until it replies."""
     worker.failed_polls += 1
     if worker.failed_polls == 1:
         LOG.warning(
@@ -123,7 +129,6 @@
             worker=worker.key,
             runs=len(worker.runs),
         )
-    await asyncio.sleep(_poll_pacing.retry_pause_s(worker.failed_polls))
 
 
 async def _try_poll(
@@ -343,6 +348,16 @@
     _commands.send_due_stops(owner, worker)
 
 
+def expire_silent_leases(owner: _ownership.Ownership) -> None:
+    """End the runs of silent workers whose leases have expired.
+
+    The poll loop of such a worker gets there only after a timeout and a pause.
+    """
+    for worker in list(owner.pool.workers.values()):
+        if worker.failed_polls:
+            _expire_runs(owner, worker)
+
+
 def _expire_runs(
     owner: _ownership.Ownership, worker: workloads.Worker
 ) -> None:
--- a/chestnuttide/node/_start_window.py
+++ b/chestnuttide/node/_start_window.py
@@ -102,6 +102,8 @@
         Starts in flight, by worker incarnation.
     waiting : dict of Run to WaitingStart
         Starts that wait.
+    confirming : set of Run
+        Runs whose worker is polled before their start waits again.
     shrunk_at : float
         Monotonic time at which the window last shrank.
     latency_s : float
@@ -120,6 +122,7 @@
         factory=collections.Counter
     )
     waiting: dict[workloads.Run, WaitingStart] = attrs.field(factory=dict)
+    confirming: set[workloads.Run] = attrs.field(factory=set)
     shrunk_at: float = 0.0
     latency_s: float = 0.0
     silent: dict[str, float] = attrs.field(factory=dict)
@@ -138,7 +141,7 @@
 
 def add(window: StartWindow, run: workloads.Run, *, now: float) -> None:
     """Let a start wait for its turn, unless it waits already."""
-    if run in window.waiting:
+    if run in window.waiting or run in window.confirming:
         return
     window._last_turn += 1
     turn = (
--- a/chestnuttide/node/_starts.py
+++ b/chestnuttide/node/_starts.py
@@ -71,6 +71,10 @@
     if reason:
         _plan_anew(owner, run, reason)
         return
+    if workloads.needs_confirmation(owner.pool, run, now=now):
+        owner.starts.confirming.add(run)
+        _ownership.start_command(owner, _confirm_worker(owner, run))
+        return
     worker = workloads.begin_start(owner.pool, run, now=now)
     if worker is None:
         _commands.end_run(owner, run, "never")
@@ -79,6 +83,32 @@
     _ownership.start_command(owner, _start(owner, worker, run))
 
 
+async def _confirm_worker(
+    owner: _ownership.Ownership, run: workloads.Run
+) -> None:
+    """Poll a run's worker, and let the start wait again if it replies."""
+    worker = owner.pool.workers.get(run.worker_key)
+    outcome = _polls.Outcome.FAULT
+    try:
+        if worker is not None:
+            outcome = await _polls.poll_worker(owner, worker, wait_s=0.0)
+    except Exception:
+        owner.set_aside.count("poll")
+        LOG.exception("Poll has failed.", worker=run.worker_key)
+    finally:
+        owner.starts.confirming.discard(run)
+    if owner.deposed.is_set() or not workloads.is_unsent(run):
+        return
+    if outcome == _polls.Outcome.REPLY:
+        _start_window.add(owner.starts, run, now=_clock.now())
+        send_waiting_starts(owner)
+        return
+    if outcome in (_polls.Outcome.SILENT, _polls.Outcome.BROKEN):
+        _polls.count_failure(worker)
+    _plan_anew(owner, run, "unconfirmed_worker")
+    owner.plan_requested.set()
+
+
 def supervise(owner: _ownership.Ownership) -> None:
     """Plan the starts anew that can no longer be sent, and send others."""
     now = _clock.now()
--- a/chestnuttide/node/tests/_restart_bed.py
+++ b/chestnuttide/node/tests/_restart_bed.py
@@ -59,12 +59,15 @@
         Ids of the workers whose entries the store has.
     loops : set of Task
         The loops of the owners and of the workers' entries.
+    disallowed : set of str
+        Ids of the workers for which the advisor gives no tickets.
     """
 
     world: _restarting_worker.World
     owner: _ownership.Ownership
     listed: set[str] = attrs.field(factory=set)
     loops: set[asyncio.Task[None]] = attrs.field(factory=set)
+    disallowed: set[str] = attrs.field(factory=set)
 
 
 def _make_owner(world: _restarting_worker.World) -> _ownership.Ownership:
@@ -134,6 +137,7 @@
         for query in plan.queries:
             workloads.record_query(query)
             start_loop(bed, _query_advisor(bed, query))
+        _polls.expire_silent_leases(owner)
         _starts.supervise(owner)
         workloads.settle_crashes(owner.pool, now=now, now_unix_s=now)
         for worker in owner.pool.workers.values():
@@ -150,6 +154,7 @@
             bed.world, bed.world.workers[worker.report.id], step
         )
         for worker in query.workers
+        if worker.report.id not in bed.disallowed
     }
     workloads.record_query_result(
         query, tickets, now=bed.world.loop.time(), retry_s=0.2
@@ -177,21 +182,24 @@
     duration_s: float,
     *,
     validity_s: float | None = None,
+    advice: workloads.Advice | None = None,
+    lasting: bool = False,
 ) -> str:
     """Submit a job of one task, and return the task's name.
 
-    Its queue has advice if its tickets have a validity.
+    Its queue has advice if its tickets have a validity, or as given.
     """
-    advice = None
     if validity_s is not None:
         advice = workloads.Advice(
             decide_s=0.02, per_worker_s=0.0, validity_s=validity_s
         )
     spec = _pool_fixtures.make_spec(
-        _pool_fixtures.make_step(), job_id=f"{number:016x}", advice=advice
+        _pool_fixtures.make_step(lasting=lasting),
+        job_id=f"{number:016x}",
+        advice=advice,
     )
-    if validity_s is not None:
-        bed.world.validity_s[f"{spec.id}.0.0"] = validity_s
+    if advice is not None:
+        bed.world.validity_s[f"{spec.id}.0.0"] = advice.validity_s
     key = _keys.job(bed.owner.service, spec.id)
     _restarting_worker.put(bed.world, key, workloads.encode_job(spec))
     _updates.apply_job(bed.owner, bed.world.items[key])
@@ -284,14 +292,21 @@
     scenario: collections.abc.Callable[
         [Bed], collections.abc.Coroutine[None, None, None]
     ],
+    *,
+    to_the_end: bool = True,
     **fields: object,
 ) -> None:
-    """Run a scenario and check what the workers saw."""
+    """Run a scenario and check what the workers saw.
+
+    Tasks that last have no end to wait for.
+    """
 
     async def main(loop: _virtual_time.VirtualLoop) -> None:
         bed = _make_bed(loop, monkeypatch, **fields)
         await scenario(bed)
-        await _check_to_the_end(bed)
+        if to_the_end:
+            await _check_to_the_end(bed)
+        assert not _restarting_worker.find_faults(bed.world)
 
     _virtual_time.run(monkeypatch, main)
 
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -107,6 +107,7 @@
 listed_capacity = _state.listed_capacity
 longest_lasting_wait_s = _waiting_tasks.longest_lasting_wait_s
 make_plan = _planning.make_plan
+needs_confirmation = _starts.needs_confirmation
 may_send_start = _starts.may_send_start
 overall_run_time_errors = _run_time_rows.overall_errors
 poll_lease_deadline_ms = _poll_replies.poll_lease_deadline_ms
@@ -223,6 +224,7 @@
     "longest_lasting_wait_s",
     "make_plan",
     "may_send_start",
+    "needs_confirmation",
     "overall_run_time_errors",
     "poll_lease_deadline_ms",
     "observe_admissions",
--- a/chestnuttide/workloads/_advisor_queries.py
+++ b/chestnuttide/workloads/_advisor_queries.py
@@ -132,6 +132,7 @@
     *,
     now: float,
     retry_s: float,
+    received_at: float | None = None,
 ) -> None:
     """Record the result of an advisor query.
 
@@ -145,6 +146,9 @@
         Monotonic time of the result; tickets are valid from then on.
     retry_s : float
         Delay after a failure before the step is queried again, in seconds.
+    received_at : float or None
+        Monotonic time at which the tickets had certainly been issued; None
+        for `now`.
     """
     if not is_open(query):
         return
@@ -164,3 +168,6 @@
         advice.allowed[worker.key] = ticket is not None
         if ticket is not None:
             advice.tickets[worker.key] = (ticket, usable_until)
+            advice.received_at[worker.key] = (
+                now if received_at is None else received_at
+            )
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -18,7 +18,9 @@
 from chestnuttide.workloads import _advisor_queries
 from chestnuttide.workloads import _crashes
 from chestnuttide.workloads import _free_capacity
+from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _ordering
+from chestnuttide.workloads import _poll_replies
 from chestnuttide.workloads import _records
 from chestnuttide.workloads import _round_history
 from chestnuttide.workloads import _state
@@ -54,6 +56,10 @@
 MAX_RECORD_SHARE = 0.7
 LARGE_JOB_UNITS = 100
 
+# How long before the end of a silent worker's lease the tickets for its tasks
+# should be there.
+TICKET_LEAD_S = 0.2
+
 # Workers with free capacity for a task of a step: score and worker, by key.
 _ScoredWorkers: typing.TypeAlias = dict[str, tuple[float, _state.Worker]]
 
@@ -169,6 +175,14 @@
         except Exception as error:
             # The caller sets the job aside; the others are planned.
             failed.append((job, error))
+    for step, end in _lapsing_steps(view):
+        try:
+            query = _query_ahead(view, step, end, query_limit=query_limit)
+        except Exception as error:
+            failed.append((step.job, error))
+            continue
+        if query is not None:
+            queries.append(query)
     put_off = _record_put_off(pool, view)
     put_off["record"] = len(view.full_records - pool.full_records)
     pool.full_records = view.full_records
@@ -333,6 +347,86 @@
     return runs, query
 
 
+def _lapsing_steps(
+    view: _free_capacity.CapacityView,
+) -> collections.abc.Iterator[tuple[_WaitingStep, float]]:
+    """Yield steps that last with runs whose silent worker's lease ends soon.
+
+    Yields
+    ------
+    _WaitingStep, float
+        The step with the units of these runs, and the monotonic time at which
+        the first of them may start again.
+    """
+    units: dict[tuple[str, int, int], list[_state.Unit]] = {}
+    ends: dict[tuple[str, int, int], float] = {}
+    for worker in view.pool.workers.values():
+        if not worker.failed_polls:
+            continue
+        for run in worker.runs.values():
+            policy = run.job.spec.queue.advice
+            if (
+                policy is None
+                or run.phase == _state.Phase.PLANNED
+                or run.stopping
+                or not _lifecycle.step_of(run.unit, run.job).lasting
+                or not _crashes.may_start(run.unit)
+            ):
+                continue
+            query_s = _advisor_queries.call_duration_s(
+                policy, _advisor_queries.max_workers(policy)
+            )
+            end = _poll_replies.lease_end(worker, run)
+            if end - view.now <= query_s + TICKET_LEAD_S:
+                key = (run.job.spec.id, *run.unit.key[:2])
+                units.setdefault(key, []).append(run.unit)
+                ends[key] = min(end, ends.get(key, math.inf))
+    for (job_id, *step_key), lapsing in units.items():
+        job = lapsing[0].runs[0].job
+        key = tuple(step_key)
+        yield (
+            _WaitingStep(
+                job=job,
+                key=key,
+                demand=_free_capacity.make_demand(view, job, key),
+                waiting=lapsing,
+                risks={},
+                uncreated=False,
+            ),
+            ends[(job_id, *key)],
+        )
+
+
+def _query_ahead(
+    view: _free_capacity.CapacityView,
+    step: _WaitingStep,
+    end: float,
+    *,
+    query_limit: _advisor_queries.QueryLimit | None,
+) -> _advisor_queries.AdvisorQuery | None:
+    """Return a query for units that can start again soon, on trial.
+
+    They would wait for it once the lease of their worker has ended.
+    """
+    advice = step.job.advice.setdefault(step.key, _state.StepAdvice())
+    policy = step.job.spec.queue.advice
+    if (
+        advice.in_flight
+        or view.now < advice.retry_at
+        or not _advisor_queries.may_query(query_limit, policy)
+        or any(
+            _has_ticket(advice, each, end) for each in view.workers.values()
+        )
+    ):
+        return None
+    query = _query_for_trial(
+        view, step, advice, dict.fromkeys(step.waiting, 1.0)
+    )
+    if query is not None:
+        _advisor_queries.count_query(query_limit, policy)
+    return query
+
+
 def _eligible_workers(
     view: _free_capacity.CapacityView,
     step: _WaitingStep,
--- a/chestnuttide/workloads/_poll_replies.py
+++ b/chestnuttide/workloads/_poll_replies.py
@@ -27,7 +27,8 @@
 LATE_CALL_S = 15.0
 
 # A run that is listed for this long gets into its job's record as one whose
-# lease is known. Most runs are shorter and cost no further write.
+# lease is known. Most runs are shorter and cost no further write; those of
+# tasks that last are not, and get into it at once.
 LEASE_RECORD_S = 4.0
 
 
@@ -296,6 +297,7 @@
     if not worker.last_reply_at:
         _inherit_lease(pool, worker, now)
     worker.last_reply_at = now
+    worker.answered_poll_at = max(worker.answered_poll_at, reply.sent_at)
     worker.awaits_job = False
     worker.lists_completions = bool(reply.ended)
     worker.more_completions = reply.more_ended
@@ -407,9 +409,10 @@
         _state.prove_run(worker, run)
     if row.checkpoint and row.checkpoint != run.checkpoint:
         run.checkpoint = row.checkpoint
+    lasting = _lifecycle.step_of(run.unit, run.job).lasting
     if (
         not run.lease_known
-        and listed_s >= LEASE_RECORD_S
+        and (lasting or listed_s >= LEASE_RECORD_S)
         and now >= worker.inherited_lease_until
     ):
         run.lease_known = True
--- a/chestnuttide/workloads/_starts.py
+++ b/chestnuttide/workloads/_starts.py
@@ -1,7 +1,10 @@
 """Start commands of runs: their leases, and whether one may still be sent."""
 
+import math
+
 from chestnuttide import model
 from chestnuttide.workloads import _advisor_queries
+from chestnuttide.workloads import _lifecycle
 from chestnuttide.workloads import _poll_replies
 from chestnuttide.workloads import _state
 
@@ -9,6 +12,10 @@
 # longer take effect.
 START_LEASE_S = 2.5
 
+# Without a ticket, a worker is confirmed by a reply to a poll that was sent
+# within this time.
+CONFIRMATION_S = 0.5
+
 
 def begin_start(
     pool: _state.Pool, run: _state.Run, *, now: float
@@ -37,9 +44,46 @@
     _poll_replies.record_lease(worker, run.deadline_ms, now=now)
     run.phase = _state.Phase.START_SENT
     run.start_sent_at = now
+    # Other tasks would only be tried sooner, on further workers that are about
+    # to fall silent, and be given up as the cause of their crashes.
+    lasting = _lifecycle.step_of(run.unit, run.job).lasting
+    run.located = lasting and _is_ticket_confirmed(worker, run)
     return worker
 
 
+def needs_confirmation(
+    pool: _state.Pool, run: _state.Run, *, now: float
+) -> bool:
+    """Return whether a run's worker should answer a poll before the start.
+
+    An idle worker may have been silent for as long as a poll waits there. A
+    task that lasts would then wait for the time in which its start may still
+    be executed, and for the longest lease after that. A ticket that was issued
+    before a reply is valid in no later incarnation, which spares most of that
+    wait if the worker falls silent after all.
+    """
+    worker = pool.workers.get(run.worker_key)
+    if worker is None or not _lifecycle.step_of(run.unit, run.job).lasting:
+        return False
+    if run.ticket:
+        return not _is_ticket_confirmed(worker, run)
+    return now - worker.answered_poll_at > CONFIRMATION_S
+
+
+def _is_ticket_confirmed(worker: _state.Worker, run: _state.Run) -> bool:
+    """Return whether a run's ticket is valid in no later incarnation.
+
+    A ticket is valid in the incarnation that lives when it is issued. One that
+    has answered a poll sent after that lived then, or began later.
+    """
+    advice = run.job.advice.get(run.unit.key[:2])
+    if not run.ticket or advice is None:
+        return False
+    ticket, _ = advice.tickets.get(worker.key, ("", 0.0))
+    issued_by = advice.received_at.get(worker.key, math.inf)
+    return ticket == run.ticket and worker.answered_poll_at >= issued_by
+
+
 def _fits(worker: _state.Worker, need: model.Resources) -> bool:
     """Return whether a worker has the capacity allocated for a planned run.
 
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -99,9 +99,11 @@
     listed : bool
         Whether a poll reply of its worker incarnation has listed it.
     located : bool
-        Whether its worker incarnation is known to have started it. Before
-        that, a later incarnation of the same id may have, whose lease is not
-        known unless the clock of its answer bounds it.
+        Whether no later incarnation than its worker can have started it:
+        because a reply has listed it, or because its task lasts and its ticket
+        was issued before the worker's latest reply. Otherwise a later
+        incarnation of the same id may have, whose lease is not known unless
+        the clock of its answer bounds it.
     unanswered : bool
         Whether its start was sent and had no answer that this owner knows
         of. The worker may execute such a start seconds later, also in a later
@@ -270,6 +272,8 @@
     tickets : dict of str to (str, float)
         Ticket and the monotonic time until which starts may use it, by
         worker incarnation.
+    received_at : dict of str to float
+        Monotonic time at which the ticket was received, by worker incarnation.
     allowed : dict of str to bool
         Whether a worker incarnation may run the step; does not change.
     in_flight : set of str
@@ -279,6 +283,7 @@
     """
 
     tickets: dict[str, tuple[str, float]] = attrs.field(factory=dict)
+    received_at: dict[str, float] = attrs.field(factory=dict)
     allowed: dict[str, bool] = attrs.field(factory=dict)
     in_flight: set[str] = attrs.field(factory=set)
     retry_at: float = 0.0
@@ -454,6 +459,8 @@
     last_reply_at : float
         Monotonic time of the last poll reply to this owner; 0 before the
         first.
+    answered_poll_at : float
+        Monotonic time at which the latest poll that it answered was sent.
     clock_ms, clock_at : int, float or None
         Reading of the worker's clock, and its monotonic time; `clock_at` is
         None before the first reading.
@@ -531,6 +538,7 @@
     kept_free_until: float = 0.0
     fencing_token: int = 0
     last_reply_at: float = 0.0
+    answered_poll_at: float = 0.0
     clock_ms: int = 0
     clock_at: float | None = None
     lease_until: float = 0.0
