Pause a worker that refuses starts as unhealthy

Cause: a refused start counted neither against its worker nor for its task. The worker stayed the emptiest, which tasks that last and small urgent ones prefer.

Change: a worker that refuses a start with 429 or 503 gets no new runs for 0.5 s, doubled with each further refusal up to 2 s, until it accepts one. The task is planned again after 0.25 s and goes elsewhere.

--- a/chestnuttide/node/_starts.py
+++ b/chestnuttide/node/_starts.py
@@ -18,6 +18,9 @@
 # A start that fails after this time was too late, and was not refused.
 TIMED_OUT_S = 0.9 * _commands.COMMAND_TIMEOUT_S
 
+# Answers of an unhealthy worker, which has done nothing then.
+REFUSALS = (429, 503)
+
 # An owner that is behind waits for this long for the polls in progress to list
 # a run whose start was not answered. It is less than the time after which a
 # stop is sent again, so that the supervision sends none of its own.
@@ -348,6 +351,7 @@
         workloads.record_clock(worker, reply.clock_ms, now)
     if reply.status == 200:
         first = not run.job.started
+        worker.refusals = 0
         workloads.confirm_start(run, now=now, clock_ms=reply.clock_ms)
         if run.on_trial:
             _ownership.start_command(owner, _end_trial(owner, worker, run))
@@ -382,6 +386,8 @@
         )
         if known and known == run.ticket:
             del step.tickets[worker.key]
+    if reply.status in REFUSALS:
+        workloads.record_refusal(worker, now=now)
     if reply.reason == "room":
         run.unit.avoided.add(worker.key)
     # A new owner settles the run; its own call may have started it.
--- a/chestnuttide/node/tests/_restarting_worker.py
+++ b/chestnuttide/node/tests/_restarting_worker.py
@@ -36,10 +36,13 @@
     delay_s : float
         Time after which a call without an answer is executed, by whichever
         incarnation then lives at the address; infinite for never.
+    status : int
+        Status with which it is refused, without any effect; 200 for none.
     """
 
     answered: bool = True
     delay_s: float = 0.0
+    status: int = 200
 
 
 ANSWERED = Fate()
@@ -535,6 +538,10 @@
             return None
         await asyncio.sleep(max(STEP_S, min(worker.cut_until, due_at) - now))
     life = worker.life
+    if fate.status != 200:
+        return platform.CommandReply(
+            status=fate.status, clock_ms=read_clock_ms(world, life)
+        )
     if _is_undecidable(world, life, kind, call):
         return None
     status, reason = _execute(world, worker, life, kind, call)
--- a/chestnuttide/node/tests/test_lasting_waits.py
+++ b/chestnuttide/node/tests/test_lasting_waits.py
@@ -69,6 +69,22 @@
     await _restart_bed.take_over(bed, stopped=False)
 
 
+async def _refuse_starts(bed: _restart_bed.Bed, task: str) -> None:
+    assert await _restart_bed.until(lambda: _planned_worker(bed), 5.0)
+    refusing = _planned_worker(bed)
+
+    def fate(
+        kind: str,
+        worker: _restarting_worker.Worker,
+        call: dict[str, object],
+    ) -> _restarting_worker.Fate:
+        if kind == "start" and worker is refusing:
+            return _restarting_worker.Fate(status=503)
+        return _restarting_worker.ANSWERED
+
+    bed.world.fate = fate
+
+
 @WORKERS
 @pytest.mark.parametrize(
     "inject",
@@ -77,6 +93,7 @@
         pytest.param(_lose_before_answer, id="lost-before-the-answer"),
         pytest.param(_lose_later, id="lost-while-it-runs"),
         pytest.param(_lose_with_owner, id="lost-with-the-owner"),
+        pytest.param(_refuse_starts, id="refuses-starts"),
     ],
 )
 def test_a_task_that_lasts_runs_within_the_rule(
--- a/chestnuttide/workloads/__init__.py
+++ b/chestnuttide/workloads/__init__.py
@@ -118,6 +118,7 @@
 record_lease = _poll_replies.record_lease
 record_sent_lease = _poll_replies.record_sent_lease
 record_unanswered_start = _poll_replies.record_unanswered_start
+record_refusal = _starts.record_refusal
 record_query = _advisor_queries.record_query
 record_query_result = _advisor_queries.record_query_result
 record_stop_answer = _stops.record_stop_answer
@@ -234,6 +235,7 @@
     "record_lease",
     "record_sent_lease",
     "record_query",
+    "record_refusal",
     "record_query_result",
     "record_stop_answer",
     "record_unanswered_start",
--- a/chestnuttide/workloads/_planning.py
+++ b/chestnuttide/workloads/_planning.py
@@ -243,6 +243,7 @@
         # Its runs have lapsed in silence, and it has not answered since.
         and not worker.lost_at
         and now >= worker.quarantined_until
+        and now >= worker.refuses_until
     )
 
 
--- a/chestnuttide/workloads/_starts.py
+++ b/chestnuttide/workloads/_starts.py
@@ -16,6 +16,12 @@
 # within this time.
 CONFIRMATION_S = 0.5
 
+# Pause of a worker after it has refused a start as unhealthy, doubled with
+# each further one. Its task is planned again after half of the first pause,
+# and then has to go elsewhere.
+REFUSAL_PAUSE_S = 0.5
+MAX_REFUSAL_PAUSE_S = 2.0
+
 
 def begin_start(
     pool: _state.Pool, run: _state.Run, *, now: float
@@ -120,6 +126,19 @@
     return True
 
 
+def record_refusal(worker: _state.Worker, *, now: float) -> None:
+    """Pause a worker that has refused a start as unhealthy.
+
+    It stays empty, so that it would get the same task again and again.
+    """
+    worker.refusals += 1
+    # The exponent is bounded, as a worker may refuse starts for days.
+    doublings = min(worker.refusals - 1, 10)
+    worker.refuses_until = now + min(
+        MAX_REFUSAL_PAUSE_S, REFUSAL_PAUSE_S * 2**doublings
+    )
+
+
 def is_unsent(run: _state.Run) -> bool:
     """Return whether a recorded run still exists and was not sent yet.
 
--- a/chestnuttide/workloads/_state.py
+++ b/chestnuttide/workloads/_state.py
@@ -519,6 +519,11 @@
     lost_at : float
         Monotonic time at which its runs were ended because it was silent; 0
         while it answers.
+    refusals : int
+        Starts that it has refused as unhealthy since it last accepted one.
+    refuses_until : float
+        Monotonic time before which no new run is placed on it because of
+        these.
     penalty : float
         Penalty of its placement score, because it is slower or fails more
         runs than its like; see ``_worker_health``.
@@ -566,6 +571,8 @@
     known_since: float = 0.0
     broken_at: float = 0.0
     lost_at: float = 0.0
+    refusals: int = 0
+    refuses_until: float = 0.0
     penalty: float = 0.0
 
 
