--- a/chestnuttide/node/_advisor_queries.py
+++ b/chestnuttide/node/_advisor_queries.py
@@ -142,6 +142,8 @@
     }
     tickets = None
     age_s = 0.0
+    outcome = "answered"
+    sent_at = _clock.now()
     try:
         if name == owner.session.settings.instance:
             handler = owner.session.peers.handlers[_messages.AdvisorQuery]
@@ -158,23 +160,33 @@
         if reply.answered:
             tickets = dict(reply.tickets)
             age_s = reply.age_s
+        else:
+            outcome = "advisor_failed"
     except errors.MeshError as error:
+        outcome = "peer_failed"
         LOG.info(
             "Peer did not answer the advisor query.",
+            step=step,
             peer=name,
             error=str(error),
         )
     finally:
         owner.advisor_queries.discard(name)
+    now = _clock.now()
+    if tickets is None:
+        owner.metrics.retries.inc({"reason": f"advice_{outcome}"})
     LOG.info(
         "Advisor query has ended.",
         job=query.job.spec.id,
         step=step,
+        fence=owner.fencing_token,
         by=name,
         workers=len(workers),
         good=-1 if tickets is None else len(tickets),
+        outcome=outcome,
+        seconds=round(now - sent_at, 3),
+        expected_s=round(query.duration_s, 3),
     )
-    now = _clock.now()
     workloads.record_query_result(
         query, tickets, now=now - age_s, retry_s=RETRY_S, received_at=now
     )
