Add failing tests of planned stops beside tasks that last

The owner's real queries run against simulated instances: the advisor answers one call at a time for each, in order, and an instance that stops closes its connections 2.6 s later.

--- a/chestnuttide/node/tests/_restart_bed.py
+++ b/chestnuttide/node/tests/_restart_bed.py
@@ -61,6 +61,9 @@
         The loops of the owners and of the workers' entries.
     disallowed : set of str
         Ids of the workers for which the advisor gives no tickets.
+    start_queries : function or None
+        Sends the advisor queries of a planning round; None to answer each by
+        itself.
     """
 
     world: _restarting_worker.World
@@ -68,6 +71,12 @@
     listed: set[str] = attrs.field(factory=set)
     loops: set[asyncio.Task[None]] = attrs.field(factory=set)
     disallowed: set[str] = attrs.field(factory=set)
+    start_queries: (
+        collections.abc.Callable[
+            [_ownership.Ownership, tuple[workloads.AdvisorQuery, ...]], None
+        ]
+        | None
+    ) = None
 
 
 def _make_owner(world: _restarting_worker.World) -> _ownership.Ownership:
@@ -131,12 +140,8 @@
 async def _plan(bed: Bed, owner: _ownership.Ownership) -> None:
     while not owner.deposed.is_set():
         now = asyncio.get_running_loop().time()
-        plan = workloads.make_plan(owner.pool, now=now)
-        if plan.runs:
-            _ownership.request_commit(owner, urgent=True)
-        for query in plan.queries:
-            workloads.record_query(query)
-            start_loop(bed, _query_advisor(bed, query))
+        if not owner.stopping:
+            _plan_round(bed, owner, now)
         _polls.expire_silent_leases(owner)
         _starts.supervise(owner)
         workloads.settle_crashes(owner.pool, now=now, now_unix_s=now)
@@ -145,22 +150,42 @@
         await asyncio.sleep(PLAN_PERIOD_S)
 
 
+def _plan_round(bed: Bed, owner: _ownership.Ownership, now: float) -> None:
+    plan = workloads.make_plan(owner.pool, now=now)
+    if plan.runs:
+        _ownership.request_commit(owner, urgent=True)
+    if bed.start_queries is not None:
+        bed.start_queries(owner, plan.queries)
+        return
+    for query in plan.queries:
+        workloads.record_query(query)
+        start_loop(bed, _query_advisor(bed, query))
+
+
 async def _query_advisor(bed: Bed, query: workloads.AdvisorQuery) -> None:
-    """Get tickets for the incarnations that live when they are issued."""
     await asyncio.sleep(query.duration_s)
     step = f"{query.job.spec.id}.{query.occurrence}.{query.step}"
-    tickets = {
-        worker.report.id: _restarting_worker.issue_ticket(
-            bed.world, bed.world.workers[worker.report.id], step
-        )
-        for worker in query.workers
-        if worker.report.id not in bed.disallowed
-    }
+    tickets = issue_tickets(
+        bed, step, (worker.report.id for worker in query.workers)
+    )
     workloads.record_query_result(
         query, tickets, now=bed.world.loop.time(), retry_s=0.2
     )
 
 
+def issue_tickets(
+    bed: Bed, step: str, worker_ids: collections.abc.Iterable[str]
+) -> dict[str, str]:
+    """Issue tickets for the incarnations of allowed workers that live now."""
+    return {
+        worker_id: _restarting_worker.issue_ticket(
+            bed.world, bed.world.workers[worker_id], step
+        )
+        for worker_id in worker_ids
+        if worker_id not in bed.disallowed
+    }
+
+
 async def _report_workers(bed: Bed) -> None:
     while True:
         await asyncio.sleep(HEARTBEAT_S)
@@ -213,6 +238,7 @@
     bed.owner.deposed.set()
     owner = _make_owner(bed.world)
     owner.former_owner_stopped = stopped
+    owner.session = bed.owner.session
     _updates.record_former_owner(owner)
     bed.owner = owner
     await asyncio.sleep(_restarting_worker.STORE_S)
--- a/chestnuttide/node/tests/_restarting_worker.py
+++ b/chestnuttide/node/tests/_restarting_worker.py
@@ -272,6 +272,13 @@
     worker.life = None
 
 
+def fail_runs(world: World, worker: Worker) -> None:
+    """End the runs of a worker, which tells of them as failed."""
+    settle(world, worker.life)
+    for record in list(worker.life.runs.values()):
+        _end(worker.life, record, world.loop.time(), "failed")
+
+
 async def restart(
     world: World,
     worker: Worker,
--- a/chestnuttide/node/tests/test_lasting_waits.py
+++ b/chestnuttide/node/tests/test_lasting_waits.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import collections.abc
+import math
 import typing
 
 import pytest
 
+from chestnuttide.node.tests import _advisor_peers
 from chestnuttide.node.tests import _restart_bed
 from chestnuttide.node.tests import _restarting_worker
 from chestnuttide import workloads
@@ -34,6 +36,10 @@
 
 NEVER_ENDS_S = 10_000.0
 
+_Inject: typing.TypeAlias = collections.abc.Callable[
+    [_advisor_peers.Fleet], typing.Awaitable[None]
+]
+
 
 def _planned_worker(bed: _restart_bed.Bed) -> _restarting_worker.Worker | None:
     """Return the worker that the owner has chosen for a run."""
@@ -131,3 +137,207 @@
         longest_lease_s=LONGEST_LEASE_S,
         count=workers,
     )
+
+
+STOP_PERIOD_S = 0.82
+MAX_STOPS = 17
+WORKERS_OF_INSTANCE = 3.3
+
+
+def _start_series(
+    fleet: _advisor_peers.Fleet,
+    choose: collections.abc.Callable[[_advisor_peers.Fleet], str],
+) -> None:
+    async def stop_in_turn() -> None:
+        for _ in range(min(MAX_STOPS, len(fleet.instances) // 2)):
+            _advisor_peers.stop(fleet, choose(fleet))
+            await asyncio.sleep(STOP_PERIOD_S)
+
+    _restart_bed.start_loop(fleet.bed, stop_in_turn())
+
+
+def _stop_peers(
+    end: collections.abc.Callable[[_advisor_peers.Fleet], None],
+    choose: collections.abc.Callable[[_advisor_peers.Fleet], str],
+) -> _Inject:
+    async def stop_peers(fleet: _advisor_peers.Fleet) -> None:
+        _start_series(fleet, choose)
+        await asyncio.sleep(3.0)
+        end(fleet)
+
+    return stop_peers
+
+
+def _stop_owners(
+    end: collections.abc.Callable[[_advisor_peers.Fleet], None],
+    *,
+    count: int,
+    owned_s: float = 0.7,
+) -> _Inject:
+    async def stop_owners(fleet: _advisor_peers.Fleet) -> None:
+        end(fleet)
+
+        async def stop_in_turn() -> None:
+            for number in range(1, count + 1):
+                await asyncio.sleep(owned_s)
+                await _advisor_peers.stop_owner(fleet, f"i{number:03}")
+
+        _restart_bed.start_loop(fleet.bed, stop_in_turn())
+
+    return stop_owners
+
+
+async def _stop_peers_and_owner(fleet: _advisor_peers.Fleet) -> None:
+    _start_series(fleet, _advisor_peers.next_choice)
+    await asyncio.sleep(3.0)
+    await _stop_owners(_fail, count=1)(fleet)
+
+
+def _beside_others(inject: _Inject) -> _Inject:
+    async def run_beside_others(fleet: _advisor_peers.Fleet) -> None:
+        bed = fleet.bed
+        tasks = [
+            _restart_bed.submit(
+                bed, number, NEVER_ENDS_S, advice=ADVICE, lasting=True
+            )
+            for number in range(2, 2 + min(60, len(bed.world.workers) // 10))
+        ]
+        assert await _restart_bed.until(
+            lambda: all(_restart_bed.runs_of(bed, task) for task in tasks),
+            20.0,
+        )
+        await asyncio.sleep(3.0)
+        await inject(fleet)
+
+    return run_beside_others
+
+
+def _waiting_tasks(bed: _restart_bed.Bed) -> set[str]:
+    _restarting_worker.settle_all(bed.world)
+    running = {
+        run.task for run in bed.world.history if run.ended_at == math.inf
+    }
+    return bed.world.durations.keys() - running
+
+
+def _fail(fleet: _advisor_peers.Fleet) -> None:
+    for worker in fleet.bed.world.workers.values():
+        _restarting_worker.fail_runs(fleet.bed.world, worker)
+
+
+def _crash(fleet: _advisor_peers.Fleet) -> None:
+    worker = _planned_worker(fleet.bed)
+    _restarting_worker.crash(fleet.bed.world, worker)
+
+
+@pytest.mark.parametrize(
+    "workers",
+    [
+        pytest.param(33, id="10-instances"),
+        pytest.param(126, id="38-instances"),
+        pytest.param(330, id="100-instances"),
+    ],
+)
+@pytest.mark.parametrize(
+    "inject",
+    [
+        pytest.param(
+            _stop_peers(_fail, _advisor_peers.next_choice),
+            id="fails-as-asked-peers-stop",
+        ),
+        pytest.param(
+            _stop_peers(_fail, _advisor_peers.last_choice),
+            id="fails-as-other-peers-stop",
+        ),
+        pytest.param(
+            _stop_peers_and_owner, id="fails-as-its-owner-and-peers-stop"
+        ),
+        pytest.param(
+            _stop_peers(_crash, _advisor_peers.next_choice),
+            id="crashes-as-asked-peers-stop",
+        ),
+        pytest.param(
+            _stop_owners(_fail, count=1), id="fails-before-its-owner-stops"
+        ),
+        pytest.param(
+            _stop_owners(_fail, count=3), id="fails-before-three-owners-stop"
+        ),
+        pytest.param(
+            _stop_owners(_fail, count=8), id="fails-before-eight-owners-stop"
+        ),
+        pytest.param(
+            _stop_owners(_fail, count=3, owned_s=2.5),
+            id="fails-before-owners-stop-slowly",
+        ),
+        pytest.param(
+            _stop_owners(_crash, count=0), id="crashes-without-stops"
+        ),
+        pytest.param(
+            _stop_owners(_crash, count=3),
+            id="crashes-before-three-owners-stop",
+        ),
+        pytest.param(
+            _stop_owners(_crash, count=8),
+            id="crashes-before-eight-owners-stop",
+        ),
+        pytest.param(
+            _stop_owners(_crash, count=3, owned_s=2.5),
+            id="crashes-before-owners-stop-slowly",
+        ),
+        pytest.param(
+            _beside_others(_stop_owners(_fail, count=0)),
+            id="fails-beside-others-without-stops",
+        ),
+        pytest.param(
+            _beside_others(_stop_owners(_fail, count=1)),
+            id="fails-beside-others-before-its-owner-stops",
+        ),
+        pytest.param(
+            _beside_others(_stop_owners(_fail, count=3)),
+            id="fails-beside-others-before-three-owners-stop",
+        ),
+        pytest.param(
+            _beside_others(_stop_peers(_fail, _advisor_peers.next_choice)),
+            id="fails-beside-others-as-asked-peers-stop",
+        ),
+    ],
+)
+def test_planned_stops_keep_no_task_that_lasts_waiting(
+    monkeypatch: pytest.MonkeyPatch,
+    workers: int,
+    inject: _Inject,
+) -> None:
+    """Guards against attempts to start that planned stops cut short."""
+
+    async def scenario(bed: _restart_bed.Bed) -> None:
+        fleet = _advisor_peers.install(
+            bed,
+            monkeypatch,
+            count=round(workers / WORKERS_OF_INSTANCE),
+            advice=ADVICE,
+        )
+        for number, worker in enumerate(bed.world.workers.values()):
+            if number % 10 >= ALLOWED_OF_TEN:
+                bed.disallowed.add(worker.id)
+            _restart_bed.list_worker(bed, worker)
+        await asyncio.sleep(3.0)
+        task = _restart_bed.submit(
+            bed, 1, NEVER_ENDS_S, advice=ADVICE, lasting=True
+        )
+        assert await _restart_bed.until(
+            lambda: _restart_bed.runs_of(bed, task), 5.0
+        )
+        await asyncio.sleep(3.0)
+        await inject(fleet)
+        assert _waiting_tasks(bed)
+        assert await _restart_bed.until(
+            lambda: not _waiting_tasks(bed), CALM_S + LOST_S
+        ), fleet.queries
+
+    _restart_bed.run(
+        monkeypatch,
+        scenario,
+        to_the_end=False,
+        longest_lease_s=LONGEST_LEASE_S,
+        count=workers,
+    )
