Keep advisor queries away from instances that stop or are busy

An instance that stops now ends its membership at once, queries go through members, and it stops only after it has answered those of its peers. An instance that failed a query is asked last for the time of one, and only a failure of the advisor itself delays the retry.

--- a/chestnuttide/mesh/__init__.py
+++ b/chestnuttide/mesh/__init__.py
@@ -39,6 +39,7 @@
 decode = _codec.decode
 encode = _codec.encode
 fail_connection = _calls.fail_connection
+flush = _network.flush
 is_full = _connection.is_full
 listen = _network.listen
 make_codec = _codec.make_codec
@@ -83,6 +84,7 @@
     "decode",
     "encode",
     "fail_connection",
+    "flush",
     "is_full",
     "listen",
     "make_codec",
--- a/chestnuttide/mesh/_network.py
+++ b/chestnuttide/mesh/_network.py
@@ -156,11 +156,16 @@
         )
 
 
-async def close(network: Network) -> None:
-    """Flush the send queues, close all connections and stop listening."""
+async def flush(network: Network, *, timeout_s: float) -> None:
+    """Wait until the queued messages are sent, for `timeout_s` at most."""
     await asyncio.gather(
-        *(_flush(each) for each in network.connections.values())
+        *(_flush(each, timeout_s) for each in network.connections.values())
     )
+
+
+async def close(network: Network) -> None:
+    """Flush the send queues, close all connections and stop listening."""
+    await flush(network, timeout_s=HANDSHAKE_TIMEOUT_S)
     set_addresses(network, ())
     for connection in list(network.connections.values()):
         await connection.socket.close()
@@ -195,8 +200,8 @@
     return True
 
 
-async def _flush(connection: _connection.Connection) -> None:
-    deadline = asyncio.get_running_loop().time() + HANDSHAKE_TIMEOUT_S
+async def _flush(connection: _connection.Connection, timeout_s: float) -> None:
+    deadline = asyncio.get_running_loop().time() + timeout_s
     while connection.queue and (asyncio.get_running_loop().time() < deadline):
         await asyncio.sleep(0.01)
 
--- a/chestnuttide/node/_daemon.py
+++ b/chestnuttide/node/_daemon.py
@@ -12,6 +12,7 @@
 from tornado import httputil
 
 from chestnuttide import errors
+from chestnuttide import mesh
 from chestnuttide.node import _access
 from chestnuttide.node import _admission
 from chestnuttide.node import _advisor_queries
@@ -196,6 +197,7 @@
     daemon: Daemon, settings: _settings.NodeSettings
 ) -> dict[type, _peers.Handler]:
     advice_http = platform.make_client(max_clients=MAX_STORE_TRANSFERS)
+    advisor_calls = _advisor_queries.AdvisorCalls()
 
     async def state(message: _messages.StateRead) -> object:
         return _lookups.answer_state(daemon.context, message)
@@ -205,7 +207,7 @@
 
     async def advice(message: _messages.AdvisorQuery) -> object:
         return await _advisor_queries.answer_query(
-            advice_http, settings.advisor or "", message
+            advice_http, settings.advisor or "", message, advisor_calls
         )
 
     async def cell(message: _messages.CellRead) -> object:
@@ -475,7 +477,11 @@
     ports: list[_intake_http.Port],
     settings: _settings.NodeSettings,
 ) -> None:
-    """Hand over the services, finish requests in progress, and leave."""
+    """Hand over the services, leave, and finish requests in progress.
+
+    Peers send no more advisor queries to an instance that has left, and choose
+    no successor by it. Those that they have sent are answered.
+    """
     started_at = _clock.now()
     session = daemon.session
     session.stopping = True
@@ -486,17 +492,20 @@
     await asyncio.gather(
         *(_release.hand_over(owner) for owner in daemon.owned.values())
     )
+    await _session.leave(session)
     await asyncio.sleep(
         max(0.0, ROTATION_PERIOD_S - (_clock.now() - started_at))
     )
     _intake_http.close(ports[0])
-    while daemon.context.in_flight and _clock.now() < limit:
+    peers = session.peers
+    while (daemon.context.in_flight or peers.tasks) and _clock.now() < limit:
         await asyncio.sleep(CLAIM_PERIOD_S / 2)
     for task in daemon.tasks:
         task.cancel()
-    await _session.leave(session)
+    await mesh.flush(peers.network, timeout_s=STOP_MARGIN_S / 2)
     LOG.info(
         "Stopped.",
         unanswered=daemon.context.in_flight,
+        unanswered_peers=len(peers.tasks),
         seconds=round(_clock.now() - started_at, 2),
     )
--- a/chestnuttide/node/_messages.py
+++ b/chestnuttide/node/_messages.py
@@ -103,12 +103,15 @@
         Worker ids.
     timeout_s : float
         Timeout of the advisor's answer, in seconds.
+    waits : bool
+        Whether the query may wait for the instance's other ones.
     """
 
     call_id: int
     step: str
     workers: tuple[str, ...]
     timeout_s: float
+    waits: bool = True
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -125,12 +128,16 @@
         Worker id and ticket of each worker that may run the step.
     age_s : float
         Age of the advisor's answer, in seconds.
+    busy_s : float
+        Time that the instance's other calls to the advisor take, in seconds,
+        if the query was rejected because of them.
     """
 
     call_id: int
     answered: bool
     tickets: tuple[tuple[str, str], ...]
     age_s: float = 0.0
+    busy_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True, slots=True)
--- a/chestnuttide/node/_ownership.py
+++ b/chestnuttide/node/_ownership.py
@@ -95,6 +95,9 @@
         Starts that are in flight or wait.
     advisor_queries : set of str
         Instances that have an advisor query in progress.
+    avoided_advisors : dict of str to float
+        Monotonic time until which advisor queries go through other instances
+        first, by instance that has failed or rejected one.
     waiting_queries : tuple of AdvisorQuery
         Queries of the last planning round that wait for an instance.
     obsolete_keys : dict of str to int
@@ -165,6 +168,7 @@
         factory=_start_window.StartWindow
     )
     advisor_queries: set[str] = attrs.field(factory=set)
+    avoided_advisors: dict[str, float] = attrs.field(factory=dict)
     waiting_queries: tuple[workloads.AdvisorQuery, ...] = ()
     obsolete_keys: dict[str, int] = attrs.field(factory=dict)
     waiting_reported_at: float = 0.0
--- a/chestnuttide/node/tests/_advisor_peers.py
+++ b/chestnuttide/node/tests/_advisor_peers.py
@@ -38,12 +38,17 @@
         Set once its connections are closed.
     advisor : Lock
         Held while the advisor handles a call of it.
+    calls : AdvisorCalls
+        Its calls to the advisor as it knows them.
     """
 
     name: str
     leaving: bool = False
     gone: asyncio.Event = attrs.field(factory=asyncio.Event)
     advisor: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    calls: _advisor_queries.AdvisorCalls = attrs.field(
+        factory=_advisor_queries.AdvisorCalls
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -81,6 +86,8 @@
         Policy that tells how long the advisor takes.
     instances : dict of str to Instance
         All instances by name.
+    members : set of str
+        Names of the members.
     queries : list of Query
         Queries that have ended.
     calls : set of Task
@@ -90,6 +97,7 @@
     bed: _restart_bed.Bed
     advice: workloads.Advice
     instances: dict[str, Instance]
+    members: set[str]
     queries: list[Query] = attrs.field(factory=list)
     calls: set[asyncio.Task[object]] = attrs.field(factory=set)
 
@@ -107,6 +115,7 @@
         bed=bed,
         advice=advice,
         instances={name: Instance(name=name) for name in names},
+        members=set(names),
     )
 
     def connected_names(peers: types.SimpleNamespace) -> list[str]:
@@ -149,6 +158,7 @@
 
     owner.session = types.SimpleNamespace(
         settings=types.SimpleNamespace(instance=name),
+        members=fleet.members,
         peers=types.SimpleNamespace(
             instance=name, handlers={_messages.AdvisorQuery: answer}
         ),
@@ -183,9 +193,13 @@
     fleet: Fleet, instance: Instance, message: _messages.AdvisorQuery
 ) -> object:
     sent_at = fleet.bed.world.loop.time()
-    reply = await _advisor_queries.answer_query(instance, "advisor", message)
+    reply = await _advisor_queries.answer_query(
+        instance, "advisor", message, instance.calls
+    )
     if not instance.gone.is_set():
         outcome = "answered" if reply.answered else "timeout"
+        if reply.busy_s:
+            outcome = "busy"
         _record(fleet, instance, message, sent_at, outcome)
     return reply
 
@@ -249,10 +263,16 @@
 
 
 def stop(fleet: Fleet, name: str) -> None:
-    """Tell an instance to stop; it closes its connections some time later."""
+    """Tell an instance to stop; it closes its connections some time later.
+
+    It ends its membership before, which the watch shows to the others.
+    """
     instance = fleet.instances[name]
     instance.leaving = True
     loop = asyncio.get_running_loop()
+    loop.call_later(
+        2 * _restarting_worker.STORE_S, fleet.members.discard, name
+    )
     loop.call_later(_daemon.ROTATION_PERIOD_S, instance.gone.set)
 
 
--- a/chestnuttide/node/tests/test_advisor_queries.py
+++ b/chestnuttide/node/tests/test_advisor_queries.py
@@ -10,6 +10,7 @@
 from chestnuttide.node import _metrics
 from chestnuttide.node import _ownership
 from chestnuttide.node import _peers
+from chestnuttide import platform
 from chestnuttide import workloads
 from chestnuttide.workloads.tests import _pool_fixtures
 
@@ -22,10 +23,15 @@
 
     def __init__(self) -> None:
         self.calls: list[tuple[str, str, asyncio.Future[None]]] = []
+        self.busy: set[str] = set()
 
     async def answer(
         self, name: str, message: _messages.AdvisorQuery
     ) -> _messages.AdvisorReply:
+        if name in self.busy and not message.waits:
+            return _messages.AdvisorReply(
+                call_id=0, answered=False, tickets=(), busy_s=1.0
+            )
         future = asyncio.get_running_loop().create_future()
         self.calls.append((name, message.step.partition(".")[0], future))
         await future
@@ -68,6 +74,7 @@
             peers=types.SimpleNamespace(
                 handlers={_messages.AdvisorQuery: answer_own}
             ),
+            members=names,
         ),
         store=None,
         workers_http=None,
@@ -171,3 +178,79 @@
         assert not advisor.open_calls
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("members", "busy", "expected"),
+    [
+        pytest.param("0123", "", "i2", id="first"),
+        pytest.param("0123", "2", "i3", id="the-first-is-busy"),
+        pytest.param("0123", "23", "i2", id="all-are-busy"),
+        pytest.param("013", "", "i1", id="the-first-is-stopping"),
+        pytest.param("", "", "i2", id="all-memberships-have-ended"),
+    ],
+)
+def test_a_query_goes_through_an_instance_that_can_answer_it(
+    monkeypatch: pytest.MonkeyPatch, members: str, busy: str, expected: str
+) -> None:
+    """Guards against queries lost with a peer, or late behind others."""
+
+    async def main() -> None:
+        advisor = _Advisor()
+        advisor.busy = {f"i{number}" for number in busy}
+        owner = _make_owner(monkeypatch, advisor, 4)
+        owner.session.members = {f"i{number}" for number in members}
+        _submit(owner, {"a": LONG})
+        _plan(owner)
+        await asyncio.sleep(0.01)
+        assert advisor.open_calls == [(expected, "a")]
+        assert owner.advisor_queries == {expected}
+        for task in owner.commands:
+            task.cancel()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("waits", "answers"),
+    [
+        pytest.param([False, False], [True, False], id="rejects-the-second"),
+        pytest.param([False, True], [True, True], id="unless-it-may-wait"),
+    ],
+)
+def test_an_instance_rejects_a_query_behind_a_long_one(
+    monkeypatch: pytest.MonkeyPatch, waits: list[bool], answers: list[bool]
+) -> None:
+    """Guards against queries that time out behind a former owner's."""
+
+    async def query_advisor(
+        http: object, address: str, **fields: object
+    ) -> platform.Tickets:
+        await asyncio.sleep(0.01)
+        return platform.Tickets(by_worker={})
+
+    async def main() -> None:
+        calls = _advisor_queries.AdvisorCalls()
+        monkeypatch.setattr(platform, "query_advisor", query_advisor)
+        replies = await asyncio.gather(
+            *(
+                _advisor_queries.answer_query(
+                    None,
+                    "",
+                    _messages.AdvisorQuery(
+                        call_id=number,
+                        step="a.0.0",
+                        workers=("w0",),
+                        timeout_s=0.7 + _advisor_queries.TIMEOUT_MARGIN_S,
+                        waits=each,
+                    ),
+                    calls,
+                )
+                for number, each in enumerate(waits)
+            )
+        )
+        assert [reply.answered for reply in replies] == answers
+        assert all(reply.answered or reply.busy_s > 0 for reply in replies)
+        assert calls == _advisor_queries.AdvisorCalls()
+
+    asyncio.run(main())
